--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,42 @@
+import jsdoc from "eslint-plugin-jsdoc";
+import typescript from "typescript-eslint";
+
+export default typescript.config(
+    { ignores: ["**/dist/**", "**/node_modules/**"] },
+    ...typescript.configs.recommended,
+    {
+        files: ["packages/**/*.ts"],
+        plugins: { jsdoc },
+        rules: {
+            "curly": "error",
+            "eqeqeq": "error",
+            "prefer-arrow-callback": "error",
+            "prefer-const": "error",
+            "no-restricted-syntax": ["error", { selector: "Literal[raw='null']", message: "use undefined" }],
+            "@typescript-eslint/naming-convention": [
+                "error",
+                { selector: "typeLike", format: ["PascalCase"] },
+                { selector: "enumMember", format: ["PascalCase"] },
+                { selector: "interface", format: ["PascalCase"], custom: { regex: "^I[A-Z]", match: false } },
+                { selector: "classMethod", format: ["camelCase"] },
+                { selector: "function", format: ["camelCase"] },
+            ],
+        },
+    },
+    {
+        files: ["packages/*/src/**/*.ts"],
+        rules: {
+            "jsdoc/require-jsdoc": ["error", {
+                publicOnly: true,
+                require: { ClassDeclaration: true, FunctionDeclaration: true, MethodDefinition: true },
+                contexts: [
+                    "ExportNamedDeclaration > VariableDeclaration",
+                    "TSInterfaceDeclaration",
+                    "TSTypeAliasDeclaration",
+                    "TSEnumDeclaration",
+                ],
+                checkConstructors: false,
+            }],
+        },
+    },
+);
--- /dev/null
+++ b/packages/core/src/ids/index.ts
@@ -0,0 +1,48 @@
+/** Branded identifiers: strings and numbers that the compiler keeps apart. */
+
+declare const brand: unique symbol;
+
+/** A value of type `Base` that may only be used where the brand `Name` is asked for. */
+export type Branded<Base, Name extends string> = Base & { readonly [brand]: Name; };
+
+/** Names one shard of workers, for example `cell-0`. */
+export type ShardId = Branded<string, "ShardId">;
+/** Names one VM of the platform's list that runs tasks. */
+export type WorkerId = Branded<string, "WorkerId">;
+/** Names one job as it was accepted. */
+export type JobId = Branded<string, "JobId">;
+/** Names one task of a job: the job's id, a slash and the task's index. */
+export type TaskId = Branded<string, "TaskId">;
+/** Names one running process of this product. */
+export type ProcessId = Branded<string, "ProcessId">;
+/** Names one start of a worker process; a restarted worker has a new one. */
+export type Incarnation = Branded<string, "Incarnation">;
+/** Number of an ownership period of a shard. Grows by at least one with each new owner. */
+export type Epoch = Branded<number, "Epoch">;
+/** Number of an attempt to run a task, from 1. */
+export type Attempt = Branded<number, "Attempt">;
+/** Number of an accepted settings tree, from 1. */
+export type SettingsRevision = Branded<number, "SettingsRevision">;
+
+/** Makes a shard id from text that is known to be one. */
+export const shardId = (text: string): ShardId => text as ShardId;
+/** Makes a worker id from text that is known to be one. */
+export const workerId = (text: string): WorkerId => text as WorkerId;
+/** Makes a job id from text that is known to be one. */
+export const jobId = (text: string): JobId => text as JobId;
+/** Makes a process id from text that is known to be one. */
+export const processId = (text: string): ProcessId => text as ProcessId;
+/** Makes an incarnation from text that is known to be one. */
+export const incarnation = (text: string): Incarnation => text as Incarnation;
+/** Makes an epoch from a whole number. */
+export const epoch = (value: number): Epoch => value as Epoch;
+/** Makes an attempt number from a whole number. */
+export const attempt = (value: number): Attempt => value as Attempt;
+/** Makes a settings revision from a whole number. */
+export const settingsRevision = (value: number): SettingsRevision => value as SettingsRevision;
+/** Names task `index` of a job. */
+export const taskIdOf = (job: JobId, index: number): TaskId => `${job}/${index}` as TaskId;
+/** The job that a task belongs to. */
+export const jobOfTask = (task: TaskId): JobId => task.slice(0, task.lastIndexOf("/")) as JobId;
+/** The index of a task within its job, from 0. */
+export const indexOfTask = (task: TaskId): number => Number(task.slice(task.lastIndexOf("/") + 1));
--- /dev/null
+++ b/packages/core/src/jobs/index.ts
@@ -0,0 +1,3 @@
+/** Jobs as callers submit them and as they are answered. */
+export * from "./schema.js";
+export * from "./types.js";
--- /dev/null
+++ b/packages/core/src/jobs/schema.ts
@@ -0,0 +1,61 @@
+/** The checked form of a job submission. */
+import { z } from "zod";
+
+/** Classes of workload, each with a policy of its own. */
+export enum WorkloadClass {
+    Batch = "batch",
+    Gang = "gang",
+    Service = "service",
+}
+
+/** Priority classes, most urgent first. */
+export enum Priority {
+    Urgent = "urgent",
+    Normal = "normal",
+    Patient = "patient",
+}
+
+const most = { tasks: 10_000, key: 200, processors: 100_000, memoryMebibytes: 100_000_000, count: 100_000 };
+const longestRun = 7 * 24 * 3_600_000;
+
+const sizeSchema = z.strictObject({
+    processors: z.number().positive().max(most.processors),
+    memoryMebibytes: z.number().int().positive().max(most.memoryMebibytes),
+    accelerators: z.number().int().min(0).max(most.count).default(0),
+    slots: z.number().int().min(1).max(most.count).default(1),
+    connections: z.number().int().min(0).max(most.count).default(0),
+});
+
+const nameSchema = z.string().regex(
+    /^[A-Za-z0-9][A-Za-z0-9._-]*$/,
+    "must be letters, digits, dots, underscores and hyphens",
+).max(most.key);
+
+/** Schema of a job submission; unknown fields are refused. Durations are milliseconds. */
+export const jobSubmissionSchema = z.strictObject({
+    key: nameSchema.optional(),
+    class: z.enum(WorkloadClass),
+    team: nameSchema.default("default"),
+    service: nameSchema.optional(),
+    priority: z.enum(Priority).default(Priority.Normal),
+    unrepeatable: z.boolean().default(false),
+    deadlineMilliseconds: z.number().int().positive().max(longestRun).optional(),
+    expectedRunMilliseconds: z.number().int().positive().max(longestRun).optional(),
+    tasks: z.number().int().min(1).max(most.tasks).default(1),
+    size: sizeSchema,
+    payload: z.json().default({}),
+}).superRefine((value, context) => {
+    if (value.class === WorkloadClass.Service && value.service === undefined) {
+        context.addIssue({ code: "custom", path: ["service"], message: "a job of class service names its service" });
+    }
+    if (value.class === WorkloadClass.Service && value.unrepeatable) {
+        context.addIssue({
+            code: "custom",
+            path: ["unrepeatable"],
+            message: "a service restarts; it cannot be unrepeatable",
+        });
+    }
+});
+
+/** A checked submission with its defaults filled in. */
+export type JobSubmission = z.infer<typeof jobSubmissionSchema>;
--- /dev/null
+++ b/packages/core/src/journal/journal.ts
@@ -0,0 +1,366 @@
+/**
+ * Append-only records of one shard over single-key compare-and-swap.
+ *
+ * Segments lie in a fixed ring of keys that are only ever rewritten, never deleted. An append names the version that
+ * it expects the ring's key to have, so a stale owner's append fails however late it arrives (DistributedLog's
+ * fencing by sealing, on a ring in place of deletable log segments). The claim of a new owner is itself a segment.
+ */
+import type { Epoch, ProcessId, ShardId } from "../ids/index.js";
+import {
+    absentVersion,
+    type KeyValue,
+    type KeyVersion,
+    type PlatformStore,
+    PlatformUnavailableError,
+} from "../platform/index.js";
+import type { Random } from "../random/index.js";
+import type { Clock, Milliseconds } from "../time/index.js";
+import { JournalDamagedError, JournalFencedError } from "./errors.js";
+import type { JournalContents, JournalOptions, Segment, SnapshotPointer } from "./types.js";
+
+interface Waiting {
+    readonly records: readonly unknown[];
+    readonly bytes: number;
+    readonly resolve: () => void;
+    readonly reject: (cause: unknown) => void;
+}
+
+/** Where the journal lives and what it needs. */
+export interface JournalDependencies {
+    readonly store: PlatformStore;
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly shard: ShardId;
+    readonly writer: ProcessId;
+    readonly options: JournalOptions;
+    readonly signal: AbortSignal;
+}
+
+const journalPrefix = (shard: ShardId): string => `shards/${shard}/journal/`;
+const snapshotPrefix = (shard: ShardId): string => `shards/${shard}/snapshots/`;
+const parseSegment = (entry: KeyValue): Segment => JSON.parse(entry.value) as Segment;
+
+/** Writes of one owner to its shard's journal. Made by {@link openJournal}. */
+export class Journal {
+    readonly #versions: Map<number, KeyVersion>;
+    #sequence: number;
+    #snapshot: SnapshotPointer | undefined;
+    #obsolete: SnapshotPointer | undefined;
+    #waiting: Waiting[] = [];
+    #running = false;
+    #fenced: JournalFencedError | undefined;
+    #stalledSince: Milliseconds | undefined;
+    #lastContact: Milliseconds;
+    #takeSnapshot: (() => unknown) | undefined;
+    #writes = 0;
+
+    constructor(
+        private readonly dependencies: JournalDependencies,
+        readonly epoch: Epoch,
+        opened: {
+            versions: Map<number, KeyVersion>;
+            sequence: number;
+            snapshot: SnapshotPointer | undefined;
+            contact: Milliseconds;
+        },
+    ) {
+        this.#versions = opened.versions;
+        this.#sequence = opened.sequence;
+        this.#snapshot = opened.snapshot;
+        this.#lastContact = opened.contact;
+    }
+
+    /** Number of calls that wrote to the platform. */
+    get writes(): number {
+        return this.#writes;
+    }
+
+    /** Number of record groups that wait to be written. */
+    get backlog(): number {
+        return this.#waiting.length;
+    }
+
+    /** When the last write that confirmed ownership was sent, by the monotonic clock. */
+    get lastContact(): Milliseconds {
+        return this.#lastContact;
+    }
+
+    /** How long the platform has not answered; 0 when it answers. */
+    stalledFor(): Milliseconds {
+        return this.#stalledSince === undefined ? 0 : this.dependencies.clock.monotonic() - this.#stalledSince;
+    }
+
+    /** Gives the function that returns the whole state, in a form that JSON holds, for snapshots. */
+    setSnapshotSource(source: () => unknown): void {
+        this.#takeSnapshot = source;
+    }
+
+    /**
+     * Writes records as one group; resolves when they are kept.
+     * Rejects with {@link JournalFencedError} when another owner has taken over.
+     */
+    append(records: readonly unknown[]): Promise<void> {
+        if (this.#fenced !== undefined) {
+            return Promise.reject(this.#fenced);
+        }
+        return new Promise((resolve, reject) => {
+            this.#waiting.push({ records, bytes: Buffer.byteLength(JSON.stringify(records)), resolve, reject });
+            if (!this.#running) {
+                this.#running = true;
+                void this.#run();
+            }
+        });
+    }
+
+    async #run(): Promise<void> {
+        const { clock, options } = this.dependencies;
+        try {
+            while (this.#waiting.length > 0) {
+                await this.#snapshotIfDue();
+                if (this.#waiting.length === 0) {
+                    break;
+                }
+                const started = clock.monotonic();
+                await this.#writeGroup(this.#waiting.length);
+                const rest = options.commitInterval - (clock.monotonic() - started);
+                if (rest > 0) {
+                    await clock.sleep(rest, this.dependencies.signal);
+                }
+            }
+        }
+        catch (cause) {
+            this.#fenced = cause instanceof JournalFencedError
+                ? cause
+                : new JournalFencedError(`stopped: ${String(cause)}`);
+            const refused = this.#waiting;
+            this.#waiting = [];
+            refused.forEach(entry => entry.reject(this.#fenced));
+        }
+        finally {
+            this.#running = false;
+        }
+    }
+
+    /** Writes the first entries that wait, at most `most` of them and as many as one value holds. */
+    async #writeGroup(most: number): Promise<number> {
+        const group = this.#takeGroup(most);
+        try {
+            await this.#write(group.flatMap(entry => entry.records));
+        }
+        catch (cause) {
+            this.#waiting.unshift(...group);
+            throw cause;
+        }
+        group.forEach(entry => entry.resolve());
+        return group.length;
+    }
+
+    #takeGroup(most: number): Waiting[] {
+        let bytes = 0;
+        let count = 0;
+        while (count < most) {
+            bytes += this.#waiting[count].bytes;
+            if (count > 0 && bytes > this.dependencies.options.largestBytes) {
+                break;
+            }
+            count++;
+        }
+        return this.#waiting.splice(0, count);
+    }
+
+    async #write(records: readonly unknown[]): Promise<void> {
+        const { random, shard, writer, options } = this.dependencies;
+        const sequence = this.#sequence + 1;
+        if (sequence - (this.#snapshot?.through ?? 0) >= options.ringSize) {
+            throw new JournalDamagedError(`the ring of shard ${shard} holds no key that a snapshot has freed`);
+        }
+        const slot = sequence % options.ringSize;
+        const segment: Segment = {
+            sequence,
+            epoch: this.epoch,
+            writer,
+            nonce: random.name(),
+            snapshot: this.#snapshot,
+            records,
+        };
+        const expected = this.#versions.get(slot) ?? absentVersion;
+        const version = await this.#swapUntilSettled(ringKey(shard, slot), expected, segment);
+        this.#versions.set(slot, version);
+        this.#sequence = sequence;
+        this.#removeObsolete();
+    }
+
+    /** Repeats one write until its outcome is certain. The nonce tells this write from another owner's. */
+    async #swapUntilSettled(key: string, expected: KeyVersion, segment: Segment): Promise<KeyVersion> {
+        const { store, clock, options, signal } = this.dependencies;
+        const value = JSON.stringify(segment);
+        while (true) {
+            signal.throwIfAborted();
+            const sent = clock.monotonic();
+            try {
+                this.#writes++;
+                const outcome = await store.compareAndSwap(key, expected, value);
+                this.#stalledSince = undefined;
+                if (outcome.kind === "swapped") {
+                    this.#lastContact = sent;
+                    return outcome.version;
+                }
+                if (outcome.current !== undefined && parseSegment(outcome.current).nonce === segment.nonce) {
+                    this.#lastContact = sent;
+                    return outcome.current.version;
+                }
+                throw new JournalFencedError(`segment ${segment.sequence} of the journal was taken by another owner`);
+            }
+            catch (cause) {
+                if (!(cause instanceof PlatformUnavailableError)) {
+                    throw cause;
+                }
+                this.#stalledSince ??= sent;
+                await clock.sleep(options.retryDelay, signal);
+            }
+        }
+    }
+
+    /**
+     * Replaces the segments so far by a snapshot when enough of them have gathered.
+     *
+     * The state already holds the records that wait at this moment, so these are written first; the snapshot then
+     * equals the journal up to the last of them. The pointer counts only from the next segment on, and the former
+     * snapshot is removed only after that segment is kept.
+     */
+    async #snapshotIfDue(): Promise<void> {
+        const since = this.#sequence - (this.#snapshot?.through ?? 0);
+        if (this.#takeSnapshot === undefined || since < this.dependencies.options.snapshotEvery) {
+            return;
+        }
+        const text = JSON.stringify(this.#takeSnapshot());
+        let included = this.#waiting.length;
+        while (included > 0) {
+            included -= await this.#writeGroup(included);
+        }
+        const through = this.#sequence;
+        const name = `${this.epoch}-${through}-${this.dependencies.random.name()}`;
+        const parts = splitText(text, this.dependencies.options.largestBytes);
+        for (const [index, part] of parts.entries()) {
+            await this.#createPart(`${snapshotPrefix(this.dependencies.shard)}${name}/${index}`, part);
+        }
+        this.#obsolete = this.#snapshot;
+        this.#snapshot = { name, parts: parts.length, through };
+    }
+
+    /** Writes one part until it is kept. The name is drawn once, so a conflict means that a copy arrived first. */
+    async #createPart(key: string, part: string): Promise<void> {
+        const { store, clock, options, signal } = this.dependencies;
+        while (true) {
+            signal.throwIfAborted();
+            const sent = clock.monotonic();
+            try {
+                this.#writes++;
+                await store.compareAndSwap(key, absentVersion, part);
+                this.#stalledSince = undefined;
+                return;
+            }
+            catch (cause) {
+                if (!(cause instanceof PlatformUnavailableError)) {
+                    throw cause;
+                }
+                this.#stalledSince ??= sent;
+                await clock.sleep(options.retryDelay, signal);
+            }
+        }
+    }
+
+    #removeObsolete(): void {
+        const obsolete = this.#obsolete;
+        this.#obsolete = undefined;
+        if (obsolete !== undefined) {
+            // Not awaited: a part left behind costs room only.
+            void removeSnapshot(this.dependencies.store, this.dependencies.shard, obsolete).catch(() => undefined);
+        }
+    }
+}
+
+const ringKey = (shard: ShardId, slot: number): string => `${journalPrefix(shard)}${String(slot).padStart(5, "0")}`;
+
+const splitText = (text: string, largestBytes: number): string[] => {
+    // A character takes up to four bytes of UTF-8; half of that bound covers what JSON of this product holds.
+    const step = Math.floor(largestBytes / 4);
+    const parts: string[] = [];
+    for (let start = 0; start < text.length || parts.length === 0; start += step) {
+        parts.push(text.slice(start, start + step));
+    }
+    return parts;
+};
+
+const removeSnapshot = async (store: PlatformStore, shard: ShardId, pointer: SnapshotPointer): Promise<void> => {
+    for (let index = 0; index < pointer.parts; index++) {
+        const key = `${snapshotPrefix(shard)}${pointer.name}/${index}`;
+        const entry = await store.get(key);
+        if (entry !== undefined) {
+            await store.remove(key, entry.version);
+        }
+    }
+};
+
+const readSnapshot = async (store: PlatformStore, shard: ShardId, pointer: SnapshotPointer): Promise<unknown> => {
+    let text = "";
+    for (let index = 0; index < pointer.parts; index++) {
+        const entry = await store.get(`${snapshotPrefix(shard)}${pointer.name}/${index}`);
+        if (entry === undefined) {
+            return undefined;
+        }
+        text += entry.value;
+    }
+    return JSON.parse(text);
+};
+
+/**
+ * Claims a shard's journal: seals it against the former owner and reads all it holds.
+ * Rejects with {@link PlatformUnavailableError} when the platform does not answer; then nothing may be assumed.
+ */
+export const openJournal = async (
+    dependencies: JournalDependencies,
+): Promise<{ journal: Journal; contents: JournalContents; }> => {
+    const { store, clock, random, shard, writer, options } = dependencies;
+    while (true) {
+        dependencies.signal.throwIfAborted();
+        const entries = await store.list(journalPrefix(shard));
+        const segments = entries.map(parseSegment).sort((left, right) => left.sequence - right.sequence);
+        const versions = new Map(entries.map(entry => [Number(entry.key.slice(-5)), entry.version]));
+        const last = segments.at(-1);
+        const pointer = last?.snapshot;
+        const snapshot = pointer === undefined ? undefined : await readSnapshot(store, shard, pointer);
+        const claim: Segment = {
+            sequence: (last?.sequence ?? 0) + 1,
+            epoch: ((last?.epoch ?? 0) + 1) as Epoch,
+            writer,
+            nonce: random.name(),
+            snapshot: pointer,
+            records: [],
+        };
+        const slot = claim.sequence % options.ringSize;
+        const contact = clock.monotonic();
+        const outcome = await store.compareAndSwap(
+            ringKey(shard, slot),
+            versions.get(slot) ?? absentVersion,
+            JSON.stringify(claim),
+        );
+        if (outcome.kind === "conflict") {
+            continue;
+        }
+        if (pointer !== undefined && snapshot === undefined) {
+            throw new JournalDamagedError(`snapshot ${pointer.name} of shard ${shard} is not complete`);
+        }
+        versions.set(slot, outcome.version);
+        const records = segments
+            .filter(segment => segment.sequence > (pointer?.through ?? 0))
+            .flatMap(segment => segment.records);
+        const journal = new Journal(dependencies, claim.epoch, {
+            versions,
+            sequence: claim.sequence,
+            snapshot: pointer,
+            contact,
+        });
+        return { journal, contents: { epoch: claim.epoch, snapshot, records } };
+    }
+};
--- /dev/null
+++ b/packages/core/src/random/index.ts
@@ -0,0 +1,44 @@
+/** Randomness as an interface; tests and benches pass a seeded one. */
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+
+/** Source of random numbers and names. */
+export interface Random {
+    /** A number in [0, 1). */
+    next(): number;
+    /** A name that no other process draws, safe in a URL. */
+    name(): string;
+}
+
+/** Random numbers that repeat for the same seed. */
+export class SeededRandom implements Random {
+    readonly #generator;
+
+    constructor(seed: number) {
+        this.#generator = xoroshiro128plus(seed);
+    }
+
+    /** See {@link Random.next}. */
+    next(): number {
+        return uniformFloat64(this.#generator);
+    }
+
+    /** See {@link Random.name}. */
+    name(): string {
+        const part = () => Math.floor(this.next() * 0x1_0000_0000).toString(16).padStart(8, "0");
+        return part() + part();
+    }
+}
+
+/** Random numbers of the system. The only place that draws them. */
+export class SystemRandom implements Random {
+    /** See {@link Random.next}. */
+    next(): number {
+        return Math.random();
+    }
+
+    /** See {@link Random.name}. */
+    name(): string {
+        return crypto.randomUUID().replaceAll("-", "").slice(0, 20);
+    }
+}
--- /dev/null
+++ b/packages/core/src/settings/definitions.ts
@@ -0,0 +1,135 @@
+/** Kinds of setting values: how each is read, checked and shown. */
+import ms, { type StringValue } from "ms";
+import { err, ok, type Result } from "neverthrow";
+
+/** Reads one kind of value from text. The error says what is wrong, without the place. */
+export interface ValueKind<Value> {
+    /** What an operator may write. */
+    readonly description: string;
+    read(text: string): Result<Value, string>;
+}
+
+const millisecondsPattern = /^\d+(\.\d+)?(ms|s|m|h|d)$/;
+const wholePattern = /^\d+$/;
+const sharePattern = /^\d+(\.\d+)?%$/;
+const addressPattern = /^(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})$/;
+
+/** A length of time with its unit, read to milliseconds. */
+export class DurationKind implements ValueKind<number> {
+    readonly description: string;
+
+    constructor(private readonly least: string, private readonly most: string) {
+        this.description = `duration from ${least} to ${most}, as in 250ms, 10s, 15m, 1h`;
+    }
+
+    /** See {@link ValueKind.read}. */
+    read(text: string): Result<number, string> {
+        if (!millisecondsPattern.test(text)) {
+            return err(`"${text}" is no ${this.description}`);
+        }
+        const value = ms(text as StringValue);
+        const isWithin = value >= ms(this.least as StringValue) && value <= ms(this.most as StringValue);
+        return isWithin ? ok(value) : err(`${text} is outside ${this.least} to ${this.most}`);
+    }
+}
+
+/** A whole number. */
+export class CountKind implements ValueKind<number> {
+    readonly description: string;
+
+    constructor(private readonly least: number, private readonly most: number, unit = "") {
+        this.description = `whole number from ${least} to ${most}${unit === "" ? "" : `, in ${unit}`}`;
+    }
+
+    /** See {@link ValueKind.read}. */
+    read(text: string): Result<number, string> {
+        const value = wholePattern.test(text) ? Number(text) : NaN;
+        return value >= this.least && value <= this.most ? ok(value) : err(`"${text}" is no ${this.description}`);
+    }
+}
+
+/** A share in percent, read to a number from 0 to 1. */
+export class ShareKind implements ValueKind<number> {
+    readonly description: string;
+
+    constructor(private readonly least: number, private readonly most: number) {
+        this.description = `share from ${least}% to ${most}%, as in 15%`;
+    }
+
+    /** See {@link ValueKind.read}. */
+    read(text: string): Result<number, string> {
+        const value = sharePattern.test(text) ? Number(text.slice(0, -1)) : NaN;
+        return value >= this.least && value <= this.most ? ok(value / 100) : err(`"${text}" is no ${this.description}`);
+    }
+}
+
+/** One of a few words. */
+export class ChoiceKind implements ValueKind<string> {
+    readonly description: string;
+
+    constructor(private readonly choices: readonly string[]) {
+        this.description = `one of ${choices.join(", ")}`;
+    }
+
+    /** See {@link ValueKind.read}. */
+    read(text: string): Result<string, string> {
+        return this.choices.includes(text) ? ok(text) : err(`"${text}" is not ${this.description}`);
+    }
+}
+
+/** Letters, digits, dots, underscores and hyphens, and slashes where a path is meant. */
+export class NameKind implements ValueKind<string> {
+    readonly description: string;
+    readonly #pattern: RegExp;
+
+    constructor(isPath: boolean) {
+        this.description = isPath ? "name with slashes, as in luzon/pasig" : "name, as in pasig-1";
+        this.#pattern = isPath ? /^[A-Za-z0-9._-]+(\/[A-Za-z0-9._-]+)*$/ : /^[A-Za-z0-9][A-Za-z0-9._-]*$/;
+    }
+
+    /** See {@link ValueKind.read}. */
+    read(text: string): Result<string, string> {
+        return this.#pattern.test(text) ? ok(text) : err(`"${text}" is no ${this.description}`);
+    }
+}
+
+/** An IP number with a port. */
+export class AddressKind implements ValueKind<string> {
+    readonly description = "IP number and port, as in 127.0.0.1:7000";
+
+    /** See {@link ValueKind.read}. */
+    read(text: string): Result<string, string> {
+        const parts = addressPattern.exec(text)?.slice(1).map(Number);
+        const isAddress = parts !== undefined && parts.slice(0, 4).every(part => part <= 255) && parts[4] <= 65_535;
+        return isAddress ? ok(text) : err(`"${text}" is no ${this.description}`);
+    }
+}
+
+/** Addresses parted by commas; may be empty. */
+export class AddressListKind implements ValueKind<readonly string[]> {
+    readonly description = "addresses parted by commas, as in 127.0.0.1:7000, 127.0.0.1:7001";
+    readonly #address = new AddressKind();
+
+    /** See {@link ValueKind.read}. */
+    read(text: string): Result<readonly string[], string> {
+        const parts = text.split(",").map(part => part.trim()).filter(part => part !== "");
+        const wrong = parts.find(part => this.#address.read(part).isErr());
+        return wrong === undefined ? ok(parts) : err(`"${wrong}" is no ${this.#address.description}`);
+    }
+}
+
+/** One key of a schema. */
+export interface SettingDefinition<Value> {
+    readonly kind: ValueKind<Value>;
+    /** The value in text where none is set; undefined when one must be set. */
+    readonly fallback: string | undefined;
+    /** What it does, for the page that lists all settings. */
+    readonly comment: string;
+}
+
+/** Makes a definition; the type of the value follows from the kind. */
+export const defineSetting = <Value>(
+    kind: ValueKind<Value>,
+    fallback: string | undefined,
+    comment: string,
+): SettingDefinition<Value> => ({ kind, fallback, comment });
--- /dev/null
+++ b/packages/core/src/settings/shard-settings.ts
@@ -0,0 +1,48 @@
+/** Values of the tree as a shard's owner reads them. */
+import type { WorkloadClass } from "../jobs/index.js";
+import { Preference } from "../placement/index.js";
+import type { Resources } from "../resources/index.js";
+import type { ShardSettings } from "../shard/settings.js";
+import type { SettingsTree, TreePath } from "./tree.js";
+
+type Mutable<Value> = { -readonly [Key in keyof Value]: Value[Key]; };
+
+const quotasOf = (tree: SettingsTree): Map<string, Partial<Resources>> => {
+    const quotas = new Map<string, Partial<Resources>>();
+    for (const team of tree.teams()) {
+        const quota: Partial<Mutable<Resources>> = {};
+        const processors = tree.quota(team, "quota.processors");
+        quota.processorThousandths = processors === undefined ? undefined : processors * 1000;
+        quota.memoryMebibytes = tree.quota(team, "quota.memory");
+        quota.accelerators = tree.quota(team, "quota.accelerators");
+        quota.slots = tree.quota(team, "quota.slots");
+        quotas.set(team, quota);
+    }
+    return quotas;
+};
+
+/** Reads all values of one workload class at a site. */
+export const shardSettingsOf = (tree: SettingsTree, path: TreePath, workloadClass?: WorkloadClass): ShardSettings => {
+    const place = { ...path, workloadClass };
+    return {
+        placement: {
+            preference: tree.explain("placement.preference", place).value as Preference,
+            headroom: tree.number("placement.headroom", place),
+        },
+        leaseDuration: tree.number("lease.duration", path),
+        leaseMargin: tree.number("lease.margin", path),
+        startWithin: tree.number("lease.start_within", path),
+        silentAfter: tree.number("worker.silent_after", path),
+        horizon: tree.number("owner.horizon", path),
+        queueLimit: tree.number("queue.limit", path),
+        retryAttempts: tree.number("retry.attempts", place),
+        retryDelay: tree.number("retry.delay", place),
+        resultBytes: tree.number("result.bytes", path),
+        retention: tree.number("result.retention", path),
+        gangPatience: tree.number("placement.gang_patience", place),
+        slotGrant: tree.number("live.slot_grant", path),
+        quarantineShare: tree.number("worker.quarantine_share", path),
+        quarantineDuration: tree.number("worker.quarantine_duration", path),
+        quotas: quotasOf(tree),
+    };
+};
--- /dev/null
+++ b/packages/core/src/shard/constants.ts
@@ -0,0 +1,10 @@
+/** Limits of a shard that are not settings. */
+
+/** Entries kept of a job's history; older ones go first. */
+export const longestHistory = 40;
+/** Weight of the newest interval in the rate of starts. */
+export const rateWeight = 0.3;
+/** Share of the queue that each priority may fill, most urgent first. */
+export const queueShares = { urgent: 1, normal: 0.9, patient: 0.7 } as const;
+/** Longest time that a caller is told to stay away, in milliseconds. */
+export const longestRetryAfter = 600_000;
--- /dev/null
+++ b/packages/core/src/shard/index.ts
@@ -0,0 +1,11 @@
+/** The decisions of a shard's owner: jobs, queue, workers, leases and slots; no socket, no timer. */
+export * from "./constants.js";
+export * from "./job-book.js";
+export * from "./lease-terms.js";
+export * from "./pending-queue.js";
+export * from "./records.js";
+export * from "./settings.js";
+export * from "./shard-scheduler.js";
+export * from "./slot-ledger.js";
+export * from "./types.js";
+export * from "./worker-table.js";
--- /dev/null
+++ b/packages/core/src/shard/pending-queue.ts
@@ -0,0 +1,147 @@
+/** Tasks and gangs that wait for room, in order of priority and age, grouped by what they ask for. */
+import TinyQueue from "tinyqueue";
+import type { JobId, TaskId } from "../ids/index.js";
+import { Priority } from "../jobs/index.js";
+
+/** What is placed in one decision: one task, or all tasks of a gang. */
+export interface PendingUnit {
+    readonly job: JobId;
+    readonly tasks: readonly TaskId[];
+    readonly priority: Priority;
+    /** Equal for units that ask for the same; if one does not fit, its equals do not either. */
+    readonly signature: string;
+    /** Order of arrival. */
+    readonly ticket: number;
+    /** When it began to wait, by the monotonic clock. */
+    readonly since: number;
+}
+
+interface Group {
+    readonly rank: number;
+    units: PendingUnit[];
+    /** Index of the first unit that was not taken. */
+    first: number;
+}
+
+const ranks: Readonly<Record<Priority, number>> = { [Priority.Urgent]: 0, [Priority.Normal]: 1, [Priority.Patient]: 2 };
+/** Taken units are dropped from a group's array once there are this many. */
+const compactAfter = 1024;
+
+const isBefore = (left: Group, right: Group): number =>
+    left.rank - right.rank || left.units[left.first].ticket - right.units[right.first].ticket;
+
+/** A queue whose cancelled units cost constant work: they are skipped when they come up. */
+export class PendingQueue {
+    readonly #groups = new Map<string, Group>();
+    readonly #removed = new Set<PendingUnit>();
+    readonly #byTask = new Map<TaskId, PendingUnit>();
+    #waiting = 0;
+
+    /** Number of units that wait. */
+    get length(): number {
+        return this.#waiting;
+    }
+
+    /** Adds a unit behind its equals. */
+    add(unit: PendingUnit): void {
+        const name = `${unit.priority}|${unit.signature}`;
+        let group = this.#groups.get(name);
+        if (group === undefined) {
+            group = { rank: ranks[unit.priority], units: [], first: 0 };
+            this.#groups.set(name, group);
+        }
+        group.units.push(unit);
+        unit.tasks.forEach(task => this.#byTask.set(task, unit));
+        this.#waiting++;
+    }
+
+    /** Takes the unit of a task out; does nothing when it does not wait. */
+    remove(task: TaskId): void {
+        const unit = this.#byTask.get(task);
+        if (unit !== undefined) {
+            this.#forget(unit);
+            this.#removed.add(unit);
+        }
+    }
+
+    /** The unit of a task, if it waits. */
+    unitOf(task: TaskId): PendingUnit | undefined {
+        return this.#byTask.get(task);
+    }
+
+    /** Number of units that come before a unit, itself included; counted by group. */
+    placeOf(unit: PendingUnit): number {
+        let ahead = 1;
+        for (const group of this.#groups.values()) {
+            if (group.first >= group.units.length) {
+                continue;
+            }
+            if (group.rank < ranks[unit.priority]) {
+                ahead += group.units.length - group.first;
+            }
+            else if (group.rank === ranks[unit.priority]) {
+                ahead += countBefore(group, unit.ticket);
+            }
+        }
+        return ahead;
+    }
+
+    /** Offers units in order; `place` says whether it took one. Equals of a refused unit are passed over. */
+    offer(place: (unit: PendingUnit) => boolean): void {
+        const heap = new TinyQueue<Group>([], isBefore);
+        for (const [name, group] of this.#groups) {
+            this.#skipRemoved(group);
+            if (group.first < group.units.length) {
+                heap.push(group);
+            }
+            else {
+                this.#groups.delete(name);
+            }
+        }
+        for (let group = heap.pop(); group !== undefined; group = heap.pop()) {
+            const unit = group.units[group.first];
+            if (!place(unit)) {
+                continue;
+            }
+            if (this.#byTask.get(unit.tasks[0]) === unit) {
+                this.#forget(unit);
+            }
+            group.first++;
+            this.#skipRemoved(group);
+            if (group.first < group.units.length) {
+                heap.push(group);
+            }
+        }
+    }
+
+    #forget(unit: PendingUnit): void {
+        unit.tasks.forEach(task => this.#byTask.delete(task));
+        this.#waiting--;
+    }
+
+    #skipRemoved(group: Group): void {
+        while (group.first < group.units.length && this.#removed.delete(group.units[group.first])) {
+            group.first++;
+        }
+        if (group.first >= compactAfter) {
+            group.units = group.units.slice(group.first);
+            group.first = 0;
+        }
+    }
+}
+
+/** Units of a group with a smaller ticket, by binary search. */
+const countBefore = (group: Group, ticket: number): number => {
+    let low = group.first;
+    let high = group.units.length;
+    while (low < high) {
+        const middle = (low + high) >>> 1;
+        if (group.units[middle].ticket < ticket) {
+            low = middle + 1;
+        }
+        else {
+            high = middle;
+        }
+    }
+    return low - group.first;
+};
--- /dev/null
+++ b/packages/core/src/shard/shard-scheduler.ts
@@ -0,0 +1,1181 @@
+/**
+ * Decisions of one shard's owner.
+ *
+ * Each input changes the state by records and returns them with the effects that may be carried out once the records
+ * are kept. The class reads time only through the clock it is given and reaches nothing outside.
+ */
+import TinyQueue from "tinyqueue";
+import {
+    type Attempt,
+    type Epoch,
+    type JobId,
+    jobId,
+    jobOfTask,
+    type ShardId,
+    type TaskId,
+    type WorkerId,
+} from "../ids/index.js";
+import { isFinalState, JobState, type JobSubmission, type JobView, RanAnswer, WorkloadClass } from "../jobs/index.js";
+import { policyOf } from "../placement/index.js";
+import type { Random } from "../random/index.js";
+import {
+    addResources,
+    dimensions,
+    lackingDimensions,
+    multiplyResources,
+    noResources,
+    type Resources,
+    resourcesKey,
+    subtractResources,
+} from "../resources/index.js";
+import type { Clock, Milliseconds } from "../time/index.js";
+import type { ListedWorker } from "../vm-list/index.js";
+import {
+    type EndedTask,
+    EndKind,
+    type HeartbeatMessage,
+    type RunningTask,
+    type StartMessage,
+    StopMode,
+    WorkerRefusal,
+    type WorkerReport,
+} from "../worker/index.js";
+import { longestRetryAfter, queueShares, rateWeight } from "./constants.js";
+import { JobBook } from "./job-book.js";
+import { LeaseTerms } from "./lease-terms.js";
+import { PendingQueue, type PendingUnit } from "./pending-queue.js";
+import type { RecordedPlacement, ShardRecord } from "./records.js";
+import { RoomSaver } from "./room-saver.js";
+import type { ShardSettings } from "./settings.js";
+import { type ServiceInstance, type SlotGrant, SlotLedger, type SlotRequest } from "./slot-ledger.js";
+import { StepBuilder } from "./step-builder.js";
+import {
+    type JobEntry,
+    type OnceEntry,
+    type Refusal,
+    type ShardSnapshot,
+    type Step,
+    type SubmitOutcome,
+    type TaskEntry,
+    TaskPhase,
+} from "./types.js";
+import { WorkerHealth } from "./worker-health.js";
+import { isLeaving, type WorkerEntry, WorkerTable } from "./worker-table.js";
+
+/** What a shard's owner is made from. */
+export interface ShardSchedulerOptions {
+    readonly shard: ShardId;
+    readonly epoch: Epoch;
+    readonly clock: Clock;
+    readonly random: Random;
+    /** Reads the settings in force for a workload class, or for the shard as a whole; called at each decision. */
+    readonly settings: (workloadClass?: WorkloadClass) => ShardSettings;
+    /** When ownership was last confirmed by the platform, by the monotonic clock. */
+    readonly lastContact: () => Milliseconds;
+    /** Whether a former owner's leases and grants may still run. */
+    readonly hasFormerOwner: boolean;
+}
+
+/** What a caller submits, checked, with a digest that is equal for equal bodies. */
+export interface Submission {
+    readonly submission: JobSubmission;
+    readonly digest: string;
+}
+
+interface Due {
+    readonly at: number;
+    readonly job: JobId;
+}
+
+interface Delayed {
+    readonly at: Milliseconds;
+    readonly unit: PendingUnit;
+}
+
+const emptyStep: Step = { records: [], effects: [] };
+
+/** The size that a submission asks for, in the units of placement. */
+export const sizeOf = (submission: JobSubmission): Resources => ({
+    processorThousandths: Math.round(submission.size.processors * 1000),
+    memoryMebibytes: submission.size.memoryMebibytes,
+    accelerators: submission.size.accelerators,
+    slots: submission.size.slots,
+    connections: submission.size.connections,
+});
+
+/** See the module's comment. */
+export class ShardScheduler {
+    readonly workers = new WorkerTable();
+    readonly queue = new PendingQueue();
+    readonly book = new JobBook();
+    readonly #health = new WorkerHealth();
+    readonly #saver: RoomSaver;
+    readonly #terms = new LeaseTerms();
+    readonly #ledgers = new Map<string, SlotLedger>();
+    readonly #services = new Map<string, Set<JobEntry>>();
+    readonly #teamUse = new Map<string, Resources>();
+    readonly #deadlines = new TinyQueue<Due>([], (left, right) => left.at - right.at);
+    readonly #delayed = new TinyQueue<Delayed>([], (left, right) => left.at - right.at);
+    readonly #finished: JobEntry[] = [];
+    /** Tasks of a journal whose worker has not been listed yet. */
+    readonly #unlisted = new Set<TaskEntry>();
+    readonly #openedAt: Milliseconds;
+    #hasList = false;
+    #nextJob = 1;
+    #nextTicket = 1;
+    #startsSinceTick = 0;
+    #startsPerSecond = 0;
+    #lastTick: Milliseconds;
+
+    constructor(private readonly options: ShardSchedulerOptions) {
+        this.#openedAt = options.clock.monotonic();
+        this.#lastTick = this.#openedAt;
+        this.#saver = new RoomSaver(this.workers, task => this.#expectedEnd(task));
+    }
+
+    /** Takes over what the journal holds. Called once, before any other input. */
+    recover(snapshot: ShardSnapshot | undefined, records: readonly ShardRecord[]): void {
+        if (snapshot !== undefined) {
+            this.book.restore(snapshot);
+        }
+        records.forEach(record => this.book.apply(record));
+        this.#terms.recover(this.book.terms);
+        for (const job of this.book.jobs.values()) {
+            this.#recoverJob(job);
+        }
+    }
+
+    /** Accepts a job or refuses it with the reason; a job of the same key and body is found again. */
+    submit(input: Submission): { readonly step: Step; readonly outcome: SubmitOutcome; } {
+        const { submission, digest } = input;
+        const known = submission.key === undefined ? undefined : this.book.byKey(submission.key);
+        if (known !== undefined) {
+            return { step: emptyStep, outcome: repeatedOutcome(known, digest) };
+        }
+        const refusal = this.#refusalOf(submission);
+        if (refusal !== undefined) {
+            return { step: emptyStep, outcome: { kind: "refused", refusal } };
+        }
+        const { shard, epoch } = this.options;
+        const job = jobId(`${shard}.${epoch}.${this.#nextJob++}`);
+        const builder = this.#builder();
+        builder.record({
+            kind: "submitted",
+            at: this.#at(),
+            job,
+            key: submission.key ?? job,
+            digest,
+            submission,
+        });
+        const entry = this.#jobOf(job);
+        this.#watchDeadline(entry);
+        this.#indexService(entry);
+        this.#enqueue(entry, entry.tasks);
+        return { step: builder.step(), outcome: { kind: "accepted", job, repeated: false } };
+    }
+
+    /** Ends a job at its caller's wish. Undefined when no such job is known. */
+    cancel(id: JobId): Step | undefined {
+        const job = this.book.jobs.get(id);
+        if (job === undefined) {
+            return undefined;
+        }
+        if (isFinalState(job.state) || job.state === JobState.Cancelling) {
+            return emptyStep;
+        }
+        const builder = this.#builder();
+        builder.record({ kind: "cancel", at: this.#at(), job: id });
+        this.#endJob(job, builder);
+        return builder.step();
+    }
+
+    /** What a caller is told of a job. A final state is told only once it is kept. */
+    view(id: JobId): JobView | undefined {
+        const job = this.book.jobs.get(id);
+        if (job === undefined) {
+            return undefined;
+        }
+        const isTold = !isFinalState(job.state) || job.unkept === 0;
+        const unit = job.state === JobState.Queued ? this.queue.unitOf(job.tasks[0].task) : undefined;
+        const place = unit === undefined ? undefined : this.queue.placeOf(unit);
+        return {
+            job: job.job,
+            key: job.key,
+            state: isTold ? job.state : JobState.Running,
+            ran: isTold ? job.ran : RanAnswer.MayHaveRun,
+            reason: isTold ? job.reason : "its end is being recorded",
+            attempts: job.tasks.reduce((most, task) => Math.max(most, task.attempt), 0),
+            workers: job.tasks.flatMap(task => task.assignment?.worker ?? []),
+            place,
+            expectedWait: place === undefined ? undefined : this.#expectedWait(place),
+            outcomes: isTold && isFinalState(job.state) ? job.tasks.map(outcomeOf) : [],
+        };
+    }
+
+    /** The job that a caller's key names. */
+    findByKey(key: string): JobId | undefined {
+        return this.book.byKey(key)?.job;
+    }
+
+    /** Takes in the platform's list of VMs, as far as this shard has them. */
+    listWorkers(listed: readonly ListedWorker[]): Step {
+        const builder = this.#builder();
+        const now = this.#now();
+        const names = new Set(listed.map(worker => worker.worker));
+        for (const worker of listed) {
+            const entry = this.workers.get(worker.worker);
+            if (entry === undefined) {
+                this.workers.add(worker, this.#leasesOfFormerOwner());
+            }
+            else {
+                entry.listed = worker;
+                this.#refresh(entry);
+            }
+        }
+        this.#hasList = true;
+        this.#chargeUnlisted(builder);
+        for (const entry of [...this.workers.values()]) {
+            if (!names.has(entry.worker)) {
+                this.#loseTasks(entry, "the platform no longer lists the VM", builder);
+                this.workers.remove(entry);
+            }
+            else if (isLeaving(entry)) {
+                this.#emptyLeaving(entry, now, builder);
+            }
+        }
+        return builder.step();
+    }
+
+    /** Takes in the answer of a worker that has accepted this owner's epoch. `sentAt`: when the claim was sent. */
+    claimAnswered(worker: WorkerId, report: WorkerReport, sentAt: Milliseconds): Step {
+        const entry = this.workers.get(worker);
+        if (entry === undefined) {
+            return emptyStep;
+        }
+        const builder = this.#builder();
+        for (const task of [...entry.tasks.values()]) {
+            const isKnown = [...report.running, ...report.ended].some(other => isSameAttempt(other, task));
+            if (!isKnown && task.assignment?.incarnation === report.incarnation) {
+                // The worker refuses the former owner from now on, so a start that has not arrived never will.
+                this.#notStarted(task, "the start never reached the worker", builder);
+            }
+        }
+        entry.incarnation = report.incarnation;
+        this.#takeReport(entry, report, sentAt, builder);
+        // No former owner can renew here any more, so the leases that run now end within one lease.
+        const { leaseDuration, leaseMargin } = this.#terms.ofFormerOwner();
+        entry.leasesLapseAt = this.#now() + leaseDuration + leaseMargin;
+        return builder.step();
+    }
+
+    /** The next heartbeat for a worker that was claimed, or undefined when it must be claimed first. */
+    heartbeatFor(worker: WorkerId, wait: Milliseconds): HeartbeatMessage | undefined {
+        const entry = this.workers.get(worker);
+        if (entry?.incarnation === undefined) {
+            return undefined;
+        }
+        const renewed = this.#mayRenew()
+            ? [...entry.tasks.values()].filter(task => task.stopSent !== true && task.confirmedAt !== undefined)
+            : [];
+        if (renewed.length > 0) {
+            this.#noteLeases(entry);
+        }
+        const acknowledged = entry.acknowledgements;
+        entry.acknowledgements = [];
+        return {
+            shard: this.options.shard,
+            epoch: this.options.epoch,
+            number: entry.number,
+            renewals: renewed.map(task => ({ task: task.task, attempt: task.attempt })),
+            acknowledged,
+            lease: this.#terms.inForce(this.options.settings()).leaseDuration,
+            wait,
+        };
+    }
+
+    /** A heartbeat got no answer: what it acknowledged is acknowledged again. */
+    heartbeatFailed(worker: WorkerId, message: HeartbeatMessage): void {
+        this.workers.get(worker)?.acknowledgements.push(...message.acknowledged);
+    }
+
+    /** Takes in the answer to a heartbeat. `sentAt`: when the heartbeat was sent. */
+    heartbeatAnswered(worker: WorkerId, report: WorkerReport, sentAt: Milliseconds): Step {
+        const entry = this.workers.get(worker);
+        if (entry === undefined) {
+            return emptyStep;
+        }
+        const builder = this.#builder();
+        entry.incarnation = report.incarnation;
+        this.#takeReport(entry, report, sentAt, builder);
+        return builder.step();
+    }
+
+    /**
+     * The message that starts an attempt, or undefined when it is no longer to be sent.
+     * `mayHaveArrived`: a copy of it was sent before and got no answer.
+     */
+    startMessage(id: TaskId, attempt: Attempt, mayHaveArrived: boolean): StartMessage | undefined {
+        const task = this.book.task(id);
+        const job = this.book.jobs.get(jobOfTask(id));
+        if (job === undefined || task?.attempt !== attempt || task.phase !== TaskPhase.Starting || !task.assignment) {
+            return undefined;
+        }
+        const entry = this.workers.get(task.assignment.worker);
+        if (entry === undefined || entry.incarnation !== task.assignment.incarnation || !this.#mayRenew()) {
+            return undefined;
+        }
+        if (this.#isEnding(job) && !mayHaveArrived) {
+            return undefined;
+        }
+        const settings = this.options.settings();
+        this.#noteLeases(entry);
+        return {
+            shard: this.options.shard,
+            epoch: this.options.epoch,
+            task: id,
+            attempt,
+            number: entry.number,
+            latestStart: settings.startWithin,
+            lease: this.#terms.inForce(settings).leaseDuration,
+            grant: task.assignment.grant,
+            payload: job.submission.payload,
+            checkpoint: task.checkpoint,
+            serves: job.submission.class === WorkloadClass.Service,
+        };
+    }
+
+    /** A worker accepted a start. */
+    startAccepted(id: TaskId, attempt: Attempt, running: RunningTask): Step {
+        const task = this.book.task(id);
+        if (task?.attempt !== attempt || task.phase !== TaskPhase.Starting) {
+            return emptyStep;
+        }
+        const builder = this.#builder();
+        this.#confirm(task, running);
+        builder.changed(jobOfTask(id));
+        this.#stopIfUnwanted(task, builder);
+        return builder.step();
+    }
+
+    /** A worker refused a start, or it was given up before it was ever sent: the attempt was not run. */
+    startRefused(id: TaskId, attempt: Attempt, refusal: WorkerRefusal | undefined): Step {
+        const task = this.book.task(id);
+        if (task?.attempt !== attempt || task.phase !== TaskPhase.Starting || task.assignment === undefined) {
+            return emptyStep;
+        }
+        const builder = this.#builder();
+        const entry = this.workers.get(task.assignment.worker);
+        if (entry !== undefined && refusal === WorkerRefusal.Leaving) {
+            entry.saidLeaving = true;
+            this.#refresh(entry);
+        }
+        this.#notStarted(task, refusal === undefined ? "never sent" : `the worker refused: ${refusal}`, builder);
+        return builder.step();
+    }
+
+    /** Does what time asks for: lapsed leases, deadlines, retries, retention. */
+    tick(): Step {
+        const builder = this.#builder();
+        const now = this.#now();
+        this.#measureRate(now);
+        const terms = this.#terms.due(this.options.settings(), now);
+        if (terms !== undefined) {
+            builder.record({ kind: "terms", terms });
+        }
+        const { silentAfter } = this.options.settings();
+        for (const entry of this.workers.values()) {
+            this.#refresh(entry);
+            // A worker that answers says itself what became of its tasks; an old lease time means only that it was idle.
+            const isSilent = now - entry.answeredAt > silentAfter;
+            if (entry.tasks.size > 0 && isSilent && now > entry.leasesLapseAt) {
+                this.#loseTasks(entry, "its worker was silent until every lease there had lapsed", builder);
+            }
+        }
+        while (this.#delayed.length > 0 && this.#delayed.peek()!.at <= now) {
+            this.#requeue(this.#delayed.pop()!.unit);
+        }
+        this.#passDeadlines(builder);
+        this.#forgetOld(builder);
+        return builder.step();
+    }
+
+    /** Places what fits. `mayRecord` is false while the journal takes no records: then nothing is placed. */
+    schedule(mayRecord: boolean): Step {
+        const builder = this.#builder();
+        if (mayRecord && this.#mayRenew() && this.queue.length > 0) {
+            const now = this.#now();
+            this.#saver.refresh(now);
+            this.queue.offer(unit => this.#place(unit, now, builder));
+        }
+        return builder.step();
+    }
+
+    /** Grants slots of a service's instances to a gateway. Undefined when no such service is known. */
+    acquireSlots(service: string, request: SlotRequest): SlotGrant[] | undefined {
+        const jobs = this.#services.get(service);
+        if (jobs === undefined || !this.#mayRenew()) {
+            return jobs === undefined ? undefined : [];
+        }
+        return this.#ledgerOf(service).acquire(
+            request,
+            this.#instancesOf(jobs),
+            this.#now(),
+            this.options.settings().slotGrant,
+        );
+    }
+
+    /** Records that an unrepeatable live request is about to be sent; a second one of the same key is told the first. */
+    beginOnce(key: string, digest: string): { readonly step: Step; readonly earlier: OnceEntry | undefined; } {
+        const earlier = this.book.once.get(key);
+        if (earlier !== undefined) {
+            return { step: emptyStep, earlier };
+        }
+        const builder = this.#builder();
+        builder.record({ kind: "once-began", at: this.#at(), key, digest });
+        return { step: builder.step(), earlier: undefined };
+    }
+
+    /** Records that an unrepeatable live request was answered. */
+    endOnce(key: string, status: number): Step {
+        const builder = this.#builder();
+        builder.record({ kind: "once-ended", at: this.#at(), key, status });
+        return builder.step();
+    }
+
+    /** The records of a step are kept. */
+    kept(step: Step): void {
+        for (const record of step.records) {
+            const job = jobOfRecord(record);
+            const entry = job === undefined ? undefined : this.book.jobs.get(job);
+            if (entry !== undefined) {
+                entry.unkept--;
+            }
+            if (record.kind === "terms") {
+                this.#terms.kept(record.terms);
+            }
+            if (record.kind === "ended") {
+                const { task, attempt } = record;
+                this.workers.get(record.worker)?.acknowledgements.push({ task, attempt });
+            }
+        }
+    }
+
+    /** Wait that is told to one who is refused or comes later, from the rate at which the queue drains. */
+    #expectedWait(place: number): Milliseconds {
+        const rate = Math.max(this.#startsPerSecond, 0.1);
+        return Math.min(longestRetryAfter, Math.ceil(place / rate * 1000));
+    }
+
+    #now(): Milliseconds {
+        return this.options.clock.monotonic();
+    }
+
+    #at(): string {
+        return this.options.clock.now().toISOString();
+    }
+
+    #builder(): StepBuilder {
+        return new StepBuilder(this.book);
+    }
+
+    #jobOf(id: JobId): JobEntry {
+        return this.book.jobs.get(id)!;
+    }
+
+    /** Whether leases may be given: only up to the horizon after the platform last confirmed ownership. */
+    #mayRenew(): boolean {
+        return this.#now() - this.options.lastContact() < this.#terms.inForce(this.options.settings()).horizon;
+    }
+
+    #leasesOfFormerOwner(): Milliseconds {
+        if (!this.options.hasFormerOwner) {
+            return -Infinity;
+        }
+        const { horizon, leaseDuration, leaseMargin } = this.#terms.ofFormerOwner();
+        return this.#openedAt + horizon + leaseDuration + leaseMargin;
+    }
+
+    /** Leases given now at a worker are counted there from the issue of its last number, which is not later than its answer. */
+    #noteLeases(entry: WorkerEntry): void {
+        const { leaseDuration, leaseMargin } = this.#terms.inForce(this.options.settings());
+        entry.leasesLapseAt = Math.max(entry.leasesLapseAt, entry.answeredAt + leaseDuration + leaseMargin);
+    }
+
+    #refresh(entry: WorkerEntry): void {
+        this.workers.refresh(entry, this.#now(), this.options.settings().silentAfter);
+    }
+
+    #recoverJob(job: JobEntry): void {
+        if (isFinalState(job.state)) {
+            this.#finished.push(job);
+            return;
+        }
+        this.#watchDeadline(job);
+        this.#indexService(job);
+        for (const task of job.tasks) {
+            if (task.assignment !== undefined) {
+                this.#unlisted.add(task);
+            }
+        }
+        if (job.state !== JobState.Cancelling && !job.tasks.some(task => task.phase === TaskPhase.Failed)) {
+            const isWhole = job.submission.class !== WorkloadClass.Gang
+                || job.tasks.every(task => task.phase === TaskPhase.Waiting);
+            if (isWhole) {
+                this.#enqueue(job, job.tasks.filter(task => task.phase === TaskPhase.Waiting));
+            }
+        }
+    }
+
+    #chargeUnlisted(builder: StepBuilder): void {
+        for (const task of this.#unlisted) {
+            const assignment = task.assignment;
+            if (assignment === undefined) {
+                continue;
+            }
+            const entry = this.workers.get(assignment.worker);
+            if (entry === undefined) {
+                this.#lose(task, "the platform no longer lists its VM", builder);
+            }
+            else {
+                this.workers.charge(entry, task, assignment.grant);
+                this.#useQuota(task, assignment.grant, 1);
+            }
+        }
+        this.#unlisted.clear();
+    }
+
+    #refusalOf(submission: JobSubmission): Refusal | undefined {
+        if (!this.#hasList) {
+            return { error: "no-workers", reason: "the list of VMs has not been read yet", retryAfter: 1000 };
+        }
+        return this.#sizeRefusal(submission) ?? this.#queueRefusal(submission);
+    }
+
+    #sizeRefusal(submission: JobSubmission): Refusal | undefined {
+        const size = sizeOf(submission);
+        const { placement, quotas } = this.options.settings(submission.class);
+        const policy = policyOf(submission.class);
+        const count = policy.allOrNothing ? submission.tasks : 1;
+        const room = [...this.workers.values()].map(entry => usableCapacity(entry, policy.headroom(placement)));
+        const places = room.reduce((sum, capacity) => sum + timesFitting(size, capacity), 0);
+        if (places === 0) {
+            return { error: "fits-nowhere", reason: nearestMiss(size, [...this.workers.values()], room) };
+        }
+        if (places < count) {
+            return {
+                error: "fits-nowhere",
+                reason: `all ${count} tasks must run at once and the shard holds at most ${places} of this size`,
+            };
+        }
+        const quota = quotas.get(submission.team);
+        const needed = multiplyResources(size, count);
+        const lacking = quota === undefined
+            ? undefined
+            : dimensions.find(name => needed[name] > (quota[name] ?? Infinity));
+        return lacking === undefined ? undefined : {
+            error: "quota-too-small",
+            reason: `team ${submission.team} may hold ${quota![lacking]} of ${lacking} and the job needs ${
+                needed[lacking]
+            }`,
+        };
+    }
+
+    #queueRefusal(submission: JobSubmission): Refusal | undefined {
+        const limit = this.options.settings().queueLimit * queueShares[submission.priority];
+        const length = this.queue.length;
+        const units = policyOf(submission.class).allOrNothing ? 1 : submission.tasks;
+        if (length + units > limit) {
+            const retryAfter = this.#expectedWait(length + units - limit);
+            return { error: "queue-full", reason: `${length} wait, ${limit} may at this priority`, retryAfter };
+        }
+        const deadline = submission.deadlineMilliseconds;
+        const run = submission.expectedRunMilliseconds ?? 0;
+        if (deadline !== undefined && run > deadline) {
+            return {
+                error: "deadline-cannot-be-met",
+                reason: `it is expected to run ${run} ms and is due in ${deadline} ms`,
+            };
+        }
+        return undefined;
+    }
+
+    #watchDeadline(job: JobEntry): void {
+        const { deadlineMilliseconds } = job.submission;
+        if (deadlineMilliseconds !== undefined) {
+            this.#deadlines.push({ at: Date.parse(job.submittedAt) + deadlineMilliseconds, job: job.job });
+        }
+    }
+
+    #indexService(job: JobEntry): void {
+        const { service } = job.submission;
+        if (service !== undefined) {
+            const jobs = this.#services.get(service) ?? new Set<JobEntry>();
+            jobs.add(job);
+            this.#services.set(service, jobs);
+        }
+    }
+
+    #enqueue(job: JobEntry, tasks: readonly TaskEntry[]): void {
+        const { submission } = job;
+        const signature = `${submission.class}|${submission.team}|${resourcesKey(sizeOf(submission))}`;
+        const base = { job: job.job, priority: submission.priority, since: this.#now() };
+        if (policyOf(submission.class).allOrNothing) {
+            const ids = job.tasks.map(task => task.task);
+            this.queue.add({
+                ...base,
+                tasks: ids,
+                signature: `${signature}|${ids.length}`,
+                ticket: this.#nextTicket++,
+            });
+            return;
+        }
+        for (const task of tasks) {
+            this.queue.add({ ...base, tasks: [task.task], signature, ticket: this.#nextTicket++ });
+        }
+    }
+
+    /** Puts a unit back at its old place among its equals' arrivals; it keeps its ticket only within new groups. */
+    #requeue(unit: PendingUnit): void {
+        const job = this.book.jobs.get(unit.job);
+        const isWanted = job !== undefined && !isFinalState(job.state) && job.state !== JobState.Cancelling
+            && !job.tasks.some(task => task.phase === TaskPhase.Failed);
+        if (isWanted) {
+            this.queue.add({ ...unit, ticket: this.#nextTicket++ });
+        }
+    }
+
+    #place(unit: PendingUnit, now: Milliseconds, builder: StepBuilder): boolean {
+        const job = this.#jobOf(unit.job);
+        const size = sizeOf(job.submission);
+        if (!this.#isWithinQuota(job.submission.team, multiplyResources(size, unit.tasks.length))) {
+            return false;
+        }
+        const { placement } = this.options.settings(job.submission.class);
+        const policy = policyOf(job.submission.class);
+        const avoided = this.#health.failedWorkersOf(job.job);
+        const expectedEnd = job.submission.expectedRunMilliseconds === undefined
+            ? Infinity
+            : now + job.submission.expectedRunMilliseconds;
+        const chosen: WorkerEntry[] = [];
+        let considered = 0;
+        let fitted = 0;
+        for (let index = 0; index < unit.tasks.length; index++) {
+            const decision = this.workers.index.find({
+                size,
+                preference: policy.preference(placement),
+                headroom: policy.headroom(placement),
+                isExcluded: worker => this.#isExcluded(this.workers.at(worker), unit, expectedEnd, avoided),
+            });
+            considered += decision.considered;
+            fitted += decision.fitted;
+            if (decision.worker < 0) {
+                break;
+            }
+            this.workers.index.reserve(decision.worker, size);
+            chosen.push(this.workers.at(decision.worker));
+        }
+        chosen.forEach(entry => this.workers.index.release(entry.slot, size));
+        if (chosen.length < unit.tasks.length) {
+            this.#saveRoom(unit, job, size, now);
+            return false;
+        }
+        this.#saver.done(unit.job);
+        const reason = `${policy.preference(placement)}: best of ${fitted} that fit, ${considered} looked at,`
+            + ` after ${Math.round(now - unit.since)} ms`;
+        this.#recordPlacements(job, unit, chosen, size, reason, builder);
+        return true;
+    }
+
+    #recordPlacements(
+        job: JobEntry,
+        unit: PendingUnit,
+        chosen: readonly WorkerEntry[],
+        grant: Resources,
+        reason: string,
+        builder: StepBuilder,
+    ): void {
+        const placements = unit.tasks.map((task, index): RecordedPlacement => ({
+            task,
+            attempt: (this.book.task(task)!.attempt + 1) as Attempt,
+            worker: chosen[index].worker,
+            incarnation: chosen[index].incarnation!,
+            grant,
+        }));
+        builder.record({ kind: "starting", at: this.#at(), job: job.job, placements, reason });
+        placements.forEach((placement, index) => {
+            const task = this.book.task(placement.task)!;
+            this.workers.charge(chosen[index], task, grant);
+            this.#useQuota(task, grant, 1);
+            builder.effect({
+                kind: "start",
+                worker: placement.worker,
+                task: placement.task,
+                attempt: placement.attempt,
+            });
+        });
+        this.#startsSinceTick += placements.length;
+    }
+
+    #isExcluded(
+        entry: WorkerEntry,
+        unit: PendingUnit,
+        expectedEnd: Milliseconds,
+        avoided: ReadonlySet<WorkerId>,
+    ): boolean {
+        return this.#saver.isSavedForAnother(entry, unit.job, expectedEnd)
+            || (avoided.has(entry.worker) && avoided.size < this.workers.size);
+    }
+
+    #saveRoom(unit: PendingUnit, job: JobEntry, size: Resources, now: Milliseconds): void {
+        if (unit.tasks.length > 1 && now - unit.since >= this.options.settings(job.submission.class).gangPatience) {
+            this.#saver.save(job.job, size, unit.tasks.length, now);
+        }
+    }
+
+    /** When a running task is expected to end, by its caller's word; never, when nothing was said. */
+    #expectedEnd(task: TaskEntry): Milliseconds {
+        const run = this.book.jobs.get(jobOfTask(task.task))?.submission.expectedRunMilliseconds;
+        return run === undefined ? Infinity : (task.confirmedAt ?? this.#now()) + run;
+    }
+
+    #isWithinQuota(team: string, more: Resources): boolean {
+        const quota = this.options.settings().quotas.get(team);
+        if (quota === undefined) {
+            return true;
+        }
+        const used = addResources(this.#teamUse.get(team) ?? noResources, more);
+        return dimensions.every(name => used[name] <= (quota[name] ?? Infinity));
+    }
+
+    #useQuota(task: TaskEntry, grant: Resources, sign: number): void {
+        const job = this.book.jobs.get(jobOfTask(task.task));
+        if (job !== undefined) {
+            const { team } = job.submission;
+            const used = this.#teamUse.get(team) ?? noResources;
+            this.#teamUse.set(team, sign > 0 ? addResources(used, grant) : subtractResources(used, grant));
+        }
+    }
+
+    #takeReport(entry: WorkerEntry, report: WorkerReport, sentAt: Milliseconds, builder: StepBuilder): void {
+        entry.number = report.number;
+        entry.answeredAt = this.#now();
+        entry.saidLeaving = report.leaving;
+        const running = new Map(report.running.map(task => [task.task, task]));
+        report.ended.forEach(ended => this.#takeEnd(entry, ended, builder));
+        for (const task of [...entry.tasks.values()]) {
+            this.#compareWithReport(task, running.get(task.task), report, sentAt, builder);
+        }
+        entry.strangers = this.#stopStrangers(entry, report, builder);
+        if (report.leaving) {
+            this.#emptyLeaving(entry, entry.answeredAt, builder);
+        }
+        this.#refresh(entry);
+    }
+
+    #compareWithReport(
+        task: TaskEntry,
+        running: RunningTask | undefined,
+        report: WorkerReport,
+        sentAt: Milliseconds,
+        builder: StepBuilder,
+    ): void {
+        if (running !== undefined && running.attempt === task.attempt) {
+            if (task.phase === TaskPhase.Starting || task.serviceAddress !== running.serviceAddress) {
+                this.#confirm(task, running);
+                builder.changed(jobOfTask(task.task));
+            }
+            this.#stopIfUnwanted(task, builder);
+            return;
+        }
+        const isOther = task.assignment?.incarnation !== report.incarnation;
+        if (isOther) {
+            this.#lose(task, "its worker was restarted", builder);
+        }
+        else if (task.confirmedAt !== undefined && sentAt > task.confirmedAt) {
+            this.#lose(task, "its worker no longer knows it", builder);
+        }
+    }
+
+    #confirm(task: TaskEntry, running: RunningTask): void {
+        task.phase = TaskPhase.Running;
+        task.confirmedAt = this.#now();
+        task.serviceAddress = running.serviceAddress;
+        this.#jobOf(jobOfTask(task.task)).ran = RanAnswer.Ran;
+    }
+
+    /** A start that was confirmed after its job was ended, or after its gang fell apart, is stopped. */
+    #stopIfUnwanted(task: TaskEntry, builder: StepBuilder): void {
+        const job = this.#jobOf(jobOfTask(task.task));
+        const isBrokenGang = job.submission.class === WorkloadClass.Gang
+            && job.tasks.some(other => other.phase === TaskPhase.Waiting);
+        if (this.#isEnding(job) || isBrokenGang) {
+            this.#stop(task, StopMode.Stop, builder);
+        }
+    }
+
+    #takeEnd(entry: WorkerEntry, ended: EndedTask, builder: StepBuilder): void {
+        const task = this.book.task(ended.task);
+        if (task === undefined || task.attempt !== ended.attempt || task.assignment?.worker !== entry.worker) {
+            // Acknowledged only once its record is kept: a worker that forgot an end would look as if it had never
+            // been given the start, and the next owner would run the task again.
+            if ((this.book.jobs.get(jobOfTask(ended.task))?.unkept ?? 0) === 0) {
+                entry.acknowledgements.push({ task: ended.task, attempt: ended.attempt });
+            }
+            return;
+        }
+        const job = this.#jobOf(jobOfTask(ended.task));
+        const kind = this.#checkedEnd(ended);
+        this.#noteHealth(entry, job, kind);
+        const { assignment } = task;
+        const isFinal = this.#isFinalEnd(job, task, kind);
+        const output = kind === ended.kind ? ended.output : "the result is larger than the settings allow";
+        builder.record({
+            kind: "ended",
+            at: this.#at(),
+            task: ended.task,
+            attempt: ended.attempt,
+            worker: entry.worker,
+            end: kind,
+            output,
+            isFinal,
+        });
+        this.#discharge(task, entry, assignment.grant);
+        this.#afterTask(job, task, builder);
+    }
+
+    /** A result that is too large for the journal is a failure: a shortened one would be a wrong answer. */
+    #checkedEnd(ended: EndedTask): EndKind {
+        const isTooLarge = Buffer.byteLength(ended.output) > this.options.settings().resultBytes;
+        return isTooLarge && ended.kind === EndKind.Succeeded ? EndKind.Failed : ended.kind;
+    }
+
+    #noteHealth(entry: WorkerEntry, job: JobEntry, kind: EndKind): void {
+        if (kind === EndKind.Succeeded) {
+            this.#health.noteSuccess(entry.worker, job.job);
+        }
+        else if (kind === EndKind.Failed && this.#health.noteFailure(entry.worker, job.job)) {
+            this.#quarantine(entry);
+        }
+    }
+
+    #quarantine(entry: WorkerEntry): void {
+        const now = this.#now();
+        const { quarantineShare, quarantineDuration } = this.options.settings();
+        const quarantined = [...this.workers.values()].filter(other => other.quarantinedUntil > now).length;
+        if (quarantined + 1 > this.workers.size * quarantineShare) {
+            return;
+        }
+        const count = this.#health.beginQuarantine(entry.worker);
+        entry.quarantinedUntil = now + quarantineDuration * 2 ** Math.min(count - 1, 6);
+        this.#refresh(entry);
+    }
+
+    #isFinalEnd(job: JobEntry, task: TaskEntry, kind: EndKind): boolean {
+        if (kind === EndKind.Succeeded || kind === EndKind.Checkpointed) {
+            return false;
+        }
+        if (job.submission.class === WorkloadClass.Service) {
+            return false;
+        }
+        if (kind === EndKind.Stopped && !this.#isEnding(job) && job.submission.class === WorkloadClass.Gang) {
+            return false;
+        }
+        return job.submission.unrepeatable
+            || task.spent + 1 > this.options.settings(job.submission.class).retryAttempts;
+    }
+
+    #isEnding(job: JobEntry): boolean {
+        return isFinalState(job.state) || job.state === JobState.Cancelling
+            || job.tasks.some(task => task.phase === TaskPhase.Failed);
+    }
+
+    #notStarted(task: TaskEntry, reason: string, builder: StepBuilder): void {
+        this.#leave(task, () => {
+            builder.record({ kind: "not-started", at: this.#at(), task: task.task, attempt: task.attempt, reason });
+        }, builder);
+    }
+
+    #lose(task: TaskEntry, reason: string, builder: StepBuilder): void {
+        const job = this.#jobOf(jobOfTask(task.task));
+        const isFinal = job.submission.class !== WorkloadClass.Service
+            && (job.submission.unrepeatable
+                || task.spent + 1 > this.options.settings(job.submission.class).retryAttempts);
+        this.#leave(task, () => {
+            builder.record({ kind: "lost", at: this.#at(), task: task.task, attempt: task.attempt, reason, isFinal });
+        }, builder);
+    }
+
+    #leave(task: TaskEntry, record: () => void, builder: StepBuilder): void {
+        const { assignment } = task;
+        if (assignment === undefined) {
+            return;
+        }
+        record();
+        const entry = this.workers.get(assignment.worker);
+        if (entry !== undefined) {
+            this.#discharge(task, entry, assignment.grant);
+        }
+        this.#afterTask(this.#jobOf(jobOfTask(task.task)), task, builder);
+    }
+
+    #discharge(task: TaskEntry, entry: WorkerEntry, grant: Resources): void {
+        if (entry.tasks.has(task.task)) {
+            this.workers.discharge(entry, task, grant);
+            this.#useQuota(task, grant, -1);
+        }
+    }
+
+    #loseTasks(entry: WorkerEntry, reason: string, builder: StepBuilder): void {
+        for (const task of [...entry.tasks.values()]) {
+            this.#lose(task, reason, builder);
+        }
+    }
+
+    /** What follows from a task that left its worker: the job's end, a retry, or the next try of a whole gang. */
+    #afterTask(job: JobEntry, task: TaskEntry, builder: StepBuilder): void {
+        builder.changed(job.job);
+        if (this.#isEnding(job) || job.tasks.every(other => other.phase === TaskPhase.Succeeded)) {
+            this.#endJob(job, builder);
+            return;
+        }
+        if (task.phase !== TaskPhase.Waiting) {
+            return;
+        }
+        if (job.submission.class !== WorkloadClass.Gang) {
+            this.#retry(job, [task], task.spent);
+            return;
+        }
+        const assigned = job.tasks.filter(other => other.assignment !== undefined);
+        assigned.forEach(other => this.#stop(other, StopMode.Stop, builder));
+        if (assigned.length === 0) {
+            this.#retry(job, job.tasks, Math.max(...job.tasks.map(other => other.spent)));
+        }
+    }
+
+    #retry(job: JobEntry, tasks: readonly TaskEntry[], spent: number): void {
+        if (spent === 0) {
+            this.#enqueue(job, tasks);
+            return;
+        }
+        const { retryDelay } = this.options.settings(job.submission.class);
+        const delay = retryDelay * 2 ** Math.min(spent - 1, 6) * (0.5 + this.options.random.next());
+        const { submission } = job;
+        const signature = `${submission.class}|${submission.team}|${resourcesKey(sizeOf(submission))}`
+            + (policyOf(submission.class).allOrNothing ? `|${tasks.length}` : "");
+        const at = this.#now() + delay;
+        this.#delayed.push({
+            at,
+            unit: {
+                job: job.job,
+                tasks: tasks.map(task => task.task),
+                priority: submission.priority,
+                signature,
+                ticket: 0,
+                since: at,
+            },
+        });
+    }
+
+    /** Ends a job that is to end: drops what waits, stops what runs, and answers once nothing runs. */
+    #endJob(job: JobEntry, builder: StepBuilder): void {
+        job.tasks.forEach(task => this.queue.remove(task.task));
+        this.#saver.done(job.job);
+        const assigned = job.tasks.filter(task => task.assignment !== undefined);
+        if (assigned.length > 0) {
+            assigned.filter(task => task.phase === TaskPhase.Running)
+                .forEach(task => this.#stop(task, StopMode.Stop, builder));
+            return;
+        }
+        const { state, reason } = verdictOf(job);
+        this.#finish(job, state, reason, builder);
+    }
+
+    #finish(job: JobEntry, state: JobState, reason: string, builder: StepBuilder): void {
+        if (isFinalState(job.state)) {
+            return;
+        }
+        builder.record({ kind: "finished", at: this.#at(), job: job.job, state, ran: job.ran, reason });
+        builder.changed(job.job);
+        this.#finished.push(job);
+        this.#health.forgetJob(job.job);
+        if (job.submission.service !== undefined) {
+            this.#services.get(job.submission.service)?.delete(job);
+        }
+    }
+
+    #stop(task: TaskEntry, mode: StopMode, builder: StepBuilder): void {
+        const { assignment } = task;
+        if (assignment === undefined || task.stopSent === true) {
+            return;
+        }
+        task.stopSent = true;
+        const { shard, epoch } = this.options;
+        builder.effect({
+            kind: "stop",
+            worker: assignment.worker,
+            message: { shard, epoch, task: task.task, attempt: task.attempt, mode },
+        });
+    }
+
+    /** Whether an attempt is the one that its task has now, and is charged to a worker. */
+    isCurrent(id: TaskId, attempt: Attempt): boolean {
+        const task = this.book.task(id);
+        return task?.attempt === attempt && task.assignment !== undefined;
+    }
+
+    #stopStrangers(entry: WorkerEntry, report: WorkerReport, builder: StepBuilder): number {
+        const { shard, epoch } = this.options;
+        let count = 0;
+        for (const running of report.running) {
+            const task = entry.tasks.get(running.task);
+            if (task?.attempt === running.attempt) {
+                continue;
+            }
+            count++;
+            const message = { shard, epoch, task: running.task, attempt: running.attempt, mode: StopMode.Stop };
+            builder.effect({ kind: "stop", worker: entry.worker, message });
+        }
+        return count;
+    }
+
+    /** Moves repeatable work off a leaving worker; an unrepeatable task is left to end by itself. */
+    #emptyLeaving(entry: WorkerEntry, now: Milliseconds, builder: StepBuilder): void {
+        this.#refresh(entry);
+        for (const task of entry.tasks.values()) {
+            const job = this.#jobOf(jobOfTask(task.task));
+            if (task.phase !== TaskPhase.Running || job.submission.unrepeatable || task.stopSent === true) {
+                continue;
+            }
+            const { service } = job.submission;
+            const isServing = service !== undefined && this.#ledgerOf(service).grantedOf(task.task, now) > 0;
+            if (!isServing) {
+                this.#stop(task, service === undefined ? StopMode.Checkpoint : StopMode.Stop, builder);
+            }
+        }
+    }
+
+    #ledgerOf(service: string): SlotLedger {
+        let ledger = this.#ledgers.get(service);
+        if (ledger === undefined) {
+            const settledAt = this.options.hasFormerOwner
+                ? this.#openedAt + this.options.settings().slotGrant
+                : -Infinity;
+            ledger = new SlotLedger(settledAt);
+            this.#ledgers.set(service, ledger);
+        }
+        return ledger;
+    }
+
+    #instancesOf(jobs: ReadonlySet<JobEntry>): ServiceInstance[] {
+        const instances: ServiceInstance[] = [];
+        for (const job of jobs) {
+            for (const task of job.tasks) {
+                const entry = task.assignment === undefined ? undefined : this.workers.get(task.assignment.worker);
+                const isServing = entry !== undefined && task.phase === TaskPhase.Running
+                    && task.serviceAddress !== undefined && task.stopSent !== true && !isLeaving(entry)
+                    && this.workers.index.isOpen(entry.slot);
+                if (isServing) {
+                    instances.push({
+                        task: task.task,
+                        worker: entry.worker,
+                        address: task.serviceAddress!,
+                        dataHall: entry.listed.dataHall,
+                        slots: job.submission.size.slots,
+                    });
+                }
+            }
+        }
+        return instances;
+    }
+
+    #measureRate(now: Milliseconds): void {
+        const elapsed = now - this.#lastTick;
+        if (elapsed < 1000) {
+            return;
+        }
+        const rate = this.#startsSinceTick / elapsed * 1000;
+        this.#startsPerSecond += (rate - this.#startsPerSecond) * rateWeight;
+        this.#startsSinceTick = 0;
+        this.#lastTick = now;
+    }
+
+    #passDeadlines(builder: StepBuilder): void {
+        const now = this.options.clock.now().getTime();
+        while (this.#deadlines.length > 0 && this.#deadlines.peek()!.at <= now) {
+            const job = this.book.jobs.get(this.#deadlines.pop()!.job);
+            const isIdle = job !== undefined && !isFinalState(job.state) && job.tasks.every(task => !task.assignment);
+            if (isIdle) {
+                job.tasks.forEach(task => this.queue.remove(task.task));
+                this.#saver.done(job.job);
+                this.#finish(job, JobState.Expired, "its deadline passed while it waited", builder);
+            }
+        }
+    }
+
+    #forgetOld(builder: StepBuilder): void {
+        const oldest = this.options.clock.now().getTime() - this.options.settings().retention;
+        while (this.#finished.length > 0 && Date.parse(this.#finished[0].finishedAt ?? "") <= oldest) {
+            builder.record({ kind: "forgotten", job: this.#finished.shift()!.job });
+        }
+    }
+}
+
+const isSameAttempt = (
+    left: { task: TaskId; attempt: Attempt; },
+    right: { task: TaskId; attempt: Attempt; },
+): boolean => left.task === right.task && left.attempt === right.attempt;
+
+const repeatedOutcome = (known: JobEntry, digest: string): SubmitOutcome =>
+    known.digest === digest
+        ? { kind: "accepted", job: known.job, repeated: true }
+        : {
+            kind: "refused",
+            refusal: { error: "key-reused", reason: `key ${known.key} names a job with another body` },
+        };
+
+const outcomeOf = (task: TaskEntry) => ({
+    task: task.task,
+    output: task.output,
+    succeeded: task.phase === TaskPhase.Succeeded,
+});
+
+const jobOfRecord = (record: ShardRecord): JobId | undefined => {
+    if ("job" in record) {
+        return record.job;
+    }
+    return "task" in record ? jobOfTask(record.task) : undefined;
+};
+
+const verdictOf = (job: JobEntry): { state: JobState; reason: string; } => {
+    if (job.tasks.every(task => task.phase === TaskPhase.Succeeded)) {
+        return { state: JobState.Succeeded, reason: "all tasks succeeded" };
+    }
+    if (job.state === JobState.Cancelling) {
+        return { state: JobState.Cancelled, reason: "the caller cancelled it" };
+    }
+    if (job.tasks.some(task => task.phase === TaskPhase.Failed && task.isLost === true)) {
+        return { state: JobState.Unknown, reason: "a worker was lost with it; it may have run" };
+    }
+    const failed = job.tasks.find(task => task.phase === TaskPhase.Failed);
+    return { state: JobState.Failed, reason: failed?.output || `ended: ${failed?.end}` };
+};
+
+const usableCapacity = (entry: WorkerEntry, headroom: number): Resources => {
+    const { capacity } = entry.listed;
+    return { ...capacity, processorThousandths: capacity.processorThousandths * (1 - headroom) };
+};
+
+const timesFitting = (size: Resources, room: Resources): number =>
+    Math.min(...dimensions.filter(name => size[name] > 0).map(name => Math.floor(room[name] / size[name])));
+
+const nearestMiss = (size: Resources, entries: readonly WorkerEntry[], room: readonly Resources[]): string => {
+    let nearest = 0;
+    room.forEach((capacity, index) => {
+        if (lackingDimensions(size, capacity).length < lackingDimensions(size, room[nearest]).length) {
+            nearest = index;
+        }
+    });
+    const lacking = lackingDimensions(size, room[nearest])
+        .map(name => `${name} ${size[name]} of ${room[nearest][name]}`);
+    return `no worker holds it; the nearest is ${entries[nearest].worker}, which lacks ${lacking.join(", ")}`;
+};
--- /dev/null
+++ b/packages/core/src/shard/slot-ledger.ts
@@ -0,0 +1,153 @@
+/**
+ * Slots of service instances, granted to gateways in bundles that end by themselves.
+ *
+ * A gateway renews its bundle well before it ends and says how many slots of each instance it uses. What it uses or
+ * was granted stays counted until the grant has ended, so the sum never exceeds an instance's slots, also when an
+ * answer is lost. A new owner at first grants only what gateways say they already hold.
+ */
+import type { ProcessId, TaskId, WorkerId } from "../ids/index.js";
+import type { Milliseconds } from "../time/index.js";
+
+/** A running instance of a service. */
+export interface ServiceInstance {
+    readonly task: TaskId;
+    readonly worker: WorkerId;
+    readonly address: string;
+    readonly dataHall: string;
+    readonly slots: number;
+}
+
+/** Slots of one instance that a gateway may use. */
+export interface SlotGrant {
+    readonly task: TaskId;
+    readonly worker: WorkerId;
+    readonly address: string;
+    readonly slots: number;
+}
+
+/** What a gateway asks for one service. */
+export interface SlotRequest {
+    readonly gateway: ProcessId;
+    readonly dataHall: string;
+    /** Most slots it could have used at once lately. */
+    readonly demand: number;
+    /** Slots in use or granted before, by instance. */
+    readonly held: readonly { readonly task: TaskId; readonly slots: number; }[];
+}
+
+interface Holding {
+    slots: number;
+    until: Milliseconds;
+}
+
+interface GatewayEntry {
+    demand: number;
+    until: Milliseconds;
+    readonly holdings: Map<TaskId, Holding>;
+}
+
+/** Grants of one service. */
+export class SlotLedger {
+    readonly #gateways = new Map<ProcessId, GatewayEntry>();
+
+    /** `settledAt`: from then on no grant of a former owner can still be in use. */
+    constructor(private readonly settledAt: Milliseconds) {}
+
+    /** Grants slots for `duration` from `now` and counts them until then. */
+    acquire(
+        request: SlotRequest,
+        instances: readonly ServiceInstance[],
+        now: Milliseconds,
+        duration: Milliseconds,
+    ): SlotGrant[] {
+        this.#dropEnded(now);
+        const gateway = this.#entryOf(request.gateway);
+        gateway.demand = request.demand;
+        gateway.until = now + duration;
+        this.#takeOverHeld(gateway, request, now, duration);
+        let wanted = this.#shareOf(gateway, instances);
+        const grants: SlotGrant[] = [];
+        for (const instance of this.#inOrder(gateway, instances, request.dataHall)) {
+            const room = Math.max(0, instance.slots - this.#heldByOthers(gateway, instance.task));
+            const before = gateway.holdings.get(instance.task)?.slots ?? 0;
+            const mayGrow = now >= this.settledAt;
+            const slots = Math.min(wanted, room, mayGrow ? room : before);
+            wanted -= slots;
+            if (slots > 0) {
+                gateway.holdings.set(instance.task, { slots: Math.max(slots, before), until: now + duration });
+                grants.push({ task: instance.task, worker: instance.worker, address: instance.address, slots });
+            }
+        }
+        return grants;
+    }
+
+    /** Slots of an instance that are counted as granted. */
+    grantedOf(task: TaskId, now: Milliseconds): number {
+        this.#dropEnded(now);
+        return this.#sum(task, undefined);
+    }
+
+    #entryOf(gateway: ProcessId): GatewayEntry {
+        let entry = this.#gateways.get(gateway);
+        if (entry === undefined) {
+            entry = { demand: 0, until: 0, holdings: new Map() };
+            this.#gateways.set(gateway, entry);
+        }
+        return entry;
+    }
+
+    /** What a gateway holds is what it says; a smaller number than was granted gives the rest back. */
+    #takeOverHeld(gateway: GatewayEntry, request: SlotRequest, now: Milliseconds, duration: Milliseconds): void {
+        gateway.holdings.clear();
+        for (const held of request.held) {
+            gateway.holdings.set(held.task, { slots: held.slots, until: now + duration });
+        }
+    }
+
+    /** An equal share of what nobody asks for, and a share of the rest in proportion to demand. */
+    #shareOf(gateway: GatewayEntry, instances: readonly ServiceInstance[]): number {
+        const total = instances.reduce((sum, instance) => sum + instance.slots, 0);
+        const demands = [...this.#gateways.values()].reduce((sum, entry) => sum + entry.demand, 0);
+        if (demands <= total) {
+            return gateway.demand + Math.floor((total - demands) / this.#gateways.size);
+        }
+        return Math.max(1, Math.floor(total * gateway.demand / demands));
+    }
+
+    /** Instances that the gateway already uses first, then those of its own data hall, then the emptiest. */
+    #inOrder(gateway: GatewayEntry, instances: readonly ServiceInstance[], dataHall: string): ServiceInstance[] {
+        const weight = (instance: ServiceInstance): number => {
+            const held = gateway.holdings.has(instance.task) ? 0 : 1_000_000;
+            const distance = instance.dataHall === dataHall ? 0 : 1_000;
+            return held + distance + this.#sum(instance.task, undefined);
+        };
+        return [...instances].sort((left, right) => weight(left) - weight(right));
+    }
+
+    #heldByOthers(gateway: GatewayEntry, task: TaskId): number {
+        return this.#sum(task, gateway);
+    }
+
+    #sum(task: TaskId, without: GatewayEntry | undefined): number {
+        let sum = 0;
+        for (const entry of this.#gateways.values()) {
+            if (entry !== without) {
+                sum += entry.holdings.get(task)?.slots ?? 0;
+            }
+        }
+        return sum;
+    }
+
+    #dropEnded(now: Milliseconds): void {
+        for (const [name, entry] of this.#gateways) {
+            for (const [task, holding] of entry.holdings) {
+                if (holding.until <= now) {
+                    entry.holdings.delete(task);
+                }
+            }
+            if (entry.until <= now) {
+                this.#gateways.delete(name);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/core/src/shard/step-builder.ts
@@ -0,0 +1,43 @@
+/** Gathers the records and effects of one input. */
+import { type JobId, jobOfTask } from "../ids/index.js";
+import type { JobBook } from "./job-book.js";
+import type { ShardRecord } from "./records.js";
+import type { Effect, Step } from "./types.js";
+
+/** Applies each record at once and keeps it for the journal. */
+export class StepBuilder {
+    readonly #records: ShardRecord[] = [];
+    readonly #effects: Effect[] = [];
+    readonly #changed = new Set<JobId>();
+
+    constructor(private readonly book: JobBook) {}
+
+    /** Adds a record and applies it. */
+    record(record: ShardRecord): void {
+        this.book.apply(record);
+        this.#records.push(record);
+        const job = "job" in record ? record.job : "task" in record ? jobOfTask(record.task) : undefined;
+        const entry = job === undefined ? undefined : this.book.jobs.get(job);
+        if (entry !== undefined) {
+            entry.unkept++;
+        }
+    }
+
+    /** Adds an effect. */
+    effect(effect: Effect): void {
+        this.#effects.push(effect);
+    }
+
+    /** Tells those who wait for a job that it changed; once a step. */
+    changed(job: JobId): void {
+        if (!this.#changed.has(job)) {
+            this.#changed.add(job);
+            this.#effects.push({ kind: "job-changed", job });
+        }
+    }
+
+    /** What was gathered. */
+    step(): Step {
+        return { records: this.#records, effects: this.#effects };
+    }
+}
--- /dev/null
+++ b/packages/core/src/shard/worker-health.ts
@@ -0,0 +1,89 @@
+/**
+ * Tells a worker that fails what it starts from a job that fails everywhere.
+ *
+ * Each worker keeps its last outcomes. A failure counts against a worker only while the same job has not failed on
+ * another one: a job that fails on two workers is taken to be at fault itself, and its failures are taken back.
+ */
+import type { JobId, WorkerId } from "../ids/index.js";
+
+/** Outcomes that are remembered of one worker. */
+const rememberedOutcomes = 12;
+/** Fewest failures that can lead to quarantine. */
+const fewestFailures = 4;
+/** Share of failures among the remembered outcomes that leads to quarantine. */
+const failingShare = 0.5;
+
+interface Outcome {
+    readonly job: JobId;
+    readonly failed: boolean;
+}
+
+/** Outcomes by worker and failures by job. */
+export class WorkerHealth {
+    readonly #outcomes = new Map<WorkerId, Outcome[]>();
+    readonly #failedOn = new Map<JobId, Set<WorkerId>>();
+    readonly #quarantines = new Map<WorkerId, number>();
+
+    /** Notes that a task of a job succeeded at a worker. */
+    noteSuccess(worker: WorkerId, job: JobId): void {
+        // The job can succeed, so the workers where it failed are at fault after all.
+        this.#failedOn.delete(job);
+        this.#add(worker, { job, failed: false });
+        if (this.#recentFailures(worker) === 0) {
+            this.#quarantines.delete(worker);
+        }
+    }
+
+    /** Notes a failure; resolves to whether the worker now looks at fault. */
+    noteFailure(worker: WorkerId, job: JobId): boolean {
+        const workers = this.#failedOn.get(job) ?? new Set<WorkerId>();
+        workers.add(worker);
+        this.#failedOn.set(job, workers);
+        this.#add(worker, { job, failed: true });
+        return this.isFailing(worker);
+    }
+
+    /** Whether a worker fails most of what it starts, jobs that fail elsewhere too left out. */
+    isFailing(worker: WorkerId): boolean {
+        const counted = this.#counted(worker);
+        const failures = counted.filter(outcome => outcome.failed).length;
+        return failures >= fewestFailures && failures >= counted.length * failingShare;
+    }
+
+    /** Number of this quarantine of a worker, from 1; its outcomes are forgotten, so that it starts afresh. */
+    beginQuarantine(worker: WorkerId): number {
+        const count = (this.#quarantines.get(worker) ?? 0) + 1;
+        this.#quarantines.set(worker, count);
+        this.#outcomes.delete(worker);
+        return count;
+    }
+
+    /** Number of different workers on which a job failed. */
+    failedWorkersOf(job: JobId): ReadonlySet<WorkerId> {
+        return this.#failedOn.get(job) ?? new Set();
+    }
+
+    /** Drops what is known of a job that has its final answer. */
+    forgetJob(job: JobId): void {
+        this.#failedOn.delete(job);
+    }
+
+    #counted(worker: WorkerId): Outcome[] {
+        return (this.#outcomes.get(worker) ?? []).filter(
+            outcome => !outcome.failed || (this.#failedOn.get(outcome.job)?.size ?? 0) < 2,
+        );
+    }
+
+    #recentFailures(worker: WorkerId): number {
+        return this.#counted(worker).filter(outcome => outcome.failed).length;
+    }
+
+    #add(worker: WorkerId, outcome: Outcome): void {
+        const outcomes = this.#outcomes.get(worker) ?? [];
+        outcomes.push(outcome);
+        if (outcomes.length > rememberedOutcomes) {
+            outcomes.shift();
+        }
+        this.#outcomes.set(worker, outcomes);
+    }
+}
--- /dev/null
+++ b/packages/core/src/shard/worker-table.ts
@@ -0,0 +1,119 @@
+/** What the owner of a shard knows of each worker. */
+import type { Incarnation, TaskId, WorkerId } from "../ids/index.js";
+import { FleetIndex, type WorkerSlot } from "../placement/index.js";
+import { addResources, noResources, type Resources } from "../resources/index.js";
+import type { Milliseconds } from "../time/index.js";
+import { type ListedWorker, VmState } from "../vm-list/index.js";
+import type { TaskAttempt } from "../worker/index.js";
+import type { TaskEntry } from "./types.js";
+
+/** One worker of the shard. */
+export interface WorkerEntry {
+    readonly worker: WorkerId;
+    readonly slot: WorkerSlot;
+    listed: ListedWorker;
+    /** Set once the worker has accepted this owner's epoch. */
+    incarnation?: Incarnation;
+    number: number;
+    /** When the last answer came, by the monotonic clock. */
+    answeredAt: Milliseconds;
+    /** From then on no lease that any owner gave here can still run. */
+    leasesLapseAt: Milliseconds;
+    saidLeaving: boolean;
+    /** Tasks charged to this worker. */
+    readonly tasks: Map<TaskId, TaskEntry>;
+    /** Ends that are kept and not yet acknowledged to the worker. */
+    acknowledgements: TaskAttempt[];
+    /** Attempts running there that this owner did not place; nothing is placed until they are gone. */
+    strangers: number;
+    quarantinedUntil: Milliseconds;
+}
+
+/** Workers by id, with their room. */
+export class WorkerTable {
+    readonly index = new FleetIndex();
+    readonly #entries = new Map<WorkerId, WorkerEntry>();
+    readonly #bySlot: WorkerEntry[] = [];
+
+    /** All workers that are listed or still have tasks charged. */
+    values(): IterableIterator<WorkerEntry> {
+        return this.#entries.values();
+    }
+
+    /** Number of workers. */
+    get size(): number {
+        return this.#entries.size;
+    }
+
+    /** The entry of a worker. */
+    get(worker: WorkerId): WorkerEntry | undefined {
+        return this.#entries.get(worker);
+    }
+
+    /** The entry at a place of the index. */
+    at(slot: WorkerSlot): WorkerEntry {
+        return this.#bySlot[slot];
+    }
+
+    /** Adds a listed worker, closed until it has been claimed. */
+    add(listed: ListedWorker, leasesLapseAt: Milliseconds): WorkerEntry {
+        const slot = this.index.add(listed.capacity);
+        this.index.setOpen(slot, false);
+        const entry: WorkerEntry = {
+            worker: listed.worker,
+            slot,
+            listed,
+            number: 0,
+            answeredAt: -Infinity,
+            leasesLapseAt,
+            saidLeaving: false,
+            tasks: new Map(),
+            acknowledgements: [],
+            strangers: 0,
+            quarantinedUntil: -Infinity,
+        };
+        this.#entries.set(listed.worker, entry);
+        this.#bySlot[slot] = entry;
+        return entry;
+    }
+
+    /** Forgets a worker that is gone; its place in the index stays closed. */
+    remove(entry: WorkerEntry): void {
+        this.index.setOpen(entry.slot, false);
+        this.#entries.delete(entry.worker);
+    }
+
+    /** Charges a task to its worker. */
+    charge(entry: WorkerEntry, task: TaskEntry, grant: Resources): void {
+        entry.tasks.set(task.task, task);
+        this.index.reserve(entry.slot, grant);
+    }
+
+    /** Gives the room of a task back. */
+    discharge(entry: WorkerEntry, task: TaskEntry, grant: Resources): void {
+        if (entry.tasks.delete(task.task)) {
+            this.index.release(entry.slot, grant);
+        }
+    }
+
+    /** Opens or closes a worker for placements by all that is known of it. */
+    refresh(entry: WorkerEntry, now: Milliseconds, silentAfter: Milliseconds): void {
+        const open = entry.incarnation !== undefined
+            && entry.strangers === 0
+            && !isLeaving(entry)
+            && now - entry.answeredAt <= silentAfter
+            && entry.quarantinedUntil <= now;
+        this.index.setOpen(entry.slot, open);
+    }
+
+    /** The sum of the capacities of listed workers. */
+    totalCapacity(): Resources {
+        return [...this.#entries.values()].reduce(
+            (sum, entry) => addResources(sum, entry.listed.capacity),
+            noResources,
+        );
+    }
+}
+
+/** Whether the list or the worker itself says that it is leaving. */
+export const isLeaving = (entry: WorkerEntry): boolean => entry.saidLeaving || entry.listed.state === VmState.Leaving;
--- /dev/null
+++ b/packages/evidence/src/cell/settings.ts
@@ -0,0 +1,80 @@
+/** Settings files of a cell's processes, and a tree for short runs. */
+
+/** A tree whose times suit runs of seconds. */
+export const shortTree = `[organisation]
+lease.duration = 2s
+lease.margin = 300ms
+lease.start_within = 2s
+owner.horizon = 4s
+worker.heartbeat = 300ms
+worker.silent_after = 1s
+placement.gang_patience = 500ms
+live.slot_grant = 4s
+retry.delay = 100ms
+
+[site luzon/pasig]
+placement.preference = spread
+
+[site quebec/retrouve]
+placement.preference = pack
+placement.headroom = 0%
+`;
+
+/** Where a cell's processes are. */
+export interface CellPlaces {
+    readonly region: string;
+    readonly site: string;
+    readonly platform: string;
+    readonly schedulers: readonly string[];
+    readonly shards: number;
+}
+
+const common = (places: CellPlaces, name: string, platform: string): string =>
+    `[process]
+name = ${name}
+region = ${places.region}
+site = ${places.site}
+data_hall = hall-0
+log_level = info
+stop_within = 10s
+[peers]
+schedulers = ${places.schedulers.join(", ")}
+[cell]
+shards = ${places.shards}
+[platform]
+address = ${platform}
+timeout = 500ms
+`;
+
+/** The file of a gateway. */
+export const gatewayFile = (places: CellPlaces, name: string, callers: string, administration: string): string =>
+    `${common(places, name, places.platform)}[listen]
+callers = ${callers}
+administration = ${administration}
+drain = 100ms
+`;
+
+/** The file of a scheduler. `platform`: its own way to the platform, which may be cut. */
+export const schedulerFile = (places: CellPlaces, name: string, peers: string, platform: string): string =>
+    `${common(places, name, platform)}vm_list = ${platform}
+list_interval = 200ms
+[listen]
+peers = ${peers}
+[owner]
+lease = 1s
+commit_interval = 5ms
+[worker]
+timeout = 500ms
+`;
+
+/** The file of the command line. */
+export const operatorFile = (places: CellPlaces, gateways: readonly string[]): string =>
+    `[platform]
+address = ${places.platform}
+timeout = 500ms
+[peers]
+schedulers = ${places.schedulers.join(", ")}
+gateways = ${gateways.join(", ")}
+[cell]
+shards = ${places.shards}
+`;
--- /dev/null
+++ b/packages/evidence/src/demo/index.ts
@@ -0,0 +1,177 @@
+/** The demonstration: a cell under mixed work, one scheduler killed in the middle, and a table of what came of it. */
+import { build } from "hdr-histogram-js";
+import { Cell, pause, until } from "../cell/index.js";
+import { countOverCapacity, countStarts, findOverlaps, jobOf } from "../checks/index.js";
+
+/** What the demonstration counted. */
+export interface DemoResult {
+    sent: number;
+    answeredWhole: number;
+    refusedWithReason: number;
+    failed: number;
+    runTwice: number;
+    lost: number;
+    overCapacity: number;
+    waitingP50: number;
+    waitingP99: number;
+    packing: number;
+    exitCodes: (number | undefined)[];
+}
+
+const deadlineAfter = 40_000;
+const builds = 120;
+const matches = 60;
+const liveRounds = 40;
+const livePerRound = 10;
+const mebibyte = 1;
+const smallSize = { processors: 4, memoryMebibytes: 4_096 * mebibyte };
+
+const serviceJob = {
+    key: "prompts",
+    class: "service",
+    service: "prompts",
+    tasks: 6,
+    size: { processors: 8, memoryMebibytes: 8_192, slots: 4, connections: 8 },
+};
+
+/** Runs the demonstration; `say` is told each step. */
+export const runDemo = async (say: (line: string) => void): Promise<DemoResult> => {
+    say("starting stand-ins, three gateways and three schedulers");
+    const cell = await Cell.start({ gateways: 3, schedulers: 3, workers: 30, user: "bayanihan" });
+    const result: DemoResult = {
+        sent: 0,
+        answeredWhole: 0,
+        refusedWithReason: 0,
+        failed: 0,
+        runTwice: 0,
+        lost: 0,
+        overCapacity: 0,
+        waitingP50: 0,
+        waitingP99: 0,
+        packing: 0,
+        exitCodes: [],
+    };
+    try {
+        await drive(cell, result, say);
+    }
+    finally {
+        result.exitCodes = await cell.stop();
+    }
+    const audit = cell.workerAudit();
+    result.runTwice = findOverlaps(audit).length;
+    result.overCapacity = countOverCapacity(audit);
+    if (isPassed(result)) {
+        cell.removeFiles();
+    }
+    else {
+        say(`files are kept in ${cell.folder} and ${cell.auditFolder}`);
+    }
+    return result;
+};
+
+/** Whether everything held. */
+export const isPassed = (result: DemoResult): boolean =>
+    result.runTwice === 0 && result.lost === 0 && result.failed === 0 && result.overCapacity === 0
+    && result.answeredWhole + result.refusedWithReason === result.sent
+    && result.exitCodes.every(code => code === 0);
+
+const drive = async (cell: Cell, result: DemoResult, say: (line: string) => void): Promise<void> => {
+    const deadline = performance.now() + deadlineAfter;
+    const waits = build();
+    await cell.caller.submitUntilSettled(serviceJob, deadline);
+    await until("the service answers", deadlineAfter, async () => {
+        const answer = await cell.caller.send({ method: "GET", path: "/services/prompts/" }).catch(() => undefined);
+        return answer?.status === 200;
+    });
+    say("sending live requests, builds, matches, a gang, and a job that fits nowhere");
+    const live = sendLive(cell, result, waits);
+    const jobs = sendJobs(cell, result, deadline);
+    await pause(600);
+    const owner = await cell.ownerOf();
+    say(`killing ${owner}, which owns the shard`);
+    await cell.schedulers.get(owner ?? "")?.kill();
+    result.packing = await peakPacking(cell);
+    await Promise.all([live, jobs]);
+    result.waitingP50 = waits.getValueAtPercentile(50);
+    result.waitingP99 = waits.getValueAtPercentile(99);
+};
+
+const peakPacking = async (cell: Cell): Promise<number> => {
+    await cell.untilPlacing();
+    const shards = (await cell.statuses()).flatMap(status => status.shards);
+    return Math.max(0, ...shards.map(shard => shard.packing));
+};
+
+const sendLive = async (cell: Cell, result: DemoResult, waits: ReturnType<typeof build>): Promise<void> => {
+    const sendOne = async (id: string): Promise<void> => {
+        result.sent++;
+        const started = performance.now();
+        const answer = await cell.caller.send({
+            method: "POST",
+            path: "/services/prompts/render?milliseconds=20&bytes=2000",
+            body: `body of ${id}`,
+            headers: { "pebbledale-request-id": id },
+        }).catch(() => undefined);
+        if (answer?.status === 200 && answer.text === `${id}:body of ${id}${id.repeat(2000).slice(0, 2000)}`) {
+            result.answeredWhole++;
+            waits.recordValue(Math.max(1, Math.round(performance.now() - started - 20)));
+        }
+        else if (answer !== undefined && answer.status >= 400 && answer.text.includes("\"error\"")) {
+            result.refusedWithReason++;
+        }
+        else {
+            result.failed++;
+        }
+    };
+    const running: Promise<void>[] = [];
+    for (let round = 0; round < liveRounds; round++) {
+        for (let index = 0; index < livePerRound; index++) {
+            running.push(sendOne(`request-${round}-${index}`));
+        }
+        await pause(100);
+    }
+    await Promise.all(running);
+};
+
+const sendJobs = async (cell: Cell, result: DemoResult, deadline: number): Promise<void> => {
+    const job = (key: string, more: object) => ({ key, class: "batch", size: smallSize, ...more });
+    const submissions = [
+        ...Array.from(
+            { length: builds },
+            (_, index) =>
+                job(`build-${index}`, {
+                    unrepeatable: true,
+                    payload: { runMilliseconds: 300, output: `build ${index}` },
+                }),
+        ),
+        ...Array.from(
+            { length: matches },
+            (_, index) =>
+                job(`match-${index}`, {
+                    priority: "patient",
+                    payload: { runMilliseconds: 400, output: `match ${index}` },
+                }),
+        ),
+        job("gang", { class: "gang", tasks: 20, payload: { runMilliseconds: 300, output: "part" } }),
+        job("too-large", { size: { processors: 1000, memoryMebibytes: 10 } }),
+    ];
+    await Promise.all(submissions.map(async (submission, index) => {
+        await pause(index * 15);
+        result.sent++;
+        const accepted = await cell.caller.submitUntilSettled(submission, deadline);
+        if (accepted.status >= 400) {
+            result.refusedWithReason += accepted.body.reason === undefined ? 0 : 1;
+            return;
+        }
+        const id = String(accepted.body.job);
+        const view = await cell.caller.waitForEnd(id, deadline);
+        const ran = [...countStarts(cell.workerAudit())].filter(([task]) => jobOf(task) === id);
+        const isRight = view?.state === "succeeded" && view.outcomes.every(outcome => outcome.succeeded);
+        if (isRight && ran.length > 0) {
+            result.answeredWhole++;
+        }
+        else {
+            result.lost++;
+        }
+    }));
+};
--- /dev/null
+++ b/packages/gateway/src/callers/index.ts
@@ -0,0 +1,4 @@
+/** The callers' HTTP interface. */
+export * from "./jobs.js";
+export * from "./replies.js";
+export * from "./services.js";
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,177 @@
+/** Puts a gateway together from its settings file and runs it until it is asked to stop. */
+import {
+    errorBody,
+    type ErrorName,
+    formatFinding,
+    logEvents,
+    settingsRevision,
+    SystemClock,
+    SystemRandom,
+} from "@pebbledale/core";
+import {
+    BurnRecorder,
+    createAdministration,
+    createLogger,
+    ExitCode,
+    gatewaySchema,
+    HttpPlatformStore,
+    isAddressInUse,
+    listenAt,
+    loadProgramSettings,
+    Metrics,
+    type ProgramValues,
+    runProgram,
+    SettingsWatch,
+    stopSignal,
+    untilAborted,
+} from "@pebbledale/runtime";
+import fastify, { type FastifyInstance } from "fastify";
+import { addJobRoutes, sendError, ServiceRoutes } from "./callers/index.js";
+import { NoOwnerError, OwnerDirectory } from "./owners/index.js";
+
+type Values = ProgramValues<typeof gatewaySchema>;
+type Logger = ReturnType<typeof createLogger>;
+
+/** A caller that sends its head more slowly than this is cut off, in milliseconds. */
+const headTimeout = 10_000;
+const keepAliveTimeout = 30_000;
+const noOwnerRetryAfter = 1_000;
+
+/** Runs the program; resolves to its exit code. `print` shows findings to the operator. */
+export const runGateway = async (file: string, checkOnly: boolean, print: (line: string) => void): Promise<number> => {
+    const settings = loadProgramSettings(gatewaySchema, file);
+    if (settings.isErr()) {
+        settings.error.forEach(finding => print(formatFinding(finding)));
+        return ExitCode.Usage;
+    }
+    if (checkOnly) {
+        print(`${file}: no findings`);
+        return ExitCode.Done;
+    }
+    const values = settings.value;
+    const logger = createLogger("pebbledale-gateway", values["process.name"], values["process.log_level"]);
+    return runProgram(logger, () => serve(values, logger, print));
+};
+
+const serve = async (values: Values, logger: Logger, print: (line: string) => void): Promise<void> => {
+    const stop = stopSignal();
+    const background = new AbortController();
+    const clock = new SystemClock();
+    const random = new SystemRandom();
+    const metrics = new Metrics();
+    const store = new HttpPlatformStore(values["platform.address"], values["platform.timeout"], metrics);
+    const owners = new OwnerDirectory({
+        store,
+        clock,
+        logger,
+        schedulers: values["peers.schedulers"],
+        signal: background.signal,
+    });
+    const watch = new SettingsWatch({
+        store,
+        clock,
+        logger,
+        signal: background.signal,
+        askPeers: () => owners.heldSettings(),
+    });
+    const burn = new BurnRecorder(clock);
+    const services = new ServiceRoutes({
+        owners,
+        clock,
+        random,
+        logger,
+        metrics,
+        burn,
+        shards: values["cell.shards"],
+        gateway: values["process.name"],
+        dataHall: values["process.data_hall"],
+        path: { region: values["process.region"], site: values["process.site"] },
+        tree: () => watch.tree,
+        noteRevision: revision => void watch.noteRevision(settingsRevision(revision)),
+        signal: background.signal,
+    });
+    const callers = createCallerServer(values, logger, random);
+    callers.addHook("onRequest", async (_request, reply) => {
+        if (watch.revision === 0) {
+            return sendError(reply, "no-owner", {
+                reason: "no settings yet",
+                retryAfterMilliseconds: noOwnerRetryAfter,
+            });
+        }
+        return undefined;
+    });
+    void callers.register(async scope => addJobRoutes(scope, { owners, clock, random, shards: values["cell.shards"] }));
+    void callers.register(async scope => {
+        scope.removeAllContentTypeParsers();
+        scope.addContentTypeParser("*", { parseAs: "buffer" }, async (_request: unknown, body: Buffer) => body);
+        services.add(scope);
+    });
+    const administration = createAdministration({
+        metrics,
+        notReady: () => stop.aborted ? "stopping" : watch.revision === 0 ? "no settings yet" : undefined,
+    });
+    administration.get("/burn", async () => burn.buckets());
+    metrics.gauge("pebbledale_settings_revision", "Revision of the settings in force", () => watch.revision);
+    try {
+        await listenAt(administration, values["listen.administration"]);
+        await listenAt(callers, values["listen.callers"]);
+    }
+    catch (cause) {
+        if (isAddressInUse(cause)) {
+            print(`${(cause as Error).message}: does another process run with the same settings?`);
+        }
+        throw cause;
+    }
+    logger.log(logEvents.processStarted, { address: values["listen.callers"] });
+    const running = [watch.run(), owners.run()];
+    await untilAborted(stop);
+    logger.log(logEvents.processStopping);
+    // The balancer sees that this gateway is not ready before it closes; what was sent until then is served.
+    await clock.sleep(values["listen.drain"]);
+    await Promise.race([callers.close(), clock.sleep(values["process.stop_within"])]);
+    background.abort();
+    await Promise.all(running);
+    await Promise.all([owners.close(), services.forwarder.close(), store.close(), administration.close()]);
+};
+
+const createCallerServer = (values: Values, logger: Logger, random: SystemRandom): FastifyInstance => {
+    const server = fastify({
+        logger: false,
+        bodyLimit: values["listen.body_limit"],
+        keepAliveTimeout,
+        requestTimeout: headTimeout,
+        return503OnClosing: false,
+        forceCloseConnections: "idle",
+        genReqId: () => random.name(),
+        clientErrorHandler: (error, socket) => {
+            // What is not HTTP, or a head that never ends, gets one clear answer and the end of its connection.
+            if (socket.writable) {
+                const body = JSON.stringify(errorBody("bad-request", { reason: error.message }));
+                socket.write(
+                    `HTTP/1.1 400 Bad Request\r\nContent-Type: application/json\r\nContent-Length: ${body.length}\r\n`,
+                );
+                socket.write(`Connection: close\r\n\r\n${body}`);
+            }
+            socket.destroySoon();
+        },
+    });
+    server.setNotFoundHandler((_request, reply) => sendError(reply, "no-such-path"));
+    server.setErrorHandler((error: Error & { code?: string; statusCode?: number; }, request, reply) => {
+        if (error instanceof NoOwnerError) {
+            return sendError(reply, "no-owner", { reason: error.message, retryAfterMilliseconds: noOwnerRetryAfter });
+        }
+        const name = errorOf(error);
+        if (name === "internal") {
+            logger.log(logEvents.unexpectedFailure, { request: request.id, cause: error.stack });
+        }
+        return sendError(reply, name, name === "internal" ? {} : { reason: error.message });
+    });
+    return server;
+};
+
+const errorOf = (error: { code?: string; statusCode?: number; }): ErrorName => {
+    if (error.code === "FST_ERR_CTP_BODY_TOO_LARGE") {
+        return "body-too-large";
+    }
+    return error.statusCode !== undefined && error.statusCode < 500 ? "bad-request" : "internal";
+};
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,3 @@
+/** The gateway program and its parts that tests reach. */
+export { runGateway } from "./gateway.js";
+export * from "./live/index.js";
--- /dev/null
+++ b/packages/gateway/src/live/forward.ts
@@ -0,0 +1,133 @@
+/** Sends one live request to an instance and its answer back, byte for byte. */
+import type { ServerResponse } from "node:http";
+import { pipeline } from "node:stream/promises";
+import { Pool } from "undici";
+
+/** A caller's request, read whole so that it can be sent again. */
+export interface LiveRequest {
+    readonly id: string;
+    readonly method: string;
+    /** Path and query as the instance is to see them. */
+    readonly path: string;
+    readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+    readonly body: Buffer | undefined;
+}
+
+/** What became of one send. */
+export type SendOutcome =
+    /** The whole answer went to the caller. */
+    | { readonly kind: "answered"; readonly status: number; }
+    /** The answer broke off; the caller sees its connection end. */
+    | { readonly kind: "cut"; readonly cause: string; }
+    /** The instance surely did not run it. */
+    | { readonly kind: "not-run"; readonly cause: string; }
+    /** No answer began; it may have run. */
+    | { readonly kind: "may-have-run"; readonly cause: string; };
+
+/** The header that carries a request's id. */
+export const requestIdHeader = "pebbledale-request-id";
+/** The header by which an instance says that it did not run the request. */
+export const refusedHeader = "pebbledale-refused";
+
+/** Headers that belong to one connection and are not passed on. */
+const connectionHeaders = new Set([
+    "connection",
+    "host",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect",
+]);
+const keepAliveTimeout = 20_000;
+const connectTimeout = 1_000;
+
+/** Errors that come before any byte of the request was sent. */
+const unsentCodes = new Set(["ECONNREFUSED", "UND_ERR_CONNECT_TIMEOUT", "EHOSTUNREACH", "ENETUNREACH"]);
+
+/** Keeps connections to instances. */
+export class Forwarder {
+    readonly #pools = new Map<string, Pool>();
+
+    /** Sends a request to an instance; the answer's head and body go to `reply` as they come. */
+    async send(
+        request: LiveRequest,
+        address: string,
+        reply: ServerResponse,
+        timeout: number,
+        signal: AbortSignal,
+    ): Promise<SendOutcome> {
+        let answer;
+        try {
+            answer = await this.#poolOf(address).request({
+                method: request.method as "GET",
+                path: request.path,
+                headers: { ...passedOn(request.headers), [requestIdHeader]: request.id },
+                body: request.body,
+                headersTimeout: timeout,
+                bodyTimeout: timeout,
+                signal,
+            });
+        }
+        catch (cause) {
+            const code = (cause as { code?: string; }).code ?? "";
+            return { kind: unsentCodes.has(code) ? "not-run" : "may-have-run", cause: String(cause) };
+        }
+        const refused = answer.headers[refusedHeader];
+        if (refused !== undefined) {
+            await answer.body.dump();
+            return { kind: "not-run", cause: String(refused) };
+        }
+        const answeredId = answer.headers[requestIdHeader];
+        if (answeredId !== undefined && answeredId !== request.id) {
+            // An answer to another request: it never reaches this caller.
+            answer.body.destroy();
+            return { kind: "may-have-run", cause: `the answer belongs to request ${answeredId}` };
+        }
+        reply.writeHead(answer.statusCode, { ...answerHeaders(answer.headers), [requestIdHeader]: request.id });
+        try {
+            await pipeline(answer.body, reply);
+            return { kind: "answered", status: answer.statusCode };
+        }
+        catch (cause) {
+            reply.destroy();
+            return { kind: "cut", cause: String(cause) };
+        }
+    }
+
+    /** Ends all connections. */
+    async close(): Promise<void> {
+        await Promise.all([...this.#pools.values()].map(pool => pool.close()));
+    }
+
+    #poolOf(address: string): Pool {
+        let pool = this.#pools.get(address);
+        if (pool === undefined) {
+            // The slots bound how many requests go to an instance at once, and so its connections.
+            pool = new Pool(`http://${address}`, { pipelining: 1, keepAliveTimeout, connectTimeout });
+            this.#pools.set(address, pool);
+        }
+        return pool;
+    }
+}
+
+const passedOn = (headers: LiveRequest["headers"]): Record<string, string | string[]> => {
+    const passed: Record<string, string | string[]> = {};
+    for (const [name, value] of Object.entries(headers)) {
+        if (value !== undefined && !connectionHeaders.has(name)) {
+            passed[name] = value;
+        }
+    }
+    return passed;
+};
+
+/** The answer's own length is kept, so that a caller can tell a whole body from a cut one. */
+const answerHeaders = (headers: LiveRequest["headers"]): Record<string, string | string[]> => {
+    const passed = passedOn(headers);
+    const length = headers["content-length"];
+    return length === undefined ? passed : { ...passed, "content-length": length };
+};
--- /dev/null
+++ b/packages/gateway/src/owners/index.ts
@@ -0,0 +1,2 @@
+/** Which scheduler owns each shard, and calls to it. */
+export * from "./owner-directory.js";
--- /dev/null
+++ b/packages/gateway/src/owners/owner-directory.ts
@@ -0,0 +1,155 @@
+/** Finds the owner of a shard: from a watch on the platform, and from the schedulers themselves while that is silent. */
+import {
+    type Clock,
+    logEvents,
+    type Milliseconds,
+    type PlatformStore,
+    type ShardId,
+    shardId,
+    type StoredSettings,
+} from "@pebbledale/core";
+import {
+    type EventLogger,
+    ownersPrefix,
+    type OwnerValue,
+    type SchedulerCalls,
+    SchedulerClient,
+    SchedulerUnreachableError,
+} from "@pebbledale/runtime";
+
+/** Longest wait in one watch, in milliseconds. */
+const watchDuration = 20_000;
+const retryDelay = 500;
+/** How long a scheduler may take to say which shards it owns, in milliseconds. */
+const askLimit = 300;
+/** Wait before the owner is looked for again, in milliseconds. */
+const lookDelay = 50;
+
+/** Thrown when no owner answered in time. Whether a call had an effect is not known if `mayHaveArrived`. */
+export class NoOwnerError extends Error {
+    override readonly name = "NoOwnerError";
+
+    constructor(shard: ShardId, readonly mayHaveArrived: boolean) {
+        super(`no owner of ${shard} answered in time`);
+    }
+}
+
+/** What the directory needs. */
+export interface OwnerDirectoryOptions {
+    readonly store: PlatformStore;
+    readonly clock: Clock;
+    readonly logger: EventLogger;
+    readonly schedulers: readonly string[];
+    readonly signal: AbortSignal;
+}
+
+interface OwnerAnswer {
+    readonly kind: string;
+}
+
+/** See the module's comment. */
+export class OwnerDirectory {
+    readonly #clients: ReadonlyMap<string, SchedulerClient>;
+    readonly #owners = new Map<ShardId, string>();
+
+    constructor(private readonly options: OwnerDirectoryOptions) {
+        this.#clients = new Map(options.schedulers.map(address => [address, new SchedulerClient(address)]));
+    }
+
+    /** Watches the owners until the signal fires. */
+    async run(): Promise<void> {
+        const { store, clock, signal } = this.options;
+        let cursor = "";
+        while (!signal.aborted) {
+            try {
+                for (const entry of await store.list(ownersPrefix)) {
+                    this.#note(shardId(entry.key.slice(ownersPrefix.length)), JSON.parse(entry.value) as OwnerValue);
+                }
+                cursor = (await store.watch(ownersPrefix, cursor, watchDuration, signal)).cursor;
+            }
+            catch {
+                cursor = "";
+                await clock.sleep(retryDelay, signal);
+            }
+        }
+    }
+
+    /**
+     * Makes a call to the owner of a shard, whoever that is by then; for calls that may be made twice.
+     * Rejects with {@link NoOwnerError} when none answered within `limit` milliseconds.
+     */
+    async call<Answer extends OwnerAnswer>(
+        shard: ShardId,
+        limit: Milliseconds,
+        make: (calls: SchedulerCalls, signal: AbortSignal) => Promise<Answer>,
+        attemptLimit: Milliseconds = limit,
+    ): Promise<Exclude<Answer, { kind: "not-owner"; }>> {
+        const { clock, signal } = this.options;
+        const until = clock.monotonic() + limit;
+        let mayHaveArrived = false;
+        while (!signal.aborted) {
+            const rest = until - clock.monotonic();
+            if (rest <= 0) {
+                break;
+            }
+            const client = this.#clients.get(this.#owners.get(shard) ?? "");
+            if (client !== undefined) {
+                try {
+                    const answer = await client.call(Math.min(rest, attemptLimit), make);
+                    if (answer.kind !== "not-owner") {
+                        return answer as Exclude<Answer, { kind: "not-owner"; }>;
+                    }
+                }
+                catch (cause) {
+                    if (!(cause instanceof SchedulerUnreachableError)) {
+                        throw cause;
+                    }
+                    mayHaveArrived = true;
+                }
+            }
+            await this.#lookFor(shard);
+            await clock.sleep(lookDelay, signal);
+        }
+        throw new NoOwnerError(shard, mayHaveArrived);
+    }
+
+    /** The settings that each scheduler holds. */
+    async heldSettings(): Promise<StoredSettings[]> {
+        const answers = await Promise.allSettled(
+            [...this.#clients.values()].map(client =>
+                client.call(askLimit, (calls, signal) => calls.currentSettings.query(undefined, { signal }))
+            ),
+        );
+        return answers.flatMap(answer =>
+            answer.status === "fulfilled" && answer.value !== undefined ? [answer.value] : []
+        );
+    }
+
+    /** Ends all connections. */
+    async close(): Promise<void> {
+        await Promise.all([...this.#clients.values()].map(client => client.close()));
+    }
+
+    /** Asks every scheduler which shards it owns. One that was cut off may believe it still does; the epoch tells. */
+    async #lookFor(shard: ShardId): Promise<void> {
+        let highest = 0;
+        await Promise.allSettled([...this.#clients].map(async ([address, client]) => {
+            const owned = await client.call(
+                askLimit,
+                (calls, signal) => calls.ownedShards.query(undefined, { signal }),
+            );
+            const epoch = owned.find(entry => entry.shard === shard)?.epoch ?? 0;
+            if (epoch > highest) {
+                highest = epoch;
+                this.#owners.set(shard, address);
+            }
+        }));
+    }
+
+    #note(shard: ShardId, owner: OwnerValue): void {
+        if (this.#owners.get(shard) !== owner.address) {
+            this.#owners.set(shard, owner.address);
+            this.options.logger.log(logEvents.ownerChanged, { shard, owner: owner.process });
+        }
+    }
+}
--- /dev/null
+++ b/packages/operator/src/index.ts
@@ -0,0 +1,2 @@
+/** Placeholder until the commands are added. */
+export const operatorVersion = "0.1.0";
--- /dev/null
+++ b/packages/runtime/src/worker-http/index.ts
@@ -0,0 +1,76 @@
+/** Adapter of the workers' protocol: JSON over HTTP, one path a message. */
+import {
+    type ClaimMessage,
+    type HeartbeatMessage,
+    type Milliseconds,
+    type RunningTask,
+    type StartMessage,
+    type StopMessage,
+    type ThrottleMessage,
+    type WorkerAnswer,
+    type WorkerClient,
+    type WorkerRefusal,
+    type WorkerReport,
+    WorkerUnreachableError,
+} from "@pebbledale/core";
+import { JsonClient } from "../http-json/index.js";
+
+/** One connection waits in a heartbeat, one carries starts and stops. */
+const connections = 2;
+const statusOk = 200;
+const statusRefused = 409;
+
+/** Calls of one worker. */
+export class HttpWorkerClient implements WorkerClient {
+    readonly #client: JsonClient;
+
+    constructor(address: string, timeout: Milliseconds) {
+        this.#client = new JsonClient(address, { connections, timeout });
+    }
+
+    /** See {@link WorkerClient.claim}. */
+    claim(message: ClaimMessage, signal: AbortSignal): Promise<WorkerAnswer<WorkerReport>> {
+        return this.#call("claim", message, signal);
+    }
+
+    /** See {@link WorkerClient.heartbeat}. */
+    heartbeat(message: HeartbeatMessage, signal: AbortSignal): Promise<WorkerAnswer<WorkerReport>> {
+        return this.#call("heartbeat", message, signal, message.wait);
+    }
+
+    /** See {@link WorkerClient.start}. */
+    start(message: StartMessage, signal: AbortSignal): Promise<WorkerAnswer<RunningTask>> {
+        return this.#call("start", message, signal);
+    }
+
+    /** See {@link WorkerClient.stop}. */
+    stop(message: StopMessage, signal: AbortSignal): Promise<WorkerAnswer<boolean>> {
+        return this.#call("stop", message, signal);
+    }
+
+    /** See {@link WorkerClient.throttle}. */
+    throttle(message: ThrottleMessage, signal: AbortSignal): Promise<WorkerAnswer<boolean>> {
+        return this.#call("throttle", message, signal);
+    }
+
+    /** Ends all connections. */
+    close(): Promise<void> {
+        return this.#client.close();
+    }
+
+    async #call<Value>(name: string, message: unknown, signal: AbortSignal, extra = 0): Promise<WorkerAnswer<Value>> {
+        try {
+            const answer = await this.#client.call("POST", `/tasks/${name}`, message, signal, extra);
+            if (answer.status === statusOk) {
+                return { kind: "accepted", value: answer.body as Value };
+            }
+            if (answer.status === statusRefused) {
+                return { kind: "refused", refusal: (answer.body as { refusal: WorkerRefusal; }).refusal };
+            }
+            throw new Error(`status ${answer.status}`);
+        }
+        catch (cause) {
+            throw new WorkerUnreachableError(String(cause), { cause });
+        }
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/index.ts
@@ -0,0 +1,2 @@
+/** The scheduler program, for the evidence package. */
+export { runScheduler } from "./scheduler.js";
--- /dev/null
+++ b/packages/scheduler/src/ownership/candidate.ts
@@ -0,0 +1,166 @@
+/** Campaigns for one shard: claims it when it has no owner, serves it, and leaves it when it is lost or handed over. */
+import {
+    absentVersion,
+    type Clock,
+    JournalDamagedError,
+    JournalFencedError,
+    logEvents,
+    openJournal,
+    type PlatformLeaseId,
+    type PlatformStore,
+    type ProcessId,
+    type Random,
+    type ShardId,
+    type VmList,
+} from "@pebbledale/core";
+import {
+    type EventLogger,
+    type Metrics,
+    ownerKeyOf,
+    type OwnerValue,
+    type ProgramValues,
+    schedulerSchema,
+    type SettingsWatch,
+} from "@pebbledale/runtime";
+import {
+    claimDelayPerShard,
+    claimRetryDelay,
+    journalLargestBytes,
+    journalRetryDelay,
+    journalRingSize,
+    journalSnapshotEvery,
+    ownerWatchDuration,
+    renewalsPerLease,
+} from "./constants.js";
+import { OwnedShard } from "./owned-shard.js";
+
+/** What a candidate needs. */
+export interface CandidateOptions {
+    readonly values: ProgramValues<typeof schedulerSchema>;
+    readonly shard: ShardId;
+    readonly owner: ProcessId;
+    readonly store: PlatformStore;
+    readonly vmList: VmList;
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly logger: EventLogger;
+    readonly watch: SettingsWatch;
+    readonly metrics: Metrics;
+    /** Number of shards that this process owns. */
+    readonly countOwned: () => number;
+}
+
+/** One scheduler's candidacy for one shard. */
+export class ShardCandidate {
+    #owned: OwnedShard | undefined;
+
+    constructor(readonly options: CandidateOptions) {}
+
+    /** The shard while this process owns it. */
+    get owned(): OwnedShard | undefined {
+        return this.#owned;
+    }
+
+    /** Campaigns until the signal fires; then hands the shard over. */
+    async run(stop: AbortSignal): Promise<void> {
+        const { clock, logger, shard, random, countOwned } = this.options;
+        while (!stop.aborted) {
+            try {
+                await clock.sleep(claimDelayPerShard * (countOwned() + random.next()), stop);
+                const lease = await this.#claimKey(stop);
+                if (lease !== undefined) {
+                    await this.#serve(lease, stop);
+                }
+            }
+            catch (cause) {
+                if (cause instanceof JournalDamagedError) {
+                    logger.log(logEvents.journalDamaged, { shard, cause: cause.message });
+                }
+                else if (!stop.aborted) {
+                    logger.log(logEvents.claimFailed, { shard, cause: String(cause) });
+                }
+                await clock.sleep(claimRetryDelay, stop);
+            }
+        }
+    }
+
+    /** Takes the owner's key if nobody has it; else waits until it changes. */
+    async #claimKey(stop: AbortSignal): Promise<PlatformLeaseId | undefined> {
+        const { store, shard, owner, values, random } = this.options;
+        const key = ownerKeyOf(shard);
+        const { cursor } = await store.watch(key, "", 0, stop);
+        const known = await store.get(key);
+        if (known !== undefined) {
+            await store.watch(key, cursor, ownerWatchDuration, stop);
+            return undefined;
+        }
+        const lease = await store.grantLease(values["owner.lease"]);
+        const value: OwnerValue = { process: owner, address: values["listen.peers"], nonce: random.name() };
+        const outcome = await store.compareAndSwap(key, absentVersion, JSON.stringify(value), lease);
+        return outcome.kind === "swapped" ? lease : undefined;
+    }
+
+    async #serve(lease: PlatformLeaseId, stop: AbortSignal): Promise<void> {
+        const { store, clock, random, logger, shard, owner, values } = this.options;
+        const lost = new AbortController();
+        const contact = { at: clock.monotonic() };
+        const renewing = this.#keepLease(lease, lost, contact);
+        try {
+            const { journal, contents } = await openJournal({
+                store,
+                clock,
+                random,
+                shard,
+                writer: owner,
+                signal: lost.signal,
+                options: {
+                    ringSize: journalRingSize,
+                    snapshotEvery: journalSnapshotEvery,
+                    commitInterval: values["owner.commit_interval"],
+                    retryDelay: journalRetryDelay,
+                    largestBytes: journalLargestBytes,
+                },
+            });
+            logger.log(logEvents.shardClaimed, { shard, epoch: journal.epoch, records: contents.records.length });
+            const owned = new OwnedShard({ ...this.options, journal, contents, contact, lost });
+            this.#owned = owned;
+            await owned.run(stop);
+        }
+        catch (cause) {
+            if (!(cause instanceof JournalFencedError)) {
+                throw cause;
+            }
+            logger.log(logEvents.shardFenced, { shard, cause: cause.message });
+        }
+        finally {
+            this.#owned = undefined;
+            lost.abort();
+            await renewing;
+            // The next owner need not wait for the lease to lapse.
+            await store.revokeLease(lease).catch(() => undefined);
+            logger.log(logEvents.shardReleased, { shard });
+        }
+    }
+
+    /** Renews the lease; gives the shard up when the platform says that it has ended. */
+    async #keepLease(lease: PlatformLeaseId, lost: AbortController, contact: { at: number; }): Promise<void> {
+        const { store, clock, values } = this.options;
+        while (!lost.signal.aborted) {
+            await clock.sleep(values["owner.lease"] / renewalsPerLease, lost.signal);
+            if (lost.signal.aborted) {
+                return;
+            }
+            const sent = clock.monotonic();
+            try {
+                if (!await store.renewLease(lease)) {
+                    lost.abort(new JournalFencedError("the lease on the shard has ended"));
+                    return;
+                }
+                contact.at = sent;
+            }
+            catch {
+                // Not an end: the journal's epoch is the fence, and work goes on up to the horizon.
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/ownership/owned-shard.ts
@@ -0,0 +1,277 @@
+/** A shard while this process owns it: drives the decisions with reports, messages and time. */
+import {
+    type Effect,
+    type JobId,
+    jobOfTask,
+    type Journal,
+    type JournalContents,
+    JournalFencedError,
+    type ListedWorker,
+    logEvents,
+    type Milliseconds,
+    type Refusal,
+    type SettingsTree,
+    type ShardRecord,
+    ShardScheduler,
+    type ShardSettings,
+    shardSettingsOf,
+    type ShardSnapshot,
+    type Step,
+    type Submission,
+    type SubmitOutcome,
+    type WorkerId,
+    type WorkloadClass,
+} from "@pebbledale/core";
+import { type NotRecorded, shardOfText } from "@pebbledale/runtime";
+import { WorkerLink } from "../workers/index.js";
+import type { CandidateOptions } from "./candidate.js";
+import { recordLimit, stalledAfter, stalledRetryAfter, tickInterval } from "./constants.js";
+
+/** What an owned shard needs. */
+export interface OwnedShardOptions extends CandidateOptions {
+    readonly journal: Journal;
+    readonly contents: JournalContents;
+    /** When the platform last confirmed the lease, by the monotonic clock. */
+    readonly contact: { readonly at: Milliseconds; };
+    /** Fires when the shard is lost. */
+    readonly lost: AbortController;
+}
+
+/** Thrown when a record was not confirmed in time; it may still be kept later. */
+export class NotRecordedError extends Error {
+    override readonly name = "NotRecordedError";
+}
+
+/** See the module's comment. */
+export class OwnedShard {
+    readonly core: ShardScheduler;
+    readonly #links = new Map<WorkerId, WorkerLink>();
+    readonly #waiting = new Map<JobId, Set<() => void>>();
+    readonly #settings = new Map<WorkloadClass | undefined, ShardSettings>();
+    #settingsTree: SettingsTree | undefined;
+    #scheduleRequested = false;
+    #isStalled = false;
+    #isHandingOver = false;
+
+    constructor(readonly options: OwnedShardOptions) {
+        const { shard, journal, contents, clock, random } = options;
+        this.core = new ShardScheduler({
+            shard,
+            epoch: journal.epoch,
+            clock,
+            random,
+            settings: workloadClass => this.#settingsOf(workloadClass),
+            lastContact: () => Math.max(journal.lastContact, options.contact.at),
+            hasFormerOwner: contents.epoch > 1,
+        });
+        this.core.recover(contents.snapshot as ShardSnapshot | undefined, contents.records as readonly ShardRecord[]);
+        journal.setSnapshotSource(() => this.core.book.snapshot());
+    }
+
+    /** Whether it takes requests: not while it is handed over. */
+    get isServing(): boolean {
+        return !this.#isHandingOver && !this.options.lost.signal.aborted;
+    }
+
+    /** Serves until `stop` fires or the shard is lost. Rejects with {@link JournalFencedError} when it is lost. */
+    async run(stop: AbortSignal): Promise<void> {
+        const { lost, clock } = this.options;
+        const listing = this.#keepListing(lost.signal);
+        while (!stop.aborted && !lost.signal.aborted) {
+            this.commit(this.core.tick());
+            this.requestSchedule();
+            this.#watchJournal();
+            await clock.sleep(tickInterval, AbortSignal.any([stop, lost.signal]));
+        }
+        if (lost.signal.aborted) {
+            await listing;
+            throw lost.signal.reason instanceof JournalFencedError
+                ? lost.signal.reason
+                : new JournalFencedError(String(lost.signal.reason));
+        }
+        await this.#handOver();
+        lost.abort(new Error("handed over"));
+        await listing;
+    }
+
+    /** Keeps the records of a step, then carries its effects out. Resolves when the records are kept. */
+    async commit(step: Step): Promise<void> {
+        if (step.records.length > 0) {
+            try {
+                await this.options.journal.append(step.records);
+            }
+            catch (cause) {
+                this.options.lost.abort(cause);
+                return;
+            }
+            this.core.kept(step);
+            this.requestSchedule();
+        }
+        if (!this.options.lost.signal.aborted) {
+            step.effects.forEach(effect => this.#carryOut(effect));
+        }
+    }
+
+    /** Like {@link commit}, but rejects with {@link NotRecordedError} when the records are not kept in time. */
+    async commitWithin(step: Step): Promise<void> {
+        const done = this.commit(step).then(() => !this.options.lost.signal.aborted);
+        const isKept = await Promise.race([done, this.options.clock.sleep(recordLimit).then(() => false)]);
+        if (!isKept && step.records.length > 0) {
+            throw new NotRecordedError("the platform did not confirm the record in time");
+        }
+    }
+
+    /** Accepts a job once it is recorded. */
+    async submit(submission: Submission): Promise<SubmitOutcome | NotRecorded> {
+        if (this.options.journal.stalledFor() > stalledAfter) {
+            const refusal: Refusal = {
+                error: "journal-stalled",
+                reason: "the platform's service does not answer",
+                retryAfter: stalledRetryAfter,
+            };
+            return { kind: "refused", refusal };
+        }
+        const { step, outcome } = this.core.submit(submission);
+        try {
+            await this.commitWithin(step);
+            // A repeated submission may meet a first one whose record is still on its way.
+            return outcome.kind === "accepted" && outcome.repeated ? await this.#whenKept(outcome) : outcome;
+        }
+        catch (cause) {
+            if (cause instanceof NotRecordedError) {
+                return { kind: "not-recorded", retryAfter: stalledRetryAfter };
+            }
+            throw cause;
+        }
+    }
+
+    /** Resolves when a job changes, or after `wait`. */
+    async untilChanged(job: JobId, wait: Milliseconds, signal: AbortSignal): Promise<void> {
+        const waiting = this.#waiting.get(job) ?? new Set();
+        this.#waiting.set(job, waiting);
+        const finished = new AbortController();
+        const wake = () => finished.abort();
+        waiting.add(wake);
+        await this.options.clock.sleep(wait, AbortSignal.any([finished.signal, signal, this.options.lost.signal]));
+        waiting.delete(wake);
+        if (waiting.size === 0 && this.#waiting.get(job) === waiting) {
+            this.#waiting.delete(job);
+        }
+    }
+
+    /** Places what fits, soon; several requests make one pass. */
+    requestSchedule(): void {
+        if (this.#scheduleRequested) {
+            return;
+        }
+        this.#scheduleRequested = true;
+        setImmediate(() => {
+            this.#scheduleRequested = false;
+            if (this.isServing) {
+                void this.commit(this.core.schedule(this.options.journal.stalledFor() === 0));
+            }
+        });
+    }
+
+    /** Gives the shard up: a worker has seen a newer epoch. */
+    stepDown(reason: string): void {
+        this.options.lost.abort(new JournalFencedError(reason));
+    }
+
+    async #whenKept(outcome: SubmitOutcome & { kind: "accepted"; }): Promise<SubmitOutcome | NotRecorded> {
+        const entry = this.core.book.jobs.get(outcome.job);
+        if (entry !== undefined && entry.unkept > 0) {
+            await this.commitWithin({ records: [], effects: [] });
+            await this.untilChanged(outcome.job, recordLimit, this.options.lost.signal);
+        }
+        return entry !== undefined && entry.unkept > 0
+            ? { kind: "not-recorded", retryAfter: stalledRetryAfter }
+            : outcome;
+    }
+
+    /** Settings are read from the tree once a revision and class. */
+    #settingsOf(workloadClass: WorkloadClass | undefined): ShardSettings {
+        const { watch, values } = this.options;
+        if (this.#settingsTree !== watch.tree) {
+            this.#settings.clear();
+            this.#settingsTree = watch.tree;
+        }
+        let settings = this.#settings.get(workloadClass);
+        if (settings === undefined) {
+            const path = { region: values["process.region"], site: values["process.site"] };
+            settings = shardSettingsOf(watch.tree, path, workloadClass);
+            this.#settings.set(workloadClass, settings);
+        }
+        return settings;
+    }
+
+    #carryOut(effect: Effect): void {
+        if (effect.kind === "job-changed") {
+            this.#waiting.get(effect.job)?.forEach(wake => wake());
+            return;
+        }
+        const link = this.#links.get(effect.worker);
+        if (effect.kind === "stop") {
+            link?.stop(effect.message);
+        }
+        else if (link === undefined) {
+            void this.commit(this.core.startRefused(effect.task, effect.attempt, undefined));
+        }
+        else {
+            link.start(effect.task, effect.attempt);
+        }
+        this.#waiting.get(effect.kind === "start" ? jobOfTask(effect.task) : jobOfTask(effect.message.task))
+            ?.forEach(wake => wake());
+    }
+
+    async #keepListing(signal: AbortSignal): Promise<void> {
+        const { vmList, clock, logger, values } = this.options;
+        while (!signal.aborted) {
+            try {
+                this.#takeList(await vmList.read(signal));
+            }
+            catch (cause) {
+                if (!signal.aborted) {
+                    logger.log(logEvents.workerListUnavailable, { cause: String(cause) });
+                }
+            }
+            await clock.sleep(values["platform.list_interval"], signal);
+        }
+        await Promise.all([...this.#links.values()].map(link => link.close()));
+    }
+
+    #takeList(workers: readonly ListedWorker[]): void {
+        const { shard, values } = this.options;
+        const mine = workers.filter(worker => shardOfText(worker.rack, values["cell.shards"]) === shard);
+        void this.commit(this.core.listWorkers(mine));
+        const names = new Set(mine.map(worker => worker.worker));
+        for (const worker of mine) {
+            if (!this.#links.has(worker.worker)) {
+                this.#links.set(worker.worker, new WorkerLink(this, worker));
+            }
+        }
+        for (const [name, link] of this.#links) {
+            if (!names.has(name)) {
+                this.#links.delete(name);
+                void link.close();
+            }
+        }
+        this.requestSchedule();
+    }
+
+    /** Finishes what was accepted before the shard is given to the next owner. */
+    async #handOver(): Promise<void> {
+        this.#isHandingOver = true;
+        await this.commit(this.core.tick());
+        // Records are kept in order, so once this empty group is kept, so is all that was accepted.
+        await this.options.journal.append([]).catch(() => undefined);
+    }
+
+    #watchJournal(): void {
+        const stalled = this.options.journal.stalledFor() > stalledAfter;
+        if (stalled && !this.#isStalled) {
+            this.options.logger.log(logEvents.journalStalled, { shard: this.options.shard });
+        }
+        this.#isStalled = stalled;
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/scheduler.ts
@@ -0,0 +1,112 @@
+/** Puts a scheduler together from its settings file and runs it until it is asked to stop. */
+import { formatFinding, logEvents, processId, type StoredSettings, SystemClock, SystemRandom } from "@pebbledale/core";
+import {
+    allShards,
+    createAdministration,
+    createLogger,
+    ExitCode,
+    HttpPlatformStore,
+    HttpVmList,
+    isAddressInUse,
+    listenAt,
+    loadProgramSettings,
+    Metrics,
+    type ProgramValues,
+    runProgram,
+    SchedulerClient,
+    schedulerSchema,
+    serveProtocol,
+    SettingsWatch,
+    stopSignal,
+    untilAborted,
+} from "@pebbledale/runtime";
+import { ShardCandidate } from "./ownership/index.js";
+import { LocalSchedulerService } from "./service/index.js";
+
+type Values = ProgramValues<typeof schedulerSchema>;
+
+/** How long a peer may take to say which settings it holds, in milliseconds. */
+const peerLimit = 500;
+
+/** Runs the program; resolves to its exit code. `print` shows findings to the operator. */
+export const runScheduler = async (
+    file: string,
+    checkOnly: boolean,
+    print: (line: string) => void,
+): Promise<number> => {
+    const settings = loadProgramSettings(schedulerSchema, file);
+    if (settings.isErr()) {
+        settings.error.forEach(finding => print(formatFinding(finding)));
+        return ExitCode.Usage;
+    }
+    if (checkOnly) {
+        print(`${file}: no findings`);
+        return ExitCode.Done;
+    }
+    const values = settings.value;
+    const logger = createLogger("pebbledale-scheduler", values["process.name"], values["process.log_level"]);
+    return runProgram(logger, () => serve(values, logger, print));
+};
+
+const serve = async (
+    values: Values,
+    logger: ReturnType<typeof createLogger>,
+    print: (line: string) => void,
+): Promise<void> => {
+    const stop = stopSignal();
+    const background = new AbortController();
+    const clock = new SystemClock();
+    const random = new SystemRandom();
+    const metrics = new Metrics();
+    const store = new HttpPlatformStore(values["platform.address"], values["platform.timeout"], metrics);
+    const vmList = new HttpVmList(values["platform.vm_list"], values["platform.timeout"]);
+    const peers = values["peers.schedulers"].filter(address => address !== values["listen.peers"])
+        .map(address => new SchedulerClient(address));
+    const watch = new SettingsWatch({
+        store,
+        clock,
+        logger,
+        signal: background.signal,
+        askPeers: () => askPeers(peers),
+    });
+    const owner = processId(values["process.name"]);
+    const candidates = allShards(values["cell.shards"]).map(shard =>
+        new ShardCandidate({ values, shard, owner, store, vmList, clock, random, logger, watch, metrics, countOwned })
+    );
+    function countOwned(): number {
+        return candidates.filter(candidate => candidate.owned !== undefined).length;
+    }
+    const service = new LocalSchedulerService(values, watch, candidates);
+    const server = createAdministration({
+        metrics,
+        notReady: () => stop.aborted ? "stopping" : watch.revision === 0 ? "no settings yet" : undefined,
+    });
+    metrics.gauge("pebbledale_shards_owned", "Shards that this scheduler owns", countOwned);
+    metrics.gauge("pebbledale_settings_revision", "Revision of the settings in force", () => watch.revision);
+    const protocol = serveProtocol(server, service);
+    await listenAt(server, values["listen.peers"]).catch(cause => {
+        if (isAddressInUse(cause)) {
+            print(`${values["listen.peers"]} is in use: does another process run with the same settings?`);
+        }
+        throw cause;
+    });
+    logger.log(logEvents.processStarted, { address: values["listen.peers"] });
+    const watching = watch.run();
+    await Promise.race([watch.ready, untilAborted(stop)]);
+    const owning = candidates.map(candidate => candidate.run(stop));
+    await untilAborted(stop);
+    logger.log(logEvents.processStopping);
+    await Promise.race([Promise.all(owning), clock.sleep(values["process.stop_within"])]);
+    background.abort();
+    await watching;
+    protocol.close();
+    await server.close();
+    await Promise.all([store.close(), vmList.close(), ...peers.map(peer => peer.close())]);
+};
+
+const askPeers = async (peers: readonly SchedulerClient[]): Promise<StoredSettings[]> => {
+    const answers = await Promise.allSettled(
+        peers.map(peer => peer.call(peerLimit, (calls, signal) => calls.currentSettings.query(undefined, { signal }))),
+    );
+    return answers.flatMap(answer => answer.status === "fulfilled" && answer.value !== undefined ? [answer.value] : []);
+};
--- /dev/null
+++ b/packages/scheduler/src/service/index.ts
@@ -0,0 +1,2 @@
+/** What the scheduler answers to gateways, peers and operators. */
+export * from "./local-service.js";
--- /dev/null
+++ b/packages/scheduler/src/workers/index.ts
@@ -0,0 +1,2 @@
+/** Messages between an owner and its workers. */
+export * from "./worker-link.js";
--- /dev/null
+++ b/packages/scheduler/src/workers/worker-link.ts
@@ -0,0 +1,188 @@
+/** One worker's messages: claims it, keeps its heartbeat going, sends starts and stops until they are answered. */
+import {
+    type Attempt,
+    type ListedWorker,
+    logEvents,
+    type StopMessage,
+    type TaskId,
+    type WorkerClient,
+    WorkerRefusal,
+    type WorkerReport,
+} from "@pebbledale/core";
+import { HttpWorkerClient } from "@pebbledale/runtime";
+import { workerRetryDelay } from "../ownership/constants.js";
+import type { OwnedShard } from "../ownership/owned-shard.js";
+
+/** See the module's comment. */
+export class WorkerLink {
+    readonly #client: HttpWorkerClient;
+    readonly #closed = new AbortController();
+    readonly #signal: AbortSignal;
+    readonly #running: Promise<void>;
+    #isReachable = true;
+
+    constructor(private readonly shard: OwnedShard, private readonly listed: ListedWorker) {
+        this.#client = new HttpWorkerClient(listed.address, shard.options.values["worker.timeout"]);
+        this.#signal = AbortSignal.any([this.#closed.signal, shard.options.lost.signal]);
+        this.#running = this.#run(this.#client);
+    }
+
+    /** Starts an attempt; ends once the worker has answered or the attempt is no longer to be started. */
+    start(task: TaskId, attempt: Attempt): void {
+        void this.#start(this.#client, task, attempt);
+    }
+
+    /** Stops an attempt; ends once the worker has answered or the attempt is gone. */
+    stop(message: StopMessage): void {
+        void this.#stop(this.#client, message);
+    }
+
+    /** Ends all messages. */
+    async close(): Promise<void> {
+        this.#closed.abort();
+        await this.#running;
+        await this.#client.close();
+    }
+
+    async #run(client: WorkerClient): Promise<void> {
+        const { clock } = this.shard.options;
+        let isClaimed = false;
+        while (!this.#signal.aborted) {
+            isClaimed = isClaimed ? await this.#heartbeat(client) : await this.#claim(client);
+            if (!this.#isReachable) {
+                await clock.sleep(workerRetryDelay, this.#signal);
+            }
+        }
+    }
+
+    async #claim(client: WorkerClient): Promise<boolean> {
+        const { shard, options } = { shard: this.shard, options: this.shard.options };
+        const sentAt = options.clock.monotonic();
+        try {
+            const message = { shard: options.shard, epoch: options.journal.epoch };
+            const answer = await client.claim(message, this.#signal);
+            this.#noteReachable();
+            if (answer.kind === "refused") {
+                this.#noteRefused(answer.refusal);
+                return false;
+            }
+            options.logger.log(logEvents.workerClaimed, {
+                worker: this.listed.worker,
+                running: answer.value.running.length,
+            });
+            await this.#take(() => shard.core.claimAnswered(this.listed.worker, answer.value, sentAt));
+            return true;
+        }
+        catch (cause) {
+            this.#noteUnreachable(cause);
+            return false;
+        }
+    }
+
+    /** One heartbeat; resolves to whether the worker still knows this owner. */
+    async #heartbeat(client: WorkerClient): Promise<boolean> {
+        const { shard } = this;
+        const { clock, watch, values } = shard.options;
+        const path = { region: values["process.region"], site: values["process.site"] };
+        const message = shard.core.heartbeatFor(this.listed.worker, watch.tree.number("worker.heartbeat", path));
+        if (message === undefined) {
+            return false;
+        }
+        const sentAt = clock.monotonic();
+        try {
+            const answer = await client.heartbeat(message, this.#signal);
+            this.#noteReachable();
+            if (answer.kind === "refused") {
+                shard.core.heartbeatFailed(this.listed.worker, message);
+                this.#noteRefused(answer.refusal);
+                return answer.refusal !== WorkerRefusal.OldEpoch;
+            }
+            await this.#take(() => shard.core.heartbeatAnswered(this.listed.worker, answer.value, sentAt));
+            return true;
+        }
+        catch (cause) {
+            shard.core.heartbeatFailed(this.listed.worker, message);
+            this.#noteUnreachable(cause);
+            return true;
+        }
+    }
+
+    /** Takes a report in. Its records need not be kept before the next heartbeat: leases must go on. */
+    async #take(report: () => ReturnType<OwnedShard["core"]["tick"]>): Promise<void> {
+        if (!this.#signal.aborted) {
+            void this.shard.commit(report());
+            this.shard.requestSchedule();
+        }
+    }
+
+    async #start(client: WorkerClient, task: TaskId, attempt: Attempt): Promise<void> {
+        const { core, options } = this.shard;
+        let mayHaveArrived = false;
+        while (!this.#signal.aborted) {
+            const message = core.startMessage(task, attempt, mayHaveArrived);
+            if (message === undefined) {
+                if (!mayHaveArrived) {
+                    await this.shard.commit(core.startRefused(task, attempt, undefined));
+                }
+                return;
+            }
+            try {
+                const answer = await client.start(message, this.#signal);
+                if (answer.kind === "accepted") {
+                    await this.shard.commit(core.startAccepted(task, attempt, answer.value));
+                    return;
+                }
+                this.#noteRefused(answer.refusal);
+                if (answer.refusal !== WorkerRefusal.OldEpoch) {
+                    await this.shard.commit(core.startRefused(task, attempt, answer.refusal));
+                }
+                return;
+            }
+            catch {
+                mayHaveArrived = true;
+                await options.clock.sleep(workerRetryDelay, this.#signal);
+            }
+        }
+    }
+
+    async #stop(client: WorkerClient, message: StopMessage): Promise<void> {
+        const { core, options } = this.shard;
+        do {
+            try {
+                const answer = await client.stop(message, this.#signal);
+                if (answer.kind === "refused") {
+                    this.#noteRefused(answer.refusal);
+                }
+                return;
+            }
+            catch {
+                await options.clock.sleep(workerRetryDelay, this.#signal);
+            }
+        }
+        while (!this.#signal.aborted && core.isCurrent(message.task, message.attempt));
+    }
+
+    #noteRefused(refusal: WorkerRefusal): void {
+        const { logger } = this.shard.options;
+        logger.log(logEvents.workerRefused, { worker: this.listed.worker, refusal });
+        if (refusal === WorkerRefusal.OldEpoch) {
+            this.shard.stepDown(`worker ${this.listed.worker} has seen a newer epoch`);
+        }
+    }
+
+    #noteReachable(): void {
+        this.#isReachable = true;
+    }
+
+    #noteUnreachable(cause: unknown): void {
+        if (this.#isReachable && !this.#signal.aborted) {
+            this.shard.options.logger.log(logEvents.workerUnreachable, {
+                worker: this.listed.worker,
+                cause: String(cause),
+            });
+        }
+        this.#isReachable = false;
+    }
+}
+
+export type { WorkerReport };
--- /dev/null
+++ b/packages/stand-ins/src/platform/server.ts
@@ -0,0 +1,173 @@
+/** Serves the stand-in of the platform over HTTP, with a path to make it fail. */
+import type { ListedWorker, Milliseconds, PlatformLeaseId } from "@pebbledale/core";
+import fastify, { type FastifyInstance } from "fastify";
+import type { AddressInfo } from "node:net";
+import type { AuditLog } from "../audit/index.js";
+import { MemoryStore } from "./store.js";
+
+/** How the stand-in is to fail. */
+export interface PlatformFaults {
+    /** No call is answered and none takes effect. */
+    outage: boolean;
+    /** Each answer comes this much later. */
+    delay: Milliseconds;
+    /** This many writes take effect and get no answer. */
+    loseAnswers: number;
+}
+
+/** The body of a control call; what is left out stays as it is. */
+export interface PlatformControl extends Partial<PlatformFaults> {
+    readonly workers?: readonly ListedWorker[];
+}
+
+/** Calls of the platform so far. */
+export interface PlatformCounts {
+    readonly reads: number;
+    readonly writes: number;
+    readonly watches: number;
+    readonly bytesWritten: number;
+}
+
+const expiryInterval = 50;
+const writes = new Set(["swap", "remove", "lease-grant", "lease-renew", "lease-revoke"]);
+/** Only these keys are written to the audit: the others change too often to be of use there. */
+const auditedPrefixes = ["settings/", "owners/"];
+
+interface CallBody {
+    readonly key: string;
+    readonly prefix: string;
+    readonly value: string;
+    readonly expected: number;
+    readonly lease: PlatformLeaseId;
+    readonly duration: number;
+    readonly cursor: string;
+}
+
+/** The stand-in of the platform. */
+export class PlatformStandIn {
+    readonly store = new MemoryStore();
+    readonly faults: PlatformFaults = { outage: false, delay: 0, loseAnswers: 0 };
+    readonly counts = { reads: 0, writes: 0, watches: 0, bytesWritten: 0 };
+    readonly #server: FastifyInstance = fastify({ logger: false, forceCloseConnections: true, bodyLimit: 4_000_000 });
+    readonly #expiring: NodeJS.Timeout;
+    #workers: readonly ListedWorker[] = [];
+
+    constructor(private readonly audit?: AuditLog) {
+        this.#server.post("/kv/:call", async (request, reply) => {
+            const { call } = request.params as { call: string; };
+            if (this.faults.outage) {
+                request.raw.socket.destroy();
+                return reply.hijack();
+            }
+            const gone = new AbortController();
+            reply.raw.once("close", () => gone.abort());
+            const answer = await this.#carryOut(call, request.body as CallBody, gone.signal);
+            await this.#wait(this.faults.delay);
+            const isLost = writes.has(call) && this.faults.loseAnswers > 0;
+            if (isLost || this.faults.outage) {
+                this.faults.loseAnswers -= isLost ? 1 : 0;
+                request.raw.socket.destroy();
+                return reply.hijack();
+            }
+            return answer;
+        });
+        this.#server.get("/vms", async () => ({ workers: this.#workers }));
+        this.#server.post("/control", async request => {
+            this.control(request.body as PlatformControl);
+            return {};
+        });
+        this.#server.get("/counts", async () => this.counts);
+        this.#expiring = setInterval(() => this.store.expire(performance.now()), expiryInterval);
+    }
+
+    /** Changes what fails and which VMs are listed. */
+    control({ workers, ...faults }: PlatformControl): void {
+        Object.assign(this.faults, faults);
+        this.#workers = workers ?? this.#workers;
+        this.audit?.add("platform-control", { ...faults, workers: workers?.length });
+    }
+
+    /** Listens; resolves to the address. */
+    async listen(port = 0): Promise<string> {
+        await this.#server.listen({ host: "127.0.0.1", port });
+        return `127.0.0.1:${(this.#server.server.address() as AddressInfo).port}`;
+    }
+
+    /** Ends the stand-in. */
+    async close(): Promise<void> {
+        clearInterval(this.#expiring);
+        await this.#server.close();
+    }
+
+    async #carryOut(call: string, body: CallBody, gone: AbortSignal): Promise<unknown> {
+        const now = performance.now();
+        const { store } = this;
+        store.expire(now);
+        this.#count(call, body);
+        switch (call) {
+            case "get":
+                return { entry: store.get(body.key) };
+            case "list":
+                return { entries: store.list(body.prefix) };
+            case "swap": {
+                const outcome = store.swap(body.key, body.expected, body.value, body.lease);
+                this.#auditSwap(body, outcome.kind);
+                return outcome;
+            }
+            case "remove":
+                return { removed: store.remove(body.key, body.expected) };
+            case "lease-grant":
+                return { lease: store.grantLease(body.duration, now) };
+            case "lease-renew":
+                return { renewed: store.renewLease(body.lease, now) };
+            case "lease-revoke":
+                store.revokeLease(body.lease);
+                return {};
+            case "watch":
+                return this.#watch(body, gone);
+            default:
+                throw new Error(`no such call: ${call}`);
+        }
+    }
+
+    async #watch(body: CallBody, gone: AbortSignal): Promise<unknown> {
+        const known = this.store.changesAfter(body.prefix, body.cursor);
+        if (known !== undefined) {
+            return known;
+        }
+        await new Promise<void>(resolve => {
+            const finish = () => {
+                clearTimeout(timer);
+                stopWatching();
+                resolve();
+            };
+            const timer = setTimeout(finish, body.duration);
+            const stopWatching = this.store.onChange(body.prefix, finish);
+            gone.addEventListener("abort", finish, { once: true });
+        });
+        return this.store.changesAfter(body.prefix, body.cursor) ?? { cursor: this.store.cursor(), changed: [] };
+    }
+
+    #count(call: string, body: CallBody): void {
+        if (call === "watch") {
+            this.counts.watches++;
+        }
+        else if (writes.has(call)) {
+            this.counts.writes++;
+            this.counts.bytesWritten += body.value?.length ?? 0;
+        }
+        else {
+            this.counts.reads++;
+        }
+    }
+
+    #auditSwap(body: CallBody, outcome: string): void {
+        if (auditedPrefixes.some(prefix => body.key.startsWith(prefix))) {
+            this.audit?.add("swap", { key: body.key, outcome, value: body.value });
+        }
+    }
+
+    #wait(duration: Milliseconds): Promise<void> {
+        return new Promise(resolve => setTimeout(resolve, duration));
+    }
+}
--- /dev/null
+++ b/packages/stand-ins/src/workers/fleet.ts
@@ -0,0 +1,98 @@
+/** Many workers in one process, with a path to make them fail. */
+import { type ListedWorker, type Resources, workerId } from "@pebbledale/core";
+import fastify, { type FastifyInstance } from "fastify";
+import type { AddressInfo } from "node:net";
+import type { AuditLog } from "../audit/index.js";
+import { type WorkerFaults, WorkerStandIn } from "./worker.js";
+
+/** How many workers of which size, in racks and data halls. */
+export interface FleetShape {
+    readonly count: number;
+    readonly rackSize: number;
+    readonly dataHalls: number;
+    readonly region: string;
+    readonly capacity: Resources;
+}
+
+/** The body of a control call. */
+export interface FleetControl {
+    readonly worker: string;
+    readonly action: "kill" | "restart" | "leave" | "faults";
+    readonly faults?: Partial<WorkerFaults>;
+}
+
+/** Bayanihan's workers. */
+export const bayanihanShape: FleetShape = {
+    count: 30,
+    rackSize: 8,
+    dataHalls: 3,
+    region: "luzon",
+    capacity: { processorThousandths: 64_000, memoryMebibytes: 131_072, accelerators: 0, slots: 8, connections: 64 },
+};
+
+/** Retrouve's workers. */
+export const retrouveShape: FleetShape = {
+    count: 30,
+    rackSize: 6,
+    dataHalls: 4,
+    region: "quebec",
+    capacity: { processorThousandths: 64_000, memoryMebibytes: 262_144, accelerators: 0, slots: 8, connections: 64 },
+};
+
+/** Stand-ins of a cell's workers. */
+export class FleetStandIn {
+    readonly workers: readonly WorkerStandIn[];
+    readonly #server: FastifyInstance = fastify({ logger: false, forceCloseConnections: true });
+
+    constructor(shape: FleetShape, audit?: AuditLog) {
+        this.workers = Array.from({ length: shape.count }, (_, index) => {
+            const rack = Math.floor(index / shape.rackSize);
+            return new WorkerStandIn({
+                worker: workerId(`worker-${index}`),
+                rack: `rack-${rack}`,
+                dataHall: `hall-${rack % shape.dataHalls}`,
+                region: shape.region,
+                capacity: shape.capacity,
+                audit,
+            });
+        });
+        this.#server.get("/workers", async () => ({ workers: this.listed() }));
+        this.#server.post("/control", async request => {
+            await this.control(request.body as FleetControl);
+            return {};
+        });
+    }
+
+    /** How the platform lists the workers. */
+    listed(): ListedWorker[] {
+        return this.workers.map(worker => worker.listed());
+    }
+
+    /** Makes a worker fail. */
+    async control(control: FleetControl): Promise<void> {
+        const worker = this.workers.find(entry => entry.options.worker === control.worker);
+        switch (control.action) {
+            case "kill":
+                return worker?.kill();
+            case "restart":
+                return worker?.restart();
+            case "leave":
+                return worker?.leave();
+            case "faults":
+                return worker?.setFaults(control.faults ?? {});
+        }
+    }
+
+    /** Listens with all workers; resolves to the control address. */
+    async listen(): Promise<string> {
+        await Promise.all(this.workers.map(worker => worker.listen()));
+        await this.#server.listen({ host: "127.0.0.1", port: 0 });
+        return `127.0.0.1:${(this.#server.server.address() as AddressInfo).port}`;
+    }
+
+    /** Ends all workers. */
+    async close(): Promise<void> {
+        this.workers.forEach(worker => worker.kill());
+        await this.#server.close();
+    }
+}
--- /dev/null
+++ b/packages/stand-ins/src/workers/worker.ts
@@ -0,0 +1,280 @@
+/** One worker: the protocol over HTTP, and instances that serve live requests at ports of their own. */
+import {
+    type ClaimMessage,
+    type HeartbeatMessage,
+    type ListedWorker,
+    type RunningTask,
+    type StartMessage,
+    type StopMessage,
+    VmState,
+    WorkerRefusal,
+    type WorkerReport,
+} from "@pebbledale/core";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import type { AuditLog } from "../audit/index.js";
+import { type LiveTask, TaskTable } from "./task-table.js";
+
+/** What fails at a worker. */
+export interface WorkerFaults {
+    /** Connections are dropped; tasks go on. */
+    isCut: boolean;
+    /** Messages of owners up to this epoch are dropped. */
+    cutUpToEpoch: number;
+    /** Every task fails as soon as it starts. */
+    failsAll: boolean;
+    /** Answers to live requests break off in the middle. */
+    cutsAnswers: boolean;
+}
+
+/** Who a worker is. */
+export interface WorkerOptions extends Omit<ListedWorker, "address" | "state"> {
+    readonly audit?: AuditLog;
+}
+
+const statusOk = 200;
+const statusRefused = 409;
+const statusBusy = 503;
+const expiryInterval = 5;
+
+const readBody = async (request: IncomingMessage): Promise<Buffer> => {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) {
+        chunks.push(chunk as Buffer);
+    }
+    return Buffer.concat(chunks);
+};
+
+/** See the module's comment. */
+export class WorkerStandIn {
+    readonly faults: WorkerFaults = { isCut: false, cutUpToEpoch: 0, failsAll: false, cutsAnswers: false };
+    #table: TaskTable;
+    readonly #services = new Map<LiveTask, { server: Server; inFlight: number; }>();
+    readonly #waiting = new Set<() => void>();
+    #server: Server | undefined;
+    #port = 0;
+    #incarnation = 1;
+    #expiring: NodeJS.Timeout | undefined;
+
+    constructor(readonly options: WorkerOptions) {
+        this.#table = this.#makeTable();
+    }
+
+    /** Listens, at the same port after a restart. */
+    async listen(): Promise<void> {
+        this.#server = createServer((request, response) => void this.#serve(request, response));
+        this.#server.keepAliveTimeout = 60_000;
+        await new Promise<void>(resolve => this.#server!.listen(this.#port, "127.0.0.1", resolve));
+        this.#port = (this.#server.address() as AddressInfo).port;
+        this.#expiring = setInterval(() => this.#table.expire(performance.now()), expiryInterval);
+    }
+
+    /** How the platform lists this worker. */
+    listed(): ListedWorker {
+        const { worker, rack, dataHall, region, capacity } = this.options;
+        const state = this.#table.isLeaving ? VmState.Leaving : VmState.Live;
+        return { worker, rack, dataHall, region, capacity, address: `127.0.0.1:${this.#port}`, state };
+    }
+
+    /** Says that the worker is leaving: it refuses new starts. */
+    leave(): void {
+        this.#table.isLeaving = true;
+        this.options.audit?.add("leaving", { worker: this.options.worker });
+        this.#wake();
+    }
+
+    /** Ends the worker and all its tasks without a word. */
+    kill(): void {
+        clearInterval(this.#expiring);
+        this.options.audit?.add("killed", { worker: this.options.worker });
+        this.#table.drop();
+        this.#services.forEach(({ server }) => {
+            server.closeAllConnections();
+            server.close();
+        });
+        this.#services.clear();
+        this.#server?.closeAllConnections();
+        this.#server?.close();
+        this.#wake();
+    }
+
+    /** Starts again after {@link kill}, with nothing running. */
+    async restart(): Promise<void> {
+        this.#incarnation++;
+        this.#table = this.#makeTable();
+        await this.listen();
+    }
+
+    /** Applies faults. */
+    setFaults(faults: Partial<WorkerFaults>): void {
+        Object.assign(this.faults, faults);
+        if (this.faults.isCut) {
+            this.#server?.closeAllConnections();
+        }
+    }
+
+    #makeTable(): TaskTable {
+        return new TaskTable({
+            worker: this.options.worker,
+            capacity: this.options.capacity,
+            audit: this.options.audit,
+            failsAll: () => this.faults.failsAll,
+            stopServing: task => this.#stopServing(task),
+            changed: () => this.#wake(),
+        });
+    }
+
+    #wake(): void {
+        this.#waiting.forEach(wake => wake());
+    }
+
+    async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        try {
+            const message = JSON.parse((await readBody(request)).toString()) as ClaimMessage;
+            if (this.faults.isCut || message.epoch <= this.faults.cutUpToEpoch) {
+                request.socket.destroy();
+                return;
+            }
+            const answer = this.#table.accepts(message.epoch)
+                ? await this.#carryOut(request.url ?? "", message, response)
+                : WorkerRefusal.OldEpoch;
+            if (this.faults.isCut || message.epoch <= this.faults.cutUpToEpoch) {
+                request.socket.destroy();
+                return;
+            }
+            const isRefusal = typeof answer === "string";
+            response.writeHead(isRefusal ? statusRefused : statusOk, { "content-type": "application/json" });
+            response.end(JSON.stringify(isRefusal ? { refusal: answer } : answer));
+        }
+        catch {
+            request.socket.destroy();
+        }
+    }
+
+    async #carryOut(path: string, message: ClaimMessage, response: ServerResponse): Promise<unknown> {
+        const now = performance.now();
+        switch (path) {
+            case "/tasks/claim":
+                return this.#report();
+            case "/tasks/heartbeat": {
+                const heartbeat = message as HeartbeatMessage;
+                this.#table.renew(heartbeat);
+                if (this.#table.ended.size === 0) {
+                    await this.#untilChanged(heartbeat.wait, response);
+                }
+                return this.#table.accepts(message.epoch) ? this.#report() : WorkerRefusal.OldEpoch;
+            }
+            case "/tasks/start":
+                return this.#start(message as StartMessage, now);
+            case "/tasks/stop":
+                return this.#table.stop(message as StopMessage, now);
+            default:
+                return true;
+        }
+    }
+
+    #untilChanged(wait: number, response: ServerResponse): Promise<void> {
+        return new Promise(resolve => {
+            const finish = () => {
+                clearTimeout(timer);
+                this.#waiting.delete(finish);
+                resolve();
+            };
+            const timer = setTimeout(finish, wait);
+            this.#waiting.add(finish);
+            response.once("close", finish);
+        });
+    }
+
+    #report(): WorkerReport {
+        return {
+            worker: this.options.worker,
+            incarnation: `${this.options.worker}-${this.#incarnation}` as WorkerReport["incarnation"],
+            number: this.#table.issueNumber(performance.now()),
+            leaving: this.#table.isLeaving,
+            running: [...this.#table.running.values()].map(describeRunning),
+            ended: [...this.#table.ended.values()],
+        };
+    }
+
+    async #start(message: StartMessage, now: number): Promise<RunningTask | WorkerRefusal> {
+        const outcome = this.#table.start(message, now);
+        if (outcome === "known") {
+            return { task: message.task, attempt: message.attempt, usage: message.grant };
+        }
+        if (typeof outcome === "string") {
+            return outcome;
+        }
+        if (outcome.serves && outcome.serviceAddress === undefined) {
+            outcome.serviceAddress = await this.#openService(outcome);
+        }
+        return describeRunning(outcome);
+    }
+
+    async #openService(task: LiveTask): Promise<string> {
+        const service = { server: createServer(), inFlight: 0 };
+        this.#services.set(task, service);
+        service.server.keepAliveTimeout = 60_000;
+        service.server.on("request", (request: IncomingMessage, response: ServerResponse) => {
+            void this.#serveLive(task, service, request, response);
+        });
+        await new Promise<void>(resolve => service.server.listen(0, "127.0.0.1", resolve));
+        return `127.0.0.1:${(service.server.address() as AddressInfo).port}`;
+    }
+
+    async #stopServing(task: LiveTask): Promise<void> {
+        const service = this.#services.get(task);
+        if (service === undefined) {
+            return;
+        }
+        this.#services.delete(task);
+        await new Promise<void>(resolve => {
+            service.server.close(() => resolve());
+            service.server.closeIdleConnections();
+        });
+    }
+
+    /** Answers after `milliseconds` with `bytes` bytes that depend on the request's id. */
+    async #serveLive(
+        task: LiveTask,
+        service: { inFlight: number; },
+        request: IncomingMessage,
+        response: ServerResponse,
+    ): Promise<void> {
+        const id = String(request.headers["pebbledale-request-id"]);
+        if (service.inFlight >= task.grant.slots) {
+            request.resume();
+            response.writeHead(statusBusy, { "pebbledale-refused": "busy" }).end();
+            return;
+        }
+        service.inFlight++;
+        response.once("close", () => service.inFlight--);
+        this.options.audit?.add("live", {
+            worker: this.options.worker,
+            task: task.task,
+            request: id,
+            inFlight: service.inFlight,
+        });
+        const body = await readBody(request).catch(() => Buffer.alloc(0));
+        const query = new URL(request.url ?? "/", "http://localhost").searchParams;
+        await new Promise(resolve => setTimeout(resolve, Number(query.get("milliseconds") ?? 0)));
+        const answer = Buffer.concat([Buffer.from(`${id}:`), body, Buffer.alloc(Number(query.get("bytes") ?? 0), id)]);
+        response.writeHead(Number(query.get("status") ?? statusOk), {
+            "content-length": answer.length,
+            "pebbledale-request-id": id,
+            "x-method": request.method ?? "",
+        });
+        if (this.faults.cutsAnswers || query.has("cut")) {
+            response.write(answer.subarray(0, answer.length / 2), () => response.destroy());
+            return;
+        }
+        response.end(answer);
+    }
+}
+
+const describeRunning = (task: LiveTask): RunningTask => ({
+    task: task.task,
+    attempt: task.attempt,
+    usage: task.grant,
+    serviceAddress: task.serviceAddress,
+});
