--- a/packages/core/src/shard/constants.ts
+++ b/packages/core/src/shard/constants.ts
@@ -8,3 +8,8 @@
 export const queueShares = { urgent: 1, normal: 0.9, patient: 0.7 } as const;
 /** Longest time that a caller is told to stay away, in milliseconds. */
 export const longestRetryAfter = 600_000;
+/**
+ * How long a new owner only grants slots that gateways say they hold, in milliseconds: twice the time between two
+ * renewals. A gateway that was cut off for longer may still use its bundle; the instance refuses what is too much.
+ */
+export const gatewaysRegisterWithin = 1_000;
--- a/packages/core/src/shard/job-book.ts
+++ b/packages/core/src/shard/job-book.ts
@@ -196,6 +196,10 @@
         task.assignment = undefined;
         task.serviceAddress = undefined;
         change(task, job);
+        if (job.state === JobState.Running && job.tasks.every(other => other.phase === TaskPhase.Waiting)) {
+            job.state = JobState.Queued;
+            job.reason = `waits for room again: ${record.reason}`;
+        }
         addHistory(job, record.at, `${decision}: task ${indexOfTask(record.task)} on ${worker}`, record.reason);
     }
 
--- a/packages/core/src/shard/shard-scheduler.ts
+++ b/packages/core/src/shard/shard-scheduler.ts
@@ -16,7 +16,7 @@
     type WorkerId,
 } from "../ids/index.js";
 import { isFinalState, JobState, type JobSubmission, type JobView, RanAnswer, WorkloadClass } from "../jobs/index.js";
-import { policyOf } from "../placement/index.js";
+import { noWorker, policyOf, type WorkerSlot } from "../placement/index.js";
 import type { Random } from "../random/index.js";
 import {
     addResources,
@@ -40,7 +40,7 @@
     WorkerRefusal,
     type WorkerReport,
 } from "../worker/index.js";
-import { longestRetryAfter, queueShares, rateWeight } from "./constants.js";
+import { gatewaysRegisterWithin, longestRetryAfter, queueShares, rateWeight } from "./constants.js";
 import { JobBook } from "./job-book.js";
 import { LeaseTerms } from "./lease-terms.js";
 import { PendingQueue, type PendingUnit } from "./pending-queue.js";
@@ -82,6 +82,12 @@
     readonly digest: string;
 }
 
+/** Workers for the tasks of a unit, in their order, and why. */
+interface Choice {
+    readonly workers: readonly WorkerEntry[];
+    readonly reason: string;
+}
+
 interface Due {
     readonly at: number;
     readonly job: JobId;
@@ -133,6 +139,11 @@
         this.#saver = new RoomSaver(this.workers, task => this.#expectedEnd(task));
     }
 
+    /** Whether the list of VMs has been read; before that no worker is known. */
+    get hasList(): boolean {
+        return this.#hasList;
+    }
+
     /** Takes over what the journal holds. Called once, before any other input. */
     recover(snapshot: ShardSnapshot | undefined, records: readonly ShardRecord[]): void {
         if (snapshot !== undefined) {
@@ -202,7 +213,7 @@
             job: job.job,
             key: job.key,
             state: isTold ? job.state : JobState.Running,
-            ran: isTold ? job.ran : RanAnswer.MayHaveRun,
+            ran: isTold ? toldRan(job) : RanAnswer.MayHaveRun,
             reason: isTold ? job.reason : "its end is being recorded",
             attempts: job.tasks.reduce((most, task) => Math.max(most, task.attempt), 0),
             workers: job.tasks.flatMap(task => task.assignment?.worker ?? []),
@@ -650,40 +661,59 @@
         if (!this.#isWithinQuota(job.submission.team, multiplyResources(size, unit.tasks.length))) {
             return false;
         }
+        const avoided = this.#health.failedWorkersOf(job.job);
+        // Workers where the job failed are taken only if the others have no room.
+        const choice = this.#choose(unit, job, size, avoided, now)
+            ?? (avoided.size === 0 ? undefined : this.#choose(unit, job, size, new Set(), now));
+        if (choice === undefined) {
+            this.#saveRoom(unit, job, size, now);
+            return false;
+        }
+        this.#saver.done(unit.job);
+        this.#recordPlacements(job, unit, choice.workers, size, choice.reason, builder);
+        return true;
+    }
+
+    /** Workers for all tasks of a unit, or undefined when not all of them fit now. */
+    #choose(
+        unit: PendingUnit,
+        job: JobEntry,
+        size: Resources,
+        avoided: ReadonlySet<WorkerId>,
+        now: Milliseconds,
+    ): Choice | undefined {
         const { placement } = this.options.settings(job.submission.class);
         const policy = policyOf(job.submission.class);
-        const avoided = this.#health.failedWorkersOf(job.job);
-        const expectedEnd = job.submission.expectedRunMilliseconds === undefined
-            ? Infinity
-            : now + job.submission.expectedRunMilliseconds;
-        const chosen: WorkerEntry[] = [];
+        const preference = policy.preference(placement);
+        const headroom = policy.headroom(placement);
+        const expectedEnd = now + (job.submission.expectedRunMilliseconds ?? Infinity);
+        const isExcluded = (worker: WorkerSlot): boolean => {
+            const entry = this.workers.at(worker);
+            return avoided.has(entry.worker) || this.#saver.isSavedForAnother(entry, unit.job, expectedEnd);
+        };
+        const workers: WorkerEntry[] = [];
         let considered = 0;
         let fitted = 0;
         for (let index = 0; index < unit.tasks.length; index++) {
-            const decision = this.workers.index.find({
-                size,
-                preference: policy.preference(placement),
-                headroom: policy.headroom(placement),
-                isExcluded: worker => this.#isExcluded(this.workers.at(worker), unit, expectedEnd, avoided),
-            });
+            const decision = this.workers.index.find({ size, preference, headroom, isExcluded });
             considered += decision.considered;
             fitted += decision.fitted;
-            if (decision.worker < 0) {
+            if (decision.worker === noWorker) {
                 break;
             }
             this.workers.index.reserve(decision.worker, size);
-            chosen.push(this.workers.at(decision.worker));
+            workers.push(this.workers.at(decision.worker));
         }
-        chosen.forEach(entry => this.workers.index.release(entry.slot, size));
-        if (chosen.length < unit.tasks.length) {
-            this.#saveRoom(unit, job, size, now);
-            return false;
+        // Charged again, task by task, with the record; here only the search needed the room.
+        workers.forEach(entry => this.workers.index.release(entry.slot, size));
+        if (workers.length < unit.tasks.length) {
+            return undefined;
         }
-        this.#saver.done(unit.job);
-        const reason = `${policy.preference(placement)}: best of ${fitted} that fit, ${considered} looked at,`
-            + ` after ${Math.round(now - unit.since)} ms`;
-        this.#recordPlacements(job, unit, chosen, size, reason, builder);
-        return true;
+        const waited = Math.round(Math.max(0, now - unit.since));
+        return {
+            workers,
+            reason: `${preference}: best of ${fitted} that fit, ${considered} looked at, after ${waited} ms`,
+        };
     }
 
     #recordPlacements(
@@ -716,16 +746,6 @@
         this.#startsSinceTick += placements.length;
     }
 
-    #isExcluded(
-        entry: WorkerEntry,
-        unit: PendingUnit,
-        expectedEnd: Milliseconds,
-        avoided: ReadonlySet<WorkerId>,
-    ): boolean {
-        return this.#saver.isSavedForAnother(entry, unit.job, expectedEnd)
-            || (avoided.has(entry.worker) && avoided.size < this.workers.size);
-    }
-
     #saveRoom(unit: PendingUnit, job: JobEntry, size: Resources, now: Milliseconds): void {
         if (unit.tasks.length > 1 && now - unit.since >= this.options.settings(job.submission.class).gangPatience) {
             this.#saver.save(job.job, size, unit.tasks.length, now);
@@ -1057,8 +1077,9 @@
     #ledgerOf(service: string): SlotLedger {
         let ledger = this.#ledgers.get(service);
         if (ledger === undefined) {
+            // Counted from the first request: gateways may have found the new owner only now.
             const settledAt = this.options.hasFormerOwner
-                ? this.#openedAt + this.options.settings().slotGrant
+                ? this.#now() + Math.min(gatewaysRegisterWithin, this.options.settings().slotGrant)
                 : -Infinity;
             ledger = new SlotLedger(settledAt);
             this.#ledgers.set(service, ledger);
@@ -1071,14 +1092,11 @@
         for (const job of jobs) {
             for (const task of job.tasks) {
                 const entry = task.assignment === undefined ? undefined : this.workers.get(task.assignment.worker);
-                const isServing = entry !== undefined && task.phase === TaskPhase.Running
-                    && task.serviceAddress !== undefined && task.stopSent !== true && !isLeaving(entry)
-                    && this.workers.index.isOpen(entry.slot);
-                if (isServing) {
+                if (entry !== undefined && this.#mayServe(task, entry)) {
                     instances.push({
                         task: task.task,
                         worker: entry.worker,
-                        address: task.serviceAddress!,
+                        address: task.serviceAddress,
                         dataHall: entry.listed.dataHall,
                         slots: job.submission.size.slots,
                     });
@@ -1088,6 +1106,16 @@
         return instances;
     }
 
+    /** Whether live requests may go to a task: it runs, or a new owner has not heard from its worker yet. */
+    #mayServe(task: TaskEntry, entry: WorkerEntry): boolean {
+        if (task.stopSent === true || isLeaving(entry)) {
+            return false;
+        }
+        const isUnheard = entry.incarnation === undefined && this.options.hasFormerOwner;
+        const isRunning = task.phase === TaskPhase.Running && task.serviceAddress !== undefined;
+        return isUnheard || (isRunning && this.workers.index.isOpen(entry.slot));
+    }
+
     #measureRate(now: Milliseconds): void {
         const elapsed = now - this.#lastTick;
         if (elapsed < 1000) {
@@ -1139,6 +1167,12 @@
     succeeded: task.phase === TaskPhase.Succeeded,
 });
 
+/** "Not run" is said only while no start is on its way. */
+const toldRan = (job: JobEntry): RanAnswer => {
+    const mayRun = job.ran === RanAnswer.NotRun && job.tasks.some(task => task.assignment !== undefined);
+    return mayRun ? RanAnswer.MayHaveRun : job.ran;
+};
+
 const jobOfRecord = (record: ShardRecord): JobId | undefined => {
     if ("job" in record) {
         return record.job;
--- a/packages/core/src/shard/slot-ledger.ts
+++ b/packages/core/src/shard/slot-ledger.ts
@@ -3,7 +3,8 @@
  *
  * A gateway renews its bundle well before it ends and says how many slots of each instance it uses. What it uses or
  * was granted stays counted until the grant has ended, so the sum never exceeds an instance's slots, also when an
- * answer is lost. A new owner at first grants only what gateways say they already hold.
+ * answer is lost. A new owner at first grants only what gateways say they already hold; should one that was cut off
+ * use more, the instance refuses it, as it enforces its own slots.
  */
 import type { ProcessId, TaskId, WorkerId } from "../ids/index.js";
 import type { Milliseconds } from "../time/index.js";
@@ -12,7 +13,8 @@
 export interface ServiceInstance {
     readonly task: TaskId;
     readonly worker: WorkerId;
-    readonly address: string;
+    /** Undefined while a new owner has not heard from the worker. */
+    readonly address?: string;
     readonly dataHall: string;
     readonly slots: number;
 }
@@ -21,7 +23,8 @@
 export interface SlotGrant {
     readonly task: TaskId;
     readonly worker: WorkerId;
-    readonly address: string;
+    /** Undefined while a new owner has not heard from the worker: the gateway goes on with the address it knows. */
+    readonly address?: string;
     readonly slots: number;
 }
 
@@ -50,7 +53,7 @@
 export class SlotLedger {
     readonly #gateways = new Map<ProcessId, GatewayEntry>();
 
-    /** `settledAt`: from then on no grant of a former owner can still be in use. */
+    /** `settledAt`: from then on every gateway that the owner can hear has said what it holds. */
     constructor(private readonly settledAt: Milliseconds) {}
 
     /** Grants slots for `duration` from `now` and counts them until then. */
@@ -70,7 +73,7 @@
         for (const instance of this.#inOrder(gateway, instances, request.dataHall)) {
             const room = Math.max(0, instance.slots - this.#heldByOthers(gateway, instance.task));
             const before = gateway.holdings.get(instance.task)?.slots ?? 0;
-            const mayGrow = now >= this.settledAt;
+            const mayGrow = now >= this.settledAt && instance.address !== undefined;
             const slots = Math.min(wanted, room, mayGrow ? room : before);
             wanted -= slots;
             if (slots > 0) {
@@ -104,12 +107,12 @@
         }
     }
 
-    /** An equal share of what nobody asks for, and a share of the rest in proportion to demand. */
+    /** The demand and a share of what nobody asks for, with one share kept for a gateway that is new; else in proportion. */
     #shareOf(gateway: GatewayEntry, instances: readonly ServiceInstance[]): number {
         const total = instances.reduce((sum, instance) => sum + instance.slots, 0);
         const demands = [...this.#gateways.values()].reduce((sum, entry) => sum + entry.demand, 0);
         if (demands <= total) {
-            return gateway.demand + Math.floor((total - demands) / this.#gateways.size);
+            return gateway.demand + Math.floor((total - demands) / (this.#gateways.size + 1));
         }
         return Math.max(1, Math.floor(total * gateway.demand / demands));
     }
--- /dev/null
+++ b/packages/core/test/shard/pending-queue.test.ts
@@ -0,0 +1,59 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { jobId, PendingQueue, type PendingUnit, Priority, type TaskId } from "../../src/index.js";
+
+const unit = (ticket: number, priority = Priority.Normal, signature = "small"): PendingUnit => ({
+    job: jobId(`job-${ticket}`),
+    tasks: [`job-${ticket}/0` as TaskId],
+    priority,
+    signature,
+    ticket,
+    since: 0,
+});
+
+const drain = (queue: PendingQueue): number[] => {
+    const order: number[] = [];
+    queue.offer(entry => order.push(entry.ticket) > 0);
+    return order;
+};
+
+describe("PendingQueue", () => {
+    it("offers by priority, then by age across sizes", () => {
+        const queue = new PendingQueue();
+        [unit(1, Priority.Patient), unit(2), unit(3, Priority.Urgent), unit(4, Priority.Normal, "large"), unit(5)]
+            .forEach(entry => queue.add(entry));
+        expect(drain(queue)).toEqual([3, 2, 4, 5, 1]);
+    });
+
+    it("passes over equals of what did not fit, and goes on with others", () => {
+        const queue = new PendingQueue();
+        [unit(1, Priority.Normal, "large"), unit(2, Priority.Normal, "large"), unit(3)].forEach(entry =>
+            queue.add(entry)
+        );
+        const offered: number[] = [];
+        queue.offer(entry => {
+            offered.push(entry.ticket);
+            return entry.signature === "small";
+        });
+        expect(offered).toEqual([1, 3]);
+        expect(queue.length).toEqual(2);
+    });
+
+    it("forgets a removed unit without a search", () => {
+        const queue = new PendingQueue();
+        const entries = Array.from({ length: 10_000 }, (_, index) => unit(index));
+        entries.forEach(entry => queue.add(entry));
+        entries.filter(entry => entry.ticket !== 7).forEach(entry => queue.remove(entry.tasks[0]));
+        expect(queue.length).toEqual(1);
+        expect(queue.placeOf(entries[7])).toEqual(8);
+        expect(drain(queue)).toEqual([7]);
+    });
+
+    it("takes a task again that was removed before", () => {
+        const queue = new PendingQueue();
+        queue.add(unit(1));
+        queue.remove("job-1/0" as TaskId);
+        queue.add({ ...unit(1), ticket: 2 });
+        expect(drain(queue)).toEqual([2]);
+    });
+});
--- /dev/null
+++ b/packages/core/test/shard/worker-health.test.ts
@@ -0,0 +1,40 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { jobId, workerId } from "../../src/index.js";
+import { WorkerHealth } from "../../src/shard/worker-health.js";
+
+const worker = (index: number) => workerId(`worker-${index}`);
+const job = (index: number) => jobId(`job-${index}`);
+
+describe("WorkerHealth", () => {
+    it("finds a worker that fails what succeeds elsewhere", () => {
+        const health = new WorkerHealth();
+        const found = Array.from({ length: 4 }, (_, index) => health.noteFailure(worker(1), job(index)));
+        expect(found).toEqual([false, false, false, true]);
+    });
+
+    it("blames a job that fails on two workers, and neither of them", () => {
+        const health = new WorkerHealth();
+        for (let index = 0; index < 20; index++) {
+            health.noteFailure(worker(index % 2), job(index >> 1));
+        }
+        expect(health.isFailing(worker(0))).toEqual(false);
+        expect(health.isFailing(worker(1))).toEqual(false);
+    });
+
+    it("blames the workers after all when the job then succeeds", () => {
+        const health = new WorkerHealth();
+        for (let index = 0; index < 4; index++) {
+            health.noteFailure(worker(0), job(index));
+            health.noteFailure(worker(1), job(index));
+            health.noteSuccess(worker(2), job(index));
+        }
+        expect(health.isFailing(worker(0))).toEqual(true);
+    });
+
+    it("lengthens each further quarantine", () => {
+        const health = new WorkerHealth();
+        expect(health.beginQuarantine(worker(1))).toEqual(1);
+        expect(health.beginQuarantine(worker(1))).toEqual(2);
+    });
+});
--- a/packages/evidence/src/demo/index.ts
+++ b/packages/evidence/src/demo/index.ts
@@ -79,9 +79,13 @@
     const deadline = performance.now() + deadlineAfter;
     const waits = build();
     await cell.caller.submitUntilSettled(serviceJob, deadline);
-    await until("the service answers", deadlineAfter, async () => {
-        const answer = await cell.caller.send({ method: "GET", path: "/services/prompts/" }).catch(() => undefined);
-        return answer?.status === 200;
+    await until("the service answers at every gateway", deadlineAfter, async () => {
+        const answers = await Promise.all(
+            cell.callerAddresses().map(() =>
+                cell.caller.send({ method: "GET", path: "/services/prompts/" }).catch(() => undefined)
+            ),
+        );
+        return answers.every(answer => answer?.status === 200);
     });
     say("sending live requests, builds, matches, a gang, and a job that fits nowhere");
     const live = sendLive(cell, result, waits);
@@ -134,6 +138,7 @@
 };
 
 const sendJobs = async (cell: Cell, result: DemoResult, deadline: number): Promise<void> => {
+    const succeeded = new Set<string>();
     const job = (key: string, more: object) => ({ key, class: "batch", size: smallSize, ...more });
     const submissions = [
         ...Array.from(
@@ -165,13 +170,16 @@
         }
         const id = String(accepted.body.job);
         const view = await cell.caller.waitForEnd(id, deadline);
-        const ran = [...countStarts(cell.workerAudit())].filter(([task]) => jobOf(task) === id);
-        const isRight = view?.state === "succeeded" && view.outcomes.every(outcome => outcome.succeeded);
-        if (isRight && ran.length > 0) {
+        if (view?.state === "succeeded" && view.outcomes.every(outcome => outcome.succeeded)) {
+            succeeded.add(id);
             result.answeredWhole++;
         }
         else {
             result.lost++;
         }
     }));
+    const ran = new Set([...countStarts(cell.workerAudit()).keys()].map(jobOf));
+    const neverRan = [...succeeded].filter(id => !ran.has(id)).length;
+    result.answeredWhole -= neverRan;
+    result.lost += neverRan;
 };
--- /dev/null
+++ b/packages/evidence/test/journal/flaky-store.ts
@@ -0,0 +1,69 @@
+/** The stand-in's memory store behind the product's interface, failing as a test says. */
+import {
+    type KeyValue,
+    type KeyVersion,
+    type PlatformLeaseId,
+    type PlatformStore,
+    PlatformUnavailableError,
+    type SwapOutcome,
+    type WatchEvents,
+} from "@pebbledale/core";
+import { MemoryStore } from "@pebbledale/stand-ins";
+
+/** What happens to a write: it takes effect and is answered, takes effect unanswered, or is lost. */
+export type Fate = "answered" | "answer lost" | "call lost";
+
+/** See the module's comment. */
+export class FlakyStore implements PlatformStore {
+    readonly memory = new MemoryStore();
+    /** Fates of the next writes; later ones are answered. */
+    readonly fates: Fate[] = [];
+    /** Called before each write takes effect. */
+    beforeSwap: ((key: string) => void | Promise<void>) | undefined;
+
+    async get(key: string): Promise<KeyValue | undefined> {
+        return this.memory.get(key);
+    }
+
+    async list(prefix: string): Promise<readonly KeyValue[]> {
+        return this.memory.list(prefix);
+    }
+
+    async compareAndSwap(
+        key: string,
+        expected: KeyVersion,
+        value: string,
+        lease?: PlatformLeaseId,
+    ): Promise<SwapOutcome> {
+        const fate = this.fates.shift() ?? "answered";
+        await this.beforeSwap?.(key);
+        if (fate === "call lost") {
+            throw new PlatformUnavailableError("lost before it took effect");
+        }
+        const outcome = this.memory.swap(key, expected, value, lease);
+        if (fate === "answer lost") {
+            throw new PlatformUnavailableError("lost after it took effect");
+        }
+        return outcome;
+    }
+
+    async remove(key: string, expected: KeyVersion): Promise<boolean> {
+        return this.memory.remove(key, expected);
+    }
+
+    async grantLease(duration: number): Promise<PlatformLeaseId> {
+        return this.memory.grantLease(duration, 0);
+    }
+
+    async renewLease(lease: PlatformLeaseId): Promise<boolean> {
+        return this.memory.renewLease(lease, 0);
+    }
+
+    async revokeLease(lease: PlatformLeaseId): Promise<void> {
+        this.memory.revokeLease(lease);
+    }
+
+    async watch(): Promise<WatchEvents> {
+        return { cursor: "", changed: [] };
+    }
+}
--- /dev/null
+++ b/packages/evidence/test/journal/journal.test.ts
@@ -0,0 +1,154 @@
+import {
+    type Clock,
+    type Journal,
+    JournalFencedError,
+    openJournal,
+    processId,
+    SeededRandom,
+    shardId,
+    type SnapshotPointer,
+} from "@pebbledale/core";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { FlakyStore } from "./flaky-store.js";
+
+/** A clock whose waits end at once: the journal's pace does not matter here. */
+const instantClock: Clock = {
+    monotonic: () => 0,
+    now: () => new Date(0),
+    sleep: () => Promise.resolve(),
+};
+const random = new SeededRandom(7);
+
+const open = async (
+    store: FlakyStore,
+    writer: string,
+    sizes: { ringSize?: number; snapshotEvery?: number; largestBytes?: number; } = {},
+) => openJournal({
+    store,
+    clock: instantClock,
+    random,
+    shard: shardId("shard-0"),
+    writer: processId(writer),
+    signal: new AbortController().signal,
+    options: { ringSize: 16, snapshotEvery: 4, commitInterval: 0, retryDelay: 0, largestBytes: 10_000, ...sizes },
+});
+
+/** A state that is the list of its records, as a snapshot source. */
+const keepState = (journal: Journal, before: readonly unknown[] = []) => {
+    const state = [...before];
+    journal.setSnapshotSource(() => state);
+    return {
+        state,
+        append: (record: unknown) => {
+            state.push(record);
+            return journal.append([record]);
+        },
+    };
+};
+
+const allRecords = async (store: FlakyStore): Promise<unknown[]> => {
+    const { contents } = await open(store, "reader");
+    return [...(contents.snapshot as unknown[] | undefined ?? []), ...contents.records];
+};
+
+describe("journal", () => {
+    it("gives the next owner all that was kept, in order", async () => {
+        const store = new FlakyStore();
+        const { journal } = await open(store, "first");
+        await Promise.all([journal.append(["a"]), journal.append(["b", "c"])]);
+        const { contents } = await open(store, "second");
+        expect(contents.records).toEqual(["a", "b", "c"]);
+        expect<number>(contents.epoch).toEqual(2);
+    });
+
+    it("fences the old owner once a new one has claimed, however late its write comes", async () => {
+        const store = new FlakyStore();
+        const { journal } = await open(store, "old");
+        await journal.append(["kept"]);
+        await open(store, "new");
+        await expect(journal.append(["late"])).toBeRejectedWith(JournalFencedError);
+        expect(await allRecords(store)).toEqual(["kept"]);
+    });
+
+    it("settles a write whose answer was lost: it is kept once", async () => {
+        const store = new FlakyStore();
+        const { journal } = await open(store, "owner");
+        store.fates.push("answer lost", "call lost", "answered");
+        await journal.append(["a"]);
+        store.fates.push("call lost", "answer lost");
+        await journal.append(["b"]);
+        expect(await allRecords(store)).toEqual(["a", "b"]);
+    });
+
+    it("does not take another owner's segment for its own when the answer was lost", async () => {
+        const store = new FlakyStore();
+        const { journal } = await open(store, "old");
+        store.fates.push("call lost");
+        store.beforeSwap = async () => {
+            store.beforeSwap = undefined;
+            await open(store, "new");
+        };
+        await expect(journal.append(["late"])).toBeRejectedWith(JournalFencedError);
+        expect(await allRecords(store)).toEqual([]);
+    });
+
+    it("rewrites the ring many times over and loses nothing, also when a late writer holds an old number", async () => {
+        const store = new FlakyStore();
+        const first = await open(store, "old");
+        const old = keepState(first.journal);
+        await old.append("first");
+        const second = await open(store, "new");
+        const owner = keepState(second.journal, ["first"]);
+        for (let index = 0; index < 100; index++) {
+            await owner.append(index);
+        }
+        await expect(first.journal.append(["late"])).toBeRejectedWith(JournalFencedError);
+        expect(await allRecords(store)).toEqual(["first", ...Array.from({ length: 100 }, (_, index) => index)]);
+    });
+
+    it("splits what is larger than one value, groups and snapshots alike", async () => {
+        const store = new FlakyStore();
+        const { journal } = await open(store, "owner", { largestBytes: 200 });
+        const owner = keepState(journal);
+        const texts = Array.from({ length: 30 }, (_, index) => `record ${index} `.padEnd(60, "x"));
+        await Promise.all(texts.map(text => owner.append(text)));
+        expect(await allRecords(store)).toEqual(texts);
+        const sizes = store.memory.list("").map(entry => entry.value.length);
+        expect(Math.max(...sizes)).toBeLessThan(800);
+    });
+
+    it("holds in a snapshot exactly what its segments held, with records waiting at that moment", async () => {
+        const store = new FlakyStore();
+        const { journal } = await open(store, "owner", { snapshotEvery: 2 });
+        const owner = keepState(journal);
+        for (let round = 0; round < 10; round++) {
+            await Promise.all([owner.append(`${round}a`), owner.append(`${round}b`), owner.append(`${round}c`)]);
+        }
+        expect(await allRecords(store)).toEqual(owner.state);
+    });
+
+    it("keeps the former snapshot until a segment names the new one", async () => {
+        const store = new FlakyStore();
+        const { journal } = await open(store, "owner", { snapshotEvery: 3 });
+        const owner = keepState(journal);
+        const pointersSeen: (SnapshotPointer | undefined)[] = [];
+        // Whatever moment the owner dies at, the newest segment must name a snapshot that is whole.
+        store.beforeSwap = () => {
+            const segments = store.memory.list("shards/shard-0/journal/").map(entry =>
+                JSON.parse(entry.value) as { sequence: number; snapshot?: SnapshotPointer; }
+            );
+            const newest = segments.sort((left, right) => right.sequence - left.sequence)[0];
+            const pointer = newest?.snapshot;
+            pointersSeen.push(pointer);
+            const parts = pointer === undefined
+                ? 0
+                : store.memory.list(`shards/shard-0/snapshots/${pointer.name}/`).length;
+            expect(parts).toEqual(pointer?.parts ?? 0);
+        };
+        for (let index = 0; index < 30; index++) {
+            await owner.append(index);
+        }
+        expect(new Set(pointersSeen.map(pointer => pointer?.name)).size).toBeGreaterThan(3);
+    });
+});
--- /dev/null
+++ b/packages/evidence/test/settings/accept.test.ts
@@ -0,0 +1,67 @@
+import { acceptSettings, type Clock, readHistory, readSettings, settingsRevision } from "@pebbledale/core";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { FlakyStore } from "../journal/flaky-store.js";
+
+const clock: Clock = { monotonic: () => 0, now: () => new Date(0), sleep: () => Promise.resolve() };
+
+const accept = (store: FlakyStore, base: number, nonce: string, text = `; ${nonce}`) =>
+    acceptSettings({
+        store,
+        clock,
+        base: settingsRevision(base),
+        text,
+        author: nonce,
+        note: "",
+        nonce,
+        settleWithin: 1,
+    });
+
+describe("accepting settings", () => {
+    it("lets one of two racing operators win and shows the loser the winner", async () => {
+        const store = new FlakyStore();
+        await accept(store, 0, "first");
+        const outcomes = await Promise.all([accept(store, 1, "ana"), accept(store, 1, "ben")]);
+        expect(outcomes.map(outcome => outcome.kind).sort()).toEqual(["accepted", "superseded"]);
+        const loser = outcomes.find(outcome => outcome.kind === "superseded");
+        expect(loser?.kind === "superseded" ? loser.current?.revision : undefined).toEqual(settingsRevision(2));
+    });
+
+    it("settles a lost answer by reading: accepted once", async () => {
+        const store = new FlakyStore();
+        store.fates.push("answer lost");
+        expect((await accept(store, 0, "ana")).kind).toEqual("accepted");
+        expect((await readSettings(store))?.revision).toEqual(settingsRevision(1));
+    });
+
+    it("knows its own revision also when another was accepted on top before the answer was settled", async () => {
+        const store = new FlakyStore();
+        await accept(store, 0, "first");
+        store.fates.push("answered", "answer lost");
+        let raced = false;
+        store.beforeSwap = async () => {
+            if (!raced && (await readSettings(store))?.author === "ana") {
+                raced = true;
+            }
+        };
+        const ana = accept(store, 1, "ana");
+        const outcome = await ana;
+        expect(outcome.kind).toEqual("accepted");
+        await accept(store, 2, "ben");
+        expect((await accept(store, 1, "ana")).kind).toEqual("accepted");
+    });
+
+    it("keeps every accepted revision in the history", async () => {
+        const store = new FlakyStore();
+        for (let base = 0; base < 5; base++) {
+            await accept(store, base, `operator-${base}`);
+        }
+        const history = await readHistory(store, 10);
+        expect(history.map(entry => Number(entry.revision))).toEqual([5, 4, 3, 2, 1]);
+    });
+
+    it("refuses a tree that the platform could not hold, with its size", async () => {
+        const outcome = await accept(new FlakyStore(), 0, "ana", "x".repeat(600_000));
+        expect(outcome.kind).toEqual("too-large");
+    });
+});
--- a/packages/gateway/src/callers/services.ts
+++ b/packages/gateway/src/callers/services.ts
@@ -41,6 +41,7 @@
 const defaultDeadline: Milliseconds = 30_000;
 const longestDeadline: Milliseconds = 3_600_000;
 const acquireLimit: Milliseconds = 1_000;
+const acquireAttemptLimit: Milliseconds = 300;
 const onceLimit: Milliseconds = 3_000;
 /** Sends of one request at the most. */
 const mostSends = 4;
@@ -245,6 +246,7 @@
                     shard,
                     acquireLimit,
                     (calls, limit) => calls.acquire.mutate(message, { signal: limit }),
+                    acquireAttemptLimit,
                 );
                 if (answer.kind === "no-service") {
                     return undefined;
--- a/packages/gateway/src/cli/main.ts
+++ b/packages/gateway/src/cli/main.ts
@@ -25,4 +25,5 @@
 cli.register(RunCommand);
 cli.register(Builtins.HelpCommand);
 cli.register(Builtins.VersionCommand);
-process.exitCode = await cli.run(process.argv.slice(2));
+// A connection that is still being opened must not keep a stopped process alive.
+process.exit(await cli.run(process.argv.slice(2)));
--- a/packages/gateway/src/live/slot-broker.ts
+++ b/packages/gateway/src/live/slot-broker.ts
@@ -53,7 +53,6 @@
 }
 
 interface Waiter {
-    readonly since: Milliseconds;
     readonly resolve: (outcome: SlotOutcome) => void;
 }
 
@@ -113,7 +112,6 @@
                 return;
             }
             await this.#ask();
-            this.#refuseLate();
             await clock.sleep(this.#hasAnswer || !this.#isKnown ? renewInterval : askInterval, signal);
         }
         this.#waiting.splice(0).forEach(waiter => waiter.resolve({ kind: "no-owner", retryAfter: noOwnerRetryAfter }));
@@ -137,7 +135,9 @@
         }
         void this.#ask();
         return new Promise(resolve => {
-            this.#waiting.push({ since: now, resolve });
+            const waiter = { resolve };
+            this.#waiting.push(waiter);
+            void this.#limitWait(waiter);
         });
     }
 
@@ -196,15 +196,17 @@
             : { kind: "overloaded", retryAfter: Math.ceil(expected) };
     }
 
-    /** Answers those who waited to the limit; they are not held any longer. */
-    #refuseLate(): void {
-        const now = this.options.clock.monotonic();
-        const limit = this.#usable(now) === 0 ? firstBundleWait : Math.max(this.options.waitLimit() * 2, askInterval);
-        while (this.#waiting.length > 0 && now - this.#waiting[0].since > limit) {
-            const retryAfter = Math.max(this.#meanHeld, askInterval);
-            this.#waiting.shift()!.resolve(
+    /** Answers a request that has waited to the limit; it is not held any longer. */
+    async #limitWait(waiter: Waiter): Promise<void> {
+        const { clock, signal, waitLimit } = this.options;
+        const limit = this.#hasAnswer ? Math.max(waitLimit(), askInterval) : firstBundleWait;
+        await clock.sleep(limit, signal);
+        const index = this.#waiting.indexOf(waiter);
+        if (index >= 0) {
+            this.#waiting.splice(index, 1);
+            waiter.resolve(
                 this.#ownerAnswers
-                    ? { kind: "overloaded", retryAfter }
+                    ? { kind: "overloaded", retryAfter: Math.max(this.#meanHeld, askInterval) }
                     : { kind: "no-owner", retryAfter: noOwnerRetryAfter },
             );
         }
@@ -268,10 +270,13 @@
         for (const grant of bundle.grants) {
             const known = this.#instances.get(grant.task);
             if (known === undefined) {
-                this.#instances.set(grant.task, { ...grant, inUse: 0, validUntil, avoidUntil: -Infinity });
+                if (grant.address !== undefined) {
+                    const { address } = grant;
+                    this.#instances.set(grant.task, { ...grant, address, inUse: 0, validUntil, avoidUntil: -Infinity });
+                }
             }
             else {
-                known.address = grant.address;
+                known.address = grant.address ?? known.address;
                 known.slots = grant.slots;
                 known.validUntil = validUntil;
             }
--- /dev/null
+++ b/packages/operator/src/cli/commands/settings-diff.ts
@@ -0,0 +1,34 @@
+import { parseSettingsTree } from "@pebbledale/core";
+import { ExitCode } from "@pebbledale/runtime";
+import { Command, Option } from "clipanion";
+import { readFileSync } from "node:fs";
+import { formatTable } from "../../output/index.js";
+import { OperatorCommand, type OperatorValues } from "../operator-command.js";
+
+/** `pebbledale settings diff FILE`: what a file would change. */
+export class SettingsDiffCommand extends OperatorCommand {
+    static override paths = [["settings", "diff"]];
+    static override usage = Command.Usage({
+        category: "Settings",
+        description: "Print what a file would change, and its findings",
+    });
+
+    file = Option.String({ name: "FILE" });
+
+    protected override async act(values: OperatorValues): Promise<ExitCode> {
+        const { diffWithText } = await import("../../settings/index.js");
+        const parsed = parseSettingsTree(readFileSync(this.file, "utf8"), this.file);
+        if (parsed.isErr()) {
+            this.showFindings(parsed.error);
+            return ExitCode.Failed;
+        }
+        const { base, rows } = await diffWithText(values, parsed.value);
+        if (this.json) {
+            this.print(JSON.stringify({ base, differences: rows }));
+            return ExitCode.Done;
+        }
+        const cells = rows.map(row => [row.section, row.key, row.before ?? "", row.after ?? ""]);
+        this.print(`against revision ${base}\n${formatTable(["SECTION", "KEY", "BEFORE", "AFTER"], cells)}`);
+        return ExitCode.Done;
+    }
+}
--- /dev/null
+++ b/packages/operator/src/cli/commands/settings-explain.ts
@@ -0,0 +1,40 @@
+import { type TreeKey, treeSchema } from "@pebbledale/core";
+import { ExitCode } from "@pebbledale/runtime";
+import { Command, Option } from "clipanion";
+import { formatTable, OperatorError } from "../../output/index.js";
+import { OperatorCommand, type OperatorValues } from "../operator-command.js";
+
+/** `pebbledale settings explain KEY`: a value in force and the line it came from. */
+export class SettingsExplainCommand extends OperatorCommand {
+    static override paths = [["settings", "explain"]];
+    static override usage = Command.Usage({
+        category: "Settings",
+        description: "Print a value in force and the line it came from",
+        examples: [["One key", "$0 settings explain lease.duration --site luzon/pasig --class batch"]],
+    });
+
+    key = Option.String({ name: "KEY", required: false });
+    site = Option.String("--site", "", { description: "REGION/SITE" });
+    workloadClass = Option.String("--class", { description: "A workload class of the site" });
+
+    protected override async act(values: OperatorValues): Promise<ExitCode> {
+        const { fetchSettings, treeOf } = await import("../../settings/index.js");
+        const keys = Object.keys(treeSchema) as TreeKey[];
+        if (this.key !== undefined && !keys.includes(this.key as TreeKey)) {
+            throw new OperatorError("bad-settings", `no such key: ${this.key}`);
+        }
+        const stored = await fetchSettings(values);
+        const [region, site] = this.site === "" ? [] : this.site.split("/");
+        const path = { region, site, workloadClass: this.workloadClass };
+        const rows = keys.filter(key => this.key === undefined || key === this.key).map(key =>
+            treeOf(stored).explain(key, path)
+        );
+        if (this.json) {
+            this.print(JSON.stringify({ revision: stored.revision, values: rows }));
+            return ExitCode.Done;
+        }
+        const cells = rows.map(row => [row.key, row.value, row.section, row.line === 0 ? "" : `line ${row.line}`]);
+        this.print(formatTable(["KEY", "VALUE", "FROM", "LINE"], cells));
+        return ExitCode.Done;
+    }
+}
--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -1,2 +1,3 @@
-/** Placeholder until the commands are added. */
-export const operatorVersion = "0.1.0";
+/** Parts of the command line that tests reach. */
+export * from "./output/index.js";
+export * from "./report/index.js";
--- /dev/null
+++ b/packages/operator/src/jobs/index.ts
@@ -0,0 +1,79 @@
+/** Asking schedulers about shards and jobs. */
+import { jobId } from "@pebbledale/core";
+import {
+    type JobAnswer,
+    SchedulerClient,
+    type SchedulerStatus,
+    shardOfJob,
+    shardOfText,
+    type ShardStatus,
+} from "@pebbledale/runtime";
+import type { OperatorValues } from "../cli/operator-command.js";
+import { OperatorError } from "../output/index.js";
+
+/** How long a scheduler may take to answer, in milliseconds. */
+const answerLimit = 2_000;
+
+const withClients = async <Answer>(
+    values: OperatorValues,
+    act: (clients: SchedulerClient[]) => Promise<Answer>,
+): Promise<Answer> => {
+    const clients = values["peers.schedulers"].map(address => new SchedulerClient(address));
+    try {
+        return await act(clients);
+    }
+    finally {
+        await Promise.all(clients.map(client => client.close().catch(() => undefined)));
+    }
+};
+
+/** A scheduler with its address; without a status when it did not answer. */
+export interface AskedScheduler {
+    readonly address: string;
+    readonly status: SchedulerStatus | undefined;
+}
+
+/** The status of every scheduler. */
+export const fetchStatuses = (values: OperatorValues): Promise<AskedScheduler[]> =>
+    withClients(values, clients =>
+        Promise.all(clients.map(async client => ({
+            address: client.address,
+            status: await client.call(answerLimit, (calls, signal) => calls.status.query(undefined, { signal }))
+                .catch(() => undefined),
+        }))));
+
+/** The owned shards, each once: of two that believe they own one, the higher epoch is right. */
+export const ownedShards = (
+    schedulers: readonly AskedScheduler[],
+): { owner: SchedulerStatus; shard: ShardStatus; }[] => {
+    const best = new Map<string, { owner: SchedulerStatus; shard: ShardStatus; }>();
+    for (const { status } of schedulers) {
+        for (const shard of status?.shards ?? []) {
+            if ((best.get(shard.shard)?.shard.epoch ?? 0) < shard.epoch) {
+                best.set(shard.shard, { owner: status!, shard });
+            }
+        }
+    }
+    return [...best.values()].sort((left, right) => left.shard.shard < right.shard.shard ? -1 : 1);
+};
+
+/** A job with its decisions, by id or as `key:KEY`. */
+export const fetchJob = (values: OperatorValues, name: string): Promise<JobAnswer> =>
+    withClients(values, async clients => {
+        const isKey = name.startsWith("key:") || !name.includes(".");
+        const key = name.replace(/^key:/, "");
+        const shard = isKey ? shardOfText(key, values["cell.shards"]) : shardOfJob(jobId(name));
+        const message = isKey ? { shard, key } : { shard, job: jobId(name) };
+        const answers = await Promise.all(
+            clients.map(client =>
+                client.call(answerLimit, (calls, signal) => calls.view.query(message, { signal })).catch(() =>
+                    undefined
+                )
+            ),
+        );
+        const found = answers.find(answer => answer?.kind === "job");
+        if (found?.kind === "job") {
+            return found;
+        }
+        throw new OperatorError(answers.some(answer => answer?.kind === "no-job") ? "no-such-job" : "no-owner");
+    });
--- /dev/null
+++ b/packages/operator/src/report/fetch.ts
@@ -0,0 +1,52 @@
+/** Asks all gateways for their counts and works the report out. */
+import { SystemClock } from "@pebbledale/core";
+import { type BurnBuckets, type BurnRow, burnRows, mergeBuckets } from "@pebbledale/runtime";
+import { request } from "undici";
+import type { OperatorValues } from "../cli/operator-command.js";
+import { fetchSettings, treeOf } from "../settings/index.js";
+
+/** The report. */
+export interface BurnReport {
+    readonly at: string;
+    /** Share of requests that must be answered whole and in time. */
+    readonly objective: number;
+    /** Number of gateways that were asked and that answered; what the others counted is missing. */
+    readonly asked: number;
+    readonly answered: number;
+    readonly rows: readonly BurnRow[];
+    readonly buckets: BurnBuckets;
+}
+
+const answerLimit = 2_000;
+
+const fetchBuckets = async (address: string): Promise<BurnBuckets | undefined> => {
+    try {
+        const answer = await request(`http://${address}/burn`, {
+            headersTimeout: answerLimit,
+            bodyTimeout: answerLimit,
+        });
+        return await answer.body.json() as BurnBuckets;
+    }
+    catch {
+        return undefined;
+    }
+};
+
+/** Fetches the counts of all gateways; the objective is that of the site's live class. */
+export const fetchBurn = async (values: OperatorValues, sitePath: string): Promise<BurnReport> => {
+    const [region, site] = sitePath === "" ? [] : sitePath.split("/");
+    const tree = treeOf(await fetchSettings(values));
+    const objective = tree.number("objective.share", { region, site, workloadClass: "live" });
+    const addresses = values["peers.gateways"];
+    const answers = (await Promise.all(addresses.map(fetchBuckets))).filter(answer => answer !== undefined);
+    const buckets = mergeBuckets(answers);
+    const now = new SystemClock().now();
+    return {
+        at: now.toISOString(),
+        objective,
+        asked: addresses.length,
+        answered: answers.length,
+        rows: burnRows(buckets, now, objective),
+        buckets,
+    };
+};
--- a/packages/runtime/src/protocol/client.ts
+++ b/packages/runtime/src/protocol/client.ts
@@ -11,6 +11,9 @@
 
 /** Wait before a lost connection is opened again, in milliseconds. */
 const reconnectDelay = 100;
+/** How long a call waits for a connection that is being opened, in milliseconds. */
+const openLimit = 100;
+const openStep = 10;
 
 /** Calls of one scheduler. */
 export type SchedulerCalls = TRPCClient<SchedulerRouter>;
@@ -19,12 +22,19 @@
 export class SchedulerClient {
     readonly #connection;
     readonly #calls: SchedulerCalls;
+    #isOpen = false;
+    /** Fires when the present connection is lost: what waits on it is given up at once. */
+    #lost = new AbortController();
 
     constructor(readonly address: string) {
         this.#connection = createWSClient({
             url: `ws://${address}${protocolPath}`,
             WebSocket: WebSocket as unknown as typeof globalThis.WebSocket,
             retryDelayMs: () => reconnectDelay,
+            onOpen: () => {
+                this.#isOpen = true;
+            },
+            onClose: () => this.#noteClosed(),
             keepAlive: { enabled: true, intervalMs: 2_000, pongTimeoutMs: 1_000 },
         });
         this.#calls = createTRPCClient<SchedulerRouter>({ links: [wsLink({ client: this.#connection })] });
@@ -35,8 +45,11 @@
         limit: number,
         make: (calls: SchedulerCalls, signal: AbortSignal) => Promise<Answer>,
     ): Promise<Answer> {
-        const signal = AbortSignal.timeout(Math.ceil(limit));
+        const signal = AbortSignal.any([AbortSignal.timeout(Math.ceil(limit)), this.#lost.signal]);
         try {
+            if (!this.#isOpen) {
+                await this.#untilOpen(signal);
+            }
             return await make(this.#calls, signal);
         }
         catch (cause) {
@@ -44,6 +57,23 @@
         }
     }
 
+    #noteClosed(): void {
+        this.#isOpen = false;
+        this.#lost.abort(new Error("the connection was lost"));
+        this.#lost = new AbortController();
+    }
+
+    /** Gives a connection that is being opened a moment; a scheduler that is gone costs no more than that. */
+    async #untilOpen(signal: AbortSignal): Promise<void> {
+        for (let waited = 0; waited < openLimit && !this.#isOpen; waited += openStep) {
+            signal.throwIfAborted();
+            await new Promise(resolve => setTimeout(resolve, openStep));
+        }
+        if (!this.#isOpen) {
+            throw new Error("no connection");
+        }
+    }
+
     /** Ends the connection. */
     async close(): Promise<void> {
         await this.#connection.close();
--- a/packages/scheduler/src/cli/main.ts
+++ b/packages/scheduler/src/cli/main.ts
@@ -29,4 +29,5 @@
 cli.register(RunCommand);
 cli.register(Builtins.HelpCommand);
 cli.register(Builtins.VersionCommand);
-process.exitCode = await cli.run(process.argv.slice(2));
+// A connection that is still being opened must not keep a stopped process alive.
+process.exit(await cli.run(process.argv.slice(2)));
--- a/packages/scheduler/src/service/local-service.ts
+++ b/packages/scheduler/src/service/local-service.ts
@@ -106,7 +106,8 @@
     /** See {@link SchedulerService.acquire}. */
     async acquire(request: AcquireRequest): Promise<AcquireAnswer | NoService | NotOwner> {
         const owned = this.#owned(request.shard);
-        if (owned === undefined) {
+        if (owned?.core.hasList !== true) {
+            // A new owner that knows no workers yet must not tell a gateway that it holds no slots.
             return notOwner;
         }
         const grants = owned.core.acquireSlots(request.service, request.request);
--- a/packages/stand-ins/src/audit/index.ts
+++ b/packages/stand-ins/src/audit/index.ts
@@ -1,5 +1,5 @@
 /** The stand-ins' own record of what happened, which proofs read in place of the system's word. */
-import { appendFileSync, readFileSync } from "node:fs";
+import { appendFileSync, existsSync, readFileSync } from "node:fs";
 
 /** One line of an audit file. `at` is wall-clock time in milliseconds with fractions. */
 export interface AuditLine {
@@ -21,14 +21,13 @@
     }
 }
 
-/** Reads all lines of an audit file; none when it does not exist yet. */
+/** Reads all whole lines of an audit file; none when it does not exist yet. */
 export const readAudit = (file: string): AuditLine[] => {
-    try {
-        return readFileSync(file, "utf8").split("\n").filter(line => line !== "").map(line =>
-            JSON.parse(line) as AuditLine
-        );
-    }
-    catch {
+    if (!existsSync(file)) {
         return [];
     }
+    const text = readFileSync(file, "utf8");
+    // The stand-in may be writing: what follows the last line end is not a line yet.
+    const whole = text.slice(0, text.lastIndexOf("\n") + 1);
+    return whole.split("\n").filter(line => line !== "").map(line => JSON.parse(line) as AuditLine);
 };
