--- a/packages/evidence/src/cell/cell.ts
+++ b/packages/evidence/src/cell/cell.ts
@@ -27,6 +27,8 @@
     readonly user: "bayanihan" | "retrouve";
     readonly shards?: number;
     readonly tree?: string;
+    /** A module that the product's processes load first, to take a protection away. */
+    readonly preload?: string;
 }
 
 const startLimit = 20_000;
@@ -113,15 +115,18 @@
     /** Starts a scheduler, or starts it again after it ended. */
     async startScheduler(index: number): Promise<Child> {
         const name = `scheduler-${index}`;
-        let relay = this.relays.get(name);
-        if (relay === undefined) {
-            relay = new Relay(this.places.platform);
-            this.relays.set(name, relay);
-        }
+        const relay = this.relays.get(name) ?? new Relay(this.places.platform);
+        this.relays.set(name, relay);
         const address = await relay.listen();
         const file = join(this.folder, `${name}.ini`);
         writeFileSync(file, schedulerFile(this.places, name, this.places.schedulers[index], address));
-        const child = new Child(name, scriptOf("scheduler"), [file], join(this.folder, `${name}.log`));
+        const child = new Child(
+            name,
+            scriptOf("scheduler"),
+            [file],
+            join(this.folder, `${name}.log`),
+            this.options.preload,
+        );
         this.schedulers.set(name, child);
         return child;
     }
@@ -132,7 +137,13 @@
         const file = join(this.folder, `${name}.ini`);
         const [callers, administration] = [this.#gatewayAddresses[index], this.#administrationAddresses[index]];
         writeFileSync(file, gatewayFile(this.places, name, callers, administration));
-        const child = new Child(name, scriptOf("gateway"), [file], join(this.folder, `${name}.log`));
+        const child = new Child(
+            name,
+            scriptOf("gateway"),
+            [file],
+            join(this.folder, `${name}.log`),
+            this.options.preload,
+        );
         this.gateways.set(name, child);
         return child;
     }
@@ -183,6 +194,24 @@
         await this.controlPlatform({ workers });
     }
 
+    /** The settings revision of each running process of the product that answers. */
+    async revisions(): Promise<Map<string, number>> {
+        const addresses = new Map([
+            ...this.#administrationAddresses.map((address, index) => [`gateway-${index}`, address] as const),
+            ...this.places.schedulers.map((address, index) => [`scheduler-${index}`, address] as const),
+        ]);
+        const revisions = new Map<string, number>();
+        await Promise.all([...addresses].map(async ([name, address]) => {
+            const answer = await request(`http://${address}/metrics`).catch(() => undefined);
+            const text = await answer?.body.text() ?? "";
+            const value = /^pebbledale_settings_revision (\d+)/m.exec(text)?.[1];
+            if (value !== undefined) {
+                revisions.set(name, Number(value));
+            }
+        }));
+        return revisions;
+    }
+
     /** What the platform has counted. */
     async platformCounts(): Promise<PlatformCounts> {
         const answer = await request(`http://${this.places.platform}/counts`);
--- a/packages/evidence/src/cell/child.ts
+++ b/packages/evidence/src/cell/child.ts
@@ -12,9 +12,17 @@
     readonly #firstLine: Promise<string>;
     #isEnded = false;
 
-    constructor(readonly name: string, script: string, parameters: readonly string[], logFile: string) {
+    /** `preload`: a module that is loaded before the script. */
+    constructor(
+        readonly name: string,
+        script: string,
+        parameters: readonly string[],
+        logFile: string,
+        preload?: string,
+    ) {
         const log = openSync(logFile, "a");
-        this.#process = spawn(process.execPath, [script, ...parameters], { stdio: ["pipe", "pipe", log] });
+        const before = preload === undefined ? [] : ["--import", preload];
+        this.#process = spawn(process.execPath, [...before, script, ...parameters], { stdio: ["pipe", "pipe", log] });
         this.#ended = new Promise(resolve =>
             this.#process.once("exit", code => {
                 this.#isEnded = true;
--- /dev/null
+++ b/packages/evidence/src/prove/proofs/not-run.ts
@@ -0,0 +1,44 @@
+/** Point 4: when the answer is that something was not run, it was not run. */
+import { pause } from "../../cell/index.js";
+import { countStarts, jobOf } from "../../checks/index.js";
+import type { Proof } from "../types.js";
+import { submitAll, taskJob, waitAll } from "./work.js";
+
+const jobs = 60;
+
+/** Starts whose answers are lost, then a wave of cancellations while they are on their way. */
+export const notRunProof: Proof = {
+    point: 4,
+    name: "what is answered as not run was not run",
+    failures: "lost answers to starts, a wave of cancellations, owner killed, worker cut",
+    protection: "doubt about a start without an answer",
+    cell: {},
+    async run(cell) {
+        await cell.controlAllWorkers({ action: "faults", faults: { loseStartAnswers: 8 } });
+        const work = Array.from(
+            { length: jobs },
+            (_, index) =>
+                taskJob(`job-${index}`, { unrepeatable: index % 2 === 0, payload: { runMilliseconds: 1_500 } }),
+        );
+        const ids = await submitAll(cell, work);
+        await cell.controlWorker({ worker: "worker-2", action: "faults", faults: { isCut: true } });
+        await Promise.all(
+            [...ids.values()].map(id =>
+                cell.caller.send({ method: "DELETE", path: `/jobs/${id}` }).catch(() => undefined)
+            ),
+        );
+        const owner = await cell.ownerOf();
+        await cell.schedulers.get(owner ?? "")?.kill();
+        await pause(2_000);
+        await cell.controlWorker({ worker: "worker-2", action: "faults", faults: { isCut: false } });
+        const views = await waitAll(cell, ids.values());
+        const started = new Set([...countStarts(cell.workerAudit()).keys()].map(jobOf));
+        const notRun = views.filter(view => view.ran === "not-run");
+        const wrong = notRun.filter(view => started.has(view.job));
+        return {
+            breaches: wrong.map(view => `${view.job} was answered as not run and ran`),
+            evidence: `${views.length} of ${jobs} ended, ${started.size} started, ${notRun.length} answered as not run`,
+            isMeaningful: views.length === jobs && started.size > 10 && notRun.length > 0,
+        };
+    },
+};
--- /dev/null
+++ b/packages/evidence/src/prove/proofs/settings.ts
@@ -0,0 +1,86 @@
+/** Point 8: accepted settings are in force everywhere within seconds and never revert. */
+import { type Cell, pause, until } from "../../cell/index.js";
+import { shortTree } from "../../cell/settings.js";
+import type { Proof } from "../types.js";
+
+/** What "within seconds" is here, in milliseconds: the users' target. */
+const withinSeconds = 6_000;
+const racingOperators = 6;
+
+/** Operators race, answers are lost, the platform is down while processes start again. */
+export const settingsProof: Proof = {
+    point: 8,
+    name: "accepted settings are in force within seconds and never revert",
+    failures: "operators race, lost answers, processes replaced while the platform is down",
+    protection: "learning from peers",
+    cell: { gateways: 2, schedulers: 2 },
+    async run(cell) {
+        const breaches: string[] = [];
+        const seen = new Map<string, number>();
+        const end = new AbortController();
+        const watching = watchRevisions(cell, seen, breaches, end.signal);
+        await cell.controlPlatform({ loseAnswers: 2 });
+        const races = await Promise.allSettled(
+            Array.from(
+                { length: racingOperators },
+                (_, index) => cell.accept(`${shortTree}\n; operator ${index}\n`, 1),
+            ),
+        );
+        const accepted = races.filter(race => race.status === "fulfilled").length;
+        if (accepted !== 1) {
+            breaches.push(`${accepted} operators were told that revision 2 is theirs`);
+        }
+        await inForce(cell, 2, breaches);
+        await cell.accept(`${shortTree}\n; third\n`, 2);
+        await inForce(cell, 3, breaches);
+        await cell.controlPlatform({ outage: true });
+        // A gateway and a scheduler are replaced while the platform is down; they can only ask their peers.
+        await cell.gateways.get("gateway-0")?.kill();
+        const idle = await cell.ownerOf() === "scheduler-0" ? 1 : 0;
+        await cell.schedulers.get(`scheduler-${idle}`)?.kill();
+        seen.delete("gateway-0");
+        seen.delete(`scheduler-${idle}`);
+        cell.startGateway(0);
+        await cell.startScheduler(idle);
+        await inForce(cell, 3, breaches);
+        await cell.controlPlatform({ outage: false });
+        await cell.accept(`${shortTree}\n; fourth\n`, 3);
+        await inForce(cell, 4, breaches);
+        end.abort();
+        await watching;
+        return {
+            breaches,
+            evidence:
+                `1 of ${racingOperators} racing operators won; 3 revisions in force in all 4 processes within ${withinSeconds} ms`,
+            isMeaningful: seen.size === 4,
+        };
+    },
+};
+
+const watchRevisions = async (
+    cell: Cell,
+    seen: Map<string, number>,
+    breaches: string[],
+    end: AbortSignal,
+): Promise<void> => {
+    while (!end.aborted) {
+        for (const [name, revision] of await cell.revisions()) {
+            const before = seen.get(name) ?? 0;
+            // A replaced process may say 0 until it is ready; it serves nothing then.
+            if (revision < before && revision > 0) {
+                breaches.push(`${name} went back from revision ${before} to ${revision}`);
+            }
+            seen.set(name, Math.max(before, revision));
+        }
+        await pause(50);
+    }
+};
+
+const inForce = async (cell: Cell, revision: number, breaches: string[]): Promise<void> => {
+    const all = async () => {
+        const revisions = await cell.revisions();
+        return revisions.size === 4 && [...revisions.values()].every(other => other >= revision);
+    };
+    await until(`revision ${revision} is in force everywhere`, withinSeconds, all)
+        .catch((cause: Error) => breaches.push(cause.message));
+};
--- /dev/null
+++ b/packages/evidence/src/prove/without-protection.ts
@@ -0,0 +1,83 @@
+/**
+ * Loaded before a program of the product to take one protection away, so that a proof is seen to fail without it.
+ * The product has no switch for this: the protection is replaced from outside.
+ */
+import {
+    FleetIndex,
+    JobBook,
+    LeaseTerms,
+    type ListedWorker,
+    ShardScheduler,
+    VmState,
+    type WorkerReport,
+} from "@pebbledale/core";
+import { Forwarder, type LiveRequest, type SendOutcome } from "@pebbledale/gateway";
+import { HttpWorkerClient, SettingsWatch } from "@pebbledale/runtime";
+import type { ServerResponse } from "node:http";
+import { request as send } from "undici";
+
+/** The variable that names the protection to take away. */
+export const withoutVariable = "PEBBLEDALE_EVIDENCE_WITHOUT";
+
+const removals: Readonly<Record<string, () => void>> = {
+    "counting of grants": () => {
+        FleetIndex.prototype.reserve = () => undefined;
+        FleetIndex.prototype.release = () => undefined;
+    },
+    "wait for a former owner's leases": () => {
+        LeaseTerms.prototype.ofFormerOwner = () => ({ horizon: 0, leaseDuration: 0, leaseMargin: 0 });
+    },
+    "check of an answer": () => {
+        Forwarder.prototype.send = sendUnchecked;
+    },
+    "doubt about a start without an answer": () => {
+        const start = HttpWorkerClient.prototype.start;
+        HttpWorkerClient.prototype.start = function(message, signal) {
+            return start.call(this, message, signal).catch(() => ({
+                kind: "refused" as const,
+                refusal: "no-room" as never,
+            }));
+        };
+    },
+    "memory of a caller's key": () => {
+        JobBook.prototype.byKey = () => undefined;
+    },
+    "heed of leaving VMs": () => {
+        const { listWorkers, claimAnswered, heartbeatAnswered } = ShardScheduler.prototype;
+        const stayed = (report: WorkerReport): WorkerReport => ({ ...report, leaving: false });
+        ShardScheduler.prototype.listWorkers = function(workers: readonly ListedWorker[]) {
+            return listWorkers.call(this, workers.map(worker => ({ ...worker, state: VmState.Live })));
+        };
+        ShardScheduler.prototype.claimAnswered = function(worker, report, sentAt) {
+            return claimAnswered.call(this, worker, stayed(report), sentAt);
+        };
+        ShardScheduler.prototype.heartbeatAnswered = function(worker, report, sentAt) {
+            return heartbeatAnswered.call(this, worker, stayed(report), sentAt);
+        };
+    },
+    "learning from peers": () => {
+        SettingsWatch.prototype.learnFromPeers = () => Promise.resolve();
+    },
+};
+
+/** Passes on whatever comes, whole or not, whosever it is. */
+async function sendUnchecked(request: LiveRequest, address: string, reply: ServerResponse): Promise<SendOutcome> {
+    const answer = await send(`http://${address}${request.path}`, {
+        method: request.method as "POST",
+        headers: { "pebbledale-request-id": request.id },
+        body: request.body,
+    });
+    const chunks: Buffer[] = [];
+    try {
+        for await (const chunk of answer.body) {
+            chunks.push(chunk as Buffer);
+        }
+    }
+    catch {
+        // What came so far is taken for the whole.
+    }
+    reply.writeHead(answer.statusCode).end(Buffer.concat(chunks));
+    return { kind: "answered", status: answer.statusCode };
+}
+
+removals[process.env[withoutVariable] ?? ""]?.();
--- a/packages/stand-ins/src/relay/index.ts
+++ b/packages/stand-ins/src/relay/index.ts
@@ -6,6 +6,7 @@
     readonly #sockets = new Set<Socket>();
     readonly #server: Server;
     #isCut = false;
+    #listening: Promise<string> | undefined;
 
     constructor(target: string) {
         const [host, port] = target.split(":");
@@ -19,15 +20,16 @@
         });
     }
 
-    /** Listens on loopback; resolves to the address. */
+    /** Listens on loopback; resolves to the address, the same one when called again. */
     listen(): Promise<string> {
-        return new Promise(resolve => {
+        this.#listening ??= new Promise(resolve => {
             this.#server.listen(
                 0,
                 "127.0.0.1",
                 () => resolve(`127.0.0.1:${(this.#server.address() as AddressInfo).port}`),
             );
         });
+        return this.#listening;
     }
 
     /** Cuts all connections and lets none through, or lets them through again. */
--- a/packages/stand-ins/src/workers/worker.ts
+++ b/packages/stand-ins/src/workers/worker.ts
@@ -21,10 +21,16 @@
     isCut: boolean;
     /** Messages of owners up to this epoch are dropped. */
     cutUpToEpoch: number;
+    /** Messages of owners from this epoch on are dropped; 0 drops none. */
+    cutFromEpoch: number;
+    /** The next starts are carried out and their answers are lost. */
+    loseStartAnswers: number;
     /** Every task fails as soon as it starts. */
     failsAll: boolean;
     /** Answers to live requests break off in the middle. */
     cutsAnswers: boolean;
+    /** Answers to live requests carry the id and body of another request. */
+    crossesAnswers: boolean;
 }
 
 /** Who a worker is. */
@@ -47,7 +53,15 @@
 
 /** See the module's comment. */
 export class WorkerStandIn {
-    readonly faults: WorkerFaults = { isCut: false, cutUpToEpoch: 0, failsAll: false, cutsAnswers: false };
+    readonly faults: WorkerFaults = {
+        isCut: false,
+        cutUpToEpoch: 0,
+        cutFromEpoch: 0,
+        loseStartAnswers: 0,
+        failsAll: false,
+        cutsAnswers: false,
+        crossesAnswers: false,
+    };
     #table: TaskTable;
     readonly #services = new Map<LiveTask, { server: Server; inFlight: number; }>();
     readonly #waiting = new Set<() => void>();
@@ -131,14 +145,16 @@
     async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
         try {
             const message = JSON.parse((await readBody(request)).toString()) as ClaimMessage;
-            if (this.faults.isCut || message.epoch <= this.faults.cutUpToEpoch) {
+            if (this.#isCutFrom(message.epoch)) {
                 request.socket.destroy();
                 return;
             }
             const answer = this.#table.accepts(message.epoch)
                 ? await this.#carryOut(request.url ?? "", message, response)
                 : WorkerRefusal.OldEpoch;
-            if (this.faults.isCut || message.epoch <= this.faults.cutUpToEpoch) {
+            const isLost = request.url === "/tasks/start" && this.faults.loseStartAnswers > 0;
+            if (isLost || this.#isCutFrom(message.epoch)) {
+                this.faults.loseStartAnswers -= isLost ? 1 : 0;
                 request.socket.destroy();
                 return;
             }
@@ -151,6 +167,11 @@
         }
     }
 
+    #isCutFrom(epoch: number): boolean {
+        const { isCut, cutUpToEpoch, cutFromEpoch } = this.faults;
+        return isCut || epoch <= cutUpToEpoch || (cutFromEpoch > 0 && epoch >= cutFromEpoch);
+    }
+
     async #carryOut(path: string, message: ClaimMessage, response: ServerResponse): Promise<unknown> {
         const now = performance.now();
         switch (path) {
@@ -258,10 +279,15 @@
         const body = await readBody(request).catch(() => Buffer.alloc(0));
         const query = new URL(request.url ?? "/", "http://localhost").searchParams;
         await new Promise(resolve => setTimeout(resolve, Number(query.get("milliseconds") ?? 0)));
-        const answer = Buffer.concat([Buffer.from(`${id}:`), body, Buffer.alloc(Number(query.get("bytes") ?? 0), id)]);
+        const answeredId = this.faults.crossesAnswers ? `other-${id}` : id;
+        const answer = Buffer.concat([
+            Buffer.from(`${answeredId}:`),
+            body,
+            Buffer.alloc(Number(query.get("bytes") ?? 0), id),
+        ]);
         response.writeHead(Number(query.get("status") ?? statusOk), {
             "content-length": answer.length,
-            "pebbledale-request-id": id,
+            "pebbledale-request-id": answeredId,
             "x-method": request.method ?? "",
         });
         if (this.faults.cutsAnswers || query.has("cut")) {
