--- a/packages/core/src/placement/fleet-index.ts
+++ b/packages/core/src/placement/fleet-index.ts
@@ -31,6 +31,7 @@
     #largestProcessors = 1;
     #largestMemory = 1;
     #count = 0;
+    #roomVersion = 0;
     readonly #open: boolean[] = [];
     readonly #needed = new Float64Array(dimensionCount);
 
@@ -39,6 +40,11 @@
         return this.#count;
     }
 
+    /** Changes whenever room came free: what did not fit before need not be tried while this stands still. */
+    get roomVersion(): number {
+        return this.#roomVersion;
+    }
+
     /** Adds a worker with nothing placed on it; it takes placements at once. */
     add(capacity: Resources): WorkerSlot {
         const worker = this.#count++;
@@ -64,6 +70,7 @@
             return;
         }
         this.#open[worker] = open;
+        this.#roomVersion += open ? 1 : 0;
         this.#relink(worker);
     }
 
@@ -79,6 +86,7 @@
 
     /** Gives `size` back to a worker's room. */
     release(worker: WorkerSlot, size: Resources): void {
+        this.#roomVersion++;
         this.#change(worker, size, 1);
     }
 
--- a/packages/core/src/shard/constants.ts
+++ b/packages/core/src/shard/constants.ts
@@ -13,3 +13,7 @@
  * renewals. A gateway that was cut off for longer may still use its bundle; the instance refuses what is too much.
  */
 export const gatewaysRegisterWithin = 1_000;
+/** A pass over the queue ends after this many units that did not fit. */
+export const passDepth = 256;
+/** A pass is due after this time even when no room came free and nothing new waits, in milliseconds. */
+export const passInterval = 1_000;
--- a/packages/core/src/shard/pending-queue.ts
+++ b/packages/core/src/shard/pending-queue.ts
@@ -17,6 +17,7 @@
 }
 
 interface Group {
+    readonly name: string;
     readonly rank: number;
     units: PendingUnit[];
     /** Index of the first unit that was not taken. */
@@ -33,6 +34,8 @@
 /** A queue whose cancelled units cost constant work: they are skipped when they come up. */
 export class PendingQueue {
     readonly #groups = new Map<string, Group>();
+    /** Groups by their heads. A head only changes while its group is out of here, so the order stays right. */
+    readonly #order = new TinyQueue<Group>([], isBefore);
     readonly #removed = new Set<PendingUnit>();
     readonly #byTask = new Map<TaskId, PendingUnit>();
     #waiting = 0;
@@ -47,10 +50,13 @@
         const name = `${unit.priority}|${unit.signature}`;
         let group = this.#groups.get(name);
         if (group === undefined) {
-            group = { rank: ranks[unit.priority], units: [], first: 0 };
+            group = { name, rank: ranks[unit.priority], units: [unit], first: 0 };
             this.#groups.set(name, group);
+            this.#order.push(group);
+        }
+        else {
+            group.units.push(unit);
         }
-        group.units.push(unit);
         unit.tasks.forEach(task => this.#byTask.set(task, unit));
         this.#waiting++;
     }
@@ -86,21 +92,26 @@
         return ahead;
     }
 
-    /** Offers units in order; `place` says whether it took one. Equals of a refused unit are passed over. */
-    offer(place: (unit: PendingUnit) => boolean): void {
-        const heap = new TinyQueue<Group>([], isBefore);
-        for (const [name, group] of this.#groups) {
-            this.#skipRemoved(group);
-            if (group.first < group.units.length) {
-                heap.push(group);
-            }
-            else {
-                this.#groups.delete(name);
+    /**
+     * Offers units in order; `place` says whether it took one. Equals of a refused unit are passed over.
+     * Stops after `depth` refusals, so that a long queue costs no more than a short one.
+     */
+    offer(place: (unit: PendingUnit) => boolean, depth = Infinity): void {
+        const refused: Group[] = [];
+        while (refused.length < depth) {
+            const group = this.#order.pop();
+            if (group === undefined) {
+                break;
             }
-        }
-        for (let group = heap.pop(); group !== undefined; group = heap.pop()) {
+            const head = group.units[group.first];
+            this.#skipRemoved(group);
             const unit = group.units[group.first];
+            if (unit !== head) {
+                this.#putBack(group);
+                continue;
+            }
             if (!place(unit)) {
+                refused.push(group);
                 continue;
             }
             if (this.#byTask.get(unit.tasks[0]) === unit) {
@@ -108,9 +119,18 @@
             }
             group.first++;
             this.#skipRemoved(group);
-            if (group.first < group.units.length) {
-                heap.push(group);
-            }
+            this.#putBack(group);
+        }
+        refused.forEach(group => this.#putBack(group));
+    }
+
+    /** Puts a group back in its order, or forgets it when it is empty. */
+    #putBack(group: Group): void {
+        if (group.first < group.units.length) {
+            this.#order.push(group);
+        }
+        else {
+            this.#groups.delete(group.name);
         }
     }
 
--- a/packages/core/src/shard/shard-scheduler.ts
+++ b/packages/core/src/shard/shard-scheduler.ts
@@ -8,6 +8,7 @@
 import {
     type Attempt,
     type Epoch,
+    indexOfTask,
     type JobId,
     jobId,
     jobOfTask,
@@ -40,7 +41,14 @@
     WorkerRefusal,
     type WorkerReport,
 } from "../worker/index.js";
-import { gatewaysRegisterWithin, longestRetryAfter, queueShares, rateWeight } from "./constants.js";
+import {
+    gatewaysRegisterWithin,
+    longestRetryAfter,
+    passDepth,
+    passInterval,
+    queueShares,
+    rateWeight,
+} from "./constants.js";
 import { JobBook } from "./job-book.js";
 import { LeaseTerms } from "./lease-terms.js";
 import { PendingQueue, type PendingUnit } from "./pending-queue.js";
@@ -60,7 +68,7 @@
     TaskPhase,
 } from "./types.js";
 import { WorkerHealth } from "./worker-health.js";
-import { isLeaving, type WorkerEntry, WorkerTable } from "./worker-table.js";
+import { type CapacityShape, isLeaving, type WorkerEntry, WorkerTable } from "./worker-table.js";
 
 /** What a shard's owner is made from. */
 export interface ShardSchedulerOptions {
@@ -98,6 +106,7 @@
     readonly unit: PendingUnit;
 }
 
+const noWorkers: ReadonlySet<WorkerId> = new Set();
 const emptyStep: Step = { records: [], effects: [] };
 
 /** The size that a submission asks for, in the units of placement. */
@@ -119,6 +128,7 @@
     readonly #terms = new LeaseTerms();
     readonly #ledgers = new Map<string, SlotLedger>();
     readonly #services = new Map<string, Set<JobEntry>>();
+    readonly #sizes = new WeakMap<JobEntry, Resources>();
     readonly #teamUse = new Map<string, Resources>();
     readonly #deadlines = new TinyQueue<Due>([], (left, right) => left.at - right.at);
     readonly #delayed = new TinyQueue<Delayed>([], (left, right) => left.at - right.at);
@@ -132,6 +142,10 @@
     #startsSinceTick = 0;
     #startsPerSecond = 0;
     #lastTick: Milliseconds;
+    /** When the last pass was, and the room and the queue at its end. */
+    #lastPass = { at: -Infinity, room: -1, ticket: -1 };
+    #atTime = NaN;
+    #atText = "";
 
     constructor(private readonly options: ShardSchedulerOptions) {
         this.#openedAt = options.clock.monotonic();
@@ -415,12 +429,21 @@
         const builder = this.#builder();
         if (mayRecord && this.#mayRenew() && this.queue.length > 0) {
             const now = this.#now();
-            this.#saver.refresh(now);
-            this.queue.offer(unit => this.#place(unit, now, builder));
+            if (this.#isPassDue(now)) {
+                this.#saver.refresh(now);
+                this.queue.offer(unit => this.#place(unit, now, builder), passDepth);
+                this.#lastPass = { at: now, room: this.workers.index.roomVersion, ticket: this.#nextTicket };
+            }
         }
         return builder.step();
     }
 
+    /** What did not fit before can only fit now if room came free; the rest waits for the next regular pass. */
+    #isPassDue(now: Milliseconds): boolean {
+        const { at, room, ticket } = this.#lastPass;
+        return now - at >= passInterval || room !== this.workers.index.roomVersion || ticket !== this.#nextTicket;
+    }
+
     /** Grants slots of a service's instances to a gateway. Undefined when no such service is known. */
     acquireSlots(service: string, request: SlotRequest): SlotGrant[] | undefined {
         const jobs = this.#services.get(service);
@@ -481,8 +504,14 @@
         return this.options.clock.monotonic();
     }
 
+    /** The wall-clock time in text. One pass makes thousands of records in a millisecond; the text is made once. */
     #at(): string {
-        return this.options.clock.now().toISOString();
+        const now = this.options.clock.now().getTime();
+        if (now !== this.#atTime) {
+            this.#atTime = now;
+            this.#atText = new Date(now).toISOString();
+        }
+        return this.#atText;
     }
 
     #builder(): StepBuilder {
@@ -549,7 +578,7 @@
             }
             else {
                 this.workers.charge(entry, task, assignment.grant);
-                this.#useQuota(task, assignment.grant, 1);
+                this.#useQuota(this.#jobOf(jobOfTask(task.task)), assignment.grant, 1);
             }
         }
         this.#unlisted.clear();
@@ -567,10 +596,11 @@
         const { placement, quotas } = this.options.settings(submission.class);
         const policy = policyOf(submission.class);
         const count = policy.allOrNothing ? submission.tasks : 1;
-        const room = [...this.workers.values()].map(entry => usableCapacity(entry, policy.headroom(placement)));
-        const places = room.reduce((sum, capacity) => sum + timesFitting(size, capacity), 0);
+        const shapes = this.workers.shapes();
+        const rooms = shapes.map(shape => withoutHeadroom(shape.capacity, policy.headroom(placement)));
+        const places = rooms.reduce((sum, room, index) => sum + timesFitting(size, room) * shapes[index].count, 0);
         if (places === 0) {
-            return { error: "fits-nowhere", reason: nearestMiss(size, [...this.workers.values()], room) };
+            return { error: "fits-nowhere", reason: nearestMiss(size, shapes, rooms) };
         }
         if (places < count) {
             return {
@@ -657,14 +687,14 @@
 
     #place(unit: PendingUnit, now: Milliseconds, builder: StepBuilder): boolean {
         const job = this.#jobOf(unit.job);
-        const size = sizeOf(job.submission);
-        if (!this.#isWithinQuota(job.submission.team, multiplyResources(size, unit.tasks.length))) {
+        const size = this.#sizeOf(job);
+        if (!this.#isWithinQuota(job, size, unit.tasks.length)) {
             return false;
         }
         const avoided = this.#health.failedWorkersOf(job.job);
         // Workers where the job failed are taken only if the others have no room.
         const choice = this.#choose(unit, job, size, avoided, now)
-            ?? (avoided.size === 0 ? undefined : this.#choose(unit, job, size, new Set(), now));
+            ?? (avoided.size === 0 ? undefined : this.#choose(unit, job, size, noWorkers, now));
         if (choice === undefined) {
             this.#saveRoom(unit, job, size, now);
             return false;
@@ -691,6 +721,7 @@
             const entry = this.workers.at(worker);
             return avoided.has(entry.worker) || this.#saver.isSavedForAnother(entry, unit.job, expectedEnd);
         };
+        const isGang = unit.tasks.length > 1;
         const workers: WorkerEntry[] = [];
         let considered = 0;
         let fitted = 0;
@@ -701,11 +732,15 @@
             if (decision.worker === noWorker) {
                 break;
             }
-            this.workers.index.reserve(decision.worker, size);
             workers.push(this.workers.at(decision.worker));
+            if (isGang) {
+                this.workers.index.reserve(decision.worker, size);
+            }
+        }
+        // Charged with the record; here only the search for the next task of a gang needed the room.
+        if (isGang) {
+            workers.forEach(entry => this.workers.index.release(entry.slot, size));
         }
-        // Charged again, task by task, with the record; here only the search needed the room.
-        workers.forEach(entry => this.workers.index.release(entry.slot, size));
         if (workers.length < unit.tasks.length) {
             return undefined;
         }
@@ -724,24 +759,19 @@
         reason: string,
         builder: StepBuilder,
     ): void {
-        const placements = unit.tasks.map((task, index): RecordedPlacement => ({
-            task,
-            attempt: (this.book.task(task)!.attempt + 1) as Attempt,
+        const tasks = unit.tasks.map(task => job.tasks[indexOfTask(task)]);
+        const placements = tasks.map((task, index): RecordedPlacement => ({
+            task: task.task,
+            attempt: (task.attempt + 1) as Attempt,
             worker: chosen[index].worker,
             incarnation: chosen[index].incarnation!,
             grant,
         }));
         builder.record({ kind: "starting", at: this.#at(), job: job.job, placements, reason });
-        placements.forEach((placement, index) => {
-            const task = this.book.task(placement.task)!;
-            this.workers.charge(chosen[index], task, grant);
-            this.#useQuota(task, grant, 1);
-            builder.effect({
-                kind: "start",
-                worker: placement.worker,
-                task: placement.task,
-                attempt: placement.attempt,
-            });
+        placements.forEach(({ worker, task, attempt }, index) => {
+            this.workers.charge(chosen[index], tasks[index], grant);
+            this.#useQuota(job, grant, 1);
+            builder.effect({ kind: "start", worker, task, attempt });
         });
         this.#startsSinceTick += placements.length;
     }
@@ -758,22 +788,29 @@
         return run === undefined ? Infinity : (task.confirmedAt ?? this.#now()) + run;
     }
 
-    #isWithinQuota(team: string, more: Resources): boolean {
+    #isWithinQuota(job: JobEntry, size: Resources, count: number): boolean {
+        const { team } = job.submission;
         const quota = this.options.settings().quotas.get(team);
         if (quota === undefined) {
             return true;
         }
-        const used = addResources(this.#teamUse.get(team) ?? noResources, more);
+        const used = addResources(this.#teamUse.get(team) ?? noResources, multiplyResources(size, count));
         return dimensions.every(name => used[name] <= (quota[name] ?? Infinity));
     }
 
-    #useQuota(task: TaskEntry, grant: Resources, sign: number): void {
-        const job = this.book.jobs.get(jobOfTask(task.task));
-        if (job !== undefined) {
-            const { team } = job.submission;
-            const used = this.#teamUse.get(team) ?? noResources;
-            this.#teamUse.set(team, sign > 0 ? addResources(used, grant) : subtractResources(used, grant));
+    #sizeOf(job: JobEntry): Resources {
+        let size = this.#sizes.get(job);
+        if (size === undefined) {
+            size = sizeOf(job.submission);
+            this.#sizes.set(job, size);
         }
+        return size;
+    }
+
+    #useQuota(job: JobEntry, grant: Resources, sign: number): void {
+        const { team } = job.submission;
+        const used = this.#teamUse.get(team) ?? noResources;
+        this.#teamUse.set(team, sign > 0 ? addResources(used, grant) : subtractResources(used, grant));
     }
 
     #takeReport(entry: WorkerEntry, report: WorkerReport, sentAt: Milliseconds, builder: StepBuilder): void {
@@ -941,7 +978,7 @@
     #discharge(task: TaskEntry, entry: WorkerEntry, grant: Resources): void {
         if (entry.tasks.has(task.task)) {
             this.workers.discharge(entry, task, grant);
-            this.#useQuota(task, grant, -1);
+            this.#useQuota(this.#jobOf(jobOfTask(task.task)), grant, -1);
         }
     }
 
@@ -1194,22 +1231,26 @@
     return { state: JobState.Failed, reason: failed?.output || `ended: ${failed?.end}` };
 };
 
-const usableCapacity = (entry: WorkerEntry, headroom: number): Resources => {
-    const { capacity } = entry.listed;
-    return { ...capacity, processorThousandths: capacity.processorThousandths * (1 - headroom) };
-};
+const withoutHeadroom = (capacity: Resources, headroom: number): Resources => ({
+    ...capacity,
+    processorThousandths: capacity.processorThousandths * (1 - headroom),
+});
 
 const timesFitting = (size: Resources, room: Resources): number =>
     Math.min(...dimensions.filter(name => size[name] > 0).map(name => Math.floor(room[name] / size[name])));
 
-const nearestMiss = (size: Resources, entries: readonly WorkerEntry[], room: readonly Resources[]): string => {
+const nearestMiss = (size: Resources, shapes: readonly CapacityShape[], rooms: readonly Resources[]): string => {
+    if (shapes.length === 0) {
+        return "the shard has no workers";
+    }
     let nearest = 0;
-    room.forEach((capacity, index) => {
-        if (lackingDimensions(size, capacity).length < lackingDimensions(size, room[nearest]).length) {
+    rooms.forEach((room, index) => {
+        if (lackingDimensions(size, room).length < lackingDimensions(size, rooms[nearest]).length) {
             nearest = index;
         }
     });
-    const lacking = lackingDimensions(size, room[nearest])
-        .map(name => `${name} ${size[name]} of ${room[nearest][name]}`);
-    return `no worker holds it; the nearest is ${entries[nearest].worker}, which lacks ${lacking.join(", ")}`;
+    const lacking = lackingDimensions(size, rooms[nearest]).map(name =>
+        `${name} ${size[name]} of ${rooms[nearest][name]}`
+    );
+    return `no worker holds it; the nearest is ${shapes[nearest].example}, which lacks ${lacking.join(", ")}`;
 };
--- a/packages/core/src/shard/worker-health.ts
+++ b/packages/core/src/shard/worker-health.ts
@@ -13,6 +13,8 @@
 /** Share of failures among the remembered outcomes that leads to quarantine. */
 const failingShare = 0.5;
 
+const noWorkers: ReadonlySet<WorkerId> = new Set();
+
 interface Outcome {
     readonly job: JobId;
     readonly failed: boolean;
@@ -60,7 +62,7 @@
 
     /** Number of different workers on which a job failed. */
     failedWorkersOf(job: JobId): ReadonlySet<WorkerId> {
-        return this.#failedOn.get(job) ?? new Set();
+        return this.#failedOn.get(job) ?? noWorkers;
     }
 
     /** Drops what is known of a job that has its final answer. */
--- a/packages/core/src/shard/worker-table.ts
+++ b/packages/core/src/shard/worker-table.ts
@@ -1,7 +1,7 @@
 /** What the owner of a shard knows of each worker. */
 import type { Incarnation, TaskId, WorkerId } from "../ids/index.js";
 import { FleetIndex, type WorkerSlot } from "../placement/index.js";
-import { addResources, noResources, type Resources } from "../resources/index.js";
+import { type Resources, resourcesKey } from "../resources/index.js";
 import type { Milliseconds } from "../time/index.js";
 import { type ListedWorker, VmState } from "../vm-list/index.js";
 import type { TaskAttempt } from "../worker/index.js";
@@ -29,11 +29,21 @@
     quarantinedUntil: Milliseconds;
 }
 
+/** Workers of equal capacity. */
+export interface CapacityShape {
+    readonly capacity: Resources;
+    /** One of them. */
+    readonly example: WorkerId;
+    readonly count: number;
+}
+
 /** Workers by id, with their room. */
 export class WorkerTable {
     readonly index = new FleetIndex();
     readonly #entries = new Map<WorkerId, WorkerEntry>();
     readonly #bySlot: WorkerEntry[] = [];
+    /** Undefined after a worker was added or removed. */
+    #shapes: readonly CapacityShape[] | undefined;
 
     /** All workers that are listed or still have tasks charged. */
     values(): IterableIterator<WorkerEntry> {
@@ -73,6 +83,7 @@
             quarantinedUntil: -Infinity,
         };
         this.#entries.set(listed.worker, entry);
+        this.#shapes = undefined;
         this.#bySlot[slot] = entry;
         return entry;
     }
@@ -81,6 +92,7 @@
     remove(entry: WorkerEntry): void {
         this.index.setOpen(entry.slot, false);
         this.#entries.delete(entry.worker);
+        this.#shapes = undefined;
     }
 
     /** Charges a task to its worker. */
@@ -106,12 +118,20 @@
         this.index.setOpen(entry.slot, open);
     }
 
-    /** The sum of the capacities of listed workers. */
-    totalCapacity(): Resources {
-        return [...this.#entries.values()].reduce(
-            (sum, entry) => addResources(sum, entry.listed.capacity),
-            noResources,
-        );
+    /** Workers by capacity: what can never fit is found without a look at each worker. */
+    shapes(): readonly CapacityShape[] {
+        this.#shapes ??= this.#countShapes();
+        return this.#shapes;
+    }
+
+    #countShapes(): CapacityShape[] {
+        const shapes = new Map<string, CapacityShape>();
+        for (const { worker, listed: { capacity } } of this.#entries.values()) {
+            const key = resourcesKey(capacity);
+            const known = shapes.get(key);
+            shapes.set(key, { capacity, example: known?.example ?? worker, count: (known?.count ?? 0) + 1 });
+        }
+        return [...shapes.values()];
     }
 }
 
--- /dev/null
+++ b/packages/evidence/src/bench/baselines.ts
@@ -0,0 +1,127 @@
+/** Simple placements to measure against; each scans typed arrays of free room. */
+import { dimensionCount, dimensions, type Random, type Resources } from "@pebbledale/core";
+
+/** A placement that the bench drives. */
+export interface Placer {
+    readonly name: string;
+    /** Places one task; -1 when none fits. */
+    place(size: Resources): number;
+    /** Gives the room back. */
+    release(worker: number, size: Resources): void;
+}
+
+/** Free room of workers in one typed array. */
+export class RoomArray {
+    readonly free: Float64Array;
+
+    constructor(readonly count: number, capacity: Resources) {
+        this.free = new Float64Array(count * dimensionCount);
+        for (let worker = 0; worker < count; worker++) {
+            this.change(worker, capacity, 1);
+        }
+    }
+
+    /** Adds `sign` times a size to a worker's room. */
+    change(worker: number, size: Resources, sign: number): void {
+        const base = worker * dimensionCount;
+        for (let dimension = 0; dimension < dimensionCount; dimension++) {
+            this.free[base + dimension] += sign * size[dimensions[dimension]];
+        }
+    }
+
+    /** Whether a size fits a worker. */
+    fits(worker: number, size: Resources): boolean {
+        const base = worker * dimensionCount;
+        return this.free[base] >= size.processorThousandths
+            && this.free[base + 1] >= size.memoryMebibytes
+            && this.free[base + 2] >= size.accelerators
+            && this.free[base + 3] >= size.slots
+            && this.free[base + 4] >= size.connections;
+    }
+}
+
+/** The first worker that fits. */
+export class FirstFit implements Placer {
+    readonly name = "first fit";
+    readonly #room: RoomArray;
+
+    constructor(count: number, capacity: Resources) {
+        this.#room = new RoomArray(count, capacity);
+    }
+
+    /** See {@link Placer.place}. */
+    place(size: Resources): number {
+        for (let worker = 0; worker < this.#room.count; worker++) {
+            if (this.#room.fits(worker, size)) {
+                this.#room.change(worker, size, -1);
+                return worker;
+            }
+        }
+        return -1;
+    }
+
+    /** See {@link Placer.release}. */
+    release(worker: number, size: Resources): void {
+        this.#room.change(worker, size, 1);
+    }
+}
+
+/** A random worker that fits, after a random start. */
+export class RandomFit implements Placer {
+    readonly name = "random fit";
+    readonly #room: RoomArray;
+
+    constructor(count: number, capacity: Resources, private readonly random: Random) {
+        this.#room = new RoomArray(count, capacity);
+    }
+
+    /** See {@link Placer.place}. */
+    place(size: Resources): number {
+        const start = Math.floor(this.random.next() * this.#room.count);
+        for (let step = 0; step < this.#room.count; step++) {
+            const worker = (start + step) % this.#room.count;
+            if (this.#room.fits(worker, size)) {
+                this.#room.change(worker, size, -1);
+                return worker;
+            }
+        }
+        return -1;
+    }
+
+    /** See {@link Placer.release}. */
+    release(worker: number, size: Resources): void {
+        this.#room.change(worker, size, 1);
+    }
+}
+
+/** The worker that is left with the least processors: a plain scan of all. */
+export class BestFitScan implements Placer {
+    readonly name = "best-fit scan";
+    readonly #room: RoomArray;
+
+    constructor(count: number, capacity: Resources) {
+        this.#room = new RoomArray(count, capacity);
+    }
+
+    /** See {@link Placer.place}. */
+    place(size: Resources): number {
+        let best = -1;
+        let bestFree = Infinity;
+        for (let worker = 0; worker < this.#room.count; worker++) {
+            const free = this.#room.free[worker * dimensionCount];
+            if (free < bestFree && this.#room.fits(worker, size)) {
+                best = worker;
+                bestFree = free;
+            }
+        }
+        if (best >= 0) {
+            this.#room.change(best, size, -1);
+        }
+        return best;
+    }
+
+    /** See {@link Placer.release}. */
+    release(worker: number, size: Resources): void {
+        this.#room.change(worker, size, 1);
+    }
+}
--- a/packages/evidence/src/cell/cell.ts
+++ b/packages/evidence/src/cell/cell.ts
@@ -33,6 +33,7 @@
 
 const startLimit = 20_000;
 const listInterval = 100;
+const probeInterval = 50;
 
 const scriptOf = (packageName: string): string =>
     join(dirname(fileURLToPath(import.meta.resolve(`@pebbledale/${packageName}`))), "cli", "main.js");
@@ -62,6 +63,8 @@
     #administrationAddresses: string[] = [];
     #listing: NodeJS.Timeout | undefined;
     #isListFrozen = false;
+    readonly #ready = new Set<string>();
+    #probing: NodeJS.Timeout | undefined;
 
     private constructor(
         readonly options: CellOptions,
@@ -100,9 +103,13 @@
         return cell;
     }
 
-    /** Addresses of the gateways that run. */
+    /** Addresses of the gateways that run and were ready at the last probe, as the platform's balancer has them. */
     callerAddresses(): string[] {
-        return this.#gatewayAddresses.filter((_, index) => this.gateways.get(`gateway-${index}`)?.isEnded === false);
+        const running = this.#gatewayAddresses.filter((_, index) =>
+            this.gateways.get(`gateway-${index}`)?.isEnded === false
+        );
+        const ready = running.filter(address => this.#ready.has(address));
+        return ready.length > 0 ? ready : running;
     }
 
     /** The command line's settings file. */
@@ -261,6 +268,7 @@
     /** Ends all processes; resolves to the exit codes of the product's own. */
     async stop(): Promise<(number | undefined)[]> {
         clearInterval(this.#listing);
+        clearInterval(this.#probing);
         await this.caller.close();
         await this.store.close();
         const own = [...this.gateways.values(), ...this.schedulers.values()].filter(child => !child.isEnded);
@@ -294,13 +302,23 @@
             this.startGateway(index);
         }
         await this.untilPlacing();
-        for (const address of this.#administrationAddresses) {
-            await until(`gateway at ${address} is ready`, startLimit, async () => {
-                const answer = await request(`http://${address}/readyz`).catch(() => undefined);
-                await answer?.body.dump();
-                return answer?.statusCode === 200;
-            });
-        }
+        this.#probing = setInterval(() => void this.#probe(), probeInterval);
+        await until("all gateways are ready", startLimit, () => this.#ready.size === this.options.gateways);
+    }
+
+    /** Asks each gateway whether it is ready. */
+    async #probe(): Promise<void> {
+        await Promise.all(this.#administrationAddresses.map(async (administration, index) => {
+            const answer = await request(`http://${administration}/readyz`).catch(() => undefined);
+            await answer?.body.dump();
+            const address = this.#gatewayAddresses[index];
+            if (answer?.statusCode === 200) {
+                this.#ready.add(address);
+            }
+            else {
+                this.#ready.delete(address);
+            }
+        }));
     }
 
     async #listedWorkers(): Promise<ListedWorker[]> {
--- a/packages/evidence/src/cell/settings.ts
+++ b/packages/evidence/src/cell/settings.ts
@@ -51,7 +51,7 @@
     `${common(places, name, places.platform)}[listen]
 callers = ${callers}
 administration = ${administration}
-drain = 100ms
+drain = 300ms
 `;
 
 /** The file of a scheduler. `platform`: its own way to the platform, which may be cut. */
--- /dev/null
+++ b/packages/evidence/src/cli/bench.ts
@@ -0,0 +1,32 @@
+/**
+ * `npm run bench`: prints the tables. With words, only the parts they name: decisions, live,
+ * packing, situations; and after `situations` only the runs that are named.
+ */
+import {
+    benchDecisions,
+    benchLive,
+    benchPacking,
+    benchSituations,
+    type Figure,
+    formatFigures,
+} from "../bench/index.js";
+
+const parts: Readonly<Record<string, () => Figure[] | Promise<Figure[]>>> = {
+    decisions: benchDecisions,
+    live: benchLive,
+    packing: benchPacking,
+    situations: () =>
+        benchSituations(process.argv.slice(2).filter(word => !Object.hasOwn(parts, word) && !word.startsWith("-"))),
+};
+
+const wanted = process.argv.slice(2).filter(word => Object.hasOwn(parts, word));
+const figures: Record<string, readonly Figure[]> = {};
+for (const name of wanted.length > 0 ? wanted : Object.keys(parts)) {
+    figures[name] = await parts[name]();
+    process.stdout.write(`${formatFigures(name, figures[name])}\n`);
+}
+const missed = Object.values(figures).flat().filter(entry => entry.reached === false);
+process.stdout.write(missed.length === 0 ? "all targets reached\n" : `${missed.length} targets not reached\n`);
+if (process.argv.includes("--json")) {
+    process.stdout.write(`${JSON.stringify({ figures })}\n`);
+}
--- a/packages/gateway/src/live/slot-broker.ts
+++ b/packages/gateway/src/live/slot-broker.ts
@@ -198,9 +198,9 @@
 
     /** Answers a request that has waited to the limit; it is not held any longer. */
     async #limitWait(waiter: Waiter): Promise<void> {
-        const { clock, signal, waitLimit } = this.options;
+        const { clock, waitLimit } = this.options;
         const limit = this.#hasAnswer ? Math.max(waitLimit(), askInterval) : firstBundleWait;
-        await clock.sleep(limit, signal);
+        await clock.sleep(limit);
         const index = this.#waiting.indexOf(waiter);
         if (index >= 0) {
             this.#waiting.splice(index, 1);
--- a/packages/runtime/src/protocol/client.ts
+++ b/packages/runtime/src/protocol/client.ts
@@ -14,6 +14,8 @@
 /** How long a call waits for a connection that is being opened, in milliseconds. */
 const openLimit = 100;
 const openStep = 10;
+/** How long the end of a connection is waited for, in milliseconds. */
+const closeLimit = 300;
 
 /** Calls of one scheduler. */
 export type SchedulerCalls = TRPCClient<SchedulerRouter>;
@@ -74,8 +76,9 @@
         }
     }
 
-    /** Ends the connection. */
+    /** Ends the connection. A peer that stands still may never say goodbye; it is not waited for. */
     async close(): Promise<void> {
-        await this.#connection.close();
+        const closed = this.#connection.close().catch(() => undefined);
+        await Promise.race([closed, new Promise(resolve => setTimeout(resolve, closeLimit).unref())]);
     }
 }
