Pages, bad-input tests, pages made from the catalogues

Cause: the product had no pages, and nothing showed what bad input gets.

The caller server is a module of its own, and its owner calls sit behind an interface, so that bad input is tested without processes: malformed JSON, unknown fields, wrong units, negative and huge sizes, a body over the limit, a head that does not end, refusals with their time to come back. One expectation of the new test was wrong when first written (a size of 1e99 has two findings, not whole and too large); the value is now 1e12, the count as strict.

--- /dev/null
+++ b/packages/evidence/src/docs/index.ts
@@ -0,0 +1,108 @@
+/** Pages of `docs/` that are made from the schemas and catalogues. */
+import {
+    errorCatalogue,
+    type ErrorEntry,
+    logEvents,
+    type SettingDefinition,
+    teamSchema,
+    treeSchema,
+} from "@pebbledale/core";
+import { gatewaySchema, operatorSchema, schedulerSchema } from "@pebbledale/runtime";
+
+type Schema = Readonly<Record<string, SettingDefinition<unknown>>>;
+
+const cell = (text: string): string => text.replaceAll("|", "\\|");
+
+const settingRows = (schema: Schema, filePart: (name: string) => string): string[] =>
+    Object.entries(schema).map(([name, { kind, fallback, comment }]) => {
+        const shown = fallback === undefined ? "must be set" : fallback === "" ? "empty" : `\`${fallback}\``;
+        return `| ${filePart(name)} | ${cell(kind.description)} | ${shown} | ${cell(comment)} |`;
+    });
+
+const table = (schema: Schema, filePart: (name: string) => string): string =>
+    ["| key | value | default | what it does |", "| --- | --- | --- | --- |", ...settingRows(schema, filePart)].join(
+        "\n",
+    );
+
+const inFile = (name: string): string => {
+    const dot = name.indexOf(".");
+    return `\`[${name.slice(0, dot)}]\` \`${name.slice(dot + 1)}\``;
+};
+
+/** The page of all settings. */
+export const renderSettingsPage = (): string =>
+    `# Settings
+
+This page is made from the schemas by \`npm run docs\`.
+
+## The tree
+
+Operators edit one INI text. Sections are \`[organisation]\`, \`[region NAME]\`, \`[site REGION/NAME]\`,
+\`[class REGION/SITE/NAME]\` and \`[team NAME]\`. A class takes what it does not set from its site, a site from its region, a
+region from the organisation, and that from the defaults below. \`pebbledale settings explain KEY --site REGION/SITE
+--class NAME\` shows the value in force and the line it came from. Classes are \`live\`, \`batch\`, \`gang\` and \`service\`.
+
+${table(treeSchema, name => `\`${name}\``)}
+
+### Teams
+
+A quota that is not set is no limit.
+
+${table(teamSchema, name => `\`${name}\``).replaceAll("must be set", "none")}
+
+## The programs' files
+
+Each program takes one INI file. \`--check\` prints all findings with file, line, section and key, and exits.
+
+### \`pebbledale-gateway\`
+
+${table(gatewaySchema, inFile)}
+
+### \`pebbledale-scheduler\`
+
+${table(schedulerSchema, inFile)}
+
+### \`pebbledale\`
+
+${table(operatorSchema, inFile)}
+`;
+
+/** The page of all log events. */
+export const renderEventsPage = (): string => {
+    const rows = Object.values(logEvents)
+        .map(({ number, level, message, action }) => `| ${number} | ${level} | ${cell(message)} | ${cell(action)} |`);
+    return `# Log events
+
+This page is made from the catalogue by \`npm run docs\`. Logs are JSON lines on standard error; \`event\` is the number.
+1xxx come from every program, 2xxx from gateways, 3xxx from schedulers. A number is never used twice.
+
+| event | level | message | what an operator does |
+| --- | --- | --- | --- |
+${rows.join("\n")}
+`;
+};
+
+/** The page of all errors. */
+export const renderErrorsPage = (): string => {
+    const rows = Object.entries(errorCatalogue).map(([name, entry]) => {
+        const { title, message, hint, status }: ErrorEntry = entry;
+        return `| \`${name}\` | ${status ?? "command line"} | ${cell(title)} | ${cell(message)} | ${cell(hint)} |`;
+    });
+    return `# Errors
+
+This page is made from the catalogue by \`npm run docs\`. An error's answer is JSON: \`error\` (the name), \`title\`,
+\`message\`, \`hint\`, where it applies \`reason\` (what is particular to this time), \`findings\` (each with its place) and
+\`retryAfterMilliseconds\` (also as \`Retry-After\`, in seconds). An error without it is final.
+
+| error | status | title | message | hint |
+| --- | --- | --- | --- | --- |
+${rows.join("\n")}
+`;
+};
+
+/** All pages by file name. */
+export const renderedPages: Readonly<Record<string, () => string>> = {
+    "SETTINGS.md": renderSettingsPage,
+    "EVENTS.md": renderEventsPage,
+    "ERRORS.md": renderErrorsPage,
+};
--- a/packages/gateway/src/callers/jobs.ts
+++ b/packages/gateway/src/callers/jobs.ts
@@ -12,12 +12,12 @@
 } from "@pebbledale/core";
 import { digestOf, type JobAnswer, type JobRequest, type NoJob, shardOfJob, shardOfText } from "@pebbledale/runtime";
 import type { FastifyInstance, FastifyReply, FastifyRequest } from "fastify";
-import { NoOwnerError, type OwnerDirectory } from "../owners/index.js";
+import { NoOwnerError, type OwnerCalls } from "../owners/index.js";
 import { sendError } from "./replies.js";
 
 /** What the paths need. */
 export interface JobRoutesOptions {
-    readonly owners: OwnerDirectory;
+    readonly owners: OwnerCalls;
     readonly clock: Clock;
     readonly random: Random;
     readonly shards: number;
--- a/packages/gateway/src/callers/services.ts
+++ b/packages/gateway/src/callers/services.ts
@@ -12,12 +12,12 @@
 import { type BurnRecorder, digestOf, type EventLogger, type Metrics, shardOfText } from "@pebbledale/runtime";
 import type { FastifyInstance, FastifyReply, FastifyRequest } from "fastify";
 import { Forwarder, type LiveRequest, requestIdHeader, RetryBudget, type Slot, SlotBroker } from "../live/index.js";
-import type { OwnerDirectory } from "../owners/index.js";
+import type { OwnerCalls } from "../owners/index.js";
 import { sendError } from "./replies.js";
 
 /** What the paths need. */
 export interface ServiceRoutesOptions {
-    readonly owners: OwnerDirectory;
+    readonly owners: OwnerCalls;
     readonly clock: Clock;
     readonly random: Random;
     readonly logger: EventLogger;
@@ -85,6 +85,9 @@
 
     /** Adds the paths to a server. */
     add(server: FastifyInstance): void {
+        // A body is passed on byte for byte, whatever it says it is.
+        server.removeAllContentTypeParsers();
+        server.addContentTypeParser("*", { parseAs: "buffer" }, async (_request: unknown, body: Buffer) => body);
         server.all("/services/:service", (request, reply) => this.#serve(request, reply));
         server.all("/services/:service/*", (request, reply) => this.#serve(request, reply));
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,13 +1,5 @@
 /** Puts a gateway together from its settings file and runs it until it is asked to stop. */
-import {
-    errorBody,
-    type ErrorName,
-    formatFinding,
-    logEvents,
-    settingsRevision,
-    SystemClock,
-    SystemRandom,
-} from "@pebbledale/core";
+import { formatFinding, logEvents, settingsRevision, SystemClock, SystemRandom } from "@pebbledale/core";
 import {
     BurnRecorder,
     createAdministration,
@@ -25,16 +17,12 @@
     stopSignal,
     untilAborted,
 } from "@pebbledale/runtime";
-import fastify, { type FastifyInstance } from "fastify";
-import { addJobRoutes, sendError, ServiceRoutes } from "./callers/index.js";
-import { NoOwnerError, OwnerDirectory } from "./owners/index.js";
+import { addJobRoutes, createCallerServer, sendError, ServiceRoutes } from "./callers/index.js";
+import { OwnerDirectory } from "./owners/index.js";
 
 type Values = ProgramValues<typeof gatewaySchema>;
 type Logger = ReturnType<typeof createLogger>;
 
-/** A caller that sends its head more slowly than this is cut off, in milliseconds. */
-const headTimeout = 10_000;
-const keepAliveTimeout = 30_000;
 const noOwnerRetryAfter = 1_000;
 
 /** Runs the program; resolves to its exit code. `print` shows findings to the operator. */
@@ -90,7 +78,7 @@
         noteRevision: revision => void watch.noteRevision(settingsRevision(revision)),
         signal: background.signal,
     });
-    const callers = createCallerServer(values, logger, random);
+    const callers = createCallerServer({ bodyLimit: values["listen.body_limit"], logger, random });
     callers.addHook("onRequest", async (_request, reply) => {
         if (watch.revision === 0) {
             return sendError(reply, "no-owner", {
@@ -101,11 +89,7 @@
         return undefined;
     });
     void callers.register(async scope => addJobRoutes(scope, { owners, clock, random, shards: values["cell.shards"] }));
-    void callers.register(async scope => {
-        scope.removeAllContentTypeParsers();
-        scope.addContentTypeParser("*", { parseAs: "buffer" }, async (_request: unknown, body: Buffer) => body);
-        services.add(scope);
-    });
+    void callers.register(async scope => services.add(scope));
     const administration = createAdministration({
         metrics,
         notReady: () => stop.aborted ? "stopping" : watch.revision === 0 ? "no settings yet" : undefined,
@@ -133,45 +117,3 @@
     await Promise.all(running);
     await Promise.all([owners.close(), services.forwarder.close(), store.close(), administration.close()]);
 };
-
-const createCallerServer = (values: Values, logger: Logger, random: SystemRandom): FastifyInstance => {
-    const server = fastify({
-        logger: false,
-        bodyLimit: values["listen.body_limit"],
-        keepAliveTimeout,
-        requestTimeout: headTimeout,
-        return503OnClosing: false,
-        forceCloseConnections: "idle",
-        genReqId: () => random.name(),
-        clientErrorHandler: (error, socket) => {
-            // What is not HTTP, or a head that never ends, gets one clear answer and the end of its connection.
-            if (socket.writable) {
-                const body = JSON.stringify(errorBody("bad-request", { reason: error.message }));
-                socket.write(
-                    `HTTP/1.1 400 Bad Request\r\nContent-Type: application/json\r\nContent-Length: ${body.length}\r\n`,
-                );
-                socket.write(`Connection: close\r\n\r\n${body}`);
-            }
-            socket.destroySoon();
-        },
-    });
-    server.setNotFoundHandler((_request, reply) => sendError(reply, "no-such-path"));
-    server.setErrorHandler((error: Error & { code?: string; statusCode?: number; }, request, reply) => {
-        if (error instanceof NoOwnerError) {
-            return sendError(reply, "no-owner", { reason: error.message, retryAfterMilliseconds: noOwnerRetryAfter });
-        }
-        const name = errorOf(error);
-        if (name === "internal") {
-            logger.log(logEvents.unexpectedFailure, { request: request.id, cause: error.stack });
-        }
-        return sendError(reply, name, name === "internal" ? {} : { reason: error.message });
-    });
-    return server;
-};
-
-const errorOf = (error: { code?: string; statusCode?: number; }): ErrorName => {
-    if (error.code === "FST_ERR_CTP_BODY_TOO_LARGE") {
-        return "body-too-large";
-    }
-    return error.statusCode !== undefined && error.statusCode < 500 ? "bad-request" : "internal";
-};
--- a/packages/gateway/src/owners/owner-directory.ts
+++ b/packages/gateway/src/owners/owner-directory.ts
@@ -34,6 +34,17 @@
     }
 }
 
+/** Calls to the owner of a shard, whoever that is. */
+export interface OwnerCalls {
+    /** See {@link OwnerDirectory.call}. */
+    call<Answer extends OwnerAnswer>(
+        shard: ShardId,
+        limit: Milliseconds,
+        make: (calls: SchedulerCalls, signal: AbortSignal) => Promise<Answer>,
+        attemptLimit?: Milliseconds,
+    ): Promise<Exclude<Answer, { kind: "not-owner"; }>>;
+}
+
 /** What the directory needs. */
 export interface OwnerDirectoryOptions {
     readonly store: PlatformStore;
@@ -43,12 +54,13 @@
     readonly signal: AbortSignal;
 }
 
-interface OwnerAnswer {
+/** Every answer says its kind. */
+export interface OwnerAnswer {
     readonly kind: string;
 }
 
 /** See the module's comment. */
-export class OwnerDirectory {
+export class OwnerDirectory implements OwnerCalls {
     readonly #clients: ReadonlyMap<string, SchedulerClient>;
     readonly #owners = new Map<ShardId, string>();
 
--- /dev/null
+++ b/packages/gateway/test/callers/bad-input.test.ts
@@ -0,0 +1,151 @@
+import { type Milliseconds, SeededRandom, type SubmitOutcome, SystemClock } from "@pebbledale/core";
+import { expect } from "earl";
+import { connect } from "node:net";
+import { describe, it } from "node:test";
+import { addJobRoutes, createCallerServer, NoOwnerError, type OwnerAnswer, type OwnerCalls } from "../../src/index.js";
+
+/** An owner that answers every call with what a test says, and keeps what it was sent. */
+class FakeOwners implements OwnerCalls {
+    readonly sent: unknown[] = [];
+    answer: OwnerAnswer | Error = { kind: "accepted", job: "shard-0.1.1", repeated: false } as OwnerAnswer;
+
+    async call<Answer extends OwnerAnswer>(
+        shard: string,
+        _limit: Milliseconds,
+        make: (calls: never, signal: AbortSignal) => Promise<Answer>,
+    ) {
+        const record = (message: unknown) => {
+            this.sent.push(message);
+            return Promise.resolve(this.answer);
+        };
+        const calls = new Proxy({}, { get: () => ({ mutate: record, query: record }) });
+        await make(calls as never, new AbortController().signal);
+        if (this.answer instanceof Error) {
+            throw this.answer;
+        }
+        return this.answer as Exclude<Answer, { kind: "not-owner"; }>;
+    }
+}
+
+const start = () => {
+    const owners = new FakeOwners();
+    const server = createCallerServer({
+        bodyLimit: 2_000,
+        logger: { log: () => undefined },
+        random: new SeededRandom(1),
+    });
+    addJobRoutes(server, { owners, clock: new SystemClock(), random: new SeededRandom(2), shards: 1 });
+    const post = async (body: string) => {
+        const answer = await server.inject({
+            method: "POST",
+            url: "/jobs",
+            headers: { "content-type": "application/json" },
+            payload: body,
+        });
+        return { status: answer.statusCode, headers: answer.headers, body: answer.json<Record<string, unknown>>() };
+    };
+    return { owners, server, post };
+};
+
+const job = (changes: object) =>
+    JSON.stringify({ class: "batch", size: { processors: 1, memoryMebibytes: 10 }, ...changes });
+const places = (body: Record<string, unknown>) => (body.findings as { place: string; }[]).map(finding => finding.place);
+
+describe("bad input of callers", () => {
+    it("refuses malformed JSON with the place", async () => {
+        const { post, owners } = start();
+        const answer = await post("{\"class\": \"batch\", ");
+        expect(answer.status).toEqual(400);
+        expect(answer.body.error).toEqual("bad-request");
+        expect(owners.sent).toEqual([]);
+    });
+
+    it("collects all findings of a submission, each with its place", async () => {
+        const { post, owners } = start();
+        const answer = await post(
+            job({ tasks: -1, size: { processors: -4, memoryMebibytes: 1e12 }, class: "gang", priority: "loud" }),
+        );
+        expect(answer.status).toEqual(400);
+        expect(places(answer.body)).toEqual(["/priority", "/tasks", "/size/processors", "/size/memoryMebibytes"]);
+        expect(owners.sent).toEqual([]);
+    });
+
+    it("refuses unknown fields, and values of the wrong unit", async () => {
+        const { post } = start();
+        expect((await post(job({ colour: "red" }))).status).toEqual(400);
+        const answer = await post(
+            job({ deadlineMilliseconds: "10s", size: { processors: 1, memoryMebibytes: "4GB" } }),
+        );
+        expect(places(answer.body)).toEqual(["/deadlineMilliseconds", "/size/memoryMebibytes"]);
+    });
+
+    it("refuses a body over the limit", async () => {
+        const { post } = start();
+        const answer = await post(job({ payload: "x".repeat(3_000) }));
+        expect(answer.status).toEqual(413);
+        expect(answer.body.error).toEqual("body-too-large");
+    });
+
+    it("passes a refusal on with its reason and when to come back", async () => {
+        const { post, owners } = start();
+        const refusal: SubmitOutcome = {
+            kind: "refused",
+            refusal: { error: "queue-full", reason: "900 wait", retryAfter: 2_500 },
+        };
+        owners.answer = refusal;
+        const answer = await post(job({}));
+        expect(answer.status).toEqual(429);
+        expect(answer.headers["retry-after"]).toEqual("3");
+        expect(answer.body.reason).toEqual("900 wait");
+    });
+
+    it("tells the key of a submission that may have been accepted", async () => {
+        const { post, owners } = start();
+        owners.answer = new NoOwnerError("shard-0" as never, true);
+        const answer = await post(job({ key: "build-7" }));
+        expect(answer.status).toEqual(503);
+        expect(answer.body.error).toEqual("not-recorded");
+        expect(answer.body.reason).toEqual("ask again with key build-7");
+    });
+
+    it("says that nothing was taken when no owner was reached", async () => {
+        const { post, owners } = start();
+        owners.answer = new NoOwnerError("shard-0" as never, false);
+        const answer = await post(job({ key: "build-7" }));
+        expect(answer.body.error).toEqual("no-owner");
+        expect(answer.headers["retry-after"]).toEqual("1");
+    });
+
+    it("sends a drawn key with a submission that has none", async () => {
+        const { post, owners } = start();
+        await post(job({}));
+        const [message] = owners.sent as { submission: { key: string; }; }[];
+        expect(message.submission.key).toEqual(expect.regex(/^drawn-[0-9a-f]{16}$/));
+    });
+
+    it("answers a path that is not there", async () => {
+        const { server } = start();
+        const answer = await server.inject({ method: "GET", url: "/nothing" });
+        expect(answer.statusCode).toEqual(404);
+        expect(answer.json<{ error: string; }>().error).toEqual("no-such-path");
+    });
+
+    it("cuts off a header that does not end", async () => {
+        const { server } = start();
+        await server.listen({ host: "127.0.0.1", port: 0 });
+        const address = server.server.address() as { port: number; };
+        const socket = connect(address.port, "127.0.0.1");
+        let text = "";
+        const ended = new Promise<void>(resolve =>
+            socket.on("data", chunk => text += String(chunk)).on("close", () => resolve()).on("error", () => resolve())
+        );
+        socket.write("GET /jobs/1 HTTP/1.1\r\nHost: x\r\n");
+        // A head may have 16 KiB; what goes on after that is answered once and ended.
+        for (let index = 0; index < 40 && !socket.destroyed; index++) {
+            socket.write(`x-${index}: ${"y".repeat(1_000)}\r\n`);
+        }
+        await ended;
+        await server.close();
+        expect(text.startsWith("HTTP/1.1 400 ")).toEqual(true);
+    });
+});
