--- a/packages/core/src/journal/journal.ts
+++ b/packages/core/src/journal/journal.ts
@@ -18,6 +18,12 @@
 import { JournalDamagedError, JournalFencedError } from "./errors.js";
 import type { JournalContents, JournalOptions, Segment, SnapshotPointer } from "./types.js";
 
+/** A ring this full gets a snapshot whatever that costs. */
+const fullShare = 0.6;
+/** Bytes of UTF-8 that do not begin a character. */
+const continuationMask = 0xc0;
+const continuationByte = 0x80;
+
 interface Waiting {
     readonly records: readonly unknown[];
     readonly bytes: number;
@@ -53,6 +59,8 @@
     #lastContact: Milliseconds;
     #takeSnapshot: (() => unknown) | undefined;
     #writes = 0;
+    #snapshotBytes = 0;
+    #bytesSince = 0;
 
     constructor(
         private readonly dependencies: JournalDependencies,
@@ -185,6 +193,7 @@
         };
         const expected = this.#versions.get(slot) ?? absentVersion;
         const version = await this.#swapUntilSettled(ringKey(shard, slot), expected, segment);
+        this.#bytesSince += Buffer.byteLength(JSON.stringify(records));
         this.#versions.set(slot, version);
         this.#sequence = sequence;
         this.#removeObsolete();
@@ -229,8 +238,7 @@
      * snapshot is removed only after that segment is kept.
      */
     async #snapshotIfDue(): Promise<void> {
-        const since = this.#sequence - (this.#snapshot?.through ?? 0);
-        if (this.#takeSnapshot === undefined || since < this.dependencies.options.snapshotEvery) {
+        if (this.#takeSnapshot === undefined || !this.#isSnapshotDue()) {
             return;
         }
         const text = JSON.stringify(this.#takeSnapshot());
@@ -246,6 +254,20 @@
         }
         this.#obsolete = this.#snapshot;
         this.#snapshot = { name, parts: parts.length, through };
+        this.#snapshotBytes = Buffer.byteLength(text);
+        this.#bytesSince = 0;
+    }
+
+    /**
+     * Whether a snapshot is worth its writes: once the segments since the last one hold as many bytes, so that snapshots
+     * at most double what is written, or before the ring runs out of keys.
+     */
+    #isSnapshotDue(): boolean {
+        const { snapshotEvery, ringSize, largestBytes } = this.dependencies.options;
+        const since = this.#sequence - (this.#snapshot?.through ?? 0);
+        const waitingBytes = this.#waiting.reduce((sum, entry) => sum + entry.bytes, 0);
+        const expected = since + Math.ceil(2 * waitingBytes / largestBytes);
+        return since >= snapshotEvery && (this.#bytesSince >= this.#snapshotBytes || expected >= ringSize * fullShare);
     }
 
     /** Writes one part until it is kept. The name is drawn once, so a conflict means that a copy arrived first. */
@@ -282,13 +304,20 @@
 
 const ringKey = (shard: ShardId, slot: number): string => `${journalPrefix(shard)}${String(slot).padStart(5, "0")}`;
 
+/** Cuts a text into parts of at most `largestBytes` bytes each, never within a character. */
 const splitText = (text: string, largestBytes: number): string[] => {
-    // A character takes up to four bytes of UTF-8; half of that bound covers what JSON of this product holds.
-    const step = Math.floor(largestBytes / 4);
+    const bytes = Buffer.from(text);
     const parts: string[] = [];
-    for (let start = 0; start < text.length || parts.length === 0; start += step) {
-        parts.push(text.slice(start, start + step));
+    let start = 0;
+    do {
+        let end = Math.min(start + largestBytes, bytes.length);
+        while (end < bytes.length && (bytes[end] & continuationMask) === continuationByte) {
+            end--;
+        }
+        parts.push(bytes.toString("utf8", start, end));
+        start = end;
     }
+    while (start < bytes.length);
     return parts;
 };
 
--- a/packages/evidence/src/cell/cell.ts
+++ b/packages/evidence/src/cell/cell.ts
@@ -112,6 +112,11 @@
         return ready.length > 0 ? ready : running;
     }
 
+    /** Administration addresses of all gateways. */
+    get administrationAddresses(): readonly string[] {
+        return this.#administrationAddresses;
+    }
+
     /** The command line's settings file. */
     operatorSettings(): string {
         const file = join(this.folder, "operator.ini");
