A worker that one reading of the list lacks is not taken for gone

Cause: a worker that the platform's list did not show was taken to be gone for good at once, and its tasks were run elsewhere. The list lags, so a reading may lack a worker that runs tasks and answers heartbeats. Found by thinking the lag through while reading the code; ruled out that the worker's lease would end first (it was still being renewed).

Change: a worker is gone once it has been neither listed nor heard for as long as a lease runs; until then it gets nothing new. A new owner holds recovered tasks of a worker that it does not see listed for the same time. The scheduler keeps its connection until then.

--- a/packages/core/src/shard/shard-scheduler.ts
+++ b/packages/core/src/shard/shard-scheduler.ts
@@ -260,8 +260,9 @@
         this.#hasList = true;
         this.#chargeUnlisted(builder);
         for (const entry of [...this.workers.values()]) {
-            if (!names.has(entry.worker)) {
-                this.#loseTasks(entry, "the platform no longer lists the VM", builder);
+            entry.unlistedSince = names.has(entry.worker) ? undefined : entry.unlistedSince ?? now;
+            if (this.#isGone(entry, now)) {
+                this.#loseTasks(entry, "the platform no longer lists its VM", builder);
                 this.workers.remove(entry);
             }
             else if (isLeaving(entry)) {
@@ -271,6 +272,26 @@
         return builder.step();
     }
 
+    /**
+     * Whether a worker is gone for good: neither listed nor heard for as long as a lease runs. One reading of the list is
+     * not enough, as the list lags and may lack a VM that runs tasks.
+     */
+    #isGone(entry: WorkerEntry, now: Milliseconds): boolean {
+        const { unlistedSince } = entry;
+        if (unlistedSince === undefined) {
+            return false;
+        }
+        const isSilent = now - entry.answeredAt > this.options.settings().silentAfter;
+        return isSilent && (entry.tasks.size === 0 || now - unlistedSince > this.#longestLease());
+    }
+
+    /** How long a lease may run that any owner gives now. */
+    #longestLease(): Milliseconds {
+        const former = this.#terms.ofFormerOwner();
+        const own = this.#terms.inForce(this.options.settings());
+        return Math.max(former.leaseDuration + former.leaseMargin, own.leaseDuration + own.leaseMargin);
+    }
+
     /** Takes in the answer of a worker that has accepted this owner's epoch. `sentAt`: when the claim was sent. */
     claimAnswered(worker: WorkerId, report: WorkerReport, sentAt: Milliseconds): Step {
         const entry = this.workers.get(worker);
@@ -566,22 +587,24 @@
         }
     }
 
+    /** Charges recovered tasks to their workers as these are listed. */
     #chargeUnlisted(builder: StepBuilder): void {
-        for (const task of this.#unlisted) {
-            const assignment = task.assignment;
-            if (assignment === undefined) {
+        const isOverdue = this.#now() - this.#openedAt > this.#longestLease();
+        for (const task of [...this.#unlisted]) {
+            const { assignment } = task;
+            const entry = assignment === undefined ? undefined : this.workers.get(assignment.worker);
+            if (assignment !== undefined && entry !== undefined) {
+                this.workers.charge(entry, task, assignment.grant);
+                this.#useQuota(this.#jobOf(jobOfTask(task.task)), assignment.grant, 1);
+            }
+            else if (assignment !== undefined && !isOverdue) {
                 continue;
             }
-            const entry = this.workers.get(assignment.worker);
+            this.#unlisted.delete(task);
             if (entry === undefined) {
-                this.#lose(task, "the platform no longer lists its VM", builder);
-            }
-            else {
-                this.workers.charge(entry, task, assignment.grant);
-                this.#useQuota(this.#jobOf(jobOfTask(task.task)), assignment.grant, 1);
+                this.#lose(task, "the platform does not list its VM", builder);
             }
         }
-        this.#unlisted.clear();
     }
 
     #refusalOf(submission: JobSubmission): Refusal | undefined {
--- a/packages/core/src/shard/worker-table.ts
+++ b/packages/core/src/shard/worker-table.ts
@@ -20,6 +20,8 @@
     /** From then on no lease that any owner gave here can still run. */
     leasesLapseAt: Milliseconds;
     saidLeaving: boolean;
+    /** Since when the platform's list lacks it, by the monotonic clock. */
+    unlistedSince?: Milliseconds;
     /** Tasks charged to this worker. */
     readonly tasks: Map<TaskId, TaskEntry>;
     /** Ends that are kept and not yet acknowledged to the worker. */
@@ -113,6 +115,7 @@
         const open = entry.incarnation !== undefined
             && entry.strangers === 0
             && !isLeaving(entry)
+            && entry.unlistedSince === undefined
             && now - entry.answeredAt <= silentAfter
             && entry.quarantinedUntil <= now;
         this.index.setOpen(entry.slot, open);
--- a/packages/evidence/src/bench/virtual/virtual-cell.ts
+++ b/packages/evidence/src/bench/virtual/virtual-cell.ts
@@ -49,6 +49,7 @@
 const networkDelay: Milliseconds = 1;
 const heartbeatInterval: Milliseconds = 1_000;
 const tickInterval: Milliseconds = 100;
+const listInterval: Milliseconds = 2_000;
 /** How long nobody owns the shard after an owner's death: the platform's lease and the reading of the journal. */
 const takeOverDelay: Milliseconds = 3_500;
 
@@ -97,6 +98,7 @@
         );
         this.#open();
         this.clock.every(tickInterval, () => this.#tick(), () => this.#isOver);
+        this.clock.every(listInterval, () => this.#list(), () => this.#isOver);
         this.clock.every(heartbeatInterval, () => this.#heartbeats(), () => this.#isOver);
         this.clock.runUntil(tickInterval * 3);
     }
--- a/packages/scheduler/src/ownership/owned-shard.ts
+++ b/packages/scheduler/src/ownership/owned-shard.ts
@@ -244,14 +244,13 @@
         const { shard, values } = this.options;
         const mine = workers.filter(worker => shardOfText(worker.rack, values["cell.shards"]) === shard);
         void this.commit(this.core.listWorkers(mine));
-        const names = new Set(mine.map(worker => worker.worker));
         for (const worker of mine) {
             if (!this.#links.has(worker.worker)) {
                 this.#links.set(worker.worker, new WorkerLink(this, worker));
             }
         }
         for (const [name, link] of this.#links) {
-            if (!names.has(name)) {
+            if (this.core.workers.get(name) === undefined) {
                 this.#links.delete(name);
                 void link.close();
             }
