Unrepeatable live requests survive an owner's death; the shard's decisions split into modules of one job

(1) A gateway that lost the owner's answer to "may I send" asked the next owner, which held the record and answered "sent before": the request was refused though it was never sent. (2) One that was surely not run kept its key taken. (3) A lost answer while claiming a shard left the claimer waiting for its own lease to lapse. Ruled out: the ledger of slots (its bundles were right); the proof's worker leases of 2 s are shorter than a take-over with three lost answers, so services restart in it.

Change: the record names the send, and the same send may go out after asking again (it records itself again, so that the record is kept before the send); a send that was surely not run frees its key; a claim without an answer is settled by reading.

--- /dev/null
+++ b/packages/core/src/shard/admission.ts
@@ -0,0 +1,122 @@
+/** What is refused when it is submitted: what can never run, and what there is no room to wait for. */
+import { pipe } from "fp-ts/lib/function.js";
+import * as Number from "fp-ts/lib/number.js";
+import * as Option from "fp-ts/lib/Option.js";
+import * as Ord from "fp-ts/lib/Ord.js";
+import * as ReadonlyArray from "fp-ts/lib/ReadonlyArray.js";
+import * as ReadonlyNonEmptyArray from "fp-ts/lib/ReadonlyNonEmptyArray.js";
+import type { JobSubmission } from "../jobs/index.js";
+import { policyOf } from "../placement/index.js";
+import { dimensions, lackingDimensions, multiplyResources, type Resources } from "../resources/index.js";
+import type { Milliseconds } from "../time/index.js";
+import { queueShares } from "./constants.js";
+import type { ShardSettings } from "./settings.js";
+import { sizeOf } from "./size.js";
+import type { Refusal } from "./types.js";
+import type { CapacityShape } from "./worker-table.js";
+
+/** What a shard looks like to a submission. */
+export interface AdmissionView {
+    /** Workers by capacity; undefined before the list of VMs was read. */
+    readonly shapes: readonly CapacityShape[] | undefined;
+    /** Units that wait. */
+    readonly queueLength: number;
+    readonly settings: ShardSettings;
+    /** How long a unit at a place of the queue waits, as far as is known. */
+    readonly expectedWait: (place: number) => Milliseconds;
+}
+
+/** A capacity with what may be used of it. */
+interface UsableShape extends CapacityShape {
+    readonly room: Resources;
+}
+
+/** When to come back before the list of VMs was read. */
+const listRetryAfter: Milliseconds = 1_000;
+
+/** Why a submission is refused, if it is. */
+export const refusalOf = (submission: JobSubmission, view: AdmissionView): Refusal | undefined => {
+    const { shapes } = view;
+    if (shapes === undefined) {
+        return { error: "no-workers", reason: "the list of VMs has not been read yet", retryAfter: listRetryAfter };
+    }
+    return sizeRefusal(submission, shapes, view.settings)
+        ?? quotaRefusal(submission, view.settings)
+        ?? queueRefusal(submission, view)
+        ?? deadlineRefusal(submission);
+};
+
+const countAtOnce = (submission: JobSubmission): number =>
+    policyOf(submission.class).allOrNothing ? submission.tasks : 1;
+
+const sizeRefusal = (
+    submission: JobSubmission,
+    shapes: readonly CapacityShape[],
+    { placement }: ShardSettings,
+): Refusal | undefined => {
+    const size = sizeOf(submission);
+    const headroom = policyOf(submission.class).headroom(placement);
+    const usable = shapes.map((shape): UsableShape => ({ ...shape, room: withoutHeadroom(shape.capacity, headroom) }));
+    const places = usable.reduce((sum, { room, count }) => sum + timesFitting(size, room) * count, 0);
+    if (places === 0) {
+        return { error: "fits-nowhere", reason: nearestMiss(size, usable) };
+    }
+    const needed = countAtOnce(submission);
+    return places >= needed ? undefined : {
+        error: "fits-nowhere",
+        reason: `all ${needed} tasks must run at once and the shard holds at most ${places} of this size`,
+    };
+};
+
+const quotaRefusal = (submission: JobSubmission, { quotas }: ShardSettings): Refusal | undefined => {
+    const { team } = submission;
+    const quota = quotas.get(team);
+    const needed = multiplyResources(sizeOf(submission), countAtOnce(submission));
+    const lacking = quota === undefined ? undefined : dimensions.find(name => needed[name] > (quota[name] ?? Infinity));
+    return lacking === undefined ? undefined : {
+        error: "quota-too-small",
+        reason: `team ${team} may hold ${quota![lacking]} of ${lacking} and the job needs ${needed[lacking]}`,
+    };
+};
+
+const queueRefusal = (submission: JobSubmission, view: AdmissionView): Refusal | undefined => {
+    const limit = view.settings.queueLimit * queueShares[submission.priority];
+    const units = policyOf(submission.class).allOrNothing ? 1 : submission.tasks;
+    const after = view.queueLength + units;
+    return after <= limit ? undefined : {
+        error: "queue-full",
+        reason: `${view.queueLength} wait, ${limit} may at this priority`,
+        retryAfter: view.expectedWait(after - limit),
+    };
+};
+
+const deadlineRefusal = (submission: JobSubmission): Refusal | undefined => {
+    const { deadlineMilliseconds: deadline, expectedRunMilliseconds: run = 0 } = submission;
+    return deadline === undefined || run <= deadline ? undefined : {
+        error: "deadline-cannot-be-met",
+        reason: `it is expected to run ${run} ms and is due in ${deadline} ms`,
+    };
+};
+
+const withoutHeadroom = (capacity: Resources, headroom: number): Resources => ({
+    ...capacity,
+    processorThousandths: capacity.processorThousandths * (1 - headroom),
+});
+
+const timesFitting = (size: Resources, room: Resources): number =>
+    Math.min(...dimensions.filter(name => size[name] > 0).map(name => Math.floor(room[name] / size[name])));
+
+/** The capacity that lacks the fewest dimensions, and what it lacks. */
+const nearestMiss = (size: Resources, shapes: readonly UsableShape[]): string => {
+    const byLack = Ord.contramap((shape: UsableShape) => lackingDimensions(size, shape.room).length)(Number.Ord);
+    const describe = ({ example, room }: UsableShape): string => {
+        const lacking = lackingDimensions(size, room).map(name => `${name} ${size[name]} of ${room[name]}`);
+        return `no worker holds it; the nearest is ${example}, which lacks ${lacking.join(", ")}`;
+    };
+    return pipe(
+        shapes,
+        ReadonlyArray.sort(byLack),
+        ReadonlyNonEmptyArray.fromReadonlyArray,
+        Option.match(() => "the shard has no workers", sorted => describe(ReadonlyNonEmptyArray.head(sorted))),
+    );
+};
--- a/packages/core/src/shard/index.ts
+++ b/packages/core/src/shard/index.ts
@@ -6,6 +6,7 @@
 export * from "./records.js";
 export * from "./settings.js";
 export * from "./shard-scheduler.js";
+export * from "./size.js";
 export * from "./slot-ledger.js";
 export * from "./types.js";
 export * from "./worker-table.js";
--- a/packages/core/src/shard/job-book.ts
+++ b/packages/core/src/shard/job-book.ts
@@ -9,6 +9,7 @@
     FinishedRecord,
     LostRecord,
     NotStartedRecord,
+    OnceEndedRecord,
     ShardRecord,
     StartingRecord,
     SubmittedRecord,
@@ -72,14 +73,25 @@
                 this.terms = record.terms;
                 return;
             case "once-began":
-                this.once.set(record.key, { key: record.key, digest: record.digest, at: record.at });
+                this.once.set(record.key, {
+                    key: record.key,
+                    digest: record.digest,
+                    nonce: record.nonce,
+                    at: record.at,
+                });
                 return;
-            case "once-ended": {
-                const entry = this.once.get(record.key);
-                if (entry !== undefined) {
-                    entry.status = record.status;
-                }
-            }
+            case "once-ended":
+                return this.#applyOnceEnded(record);
+        }
+    }
+
+    #applyOnceEnded({ key, status }: OnceEndedRecord): void {
+        const entry = this.once.get(key);
+        if (status === undefined) {
+            this.once.delete(key);
+        }
+        else if (entry !== undefined) {
+            entry.status = status;
         }
     }
 
--- a/packages/core/src/shard/records.ts
+++ b/packages/core/src/shard/records.ts
@@ -95,14 +95,17 @@
     readonly at: string;
     readonly key: string;
     readonly digest: string;
+    /** Tells the send that this record is for from every other of the key. */
+    readonly nonce: string;
 }
 
-/** An unrepeatable live request was answered. */
+/** An unrepeatable live request was answered, or surely not run. */
 export interface OnceEndedRecord {
     readonly kind: "once-ended";
     readonly at: string;
     readonly key: string;
-    readonly status: number;
+    /** Status of its answer; undefined when it was not run: its key is free again. */
+    readonly status?: number;
 }
 
 /** Lengths of leases that this owner gives from now on; kept before the first of them is given. */
--- a/packages/core/src/shard/shard-scheduler.ts
+++ b/packages/core/src/shard/shard-scheduler.ts
@@ -17,18 +17,9 @@
     type WorkerId,
 } from "../ids/index.js";
 import { isFinalState, JobState, type JobSubmission, type JobView, RanAnswer, WorkloadClass } from "../jobs/index.js";
-import { noWorker, policyOf, type WorkerSlot } from "../placement/index.js";
+import { policyOf } from "../placement/index.js";
 import type { Random } from "../random/index.js";
-import {
-    addResources,
-    dimensions,
-    lackingDimensions,
-    multiplyResources,
-    noResources,
-    type Resources,
-    resourcesKey,
-    subtractResources,
-} from "../resources/index.js";
+import { type Resources, resourcesKey } from "../resources/index.js";
 import type { Clock, Milliseconds } from "../time/index.js";
 import type { ListedWorker } from "../vm-list/index.js";
 import {
@@ -41,34 +32,32 @@
     WorkerRefusal,
     type WorkerReport,
 } from "../worker/index.js";
-import {
-    gatewaysRegisterWithin,
-    longestRetryAfter,
-    passDepth,
-    passInterval,
-    queueShares,
-    rateWeight,
-} from "./constants.js";
+import { refusalOf } from "./admission.js";
+import { longestRetryAfter, passDepth, passInterval, rateWeight } from "./constants.js";
 import { JobBook } from "./job-book.js";
+import { describeJob, isEnding, repeatedOutcome, verdictOf } from "./job-view.js";
 import { LeaseTerms } from "./lease-terms.js";
 import { PendingQueue, type PendingUnit } from "./pending-queue.js";
 import type { RecordedPlacement, ShardRecord } from "./records.js";
 import { RoomSaver } from "./room-saver.js";
+import { ServiceDirectory } from "./service-directory.js";
 import type { ShardSettings } from "./settings.js";
-import { type ServiceInstance, type SlotGrant, SlotLedger, type SlotRequest } from "./slot-ledger.js";
+import { sizeOf } from "./size.js";
+import { type SlotGrant, type SlotRequest } from "./slot-ledger.js";
 import { StepBuilder } from "./step-builder.js";
+import { TeamUse } from "./team-use.js";
 import {
     type JobEntry,
     type OnceEntry,
-    type Refusal,
     type ShardSnapshot,
     type Step,
     type SubmitOutcome,
     type TaskEntry,
     TaskPhase,
 } from "./types.js";
+import { type Choice, WorkerChooser } from "./worker-chooser.js";
 import { WorkerHealth } from "./worker-health.js";
-import { type CapacityShape, isLeaving, type WorkerEntry, WorkerTable } from "./worker-table.js";
+import { isLeaving, type WorkerEntry, WorkerTable } from "./worker-table.js";
 
 /** What a shard's owner is made from. */
 export interface ShardSchedulerOptions {
@@ -90,12 +79,6 @@
     readonly digest: string;
 }
 
-/** Workers for the tasks of a unit, in their order, and why. */
-interface Choice {
-    readonly workers: readonly WorkerEntry[];
-    readonly reason: string;
-}
-
 interface Due {
     readonly at: number;
     readonly job: JobId;
@@ -106,18 +89,8 @@
     readonly unit: PendingUnit;
 }
 
-const noWorkers: ReadonlySet<WorkerId> = new Set();
 const emptyStep: Step = { records: [], effects: [] };
 
-/** The size that a submission asks for, in the units of placement. */
-export const sizeOf = (submission: JobSubmission): Resources => ({
-    processorThousandths: Math.round(submission.size.processors * 1000),
-    memoryMebibytes: submission.size.memoryMebibytes,
-    accelerators: submission.size.accelerators,
-    slots: submission.size.slots,
-    connections: submission.size.connections,
-});
-
 /** See the module's comment. */
 export class ShardScheduler {
     readonly workers = new WorkerTable();
@@ -126,10 +99,10 @@
     readonly #health = new WorkerHealth();
     readonly #saver: RoomSaver;
     readonly #terms = new LeaseTerms();
-    readonly #ledgers = new Map<string, SlotLedger>();
-    readonly #services = new Map<string, Set<JobEntry>>();
+    readonly #services: ServiceDirectory;
+    readonly #chooser: WorkerChooser;
     readonly #sizes = new WeakMap<JobEntry, Resources>();
-    readonly #teamUse = new Map<string, Resources>();
+    readonly #teams = new TeamUse();
     readonly #deadlines = new TinyQueue<Due>([], (left, right) => left.at - right.at);
     readonly #delayed = new TinyQueue<Delayed>([], (left, right) => left.at - right.at);
     readonly #finished: JobEntry[] = [];
@@ -151,6 +124,13 @@
         this.#openedAt = options.clock.monotonic();
         this.#lastTick = this.#openedAt;
         this.#saver = new RoomSaver(this.workers, task => this.#expectedEnd(task));
+        this.#chooser = new WorkerChooser(this.workers, this.#saver);
+        this.#services = new ServiceDirectory({
+            workers: this.workers,
+            hasFormerOwner: options.hasFormerOwner,
+            now: () => this.#now(),
+            slotGrant: () => options.settings().slotGrant,
+        });
     }
 
     /** Whether the list of VMs has been read; before that no worker is known. */
@@ -177,7 +157,12 @@
         if (known !== undefined) {
             return { step: emptyStep, outcome: repeatedOutcome(known, digest) };
         }
-        const refusal = this.#refusalOf(submission);
+        const refusal = refusalOf(submission, {
+            shapes: this.#hasList ? this.workers.shapes() : undefined,
+            queueLength: this.queue.length,
+            settings: this.options.settings(submission.class),
+            expectedWait: place => this.#expectedWait(place),
+        });
         if (refusal !== undefined) {
             return { step: emptyStep, outcome: { kind: "refused", refusal } };
         }
@@ -194,7 +179,7 @@
         });
         const entry = this.#jobOf(job);
         this.#watchDeadline(entry);
-        this.#indexService(entry);
+        this.#services.add(entry);
         this.#enqueue(entry, entry.tasks);
         return { step: builder.step(), outcome: { kind: "accepted", job, repeated: false } };
     }
@@ -220,21 +205,9 @@
         if (job === undefined) {
             return undefined;
         }
-        const isTold = !isFinalState(job.state) || job.unkept === 0;
         const unit = job.state === JobState.Queued ? this.queue.unitOf(job.tasks[0].task) : undefined;
         const place = unit === undefined ? undefined : this.queue.placeOf(unit);
-        return {
-            job: job.job,
-            key: job.key,
-            state: isTold ? job.state : JobState.Running,
-            ran: isTold ? toldRan(job) : RanAnswer.MayHaveRun,
-            reason: isTold ? job.reason : "its end is being recorded",
-            attempts: job.tasks.reduce((most, task) => Math.max(most, task.attempt), 0),
-            workers: job.tasks.flatMap(task => task.assignment?.worker ?? []),
-            place,
-            expectedWait: place === undefined ? undefined : this.#expectedWait(place),
-            outcomes: isTold && isFinalState(job.state) ? job.tasks.map(outcomeOf) : [],
-        };
+        return describeJob(job, { place, expectedWait: place === undefined ? undefined : this.#expectedWait(place) });
     }
 
     /** The job that a caller's key names. */
@@ -266,7 +239,7 @@
                 this.workers.remove(entry);
             }
             else if (isLeaving(entry)) {
-                this.#emptyLeaving(entry, now, builder);
+                this.#emptyLeaving(entry, builder);
             }
         }
         return builder.step();
@@ -370,7 +343,7 @@
         if (entry === undefined || entry.incarnation !== task.assignment.incarnation || !this.#mayRenew()) {
             return undefined;
         }
-        if (this.#isEnding(job) && !mayHaveArrived) {
+        if (isEnding(job) && !mayHaveArrived) {
             return undefined;
         }
         const settings = this.options.settings();
@@ -467,31 +440,33 @@
 
     /** Grants slots of a service's instances to a gateway. Undefined when no such service is known. */
     acquireSlots(service: string, request: SlotRequest): SlotGrant[] | undefined {
-        const jobs = this.#services.get(service);
-        if (jobs === undefined || !this.#mayRenew()) {
-            return jobs === undefined ? undefined : [];
+        if (!this.#services.has(service)) {
+            return undefined;
         }
-        return this.#ledgerOf(service).acquire(
-            request,
-            this.#instancesOf(jobs),
-            this.#now(),
-            this.options.settings().slotGrant,
-        );
+        return this.#mayRenew() ? this.#services.acquire(service, request) : [];
     }
 
-    /** Records that an unrepeatable live request is about to be sent; a second one of the same key is told the first. */
-    beginOnce(key: string, digest: string): { readonly step: Step; readonly earlier: OnceEntry | undefined; } {
-        const earlier = this.book.once.get(key);
-        if (earlier !== undefined) {
-            return { step: emptyStep, earlier };
-        }
+    /**
+     * Records that an unrepeatable live request is about to be sent; a second one of the same key is told the first.
+     * `nonce` names the send: one that asks again, because an owner's answer was lost, is the same and may go out.
+     */
+    beginOnce(
+        key: string,
+        digest: string,
+        nonce: string,
+    ): { readonly step: Step; readonly earlier: OnceEntry | undefined; } {
+        const known = this.book.once.get(key);
+        if (known !== undefined && known.nonce !== nonce) {
+            return { step: emptyStep, earlier: known };
+        }
+        // The same send records itself again: its first record may not be kept yet, and it must be before the send.
         const builder = this.#builder();
-        builder.record({ kind: "once-began", at: this.#at(), key, digest });
+        builder.record({ kind: "once-began", at: this.#at(), key, digest, nonce });
         return { step: builder.step(), earlier: undefined };
     }
 
-    /** Records that an unrepeatable live request was answered. */
-    endOnce(key: string, status: number): Step {
+    /** Records that an unrepeatable live request was answered; without a status, that it was surely not run. */
+    endOnce(key: string, status: number | undefined): Step {
         const builder = this.#builder();
         builder.record({ kind: "once-ended", at: this.#at(), key, status });
         return builder.step();
@@ -572,7 +547,7 @@
             return;
         }
         this.#watchDeadline(job);
-        this.#indexService(job);
+        this.#services.add(job);
         for (const task of job.tasks) {
             if (task.assignment !== undefined) {
                 this.#unlisted.add(task);
@@ -595,7 +570,7 @@
             const entry = assignment === undefined ? undefined : this.workers.get(assignment.worker);
             if (assignment !== undefined && entry !== undefined) {
                 this.workers.charge(entry, task, assignment.grant);
-                this.#useQuota(this.#jobOf(jobOfTask(task.task)), assignment.grant, 1);
+                this.#teams.take(this.#teamOf(task), assignment.grant);
             }
             else if (assignment !== undefined && !isOverdue) {
                 continue;
@@ -607,62 +582,6 @@
         }
     }
 
-    #refusalOf(submission: JobSubmission): Refusal | undefined {
-        if (!this.#hasList) {
-            return { error: "no-workers", reason: "the list of VMs has not been read yet", retryAfter: 1000 };
-        }
-        return this.#sizeRefusal(submission) ?? this.#queueRefusal(submission);
-    }
-
-    #sizeRefusal(submission: JobSubmission): Refusal | undefined {
-        const size = sizeOf(submission);
-        const { placement, quotas } = this.options.settings(submission.class);
-        const policy = policyOf(submission.class);
-        const count = policy.allOrNothing ? submission.tasks : 1;
-        const shapes = this.workers.shapes();
-        const rooms = shapes.map(shape => withoutHeadroom(shape.capacity, policy.headroom(placement)));
-        const places = rooms.reduce((sum, room, index) => sum + timesFitting(size, room) * shapes[index].count, 0);
-        if (places === 0) {
-            return { error: "fits-nowhere", reason: nearestMiss(size, shapes, rooms) };
-        }
-        if (places < count) {
-            return {
-                error: "fits-nowhere",
-                reason: `all ${count} tasks must run at once and the shard holds at most ${places} of this size`,
-            };
-        }
-        const quota = quotas.get(submission.team);
-        const needed = multiplyResources(size, count);
-        const lacking = quota === undefined
-            ? undefined
-            : dimensions.find(name => needed[name] > (quota[name] ?? Infinity));
-        return lacking === undefined ? undefined : {
-            error: "quota-too-small",
-            reason: `team ${submission.team} may hold ${quota![lacking]} of ${lacking} and the job needs ${
-                needed[lacking]
-            }`,
-        };
-    }
-
-    #queueRefusal(submission: JobSubmission): Refusal | undefined {
-        const limit = this.options.settings().queueLimit * queueShares[submission.priority];
-        const length = this.queue.length;
-        const units = policyOf(submission.class).allOrNothing ? 1 : submission.tasks;
-        if (length + units > limit) {
-            const retryAfter = this.#expectedWait(length + units - limit);
-            return { error: "queue-full", reason: `${length} wait, ${limit} may at this priority`, retryAfter };
-        }
-        const deadline = submission.deadlineMilliseconds;
-        const run = submission.expectedRunMilliseconds ?? 0;
-        if (deadline !== undefined && run > deadline) {
-            return {
-                error: "deadline-cannot-be-met",
-                reason: `it is expected to run ${run} ms and is due in ${deadline} ms`,
-            };
-        }
-        return undefined;
-    }
-
     #watchDeadline(job: JobEntry): void {
         const { deadlineMilliseconds } = job.submission;
         if (deadlineMilliseconds !== undefined) {
@@ -670,15 +589,6 @@
         }
     }
 
-    #indexService(job: JobEntry): void {
-        const { service } = job.submission;
-        if (service !== undefined) {
-            const jobs = this.#services.get(service) ?? new Set<JobEntry>();
-            jobs.add(job);
-            this.#services.set(service, jobs);
-        }
-    }
-
     #enqueue(job: JobEntry, tasks: readonly TaskEntry[]): void {
         const { submission } = job;
         const signature = `${submission.class}|${submission.team}|${resourcesKey(sizeOf(submission))}`;
@@ -711,114 +621,51 @@
     #place(unit: PendingUnit, now: Milliseconds, builder: StepBuilder): boolean {
         const job = this.#jobOf(unit.job);
         const size = this.#sizeOf(job);
-        if (!this.#isWithinQuota(job, size, unit.tasks.length)) {
+        const { team } = job.submission;
+        if (!this.#teams.isWithinQuota(team, size, unit.tasks.length, this.options.settings().quotas)) {
             return false;
         }
+        const settings = this.options.settings(job.submission.class);
         const avoided = this.#health.failedWorkersOf(job.job);
-        // Workers where the job failed are taken only if the others have no room.
-        const choice = this.#choose(unit, job, size, avoided, now)
-            ?? (avoided.size === 0 ? undefined : this.#choose(unit, job, size, noWorkers, now));
+        const choice = this.#chooser.choose({ unit, job, size, settings, avoided, now });
         if (choice === undefined) {
-            this.#saveRoom(unit, job, size, now);
+            if (unit.tasks.length > 1 && now - unit.since >= settings.gangPatience) {
+                this.#saver.save(job.job, size, unit.tasks.length, now);
+            }
             return false;
         }
         this.#saver.done(unit.job);
-        this.#recordPlacements(job, unit, choice.workers, size, choice.reason, builder);
+        this.#recordPlacements(job, unit, choice, size, builder);
         return true;
     }
 
-    /** Workers for all tasks of a unit, or undefined when not all of them fit now. */
-    #choose(
-        unit: PendingUnit,
-        job: JobEntry,
-        size: Resources,
-        avoided: ReadonlySet<WorkerId>,
-        now: Milliseconds,
-    ): Choice | undefined {
-        const { placement } = this.options.settings(job.submission.class);
-        const policy = policyOf(job.submission.class);
-        const preference = policy.preference(placement);
-        const headroom = policy.headroom(placement);
-        const expectedEnd = now + (job.submission.expectedRunMilliseconds ?? Infinity);
-        const isExcluded = (worker: WorkerSlot): boolean => {
-            const entry = this.workers.at(worker);
-            return avoided.has(entry.worker) || this.#saver.isSavedForAnother(entry, unit.job, expectedEnd);
-        };
-        const isGang = unit.tasks.length > 1;
-        const workers: WorkerEntry[] = [];
-        let considered = 0;
-        let fitted = 0;
-        for (let index = 0; index < unit.tasks.length; index++) {
-            const decision = this.workers.index.find({ size, preference, headroom, isExcluded });
-            considered += decision.considered;
-            fitted += decision.fitted;
-            if (decision.worker === noWorker) {
-                break;
-            }
-            workers.push(this.workers.at(decision.worker));
-            if (isGang) {
-                this.workers.index.reserve(decision.worker, size);
-            }
-        }
-        // Charged with the record; here only the search for the next task of a gang needed the room.
-        if (isGang) {
-            workers.forEach(entry => this.workers.index.release(entry.slot, size));
-        }
-        if (workers.length < unit.tasks.length) {
-            return undefined;
-        }
-        const waited = Math.round(Math.max(0, now - unit.since));
-        return {
-            workers,
-            reason: `${preference}: best of ${fitted} that fit, ${considered} looked at, after ${waited} ms`,
-        };
-    }
-
-    #recordPlacements(
-        job: JobEntry,
-        unit: PendingUnit,
-        chosen: readonly WorkerEntry[],
-        grant: Resources,
-        reason: string,
-        builder: StepBuilder,
-    ): void {
+    #recordPlacements(job: JobEntry, unit: PendingUnit, choice: Choice, grant: Resources, builder: StepBuilder): void {
+        const { workers, reason } = choice;
         const tasks = unit.tasks.map(task => job.tasks[indexOfTask(task)]);
         const placements = tasks.map((task, index): RecordedPlacement => ({
             task: task.task,
             attempt: (task.attempt + 1) as Attempt,
-            worker: chosen[index].worker,
-            incarnation: chosen[index].incarnation!,
+            worker: workers[index].worker,
+            incarnation: workers[index].incarnation!,
             grant,
         }));
         builder.record({ kind: "starting", at: this.#at(), job: job.job, placements, reason });
         placements.forEach(({ worker, task, attempt }, index) => {
-            this.workers.charge(chosen[index], tasks[index], grant);
-            this.#useQuota(job, grant, 1);
+            this.workers.charge(workers[index], tasks[index], grant);
+            this.#teams.take(job.submission.team, grant);
             builder.effect({ kind: "start", worker, task, attempt });
         });
         this.#startsSinceTick += placements.length;
     }
 
-    #saveRoom(unit: PendingUnit, job: JobEntry, size: Resources, now: Milliseconds): void {
-        if (unit.tasks.length > 1 && now - unit.since >= this.options.settings(job.submission.class).gangPatience) {
-            this.#saver.save(job.job, size, unit.tasks.length, now);
-        }
-    }
-
     /** When a running task is expected to end, by its caller's word; never, when nothing was said. */
     #expectedEnd(task: TaskEntry): Milliseconds {
         const run = this.book.jobs.get(jobOfTask(task.task))?.submission.expectedRunMilliseconds;
         return run === undefined ? Infinity : (task.confirmedAt ?? this.#now()) + run;
     }
 
-    #isWithinQuota(job: JobEntry, size: Resources, count: number): boolean {
-        const { team } = job.submission;
-        const quota = this.options.settings().quotas.get(team);
-        if (quota === undefined) {
-            return true;
-        }
-        const used = addResources(this.#teamUse.get(team) ?? noResources, multiplyResources(size, count));
-        return dimensions.every(name => used[name] <= (quota[name] ?? Infinity));
+    #teamOf(task: TaskEntry): string {
+        return this.#jobOf(jobOfTask(task.task)).submission.team;
     }
 
     #sizeOf(job: JobEntry): Resources {
@@ -830,12 +677,6 @@
         return size;
     }
 
-    #useQuota(job: JobEntry, grant: Resources, sign: number): void {
-        const { team } = job.submission;
-        const used = this.#teamUse.get(team) ?? noResources;
-        this.#teamUse.set(team, sign > 0 ? addResources(used, grant) : subtractResources(used, grant));
-    }
-
     #takeReport(entry: WorkerEntry, report: WorkerReport, sentAt: Milliseconds, builder: StepBuilder): void {
         entry.number = report.number;
         entry.answeredAt = this.#now();
@@ -847,7 +688,7 @@
         }
         entry.strangers = this.#stopStrangers(entry, report, builder);
         if (report.leaving) {
-            this.#emptyLeaving(entry, entry.answeredAt, builder);
+            this.#emptyLeaving(entry, builder);
         }
         this.#refresh(entry);
     }
@@ -888,7 +729,7 @@
         const job = this.#jobOf(jobOfTask(task.task));
         const isBrokenGang = job.submission.class === WorkloadClass.Gang
             && job.tasks.some(other => other.phase === TaskPhase.Waiting);
-        if (this.#isEnding(job) || isBrokenGang) {
+        if (isEnding(job) || isBrokenGang) {
             this.#stop(task, StopMode.Stop, builder);
         }
     }
@@ -957,18 +798,13 @@
         if (job.submission.class === WorkloadClass.Service) {
             return false;
         }
-        if (kind === EndKind.Stopped && !this.#isEnding(job) && job.submission.class === WorkloadClass.Gang) {
+        if (kind === EndKind.Stopped && !isEnding(job) && job.submission.class === WorkloadClass.Gang) {
             return false;
         }
         return job.submission.unrepeatable
             || task.spent + 1 > this.options.settings(job.submission.class).retryAttempts;
     }
 
-    #isEnding(job: JobEntry): boolean {
-        return isFinalState(job.state) || job.state === JobState.Cancelling
-            || job.tasks.some(task => task.phase === TaskPhase.Failed);
-    }
-
     #notStarted(task: TaskEntry, reason: string, builder: StepBuilder): void {
         this.#leave(task, () => {
             builder.record({ kind: "not-started", at: this.#at(), task: task.task, attempt: task.attempt, reason });
@@ -1001,7 +837,7 @@
     #discharge(task: TaskEntry, entry: WorkerEntry, grant: Resources): void {
         if (entry.tasks.has(task.task)) {
             this.workers.discharge(entry, task, grant);
-            this.#useQuota(this.#jobOf(jobOfTask(task.task)), grant, -1);
+            this.#teams.giveBack(this.#teamOf(task), grant);
         }
     }
 
@@ -1014,7 +850,7 @@
     /** What follows from a task that left its worker: the job's end, a retry, or the next try of a whole gang. */
     #afterTask(job: JobEntry, task: TaskEntry, builder: StepBuilder): void {
         builder.changed(job.job);
-        if (this.#isEnding(job) || job.tasks.every(other => other.phase === TaskPhase.Succeeded)) {
+        if (isEnding(job) || job.tasks.every(other => other.phase === TaskPhase.Succeeded)) {
             this.#endJob(job, builder);
             return;
         }
@@ -1078,9 +914,7 @@
         builder.changed(job.job);
         this.#finished.push(job);
         this.#health.forgetJob(job.job);
-        if (job.submission.service !== undefined) {
-            this.#services.get(job.submission.service)?.delete(job);
-        }
+        this.#services.remove(job);
     }
 
     #stop(task: TaskEntry, mode: StopMode, builder: StepBuilder): void {
@@ -1119,7 +953,7 @@
     }
 
     /** Moves repeatable work off a leaving worker; an unrepeatable task is left to end by itself. */
-    #emptyLeaving(entry: WorkerEntry, now: Milliseconds, builder: StepBuilder): void {
+    #emptyLeaving(entry: WorkerEntry, builder: StepBuilder): void {
         this.#refresh(entry);
         for (const task of entry.tasks.values()) {
             const job = this.#jobOf(jobOfTask(task.task));
@@ -1127,55 +961,13 @@
                 continue;
             }
             const { service } = job.submission;
-            const isServing = service !== undefined && this.#ledgerOf(service).grantedOf(task.task, now) > 0;
+            const isServing = service !== undefined && this.#services.isGranted(service, task.task);
             if (!isServing) {
                 this.#stop(task, service === undefined ? StopMode.Checkpoint : StopMode.Stop, builder);
             }
         }
     }
 
-    #ledgerOf(service: string): SlotLedger {
-        let ledger = this.#ledgers.get(service);
-        if (ledger === undefined) {
-            // Counted from the first request: gateways may have found the new owner only now.
-            const settledAt = this.options.hasFormerOwner
-                ? this.#now() + Math.min(gatewaysRegisterWithin, this.options.settings().slotGrant)
-                : -Infinity;
-            ledger = new SlotLedger(settledAt);
-            this.#ledgers.set(service, ledger);
-        }
-        return ledger;
-    }
-
-    #instancesOf(jobs: ReadonlySet<JobEntry>): ServiceInstance[] {
-        const instances: ServiceInstance[] = [];
-        for (const job of jobs) {
-            for (const task of job.tasks) {
-                const entry = task.assignment === undefined ? undefined : this.workers.get(task.assignment.worker);
-                if (entry !== undefined && this.#mayServe(task, entry)) {
-                    instances.push({
-                        task: task.task,
-                        worker: entry.worker,
-                        address: task.serviceAddress,
-                        dataHall: entry.listed.dataHall,
-                        slots: job.submission.size.slots,
-                    });
-                }
-            }
-        }
-        return instances;
-    }
-
-    /** Whether live requests may go to a task: it runs, or a new owner has not heard from its worker yet. */
-    #mayServe(task: TaskEntry, entry: WorkerEntry): boolean {
-        if (task.stopSent === true || isLeaving(entry)) {
-            return false;
-        }
-        const isUnheard = entry.incarnation === undefined && this.options.hasFormerOwner;
-        const isRunning = task.phase === TaskPhase.Running && task.serviceAddress !== undefined;
-        return isUnheard || (isRunning && this.workers.index.isOpen(entry.slot));
-    }
-
     #measureRate(now: Milliseconds): void {
         const elapsed = now - this.#lastTick;
         if (elapsed < 1000) {
@@ -1213,67 +1005,9 @@
     right: { task: TaskId; attempt: Attempt; },
 ): boolean => left.task === right.task && left.attempt === right.attempt;
 
-const repeatedOutcome = (known: JobEntry, digest: string): SubmitOutcome =>
-    known.digest === digest
-        ? { kind: "accepted", job: known.job, repeated: true }
-        : {
-            kind: "refused",
-            refusal: { error: "key-reused", reason: `key ${known.key} names a job with another body` },
-        };
-
-const outcomeOf = (task: TaskEntry) => ({
-    task: task.task,
-    output: task.output,
-    succeeded: task.phase === TaskPhase.Succeeded,
-});
-
-/** "Not run" is said only while no start is on its way. */
-const toldRan = (job: JobEntry): RanAnswer => {
-    const mayRun = job.ran === RanAnswer.NotRun && job.tasks.some(task => task.assignment !== undefined);
-    return mayRun ? RanAnswer.MayHaveRun : job.ran;
-};
-
 const jobOfRecord = (record: ShardRecord): JobId | undefined => {
     if ("job" in record) {
         return record.job;
     }
     return "task" in record ? jobOfTask(record.task) : undefined;
 };
-
-const verdictOf = (job: JobEntry): { state: JobState; reason: string; } => {
-    if (job.tasks.every(task => task.phase === TaskPhase.Succeeded)) {
-        return { state: JobState.Succeeded, reason: "all tasks succeeded" };
-    }
-    if (job.state === JobState.Cancelling) {
-        return { state: JobState.Cancelled, reason: "the caller cancelled it" };
-    }
-    if (job.tasks.some(task => task.phase === TaskPhase.Failed && task.isLost === true)) {
-        return { state: JobState.Unknown, reason: "a worker was lost with it; it may have run" };
-    }
-    const failed = job.tasks.find(task => task.phase === TaskPhase.Failed);
-    return { state: JobState.Failed, reason: failed?.output || `ended: ${failed?.end}` };
-};
-
-const withoutHeadroom = (capacity: Resources, headroom: number): Resources => ({
-    ...capacity,
-    processorThousandths: capacity.processorThousandths * (1 - headroom),
-});
-
-const timesFitting = (size: Resources, room: Resources): number =>
-    Math.min(...dimensions.filter(name => size[name] > 0).map(name => Math.floor(room[name] / size[name])));
-
-const nearestMiss = (size: Resources, shapes: readonly CapacityShape[], rooms: readonly Resources[]): string => {
-    if (shapes.length === 0) {
-        return "the shard has no workers";
-    }
-    let nearest = 0;
-    rooms.forEach((room, index) => {
-        if (lackingDimensions(size, room).length < lackingDimensions(size, rooms[nearest]).length) {
-            nearest = index;
-        }
-    });
-    const lacking = lackingDimensions(size, rooms[nearest]).map(name =>
-        `${name} ${size[name]} of ${rooms[nearest][name]}`
-    );
-    return `no worker holds it; the nearest is ${shapes[nearest].example}, which lacks ${lacking.join(", ")}`;
-};
--- /dev/null
+++ b/packages/core/src/shard/team-use.ts
@@ -0,0 +1,39 @@
+/** What each team holds, against its quota. */
+import {
+    addResources,
+    dimensions,
+    multiplyResources,
+    noResources,
+    type Resources,
+    subtractResources,
+} from "../resources/index.js";
+import type { ShardSettings } from "./settings.js";
+
+/** Sums of grants by team. */
+export class TeamUse {
+    readonly #used = new Map<string, Resources>();
+
+    /** Whether a team may hold `count` more of a size. */
+    isWithinQuota(team: string, size: Resources, count: number, quotas: ShardSettings["quotas"]): boolean {
+        const quota = quotas.get(team);
+        if (quota === undefined) {
+            return true;
+        }
+        const after = addResources(this.#usedBy(team), multiplyResources(size, count));
+        return dimensions.every(name => after[name] <= (quota[name] ?? Infinity));
+    }
+
+    /** Counts a grant. */
+    take(team: string, grant: Resources): void {
+        this.#used.set(team, addResources(this.#usedBy(team), grant));
+    }
+
+    /** Gives a grant back. */
+    giveBack(team: string, grant: Resources): void {
+        this.#used.set(team, subtractResources(this.#usedBy(team), grant));
+    }
+
+    #usedBy(team: string): Resources {
+        return this.#used.get(team) ?? noResources;
+    }
+}
--- a/packages/core/src/shard/types.ts
+++ b/packages/core/src/shard/types.ts
@@ -68,6 +68,8 @@
 export interface OnceEntry {
     readonly key: string;
     readonly digest: string;
+    /** The send that may go out. */
+    readonly nonce: string;
     readonly at: string;
     /** Status of its answer, once there is one. */
     status?: number;
--- /dev/null
+++ b/packages/core/src/shard/worker-chooser.ts
@@ -0,0 +1,81 @@
+/** Chooses workers for what waits: one task, or all tasks of a gang at once. */
+import type { WorkerId } from "../ids/index.js";
+import { noWorker, policyOf, type WorkerSlot } from "../placement/index.js";
+import type { Resources } from "../resources/index.js";
+import type { Milliseconds } from "../time/index.js";
+import type { PendingUnit } from "./pending-queue.js";
+import type { RoomSaver } from "./room-saver.js";
+import type { ShardSettings } from "./settings.js";
+import type { JobEntry } from "./types.js";
+import type { WorkerEntry, WorkerTable } from "./worker-table.js";
+
+/** Workers for the tasks of a unit, in their order, and why. */
+export interface Choice {
+    readonly workers: readonly WorkerEntry[];
+    readonly reason: string;
+}
+
+/** What is to be placed. */
+export interface ChoiceRequest {
+    readonly unit: PendingUnit;
+    readonly job: JobEntry;
+    readonly size: Resources;
+    readonly settings: ShardSettings;
+    /** Workers to be taken only if the others have no room. */
+    readonly avoided: ReadonlySet<WorkerId>;
+    readonly now: Milliseconds;
+}
+
+const noWorkers: ReadonlySet<WorkerId> = new Set();
+
+/** See the module's comment. */
+export class WorkerChooser {
+    constructor(private readonly workers: WorkerTable, private readonly saver: RoomSaver) {}
+
+    /** Workers for all tasks of a unit, or undefined when not all of them fit now. Nothing is reserved. */
+    choose(request: ChoiceRequest): Choice | undefined {
+        const { avoided } = request;
+        return this.#chooseWithout(request, avoided)
+            ?? (avoided.size === 0 ? undefined : this.#chooseWithout(request, noWorkers));
+    }
+
+    #chooseWithout(
+        { unit, job, size, settings, now }: ChoiceRequest,
+        avoided: ReadonlySet<WorkerId>,
+    ): Choice | undefined {
+        const policy = policyOf(job.submission.class);
+        const preference = policy.preference(settings.placement);
+        const headroom = policy.headroom(settings.placement);
+        const expectedEnd = now + (job.submission.expectedRunMilliseconds ?? Infinity);
+        const isExcluded = (slot: WorkerSlot): boolean => {
+            const entry = this.workers.at(slot);
+            return avoided.has(entry.worker) || this.saver.isSavedForAnother(entry, unit.job, expectedEnd);
+        };
+        const isGang = unit.tasks.length > 1;
+        const chosen: WorkerEntry[] = [];
+        let considered = 0;
+        let fitted = 0;
+        for (let index = 0; index < unit.tasks.length; index++) {
+            const decision = this.workers.index.find({ size, preference, headroom, isExcluded });
+            considered += decision.considered;
+            fitted += decision.fitted;
+            if (decision.worker === noWorker) {
+                break;
+            }
+            chosen.push(this.workers.at(decision.worker));
+            if (isGang) {
+                this.workers.index.reserve(decision.worker, size);
+            }
+        }
+        // Charged with the record; here only the search for the next task of a gang needed the room.
+        if (isGang) {
+            chosen.forEach(entry => this.workers.index.release(entry.slot, size));
+        }
+        if (chosen.length < unit.tasks.length) {
+            return undefined;
+        }
+        const waited = Math.round(Math.max(0, now - unit.since));
+        const reason = `${preference}: best of ${fitted} that fit, ${considered} looked at, after ${waited} ms`;
+        return { workers: chosen, reason };
+    }
+}
--- a/packages/gateway/src/callers/services.ts
+++ b/packages/gateway/src/callers/services.ts
@@ -129,10 +129,10 @@
 
     /** An unrepeatable request is recorded before it is sent, and sent once. */
     async #passOnce(passage: Passage, key: string): Promise<PassageEnd> {
-        const { owners, shards } = this.options;
+        const { owners, random, shards } = this.options;
         const { method, path, body } = passage.request;
         const digest = digestOf({ method, path, body: body?.toString("base64") });
-        const message = { shard: shardOfText(key, shards), key, digest };
+        const message = { shard: shardOfText(key, shards), key, digest, nonce: random.name() };
         const answer = await owners.call(
             message.shard,
             onceLimit,
@@ -147,13 +147,10 @@
             return { error: "already-sent", reason, isWhole: false };
         }
         const end = await this.#pass(passage);
-        const status = end.status;
-        if (status !== undefined) {
-            void owners.call(
-                message.shard,
-                onceLimit,
-                (calls, signal) => calls.endOnce.mutate({ ...message, status }, { signal }),
-            ).catch(() => undefined);
+        if (end.status !== undefined || isSurelyNotRun(end)) {
+            const ended = { ...message, status: end.status };
+            void owners.call(message.shard, onceLimit, (calls, signal) => calls.endOnce.mutate(ended, { signal }))
+                .catch(() => undefined);
         }
         return end;
     }
@@ -267,6 +264,16 @@
     }
 }
 
+/** Errors that are only given when no send can have been run. */
+const notRunErrors: readonly (ErrorName | undefined)[] = [
+    "overloaded",
+    "no-owner",
+    "no-such-service",
+    "instance-unreachable",
+];
+
+const isSurelyNotRun = (end: PassageEnd): boolean => notRunErrors.includes(end.error);
+
 const unreachableRetryAfter: Milliseconds = 1_000;
 
 const refusalOf = (outcome: Exclude<Awaited<ReturnType<SlotBroker["take"]>>, { kind: "slot"; }>): PassageEnd => {
--- a/packages/runtime/src/protocol/types.ts
+++ b/packages/runtime/src/protocol/types.ts
@@ -85,6 +85,8 @@
     readonly shard: ShardId;
     readonly key: string;
     readonly digest: string;
+    /** Names this send; the same when an owner is asked again. */
+    readonly nonce: string;
     readonly status?: number;
 }
 
--- a/packages/scheduler/src/ownership/candidate.ts
+++ b/packages/scheduler/src/ownership/candidate.ts
@@ -8,6 +8,7 @@
     openJournal,
     type PlatformLeaseId,
     type PlatformStore,
+    PlatformUnavailableError,
     type ProcessId,
     type Random,
     type ShardId,
@@ -96,8 +97,23 @@
         }
         const lease = await store.grantLease(values["owner.lease"]);
         const value: OwnerValue = { process: owner, address: values["listen.peers"], nonce: random.name() };
-        const outcome = await store.compareAndSwap(key, absentVersion, JSON.stringify(value), lease);
-        return outcome.kind === "swapped" ? lease : undefined;
+        return await this.#writeOwner(key, value, lease) ? lease : undefined;
+    }
+
+    /** Writes the owner's key if it is free. A lost answer is settled by reading: the nonce tells whose the key is. */
+    async #writeOwner(key: string, value: OwnerValue, lease: PlatformLeaseId): Promise<boolean> {
+        const { store } = this.options;
+        try {
+            const outcome = await store.compareAndSwap(key, absentVersion, JSON.stringify(value), lease);
+            return outcome.kind === "swapped";
+        }
+        catch (cause) {
+            if (!(cause instanceof PlatformUnavailableError)) {
+                throw cause;
+            }
+            const entry = await store.get(key);
+            return entry !== undefined && (JSON.parse(entry.value) as OwnerValue).nonce === value.nonce;
+        }
     }
 
     async #serve(lease: PlatformLeaseId, stop: AbortSignal): Promise<void> {
--- a/packages/scheduler/src/service/local-service.ts
+++ b/packages/scheduler/src/service/local-service.ts
@@ -125,7 +125,7 @@
         if (owned === undefined) {
             return notOwner;
         }
-        const { step, earlier } = owned.core.beginOnce(request.key, request.digest);
+        const { step, earlier } = owned.core.beginOnce(request.key, request.digest, request.nonce);
         return whenRecorded(async () => {
             await owned.commitWithin(step);
             return { kind: "recorded" as const, earlier };
@@ -139,7 +139,7 @@
             return notOwner;
         }
         return whenRecorded(async () => {
-            await owned.commitWithin(owned.core.endOnce(request.key, request.status ?? 0));
+            await owned.commitWithin(owned.core.endOnce(request.key, request.status));
             return { kind: "recorded" as const, earlier: undefined };
         });
     }
