--- /dev/null
+++ b/packages/evidence/test/operator/command-line.test.ts
@@ -0,0 +1,136 @@
+import { PlatformStandIn } from "@pebbledale/stand-ins";
+import { expect } from "earl";
+import { execFile } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { dirname, join } from "node:path";
+import { after, before, describe, it } from "node:test";
+import { fileURLToPath } from "node:url";
+
+interface Run {
+    readonly code: number;
+    readonly out: string;
+    readonly err: string;
+}
+
+const mainOf = (program: string): string =>
+    join(dirname(fileURLToPath(import.meta.resolve(`@pebbledale/${program}`))), "cli", "main.js");
+
+const run = (program: string, parameters: readonly string[]): Promise<Run> =>
+    new Promise(resolve => {
+        execFile(process.execPath, [mainOf(program), ...parameters], (error, out, err) => {
+            resolve({ code: typeof error?.code === "number" ? error.code : 0, out, err });
+        });
+    });
+
+describe("command line", () => {
+    const folder = mkdtempSync(join(tmpdir(), "pebbledale-cli-"));
+    const config = join(folder, "pebbledale.ini");
+    const platform = new PlatformStandIn();
+    const file = (name: string, text: string): string => {
+        const path = join(folder, name);
+        writeFileSync(path, text);
+        return path;
+    };
+    const operate = (...parameters: string[]) => run("operator", [...parameters, "--config", config]);
+
+    before(async () => {
+        const address = await platform.listen();
+        writeFileSync(config, `[platform]\naddress = ${address}\ntimeout = 500ms\n[peers]\nschedulers = 127.0.0.1:1\n`);
+    });
+    after(async () => {
+        await platform.close();
+        rmSync(folder, { recursive: true });
+    });
+
+    it("prints its version and its help", async () => {
+        expect((await run("operator", ["--version"])).out.trim()).toEqual("0.1.0");
+        const help = await run("operator", ["--help"]);
+        expect(help.code).toEqual(0);
+        expect(help.out.includes("settings accept")).toEqual(true);
+    });
+
+    it("names the place of each finding in its own file and leaves with 2", async () => {
+        const wrong = file("wrong.ini", "[platform]\naddress = nowhere\nspeed = 3\n");
+        const answer = await run("operator", ["status", "--config", wrong]);
+        expect(answer.code).toEqual(2);
+        expect(answer.err.split("\n").slice(0, 3).map(line => line.replace(folder, ""))).toEqual([
+            "/wrong.ini:1: [peers] schedulers: must be set",
+            `/wrong.ini:2: [platform] address: "nowhere" is no IP number and port, as in 127.0.0.1:7000`,
+            "/wrong.ini:3: [platform] speed: no such key",
+        ]);
+    });
+
+    it("accepts a tree, explains a value, and shows a race to its loser", async () => {
+        const first = file("first.ini", "[organisation]\nlease.duration = 20s\n");
+        const second = file(
+            "second.ini",
+            "[organisation]\nlease.duration = 30s\n[site luzon/pasig]\nplacement.preference = pack\n",
+        );
+        expect((await operate("settings", "accept", first, "--base", "0")).out).toEqual("revision 1 is in force\n");
+        expect((await operate("settings", "accept", second, "--base", "1", "--author", "ana")).code).toEqual(0);
+        const lost = await operate("settings", "accept", first, "--base", "1", "--json");
+        expect(lost.code).toEqual(1);
+        expect(lost.err.includes("revision 2 is in force, ana accepted it")).toEqual(true);
+        expect((JSON.parse(lost.out) as { changedSince: unknown[]; }).changedSince.length).toEqual(2);
+        const explained = await operate(
+            "settings",
+            "explain",
+            "placement.preference",
+            "--site",
+            "luzon/pasig",
+            "--json",
+        );
+        expect((JSON.parse(explained.out) as { values: unknown[]; }).values).toEqual([
+            { key: "placement.preference", value: "pack", section: "site luzon/pasig", line: 4 },
+        ]);
+        const history = await operate("settings", "history", "--json");
+        const { revisions } = JSON.parse(history.out) as { revisions: { revision: number; }[]; };
+        expect(revisions.map(entry => entry.revision)).toEqual([2, 1]);
+        const diff = await operate("settings", "diff", first, "--json");
+        expect(JSON.parse(diff.out)).toEqual({
+            base: 2,
+            differences: [
+                { section: "organisation", key: "lease.duration", before: "30s", after: "20s" },
+                { section: "site luzon/pasig", key: "placement.preference", before: "pack" },
+            ],
+        });
+    });
+
+    it("refuses a tree with findings and an unknown revision, and changes nothing", async () => {
+        const wrong = file("tree.ini", "[organisation]\nlease.duration = -1s\n[village x]\n");
+        const answer = await operate("settings", "accept", wrong, "--base", "2");
+        expect(answer.code).toEqual(1);
+        expect(answer.err.trim().split("\n").length).toEqual(2);
+        const unknown = await operate("settings", "get", "--revision", "77");
+        expect(unknown.code).toEqual(1);
+        expect(unknown.err.startsWith("No such revision")).toEqual(true);
+    });
+
+    it("says so when no scheduler answers", async () => {
+        const answer = await operate("status");
+        expect(answer.code).toEqual(1);
+        expect(answer.out.includes("no answer")).toEqual(true);
+    });
+
+    it("says so when the platform does not answer", async () => {
+        platform.control({ outage: true });
+        const answer = await operate("settings", "get");
+        platform.control({ outage: false });
+        expect(answer.code).toEqual(1);
+        expect(answer.err.startsWith("The platform does not answer")).toEqual(true);
+    });
+
+    for (const program of ["gateway", "scheduler"]) {
+        it(`${program} --check collects all findings and leaves with 2`, async () => {
+            const answer = await run(program, [
+                "--check",
+                file("program.ini", "[process]\nname = a b\n[platform]\ntimeout = 5\n"),
+            ]);
+            expect(answer.code).toEqual(2);
+            expect(answer.err.includes(`program.ini:2: [process] name: "a b" is no name`)).toEqual(true);
+            expect(answer.err.includes(`program.ini:4: [platform] timeout: "5" is no duration`)).toEqual(true);
+            expect(answer.err.includes("[peers] schedulers: must be set")).toEqual(true);
+        });
+    }
+});
--- a/packages/gateway/src/live/forward.ts
+++ b/packages/gateway/src/live/forward.ts
@@ -85,7 +85,8 @@
         const answeredId = answer.headers[requestIdHeader];
         if (answeredId !== undefined && answeredId !== request.id) {
             // An answer to another request: it never reaches this caller.
-            answer.body.destroy();
+            // Without a listener the end of an unread body would be an error that nobody takes.
+            answer.body.on("error", () => undefined).destroy();
             return { kind: "may-have-run", cause: `the answer belongs to request ${answeredId}` };
         }
         reply.writeHead(answer.statusCode, { ...answerHeaders(answer.headers), [requestIdHeader]: request.id });
