--- a/packages/core/src/settings/diff.ts
+++ b/packages/core/src/settings/diff.ts
@@ -1,4 +1,8 @@
 /** Differences between two trees, key by key. */
+import { pipe } from "fp-ts/lib/function.js";
+import * as Ord from "fp-ts/lib/Ord.js";
+import * as ReadonlyArray from "fp-ts/lib/ReadonlyArray.js";
+import * as String from "fp-ts/lib/string.js";
 import type { SettingsTree } from "./tree.js";
 
 /** One key that differs. */
@@ -11,8 +15,11 @@
     readonly after: string | undefined;
 }
 
+const bySection = Ord.contramap((difference: SettingsDifference) => difference.section)(String.Ord);
+const byKey = Ord.contramap((difference: SettingsDifference) => difference.key)(String.Ord);
+
 /** All keys that differ between two trees, by section and key. */
-export const diffSettings = (before: SettingsTree, after: SettingsTree): SettingsDifference[] => {
+export const diffSettings = (before: SettingsTree, after: SettingsTree): readonly SettingsDifference[] => {
     const places = new Map<string, SettingsDifference>();
     const placeOf = (section: string, key: string) => `${section}\n${key}`;
     for (const { section, key, value } of before.entries()) {
@@ -22,7 +29,9 @@
         const known = places.get(placeOf(section, key));
         places.set(placeOf(section, key), { section, key, before: known?.before, after: value });
     }
-    return [...places.values()]
-        .filter(difference => difference.before !== difference.after)
-        .sort((left, right) => left.section.localeCompare(right.section) || left.key.localeCompare(right.key));
+    return pipe(
+        [...places.values()],
+        ReadonlyArray.filter(difference => difference.before !== difference.after),
+        ReadonlyArray.sortBy([bySection, byKey]),
+    );
 };
--- a/packages/core/src/settings/tree.ts
+++ b/packages/core/src/settings/tree.ts
@@ -1,4 +1,7 @@
 /** Inheritance: a class takes what it does not set from its site, that from its region, that from the organisation. */
+import { pipe } from "fp-ts/lib/function.js";
+import * as Option from "fp-ts/lib/Option.js";
+import * as ReadonlyArray from "fp-ts/lib/ReadonlyArray.js";
 import { err, ok, type Result } from "neverthrow";
 import { readIniDocument } from "./ini-document.js";
 import { type TeamKey, teamSchema, type TreeKey, treeSchema } from "./schema.js";
@@ -64,13 +67,14 @@
 
     /** The value in force at a path and where it came from. */
     explain(key: TreeKey, path: TreePath): ExplainedValue {
-        for (const section of sectionsOf(path)) {
-            const entry = this.#entries.get(section)?.get(key);
-            if (entry !== undefined) {
-                return { key, value: entry.value, section, line: entry.line };
-            }
-        }
-        return { key, value: treeSchema[key].fallback!, section: "default", line: 0 };
+        return pipe(
+            sectionsOf(path),
+            ReadonlyArray.findFirstMap(section => Option.fromNullable(this.#entries.get(section)?.get(key))),
+            Option.match(
+                () => ({ key, value: treeSchema[key].fallback!, section: "default", line: 0 }),
+                ({ value, section, line }) => ({ key, value, section, line }),
+            ),
+        );
     }
 
     /** A number in force at a path: milliseconds, a count, or a share from 0 to 1. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,18 +1,17 @@
 /** Puts a gateway together from its settings file and runs it until it is asked to stop. */
-import { formatFinding, logEvents, settingsRevision, SystemClock, SystemRandom } from "@pebbledale/core";
+import { logEvents, settingsRevision, SystemClock, SystemRandom } from "@pebbledale/core";
 import {
     BurnRecorder,
     createAdministration,
-    createLogger,
-    ExitCode,
+    type EventLogger,
     gatewaySchema,
     HttpPlatformStore,
     isAddressInUse,
     listenAt,
-    loadProgramSettings,
     Metrics,
+    type PrintLine,
     type ProgramValues,
-    runProgram,
+    runFromFile,
     SettingsWatch,
     stopSignal,
     untilAborted,
@@ -21,27 +20,14 @@
 import { OwnerDirectory } from "./owners/index.js";
 
 type Values = ProgramValues<typeof gatewaySchema>;
-type Logger = ReturnType<typeof createLogger>;
 
 const noOwnerRetryAfter = 1_000;
 
 /** Runs the program; resolves to its exit code. `print` shows findings to the operator. */
-export const runGateway = async (file: string, checkOnly: boolean, print: (line: string) => void): Promise<number> => {
-    const settings = loadProgramSettings(gatewaySchema, file);
-    if (settings.isErr()) {
-        settings.error.forEach(finding => print(formatFinding(finding)));
-        return ExitCode.Usage;
-    }
-    if (checkOnly) {
-        print(`${file}: no findings`);
-        return ExitCode.Done;
-    }
-    const values = settings.value;
-    const logger = createLogger("pebbledale-gateway", values["process.name"], values["process.log_level"]);
-    return runProgram(logger, () => serve(values, logger, print));
-};
+export const runGateway = (file: string, checkOnly: boolean, print: PrintLine): Promise<number> =>
+    runFromFile({ name: "pebbledale-gateway", schema: gatewaySchema, serve }, file, checkOnly, print);
 
-const serve = async (values: Values, logger: Logger, print: (line: string) => void): Promise<void> => {
+const serve = async (values: Values, logger: EventLogger, print: PrintLine): Promise<void> => {
     const stop = stopSignal();
     const background = new AbortController();
     const clock = new SystemClock();
--- a/packages/operator/src/jobs/index.ts
+++ b/packages/operator/src/jobs/index.ts
@@ -8,6 +8,13 @@
     shardOfText,
     type ShardStatus,
 } from "@pebbledale/runtime";
+import { pipe } from "fp-ts/lib/function.js";
+import * as NumberInstances from "fp-ts/lib/number.js";
+import * as Ord from "fp-ts/lib/Ord.js";
+import * as ReadonlyArray from "fp-ts/lib/ReadonlyArray.js";
+import * as ReadonlyNonEmptyArray from "fp-ts/lib/ReadonlyNonEmptyArray.js";
+import * as ReadonlyRecord from "fp-ts/lib/ReadonlyRecord.js";
+import * as StringInstances from "fp-ts/lib/string.js";
 import type { OperatorValues } from "../cli/operator-command.js";
 import { OperatorError } from "../output/index.js";
 
@@ -42,20 +49,26 @@
                 .catch(() => undefined),
         }))));
 
+/** A shard with the scheduler that says it owns it. */
+export interface OwnedShardStatus {
+    readonly owner: SchedulerStatus;
+    readonly shard: ShardStatus;
+}
+
+const byEpoch = Ord.contramap((owned: OwnedShardStatus) => Number(owned.shard.epoch))(NumberInstances.Ord);
+const byShard = Ord.contramap((owned: OwnedShardStatus) => String(owned.shard.shard))(StringInstances.Ord);
+
 /** The owned shards, each once: of two that believe they own one, the higher epoch is right. */
-export const ownedShards = (
-    schedulers: readonly AskedScheduler[],
-): { owner: SchedulerStatus; shard: ShardStatus; }[] => {
-    const best = new Map<string, { owner: SchedulerStatus; shard: ShardStatus; }>();
-    for (const { status } of schedulers) {
-        for (const shard of status?.shards ?? []) {
-            if ((best.get(shard.shard)?.shard.epoch ?? 0) < shard.epoch) {
-                best.set(shard.shard, { owner: status!, shard });
-            }
-        }
-    }
-    return [...best.values()].sort((left, right) => left.shard.shard < right.shard.shard ? -1 : 1);
-};
+export const ownedShards = (schedulers: readonly AskedScheduler[]): readonly OwnedShardStatus[] =>
+    pipe(
+        schedulers,
+        ReadonlyArray.chain(({ status }) => (status?.shards ?? []).map(shard => ({ owner: status!, shard }))),
+        ReadonlyNonEmptyArray.groupBy(owned => owned.shard.shard),
+        ReadonlyRecord.map(ReadonlyNonEmptyArray.max(byEpoch)),
+        ReadonlyRecord.toReadonlyArray,
+        ReadonlyArray.map(([, owned]) => owned),
+        ReadonlyArray.sort(byShard),
+    );
 
 /** A job with its decisions, by id or as `key:KEY`. */
 export const fetchJob = (values: OperatorValues, name: string): Promise<JobAnswer> =>
--- a/packages/operator/src/settings/index.ts
+++ b/packages/operator/src/settings/index.ts
@@ -67,7 +67,7 @@
 export const diffWithText = async (
     values: OperatorValues,
     tree: SettingsTree,
-): Promise<{ base: number; rows: SettingsDifference[]; }> => {
+): Promise<{ base: number; rows: readonly SettingsDifference[]; }> => {
     const stored = await withStore(values, readSettings);
     return { base: stored?.revision ?? 0, rows: diffSettings(treeOf(stored), tree) };
 };
--- a/packages/runtime/src/process/index.ts
+++ b/packages/runtime/src/process/index.ts
@@ -1,6 +1,12 @@
-/** A program's life: signals become an abort signal, a failure becomes an exit code. */
-import { logEvents } from "@pebbledale/core";
-import type { EventLogger } from "../logging/index.js";
+/** A program's life: its settings file, signals as an abort signal, a failure as an exit code. */
+import { formatFinding, logEvents } from "@pebbledale/core";
+import { createLogger, type EventLogger } from "../logging/index.js";
+import {
+    commonSchema,
+    loadProgramSettings,
+    type ProgramSchema,
+    type ProgramValues,
+} from "../program-settings/index.js";
 
 /** Exit codes of the programs. */
 export enum ExitCode {
@@ -30,10 +36,38 @@
         signal.addEventListener("abort", () => resolve(), { once: true });
     });
 
-/** Runs a program's body between its first and last event; resolves to the exit code. */
-export const runProgram = async (logger: EventLogger, body: () => Promise<void>): Promise<ExitCode> => {
+/** Shows a line to the operator. */
+export type PrintLine = (line: string) => void;
+
+/** One program. */
+export interface Program<Schema extends ProgramSchema & typeof commonSchema> {
+    readonly name: string;
+    readonly schema: Schema;
+    /** Serves until the process is asked to stop. */
+    readonly serve: (values: ProgramValues<Schema>, logger: EventLogger, print: PrintLine) => Promise<void>;
+}
+
+/** Runs a program from its settings file, or only checks the file; resolves to the exit code. */
+export const runFromFile = async <Schema extends ProgramSchema & typeof commonSchema>(
+    program: Program<Schema>,
+    file: string,
+    checkOnly: boolean,
+    print: PrintLine,
+): Promise<ExitCode> => {
+    const settings = loadProgramSettings(program.schema, file);
+    if (settings.isErr()) {
+        settings.error.forEach(finding => print(formatFinding(finding)));
+        return ExitCode.Usage;
+    }
+    if (checkOnly) {
+        print(`${file}: no findings`);
+        return ExitCode.Done;
+    }
+    const values = settings.value;
+    const { "process.name": name, "process.log_level": level } = values as ProgramValues<typeof commonSchema>;
+    const logger = createLogger(program.name, name, level);
     try {
-        await body();
+        await program.serve(values, logger, print);
         logger.log(logEvents.processStopped);
         return ExitCode.Done;
     }
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -1,18 +1,17 @@
 /** Puts a scheduler together from its settings file and runs it until it is asked to stop. */
-import { formatFinding, logEvents, processId, type StoredSettings, SystemClock, SystemRandom } from "@pebbledale/core";
+import { logEvents, processId, type StoredSettings, SystemClock, SystemRandom } from "@pebbledale/core";
 import {
     allShards,
     createAdministration,
-    createLogger,
-    ExitCode,
+    type EventLogger,
     HttpPlatformStore,
     HttpVmList,
     isAddressInUse,
     listenAt,
-    loadProgramSettings,
     Metrics,
+    type PrintLine,
     type ProgramValues,
-    runProgram,
+    runFromFile,
     SchedulerClient,
     schedulerSchema,
     serveProtocol,
@@ -29,29 +28,13 @@
 const peerLimit = 500;
 
 /** Runs the program; resolves to its exit code. `print` shows findings to the operator. */
-export const runScheduler = async (
-    file: string,
-    checkOnly: boolean,
-    print: (line: string) => void,
-): Promise<number> => {
-    const settings = loadProgramSettings(schedulerSchema, file);
-    if (settings.isErr()) {
-        settings.error.forEach(finding => print(formatFinding(finding)));
-        return ExitCode.Usage;
-    }
-    if (checkOnly) {
-        print(`${file}: no findings`);
-        return ExitCode.Done;
-    }
-    const values = settings.value;
-    const logger = createLogger("pebbledale-scheduler", values["process.name"], values["process.log_level"]);
-    return runProgram(logger, () => serve(values, logger, print));
-};
+export const runScheduler = (file: string, checkOnly: boolean, print: PrintLine): Promise<number> =>
+    runFromFile({ name: "pebbledale-scheduler", schema: schedulerSchema, serve }, file, checkOnly, print);
 
 const serve = async (
     values: Values,
-    logger: ReturnType<typeof createLogger>,
-    print: (line: string) => void,
+    logger: EventLogger,
+    print: PrintLine,
 ): Promise<void> => {
     const stop = stopSignal();
     const background = new AbortController();
