The shard's decisions read as four parts: context, life of jobs, reports of workers, and their face

Change: ShardContext (shared state, clock, terms), JobLifecycle (queue, retries, losses, stops, ends), WorkerReports (list, claims, heartbeats, ends, leaving) and ShardScheduler (what the owner's process calls).

--- a/packages/core/src/shard/index.ts
+++ b/packages/core/src/shard/index.ts
@@ -5,6 +5,7 @@
 export * from "./pending-queue.js";
 export * from "./records.js";
 export * from "./settings.js";
+export * from "./shard-context.js";
 export * from "./shard-scheduler.js";
 export * from "./size.js";
 export * from "./slot-ledger.js";
--- /dev/null
+++ b/packages/core/src/shard/job-lifecycle.ts
@@ -0,0 +1,292 @@
+/** The life of jobs between their acceptance and their answer: the queue, retries, losses, stops and ends. */
+import TinyQueue from "tinyqueue";
+import { type JobId, jobOfTask } from "../ids/index.js";
+import { isFinalState, JobState, WorkloadClass } from "../jobs/index.js";
+import { policyOf } from "../placement/index.js";
+import { type Resources, resourcesKey } from "../resources/index.js";
+import type { Milliseconds } from "../time/index.js";
+import { EndKind, StopMode } from "../worker/index.js";
+import { isEnding, verdictOf } from "./job-view.js";
+import { type PendingUnit } from "./pending-queue.js";
+import { sizeOf } from "./size.js";
+import { StepBuilder } from "./step-builder.js";
+import { type JobEntry, type TaskEntry, TaskPhase } from "./types.js";
+import { type WorkerEntry } from "./worker-table.js";
+
+import type { ShardContext } from "./shard-context.js";
+
+interface Due {
+    readonly at: number;
+    readonly job: JobId;
+}
+
+interface Delayed {
+    readonly at: Milliseconds;
+    readonly unit: PendingUnit;
+}
+
+/** See the module's comment. */
+export class JobLifecycle {
+    readonly #deadlines = new TinyQueue<Due>([], (left, right) => left.at - right.at);
+    readonly #delayed = new TinyQueue<Delayed>([], (left, right) => left.at - right.at);
+    readonly #finished: JobEntry[] = [];
+    #nextTicket = 1;
+
+    constructor(private readonly context: ShardContext) {}
+
+    /** The order that the next unit of the queue gets; changes with each. */
+    get nextTicket(): number {
+        return this.#nextTicket;
+    }
+
+    /** Takes over a job of the journal. */
+    recover(job: JobEntry): void {
+        if (isFinalState(job.state)) {
+            this.#finished.push(job);
+            return;
+        }
+        this.watchDeadline(job);
+        this.context.services.add(job);
+        const isWhole = job.submission.class !== WorkloadClass.Gang
+            || job.tasks.every(task => task.phase === TaskPhase.Waiting);
+        if (isWhole && !isEnding(job)) {
+            this.enqueue(job, job.tasks.filter(task => task.phase === TaskPhase.Waiting));
+        }
+    }
+
+    /** Puts units back into the queue whose wait before a further try is over. */
+    requeueDue(now: Milliseconds): void {
+        while (this.#delayed.length > 0 && this.#delayed.peek()!.at <= now) {
+            this.requeue(this.#delayed.pop()!.unit);
+        }
+    }
+
+    /** Watches the deadline of a job, if it has one. */
+    watchDeadline(job: JobEntry): void {
+        const { deadlineMilliseconds } = job.submission;
+        if (deadlineMilliseconds !== undefined) {
+            this.#deadlines.push({ at: Date.parse(job.submittedAt) + deadlineMilliseconds, job: job.job });
+        }
+    }
+
+    /** Puts tasks of a job into the queue; of a gang always all. */
+    enqueue(job: JobEntry, tasks: readonly TaskEntry[]): void {
+        const { submission } = job;
+        const signature = `${submission.class}|${submission.team}|${resourcesKey(sizeOf(submission))}`;
+        const base = { job: job.job, priority: submission.priority, since: this.context.now() };
+        if (policyOf(submission.class).allOrNothing) {
+            const ids = job.tasks.map(task => task.task);
+            this.context.queue.add({
+                ...base,
+                tasks: ids,
+                signature: `${signature}|${ids.length}`,
+                ticket: this.#nextTicket++,
+            });
+            return;
+        }
+        for (const task of tasks) {
+            this.context.queue.add({ ...base, tasks: [task.task], signature, ticket: this.#nextTicket++ });
+        }
+    }
+
+    /** Puts a unit back at its old place among its equals' arrivals; it keeps its ticket only within new groups. */
+    requeue(unit: PendingUnit): void {
+        const job = this.context.book.jobs.get(unit.job);
+        const isWanted = job !== undefined && !isFinalState(job.state) && job.state !== JobState.Cancelling
+            && !job.tasks.some(task => task.phase === TaskPhase.Failed);
+        if (isWanted) {
+            this.context.queue.add({ ...unit, ticket: this.#nextTicket++ });
+        }
+    }
+
+    /** Whether a task that ended so is not tried again. */
+    isFinalEnd(job: JobEntry, task: TaskEntry, kind: EndKind): boolean {
+        if (kind === EndKind.Succeeded || kind === EndKind.Checkpointed) {
+            return false;
+        }
+        if (job.submission.class === WorkloadClass.Service) {
+            return false;
+        }
+        if (kind === EndKind.Stopped && !isEnding(job) && job.submission.class === WorkloadClass.Gang) {
+            return false;
+        }
+        return job.submission.unrepeatable
+            || task.spent + 1 > this.context.options.settings(job.submission.class).retryAttempts;
+    }
+
+    /** Records that an attempt was not run and will not be. */
+    notStarted(task: TaskEntry, reason: string, builder: StepBuilder): void {
+        this.#leave(task, () => {
+            builder.record({
+                kind: "not-started",
+                at: this.context.at(),
+                task: task.task,
+                attempt: task.attempt,
+                reason,
+            });
+        }, builder);
+    }
+
+    /** Records that an attempt can no longer run and may have run. */
+    lose(task: TaskEntry, reason: string, builder: StepBuilder): void {
+        const job = this.context.jobOf(jobOfTask(task.task));
+        const isFinal = job.submission.class !== WorkloadClass.Service
+            && (job.submission.unrepeatable
+                || task.spent + 1 > this.context.options.settings(job.submission.class).retryAttempts);
+        this.#leave(task, () => {
+            builder.record({
+                kind: "lost",
+                at: this.context.at(),
+                task: task.task,
+                attempt: task.attempt,
+                reason,
+                isFinal,
+            });
+        }, builder);
+    }
+
+    #leave(task: TaskEntry, record: () => void, builder: StepBuilder): void {
+        const { assignment } = task;
+        if (assignment === undefined) {
+            return;
+        }
+        record();
+        const entry = this.context.workers.get(assignment.worker);
+        if (entry !== undefined) {
+            this.discharge(task, entry, assignment.grant);
+        }
+        this.afterTask(this.context.jobOf(jobOfTask(task.task)), task, builder);
+    }
+
+    /** Gives back what a task held at its worker. */
+    discharge(task: TaskEntry, entry: WorkerEntry, grant: Resources): void {
+        if (entry.tasks.has(task.task)) {
+            this.context.workers.discharge(entry, task, grant);
+            this.context.teams.giveBack(this.context.teamOf(task), grant);
+        }
+    }
+
+    /** Loses all tasks of a worker. */
+    loseTasks(entry: WorkerEntry, reason: string, builder: StepBuilder): void {
+        for (const task of [...entry.tasks.values()]) {
+            this.lose(task, reason, builder);
+        }
+    }
+
+    /** What follows from a task that left its worker: the job's end, a retry, or the next try of a whole gang. */
+    afterTask(job: JobEntry, task: TaskEntry, builder: StepBuilder): void {
+        builder.changed(job.job);
+        if (isEnding(job) || job.tasks.every(other => other.phase === TaskPhase.Succeeded)) {
+            this.endJob(job, builder);
+            return;
+        }
+        if (task.phase !== TaskPhase.Waiting) {
+            return;
+        }
+        if (job.submission.class !== WorkloadClass.Gang) {
+            this.#retry(job, [task], task.spent);
+            return;
+        }
+        const assigned = job.tasks.filter(other => other.assignment !== undefined);
+        assigned.forEach(other => this.stop(other, StopMode.Stop, builder));
+        if (assigned.length === 0) {
+            this.#retry(job, job.tasks, Math.max(...job.tasks.map(other => other.spent)));
+        }
+    }
+
+    #retry(job: JobEntry, tasks: readonly TaskEntry[], spent: number): void {
+        if (spent === 0) {
+            this.enqueue(job, tasks);
+            return;
+        }
+        const { retryDelay } = this.context.options.settings(job.submission.class);
+        const delay = retryDelay * 2 ** Math.min(spent - 1, 6) * (0.5 + this.context.options.random.next());
+        const { submission } = job;
+        const signature = `${submission.class}|${submission.team}|${resourcesKey(sizeOf(submission))}`
+            + (policyOf(submission.class).allOrNothing ? `|${tasks.length}` : "");
+        const at = this.context.now() + delay;
+        this.#delayed.push({
+            at,
+            unit: {
+                job: job.job,
+                tasks: tasks.map(task => task.task),
+                priority: submission.priority,
+                signature,
+                ticket: 0,
+                since: at,
+            },
+        });
+    }
+
+    /** Ends a job that is to end: drops what waits, stops what runs, and answers once nothing runs. */
+    endJob(job: JobEntry, builder: StepBuilder): void {
+        job.tasks.forEach(task => this.context.queue.remove(task.task));
+        this.context.saver.done(job.job);
+        const assigned = job.tasks.filter(task => task.assignment !== undefined);
+        if (assigned.length > 0) {
+            assigned.filter(task => task.phase === TaskPhase.Running)
+                .forEach(task => this.stop(task, StopMode.Stop, builder));
+            return;
+        }
+        const { state, reason } = verdictOf(job);
+        this.#finish(job, state, reason, builder);
+    }
+
+    #finish(job: JobEntry, state: JobState, reason: string, builder: StepBuilder): void {
+        if (isFinalState(job.state)) {
+            return;
+        }
+        builder.record({ kind: "finished", at: this.context.at(), job: job.job, state, ran: job.ran, reason });
+        builder.changed(job.job);
+        this.#finished.push(job);
+        this.context.health.forgetJob(job.job);
+        this.context.services.remove(job);
+    }
+
+    /** Asks the worker of a task to end it; once an attempt. */
+    stop(task: TaskEntry, mode: StopMode, builder: StepBuilder): void {
+        const { assignment } = task;
+        if (assignment === undefined || task.stopSent === true) {
+            return;
+        }
+        task.stopSent = true;
+        const { shard, epoch } = this.context.options;
+        builder.effect({
+            kind: "stop",
+            worker: assignment.worker,
+            message: { shard, epoch, task: task.task, attempt: task.attempt, mode },
+        });
+    }
+
+    /** A start that was confirmed after its job was ended, or after its gang fell apart, is stopped. */
+    stopIfUnwanted(task: TaskEntry, builder: StepBuilder): void {
+        const job = this.context.jobOf(jobOfTask(task.task));
+        const isBrokenGang = job.submission.class === WorkloadClass.Gang
+            && job.tasks.some(other => other.phase === TaskPhase.Waiting);
+        if (isEnding(job) || isBrokenGang) {
+            this.stop(task, StopMode.Stop, builder);
+        }
+    }
+
+    /** Ends jobs whose deadline passed while nothing of them runs. */
+    passDeadlines(builder: StepBuilder): void {
+        const now = this.context.options.clock.now().getTime();
+        while (this.#deadlines.length > 0 && this.#deadlines.peek()!.at <= now) {
+            const job = this.context.book.jobs.get(this.#deadlines.pop()!.job);
+            const isIdle = job !== undefined && !isFinalState(job.state) && job.tasks.every(task => !task.assignment);
+            if (isIdle) {
+                job.tasks.forEach(task => this.context.queue.remove(task.task));
+                this.context.saver.done(job.job);
+                this.#finish(job, JobState.Expired, "its deadline passed while it waited", builder);
+            }
+        }
+    }
+
+    /** Forgets jobs whose retention is over. */
+    forgetOld(builder: StepBuilder): void {
+        const oldest = this.context.options.clock.now().getTime() - this.context.options.settings().retention;
+        while (this.#finished.length > 0 && Date.parse(this.#finished[0].finishedAt ?? "") <= oldest) {
+            builder.record({ kind: "forgotten", job: this.#finished.shift()!.job });
+        }
+    }
+}
