--- a/packages/core/src/shard/job-lifecycle.ts
+++ b/packages/core/src/shard/job-lifecycle.ts
@@ -71,25 +71,31 @@
 
     /** Puts tasks of a job into the queue; of a gang always all. */
     enqueue(job: JobEntry, tasks: readonly TaskEntry[]): void {
-        const { submission } = job;
-        const signature = `${submission.class}|${submission.team}|${resourcesKey(sizeOf(submission))}`;
-        const base = { job: job.job, priority: submission.priority, since: this.context.now() };
-        if (policyOf(submission.class).allOrNothing) {
-            const ids = job.tasks.map(task => task.task);
-            this.context.queue.add({
-                ...base,
-                tasks: ids,
-                signature: `${signature}|${ids.length}`,
-                ticket: this.#nextTicket++,
-            });
-            return;
-        }
-        for (const task of tasks) {
-            this.context.queue.add({ ...base, tasks: [task.task], signature, ticket: this.#nextTicket++ });
-        }
+        this.#unitsOf(job, tasks, this.context.now()).forEach(unit => this.context.queue.add(unit));
     }
 
-    /** Puts a unit back at its old place among its equals' arrivals; it keeps its ticket only within new groups. */
+    /** What is placed in one decision each: a whole gang, or one task. */
+    #unitsOf(
+        { job, submission, tasks: all }: JobEntry,
+        tasks: readonly TaskEntry[],
+        since: Milliseconds,
+    ): PendingUnit[] {
+        const size = sizeOf(submission);
+        const { priority } = submission;
+        const groups = policyOf(submission.class).allOrNothing ? [all] : tasks.map(task => [task]);
+        const common = `${submission.class}|${submission.team}|${resourcesKey(size)}`;
+        return groups.map(group => ({
+            job,
+            tasks: group.map(task => task.task),
+            size,
+            priority,
+            signature: group.length === 1 ? common : `${common}|${group.length}`,
+            ticket: this.#nextTicket++,
+            since,
+        }));
+    }
+
+    /** Puts a unit that waited for a further try behind those that wait now, unless its job ended meanwhile. */
     requeue(unit: PendingUnit): void {
         const job = this.context.book.jobs.get(unit.job);
         const isWanted = job !== undefined && !isFinalState(job.state) && job.state !== JobState.Cancelling
@@ -201,21 +207,8 @@
         }
         const { retryDelay } = this.context.options.settings(job.submission.class);
         const delay = retryDelay * 2 ** Math.min(spent - 1, 6) * (0.5 + this.context.options.random.next());
-        const { submission } = job;
-        const signature = `${submission.class}|${submission.team}|${resourcesKey(sizeOf(submission))}`
-            + (policyOf(submission.class).allOrNothing ? `|${tasks.length}` : "");
         const at = this.context.now() + delay;
-        this.#delayed.push({
-            at,
-            unit: {
-                job: job.job,
-                tasks: tasks.map(task => task.task),
-                priority: submission.priority,
-                signature,
-                ticket: 0,
-                since: at,
-            },
-        });
+        this.#unitsOf(job, tasks, at).forEach(unit => this.#delayed.push({ at, unit }));
     }
 
     /** Ends a job that is to end: drops what waits, stops what runs, and answers once nothing runs. */
--- a/packages/core/src/shard/pending-queue.ts
+++ b/packages/core/src/shard/pending-queue.ts
@@ -2,11 +2,14 @@
 import TinyQueue from "tinyqueue";
 import type { JobId, TaskId } from "../ids/index.js";
 import { Priority } from "../jobs/index.js";
+import type { Resources } from "../resources/index.js";
 
 /** What is placed in one decision: one task, or all tasks of a gang. */
 export interface PendingUnit {
     readonly job: JobId;
     readonly tasks: readonly TaskId[];
+    /** What each of them asks for. */
+    readonly size: Resources;
     readonly priority: Priority;
     /** Equal for units that ask for the same; if one does not fit, its equals do not either. */
     readonly signature: string;
--- a/packages/core/src/shard/shard-context.ts
+++ b/packages/core/src/shard/shard-context.ts
@@ -2,7 +2,6 @@
 import { type Epoch, type JobId, jobOfTask, type ShardId } from "../ids/index.js";
 import { WorkloadClass } from "../jobs/index.js";
 import type { Random } from "../random/index.js";
-import { type Resources } from "../resources/index.js";
 import type { Clock, Milliseconds } from "../time/index.js";
 import { JobBook } from "./job-book.js";
 import { LeaseTerms } from "./lease-terms.js";
@@ -10,7 +9,6 @@
 import { RoomSaver } from "./room-saver.js";
 import { ServiceDirectory } from "./service-directory.js";
 import type { ShardSettings } from "./settings.js";
-import { sizeOf } from "./size.js";
 import { StepBuilder } from "./step-builder.js";
 import { TeamUse } from "./team-use.js";
 import { type JobEntry, type TaskEntry } from "./types.js";
@@ -42,7 +40,6 @@
     readonly teams = new TeamUse();
     readonly services: ServiceDirectory;
     readonly openedAt: Milliseconds;
-    readonly #sizes = new WeakMap<JobEntry, Resources>();
     #atTime = NaN;
     #atText = "";
 
@@ -113,16 +110,6 @@
         return run === undefined ? Infinity : (task.confirmedAt ?? this.now()) + run;
     }
 
-    /** The size that each task of a job asks for. */
-    sizeOf(job: JobEntry): Resources {
-        let size = this.#sizes.get(job);
-        if (size === undefined) {
-            size = sizeOf(job.submission);
-            this.#sizes.set(job, size);
-        }
-        return size;
-    }
-
     /** The team that a task belongs to. */
     teamOf(task: TaskEntry): string {
         return this.jobOf(jobOfTask(task.task)).submission.team;
--- a/packages/core/src/shard/shard-scheduler.ts
+++ b/packages/core/src/shard/shard-scheduler.ts
@@ -350,7 +350,7 @@
 
     #place(unit: PendingUnit, now: Milliseconds, builder: StepBuilder): boolean {
         const job = this.#context.jobOf(unit.job);
-        const size = this.#context.sizeOf(job);
+        const { size } = unit;
         const { team } = job.submission;
         if (
             !this.#context.teams.isWithinQuota(team, size, unit.tasks.length, this.#context.options.settings().quotas)
@@ -359,7 +359,7 @@
         }
         const settings = this.#context.options.settings(job.submission.class);
         const avoided = this.#context.health.failedWorkersOf(job.job);
-        const choice = this.#chooser.choose({ unit, job, size, settings, avoided, now });
+        const choice = this.#chooser.choose({ unit, job, settings, avoided, now });
         if (choice === undefined) {
             if (unit.tasks.length > 1 && now - unit.since >= settings.gangPatience) {
                 this.#context.saver.save(job.job, size, unit.tasks.length, now);
--- a/packages/core/src/shard/worker-chooser.ts
+++ b/packages/core/src/shard/worker-chooser.ts
@@ -1,7 +1,6 @@
 /** Chooses workers for what waits: one task, or all tasks of a gang at once. */
 import type { WorkerId } from "../ids/index.js";
 import { noWorker, policyOf, type WorkerSlot } from "../placement/index.js";
-import type { Resources } from "../resources/index.js";
 import type { Milliseconds } from "../time/index.js";
 import type { PendingUnit } from "./pending-queue.js";
 import type { RoomSaver } from "./room-saver.js";
@@ -19,7 +18,6 @@
 export interface ChoiceRequest {
     readonly unit: PendingUnit;
     readonly job: JobEntry;
-    readonly size: Resources;
     readonly settings: ShardSettings;
     /** Workers to be taken only if the others have no room. */
     readonly avoided: ReadonlySet<WorkerId>;
@@ -40,9 +38,10 @@
     }
 
     #chooseWithout(
-        { unit, job, size, settings, now }: ChoiceRequest,
+        { unit, job, settings, now }: ChoiceRequest,
         avoided: ReadonlySet<WorkerId>,
     ): Choice | undefined {
+        const { size } = unit;
         const policy = policyOf(job.submission.class);
         const preference = policy.preference(settings.placement);
         const headroom = policy.headroom(settings.placement);
--- a/packages/core/test/shard/pending-queue.test.ts
+++ b/packages/core/test/shard/pending-queue.test.ts
@@ -1,10 +1,11 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { jobId, PendingQueue, type PendingUnit, Priority, type TaskId } from "../../src/index.js";
+import { jobId, noResources, PendingQueue, type PendingUnit, Priority, type TaskId } from "../../src/index.js";
 
 const unit = (ticket: number, priority = Priority.Normal, signature = "small"): PendingUnit => ({
     job: jobId(`job-${ticket}`),
     tasks: [`job-${ticket}/0` as TaskId],
+    size: noResources,
     priority,
     signature,
     ticket,
