A second gateway at the same address is refused with the reason, and a test shows it; the gateway's start in shorter steps

Change: a test starts the real program at an address in use and reads its exit code and reason. Listening and the refusal without settings are functions of their own.

--- a/packages/evidence/test/operator/command-line.test.ts
+++ b/packages/evidence/test/operator/command-line.test.ts
@@ -121,6 +121,27 @@
         expect(answer.err.startsWith("The platform does not answer")).toEqual(true);
     });
 
+    it("refuses a second gateway at the same address, with the reason", async () => {
+        const { address } = platform;
+        const settings = [
+            "[process]",
+            "name = gateway-1",
+            "region = luzon",
+            "site = pasig",
+            "data_hall = hall-1",
+            "[platform]",
+            `address = ${address}`,
+            "[peers]",
+            "schedulers = 127.0.0.1:1",
+            "[listen]",
+            `callers = ${address}`,
+            "administration = 127.0.0.1:0",
+        ];
+        const answer = await run("gateway", [file("second.ini", settings.join("\n"))]);
+        expect(answer.code).toEqual(1);
+        expect(answer.err.includes("does another process run with the same settings?")).toEqual(true);
+    });
+
     for (const program of ["gateway", "scheduler"]) {
         it(`${program} --check collects all findings and leaves with 2`, async () => {
             const answer = await run(program, [
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,6 +17,7 @@
     stopSignal,
     untilAborted,
 } from "@pebbledale/runtime";
+import type { FastifyInstance } from "fastify";
 import { addJobRoutes, createCallerServer, sendError, ServiceRoutes } from "./callers/index.js";
 import { OwnerDirectory } from "./owners/index.js";
 
@@ -66,15 +67,7 @@
         signal: background.signal,
     });
     const callers = createCallerServer({ bodyLimit: values["listen.body_limit"], logger, random });
-    callers.addHook("onRequest", async (_request, reply) => {
-        if (watch.revision === 0) {
-            return sendError(reply, "no-owner", {
-                reason: "no settings yet",
-                retryAfterMilliseconds: noOwnerRetryAfter,
-            });
-        }
-        return undefined;
-    });
+    refuseWithoutSettings(callers, watch);
     void callers.register(async scope => addJobRoutes(scope, { owners, clock, random, shards: values["cell.shards"] }));
     void callers.register(async scope => services.add(scope));
     const administration = createAdministration({
@@ -83,16 +76,7 @@
     });
     administration.get("/burn", async () => burn.buckets());
     metrics.gauge("pebbledale_settings_revision", "Revision of the settings in force", () => watch.revision);
-    try {
-        await listenAt(administration, values["listen.administration"]);
-        await listenAt(callers, values["listen.callers"]);
-    }
-    catch (cause) {
-        if (isAddressInUse(cause)) {
-            print(`${(cause as Error).message}: does another process run with the same settings?`);
-        }
-        throw cause;
-    }
+    await listenAtBoth(administration, callers, values, print);
     logger.log(logEvents.processStarted, { address: values["listen.callers"] });
     const running = [watch.run(), owners.run()];
     await untilAborted(stop);
@@ -104,3 +88,31 @@
     await Promise.all(running);
     await Promise.all([owners.close(), services.forwarder.close(), store.close(), administration.close()]);
 };
+
+/** A gateway without settings guesses none: it serves nothing yet. */
+const refuseWithoutSettings = (callers: FastifyInstance, watch: SettingsWatch): void => {
+    callers.addHook("onRequest", async (_request, reply) => {
+        if (watch.revision > 0) {
+            return undefined;
+        }
+        return sendError(reply, "no-owner", { reason: "no settings yet", retryAfterMilliseconds: noOwnerRetryAfter });
+    });
+};
+
+const listenAtBoth = async (
+    administration: FastifyInstance,
+    callers: FastifyInstance,
+    values: Values,
+    print: PrintLine,
+): Promise<void> => {
+    try {
+        await listenAt(administration, values["listen.administration"]);
+        await listenAt(callers, values["listen.callers"]);
+    }
+    catch (cause) {
+        if (isAddressInUse(cause)) {
+            print(`${(cause as Error).message}: does another process run with the same settings?`);
+        }
+        throw cause;
+    }
+};
--- a/packages/stand-ins/src/platform/server.ts
+++ b/packages/stand-ins/src/platform/server.ts
@@ -90,6 +90,11 @@
     /** Listens; resolves to the address. */
     async listen(port = 0): Promise<string> {
         await this.#server.listen({ host: "127.0.0.1", port });
+        return this.address;
+    }
+
+    /** Where it listens. */
+    get address(): string {
         return `127.0.0.1:${(this.#server.server.address() as AddressInfo).port}`;
     }
 
