--- a/packages/evidence/src/bench/baselines.ts
+++ b/packages/evidence/src/bench/baselines.ts
@@ -1,5 +1,5 @@
 /** Simple placements to measure against; each scans typed arrays of free room. */
-import { dimensionCount, dimensions, type Random, type Resources } from "@pebbledale/core";
+import { dimensionCount, dimensions, FleetIndex, Preference, type Random, type Resources } from "@pebbledale/core";
 
 /** A placement that the bench drives. */
 export interface Placer {
@@ -40,88 +40,111 @@
     }
 }
 
-/** The first worker that fits. */
-export class FirstFit implements Placer {
-    readonly name = "first fit";
-    readonly #room: RoomArray;
+/** A placement by a scan of free room. */
+abstract class ScanPlacer implements Placer {
+    abstract readonly name: string;
+    protected readonly room: RoomArray;
 
     constructor(count: number, capacity: Resources) {
-        this.#room = new RoomArray(count, capacity);
+        this.room = new RoomArray(count, capacity);
     }
 
     /** See {@link Placer.place}. */
     place(size: Resources): number {
-        for (let worker = 0; worker < this.#room.count; worker++) {
-            if (this.#room.fits(worker, size)) {
-                this.#room.change(worker, size, -1);
-                return worker;
-            }
+        const worker = this.search(size);
+        if (worker >= 0) {
+            this.room.change(worker, size, -1);
         }
-        return -1;
+        return worker;
     }
 
     /** See {@link Placer.release}. */
     release(worker: number, size: Resources): void {
-        this.#room.change(worker, size, 1);
+        this.room.change(worker, size, 1);
+    }
+
+    /** The worker that is taken; -1 when none fits. */
+    protected abstract search(size: Resources): number;
+}
+
+/** The first worker that fits. */
+export class FirstFit extends ScanPlacer {
+    readonly name = "first fit";
+
+    /** See {@link ScanPlacer.search}. */
+    protected search(size: Resources): number {
+        for (let worker = 0; worker < this.room.count; worker++) {
+            if (this.room.fits(worker, size)) {
+                return worker;
+            }
+        }
+        return -1;
     }
 }
 
 /** A random worker that fits, after a random start. */
-export class RandomFit implements Placer {
+export class RandomFit extends ScanPlacer {
     readonly name = "random fit";
-    readonly #room: RoomArray;
 
     constructor(count: number, capacity: Resources, private readonly random: Random) {
-        this.#room = new RoomArray(count, capacity);
+        super(count, capacity);
     }
 
-    /** See {@link Placer.place}. */
-    place(size: Resources): number {
-        const start = Math.floor(this.random.next() * this.#room.count);
-        for (let step = 0; step < this.#room.count; step++) {
-            const worker = (start + step) % this.#room.count;
-            if (this.#room.fits(worker, size)) {
-                this.#room.change(worker, size, -1);
+    /** See {@link ScanPlacer.search}. */
+    protected search(size: Resources): number {
+        const { count } = this.room;
+        const start = Math.floor(this.random.next() * count);
+        for (let step = 0; step < count; step++) {
+            const worker = (start + step) % count;
+            if (this.room.fits(worker, size)) {
                 return worker;
             }
         }
         return -1;
     }
-
-    /** See {@link Placer.release}. */
-    release(worker: number, size: Resources): void {
-        this.#room.change(worker, size, 1);
-    }
 }
 
 /** The worker that is left with the least processors: a plain scan of all. */
-export class BestFitScan implements Placer {
+export class BestFitScan extends ScanPlacer {
     readonly name = "best-fit scan";
-    readonly #room: RoomArray;
-
-    constructor(count: number, capacity: Resources) {
-        this.#room = new RoomArray(count, capacity);
-    }
 
-    /** See {@link Placer.place}. */
-    place(size: Resources): number {
+    /** See {@link ScanPlacer.search}. */
+    protected search(size: Resources): number {
         let best = -1;
         let bestFree = Infinity;
-        for (let worker = 0; worker < this.#room.count; worker++) {
-            const free = this.#room.free[worker * dimensionCount];
-            if (free < bestFree && this.#room.fits(worker, size)) {
+        for (let worker = 0; worker < this.room.count; worker++) {
+            const free = this.room.free[worker * dimensionCount];
+            if (free < bestFree && this.room.fits(worker, size)) {
                 best = worker;
                 bestFree = free;
             }
         }
-        if (best >= 0) {
-            this.#room.change(best, size, -1);
-        }
         return best;
     }
+}
+
+/** The product's own index, packing. */
+export class IndexPlacer implements Placer {
+    readonly name = "index, pack";
+    readonly #index = new FleetIndex();
+
+    constructor(count: number, capacity: Resources) {
+        for (let worker = 0; worker < count; worker++) {
+            this.#index.add(capacity);
+        }
+    }
+
+    /** See {@link Placer.place}. */
+    place(size: Resources): number {
+        const { worker } = this.#index.find({ size, preference: Preference.Pack, headroom: 0 });
+        if (worker >= 0) {
+            this.#index.reserve(worker, size);
+        }
+        return worker;
+    }
 
     /** See {@link Placer.release}. */
     release(worker: number, size: Resources): void {
-        this.#room.change(worker, size, 1);
+        this.#index.release(worker, size);
     }
 }
--- a/packages/evidence/src/bench/decisions.ts
+++ b/packages/evidence/src/bench/decisions.ts
@@ -1,10 +1,8 @@
 /** How many placements are decided a second, and how long one takes. */
 import {
     type Epoch,
-    FleetIndex,
     type JobSubmission,
     jobSubmissionSchema,
-    Preference,
     type Random,
     type Resources,
     SeededRandom,
@@ -14,7 +12,7 @@
     SystemClock,
 } from "@pebbledale/core";
 import { build } from "hdr-histogram-js";
-import { BestFitScan, FirstFit, type Placer, RandomFit } from "./baselines.js";
+import { BestFitScan, FirstFit, IndexPlacer, type Placer, RandomFit } from "./baselines.js";
 import { bayanihanMix, drawJob } from "./mixes.js";
 import { atLeast, atMost, type Figure, figure } from "./table.js";
 import { listShape, settingsOf } from "./virtual/index.js";
@@ -30,31 +28,6 @@
 /** The plain scan is too slow to fill the largest fleet in reasonable time; it starts from a smaller fill there. */
 const scanFill = 0.1;
 
-class IndexPlacer implements Placer {
-    readonly name = "index";
-    readonly #index = new FleetIndex();
-
-    constructor(count: number, private readonly preference: Preference) {
-        for (let worker = 0; worker < count; worker++) {
-            this.#index.add(capacity);
-        }
-    }
-
-    /** See {@link Placer.place}. */
-    place(size: Resources): number {
-        const { worker } = this.#index.find({ size, preference: this.preference, headroom: 0 });
-        if (worker >= 0) {
-            this.#index.reserve(worker, size);
-        }
-        return worker;
-    }
-
-    /** See {@link Placer.release}. */
-    release(worker: number, size: Resources): void {
-        this.#index.release(worker, size);
-    }
-}
-
 const drawSizes = (random: Random): Resources[] =>
     Array.from(
         { length: drawnSizes },
@@ -209,7 +182,7 @@
     const costs = new Map<number, number>();
     for (const count of fleetSizes) {
         const placers = [
-            new IndexPlacer(count, Preference.Pack),
+            new IndexPlacer(count, capacity),
             new FirstFit(count, capacity),
             new RandomFit(count, capacity, new SeededRandom(3)),
             new BestFitScan(count, capacity),
--- a/packages/evidence/src/bench/packing.ts
+++ b/packages/evidence/src/bench/packing.ts
@@ -3,17 +3,15 @@
     addResources,
     dimensions,
     fitsInto,
-    FleetIndex,
     type JobId,
     jobSubmissionSchema,
     multiplyResources,
     noResources,
-    Preference,
     type Resources,
     SeededRandom,
     sizeOf,
 } from "@pebbledale/core";
-import { FirstFit, type Placer, RandomFit } from "./baselines.js";
+import { FirstFit, IndexPlacer, type Placer, RandomFit } from "./baselines.js";
 import { bayanihanMix, drawJob, type DrawnJob, largeMatchMix, type Mix, retrouveMix } from "./mixes.js";
 import { atLeast, type Figure, figure } from "./table.js";
 import { VirtualCell } from "./virtual/index.js";
@@ -23,31 +21,6 @@
 const nightHours = 4;
 const minute = 60_000;
 
-class PackingIndex implements Placer {
-    readonly name = "index, pack";
-    readonly #index = new FleetIndex();
-
-    constructor(count: number, capacity: Resources) {
-        for (let worker = 0; worker < count; worker++) {
-            this.#index.add(capacity);
-        }
-    }
-
-    /** See {@link Placer.place}. */
-    place(size: Resources): number {
-        const { worker } = this.#index.find({ size, preference: Preference.Pack, headroom: 0 });
-        if (worker >= 0) {
-            this.#index.reserve(worker, size);
-        }
-        return worker;
-    }
-
-    /** See {@link Placer.release}. */
-    release(worker: number, size: Resources): void {
-        this.#index.release(worker, size);
-    }
-}
-
 const singleSizes = (mix: Mix, seed: number): Resources[] => {
     const random = new SeededRandom(seed);
     return Array.from({ length: 2_000 }, (_, index) => drawJob(mix, random, index).job)
@@ -87,7 +60,7 @@
 const firstWait = (mix: Mix): Figure[] => {
     const { count, capacity } = mix.shape;
     const make: (() => Placer)[] = [
-        () => new PackingIndex(count, capacity),
+        () => new IndexPlacer(count, capacity),
         () => new FirstFit(count, capacity),
         () => new RandomFit(count, capacity, new SeededRandom(9)),
     ];
--- a/packages/scheduler/src/workers/worker-link.ts
+++ b/packages/scheduler/src/workers/worker-link.ts
@@ -7,7 +7,6 @@
     type TaskId,
     type WorkerClient,
     WorkerRefusal,
-    type WorkerReport,
 } from "@pebbledale/core";
 import { createAbortController, HttpWorkerClient, type LinkedSignal, linkSignals } from "@pebbledale/runtime";
 import { workerRetryDelay } from "../ownership/constants.js";
@@ -59,7 +58,8 @@
     }
 
     async #claim(client: WorkerClient): Promise<boolean> {
-        const { shard, options } = { shard: this.shard, options: this.shard.options };
+        const { shard } = this;
+        const { options } = shard;
         const sentAt = options.clock.monotonic();
         try {
             const message = { shard: options.shard, epoch: options.journal.epoch };
@@ -187,5 +187,3 @@
         this.#isReachable = false;
     }
 }
-
-export type { WorkerReport };
