A task that uses more than its grant is held to it; proof 1 adds a slow platform, a failing worker and such tasks

Change: a report that shows more processors than granted leads to a throttle message, again with each such report; the stand-in reports usage late and keeps to a throttle. Proof 1 runs under all of it.

--- a/packages/core/src/shard/types.ts
+++ b/packages/core/src/shard/types.ts
@@ -3,7 +3,7 @@
 import type { DecisionEntry, JobState, JobSubmission, RanAnswer } from "../jobs/index.js";
 import type { Resources } from "../resources/index.js";
 import type { Milliseconds } from "../time/index.js";
-import type { EndKind, StopMessage } from "../worker/index.js";
+import type { EndKind, StopMessage, ThrottleMessage } from "../worker/index.js";
 import type { Terms } from "./lease-terms.js";
 import type { ShardRecord } from "./records.js";
 
@@ -79,6 +79,7 @@
 export type Effect =
     | { readonly kind: "start"; readonly worker: WorkerId; readonly task: TaskId; readonly attempt: Attempt; }
     | { readonly kind: "stop"; readonly worker: WorkerId; readonly message: StopMessage; }
+    | { readonly kind: "throttle"; readonly worker: WorkerId; readonly message: ThrottleMessage; }
     | { readonly kind: "job-changed"; readonly job: JobId; };
 
 /** Result of one input: records to keep, then effects to carry out. */
--- a/packages/core/src/shard/worker-reports.ts
+++ b/packages/core/src/shard/worker-reports.ts
@@ -193,6 +193,21 @@
         this.context.refresh(entry);
     }
 
+    /** A task that uses more processors than it was granted is held to its grant, so that its neighbours keep theirs. */
+    #throttleIfOver(task: TaskEntry, running: RunningTask, builder: StepBuilder): void {
+        const { assignment } = task;
+        const granted = assignment?.grant.processorThousandths ?? Infinity;
+        if (assignment === undefined || running.usage.processorThousandths <= granted) {
+            return;
+        }
+        const { shard, epoch } = this.context.options;
+        builder.effect({
+            kind: "throttle",
+            worker: assignment.worker,
+            message: { shard, epoch, task: task.task, attempt: task.attempt, processorThousandths: granted },
+        });
+    }
+
     #compareWithReport(
         task: TaskEntry,
         running: RunningTask | undefined,
@@ -206,6 +221,7 @@
                 builder.changed(jobOfTask(task.task));
             }
             this.jobs.stopIfUnwanted(task, builder);
+            this.#throttleIfOver(task, running, builder);
             return;
         }
         const isOther = task.assignment?.incarnation !== report.incarnation;
--- a/packages/core/test/sessions/session.ts
+++ b/packages/core/test/sessions/session.ts
@@ -8,6 +8,7 @@
     jobSubmissionSchema,
     type ListedWorker,
     ManualClock,
+    noResources,
     parseSettingsTree,
     processId,
     SeededRandom,
@@ -235,7 +236,7 @@
             leaving: plain.includes("leaving"),
             running: (named.running ?? "").split(",").filter(text => text !== "").map(text => ({
                 ...readAttempt(text),
-                usage: { processorThousandths: 0, memoryMebibytes: 0, accelerators: 0, slots: 0, connections: 0 },
+                usage: { ...noResources, processorThousandths: Number(named.uses ?? 0) * 1000 },
                 serviceAddress: named.address,
             })),
             ended: (named.ended ?? "").split(",").filter(text => text !== "").map(text => {
@@ -267,6 +268,14 @@
             if (effect.kind === "start") {
                 this.#say(`effect start ${effect.task}#${effect.attempt} at ${effect.worker}`);
             }
+            else if (effect.kind === "throttle") {
+                const { task, attempt, processorThousandths } = effect.message;
+                this.#say(
+                    `effect throttle ${task}#${attempt} at ${effect.worker} to ${
+                        processorThousandths / 1000
+                    } processors`,
+                );
+            }
             else if (effect.kind === "stop") {
                 this.#say(
                     `effect ${effect.message.mode} ${effect.message.task}#${effect.message.attempt} at ${effect.worker}`,
--- a/packages/evidence/src/bench/virtual/virtual-cell.ts
+++ b/packages/evidence/src/bench/virtual/virtual-cell.ts
@@ -284,7 +284,7 @@
 
     #carryOut(effect: Effect): void {
         const core = this.core;
-        if (effect.kind === "job-changed") {
+        if (effect.kind === "job-changed" || effect.kind === "throttle") {
             return;
         }
         const worker = this.workers.get(effect.worker);
--- a/packages/evidence/src/prove/proofs/capacity.ts
+++ b/packages/evidence/src/prove/proofs/capacity.ts
@@ -1,36 +1,48 @@
 /** Point 1: no VM is ever given more than it has. */
+import { pause } from "../../cell/index.js";
 import { countOverCapacity } from "../../checks/index.js";
 import type { Proof } from "../types.js";
 import { killOwner, submitAll, taskJob, waitAll } from "./work.js";
 
 const jobs = 120;
 
+/** Every twentieth task runs long and uses twice its grant. */
+const payloadOf = (index: number) =>
+    index % 20 === 0 ? { runMilliseconds: 1_500, usesProcessors: 40 } : { runMilliseconds: 150 };
+
 /** More work than fits at once, through an owner's death and an outage of the platform. */
 export const capacityProof: Proof = {
     point: 1,
     name: "no VM is given more than it has",
-    failures: "owner killed, platform outage, lost answers",
+    failures:
+        "owner killed, platform down and slow, lost answers, a worker that fails all it starts, tasks that use more",
     protection: "counting of grants",
     cell: {},
     async run(cell) {
         const size = { processors: 20, memoryMebibytes: 30_000 };
         const work = Array.from(
             { length: jobs },
-            (_, index) => taskJob(`job-${index}`, { size, payload: { runMilliseconds: 150 } }),
+            (_, index) => taskJob(`job-${index}`, { size, payload: payloadOf(index) }),
         );
         const submitting = submitAll(cell, work);
+        await cell.controlWorker({ worker: "worker-0", action: "faults", faults: { failsAll: true } });
         await cell.controlPlatform({ loseAnswers: 3 });
         const [ids] = await Promise.all([submitting, killOwner(cell)]);
         await cell.controlPlatform({ outage: true });
-        await new Promise(resolve => setTimeout(resolve, 800));
-        await cell.controlPlatform({ outage: false });
+        await pause(800);
+        await cell.controlPlatform({ outage: false, delay: 100 });
+        await pause(1_500);
+        await cell.controlPlatform({ delay: 0 });
+        await cell.controlWorker({ worker: "worker-0", action: "faults", faults: { failsAll: false } });
         const views = await waitAll(cell, ids.values());
         const audit = cell.workerAudit();
         const over = countOverCapacity(audit);
         const starts = audit.filter(line => line.event === "start").length;
+        const throttled = new Set(audit.filter(line => line.event === "throttle").map(line => line.task)).size;
         return {
             breaches: Array.from({ length: over }, () => "a start left a worker with more granted than it has"),
-            evidence: `${starts} starts, ${views.length} of ${jobs} jobs ended, 0 over capacity`,
+            evidence:
+                `${starts} starts, ${views.length} of ${jobs} jobs ended, ${throttled} held to their grant, 0 over capacity`,
             isMeaningful: starts >= jobs && views.length === jobs,
         };
     },
--- a/packages/scheduler/src/ownership/owned-shard.ts
+++ b/packages/scheduler/src/ownership/owned-shard.ts
@@ -214,6 +214,10 @@
             return;
         }
         const link = this.#links.get(effect.worker);
+        if (effect.kind === "throttle") {
+            link?.throttle(effect.message);
+            return;
+        }
         if (effect.kind === "stop") {
             link?.stop(effect.message);
         }
--- a/packages/scheduler/src/workers/worker-link.ts
+++ b/packages/scheduler/src/workers/worker-link.ts
@@ -5,6 +5,7 @@
     logEvents,
     type StopMessage,
     type TaskId,
+    type ThrottleMessage,
     type WorkerClient,
     WorkerRefusal,
 } from "@pebbledale/core";
@@ -38,6 +39,11 @@
         void this.#stop(this.#client, message);
     }
 
+    /** Holds a task to its grant. Sent once: the next report that shows too much use leads to another. */
+    throttle(message: ThrottleMessage): void {
+        void this.#client.throttle(message, this.#signal).catch(() => undefined);
+    }
+
     /** Ends all messages. */
     async close(): Promise<void> {
         this.#closed.abort();
--- a/packages/stand-ins/src/workers/task-table.ts
+++ b/packages/stand-ins/src/workers/task-table.ts
@@ -10,6 +10,7 @@
     type StopMessage,
     StopMode,
     type TaskId,
+    type ThrottleMessage,
     WorkerRefusal,
 } from "@pebbledale/core";
 import type { AuditLog } from "../audit/index.js";
@@ -19,6 +20,8 @@
     readonly runMilliseconds?: number;
     readonly output?: string;
     readonly fail?: boolean;
+    /** Processors that it uses whatever it was granted; its grant if absent. */
+    readonly usesProcessors?: number;
 }
 
 /** A task that runs. */
@@ -33,8 +36,23 @@
     readonly startedAt: number;
     serviceAddress?: string;
     isStopping: boolean;
+    /** Set by a throttle message: it uses no more than this. */
+    throttledTo?: number;
 }
 
+/** How late usage is reported, in milliseconds. */
+const usageLag = 500;
+
+/** Usage as the worker reports it: late, so at first nothing is known beyond the grant. */
+export const usageOf = (task: LiveTask, now: number): Resources => {
+    const used = (task.payload.usesProcessors ?? task.grant.processorThousandths / 1000) * 1000;
+    const isKnown = now - task.startedAt >= usageLag;
+    const processorThousandths = isKnown
+        ? Math.min(used, task.throttledTo ?? Infinity)
+        : task.grant.processorThousandths;
+    return { ...task.grant, processorThousandths };
+};
+
 /** What a table needs of its worker. */
 export interface TaskTableOptions {
     readonly worker: string;
@@ -145,6 +163,18 @@
         return true;
     }
 
+    /** Holds a task to an amount of processors. */
+    throttle(message: ThrottleMessage): boolean {
+        const live = this.running.get(keyOf(message.task, message.attempt));
+        if (live === undefined) {
+            return false;
+        }
+        live.throttledTo = message.processorThousandths;
+        const { task, attempt, processorThousandths } = message;
+        this.options.audit?.add("throttle", { worker: this.options.worker, task, attempt, processorThousandths });
+        return true;
+    }
+
     /** Ends what is due: finished runs and lapsed leases. */
     expire(now: number): void {
         for (const live of [...this.running.values()]) {
--- a/packages/stand-ins/src/workers/worker.ts
+++ b/packages/stand-ins/src/workers/worker.ts
@@ -6,6 +6,7 @@
     type RunningTask,
     type StartMessage,
     type StopMessage,
+    type ThrottleMessage,
     VmState,
     WorkerRefusal,
     type WorkerReport,
@@ -13,7 +14,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import type { AuditLog } from "../audit/index.js";
-import { type LiveTask, TaskTable } from "./task-table.js";
+import { type LiveTask, TaskTable, usageOf } from "./task-table.js";
 
 /** What fails at a worker. */
 export interface WorkerFaults {
@@ -189,8 +190,10 @@
                 return this.#start(message as StartMessage, now);
             case "/tasks/stop":
                 return this.#table.stop(message as StopMessage, now);
+            case "/tasks/throttle":
+                return this.#table.throttle(message as ThrottleMessage);
             default:
-                return true;
+                throw new Error(`no such message: ${path}`);
         }
     }
 
@@ -301,6 +304,6 @@
 const describeRunning = (task: LiveTask): RunningTask => ({
     task: task.task,
     attempt: task.attempt,
-    usage: task.grant,
+    usage: usageOf(task, performance.now()),
     serviceAddress: task.serviceAddress,
 });
