--- a/packages/evidence/src/bench/live.ts
+++ b/packages/evidence/src/bench/live.ts
@@ -132,6 +132,8 @@
         figures.push(figure(`${name}, refused`, result.refusedShare * 100, "%"));
     }
     figures.push(atMost("p99 at 300% over p99 at 70%", p99.get(3)! / p99.get(0.7)!, "times", 2));
+    const unlimited = await run({ load: 3, returns: false, waitLimit: Infinity });
+    figures.push(figure("baseline at 300%: first come, first served without refusal, p99", unlimited.p99, "ms"));
     const returning = await run({ load: 3, returns: true, waitLimit });
     const best = Math.max(...answered);
     figures.push(
--- a/packages/evidence/src/bench/situations.ts
+++ b/packages/evidence/src/bench/situations.ts
@@ -16,7 +16,12 @@
     readonly #random: SeededRandom;
     #index = 0;
 
-    constructor(readonly mix: Mix, seed: number, settings: readonly string[] = []) {
+    constructor(
+        readonly mix: Mix,
+        seed: number,
+        settings: readonly string[] = [],
+        usesFactorOf?: (job: JobId) => number,
+    ) {
         this.#random = new SeededRandom(seed);
         this.cell = new VirtualCell({
             shape: mix.shape,
@@ -24,6 +29,7 @@
             settings: [...mix.settings, "result.retention = 30d", ...settings],
             runOf: job => this.#runs.get(job) ?? second,
             failsEverywhere: job => this.broken.has(job),
+            usesFactorOf,
         });
     }
 
@@ -80,6 +86,60 @@
     }
 }
 
+/** What tasks use, and use above their grants, as means over a stream of a mix. */
+const measureUse = (situation: Situation): { usedOfGranted: number; overGrant: number; } => {
+    let granted = 0;
+    let used = 0;
+    let over = 0;
+    situation.stream(10, 3 * minute);
+    situation.cell.clock.every(second, () => {
+        for (const worker of situation.cell.workers.values()) {
+            const use = worker.use();
+            granted += use.granted;
+            used += use.used;
+            over += use.overGrant;
+        }
+    }, () => situation.cell.clock.monotonic() > 3 * minute);
+    situation.run(3 * minute);
+    return { usedOfGranted: used / granted * 100, overGrant: over / granted * 100 };
+};
+
+const declaredSizes = (): Figure[] => {
+    const random = new SeededRandom(31);
+    const factors = new Map<JobId, number>();
+    const factorOf = (job: JobId): number => {
+        const factor = factors.get(job) ?? 4 ** (random.next() * 2 - 1);
+        factors.set(job, factor);
+        return factor;
+    };
+    const situation = new Situation(bayanihanMix, 11, [], factorOf);
+    const { usedOfGranted, overGrant } = measureUse(situation);
+    return [
+        figure("declared sizes off by up to 4 times either way: granted processors that are used", usedOfGranted, "%"),
+        figure("declared sizes off by up to 4 times either way: use above grants", overGrant, "% of granted"),
+        ...situation.promises("declared sizes off"),
+    ];
+};
+
+const hog = (): Figure[] => {
+    const isHog = (job: JobId) => job.endsWith("0");
+    const make = () => new Situation(bayanihanMix, 12, [], job => isHog(job) ? 8 : 0.9);
+    const unheld = make();
+    unheld.cell.workers.forEach(worker => {
+        worker.ignoresThrottle = true;
+    });
+    const situation = make();
+    return [
+        figure(
+            "one task in ten uses 8 times its grant: use above grants",
+            measureUse(situation).overGrant,
+            "% of granted",
+        ),
+        figure("baseline, nothing holds them: use above grants", measureUse(unheld).overGrant, "% of granted"),
+        ...situation.promises("hogs"),
+    ];
+};
+
 const cancellationWave = (): Figure[] => {
     const situation = new Situation(bayanihanMix, 1, ["queue.limit = 100000"]);
     const jobs = Array.from({ length: 10_000 }, () => situation.submit()).filter(job => job !== undefined);
@@ -272,6 +332,8 @@
 };
 
 const situations = {
+    declaredSizes,
+    hog,
     cancellationWave,
     failingWorkers,
     failingJob,
--- a/packages/evidence/src/bench/virtual/virtual-cell.ts
+++ b/packages/evidence/src/bench/virtual/virtual-cell.ts
@@ -35,6 +35,8 @@
     readonly settings?: readonly string[];
     /** How long a task really runs; its caller may have said otherwise. */
     readonly runOf: (job: JobId) => Milliseconds;
+    /** Processors that a job's tasks would use over those it declared; 1 if absent. */
+    readonly usesFactorOf?: (job: JobId) => number;
     /** Whether a task fails wherever it runs. */
     readonly failsEverywhere?: (job: JobId) => boolean;
 }
@@ -284,10 +286,15 @@
 
     #carryOut(effect: Effect): void {
         const core = this.core;
-        if (effect.kind === "job-changed" || effect.kind === "throttle") {
+        if (effect.kind === "job-changed") {
             return;
         }
         const worker = this.workers.get(effect.worker);
+        if (effect.kind === "throttle") {
+            const { task, processorThousandths } = effect.message;
+            this.clock.after(networkDelay, () => worker?.throttle(task, processorThousandths));
+            return;
+        }
         this.clock.after(networkDelay, () => {
             if (core !== this.core || !this.#isOwned) {
                 return;
@@ -319,12 +326,12 @@
             return;
         }
         const now = this.clock.monotonic();
-        worker.start(message, now);
+        const job = task.slice(0, task.lastIndexOf("/")) as JobId;
+        worker.start(message, now, this.options.usesFactorOf?.(job) ?? 1);
         this.#take(this.core.startAccepted(task, attempt, { task, attempt, usage: message.grant }));
         if (message.serves) {
             return;
         }
-        const job = task.slice(0, task.lastIndexOf("/")) as JobId;
         const fails = worker.failsAll || this.options.failsEverywhere?.(job) === true;
         this.clock.after(fails ? networkDelay : this.options.runOf(job), () => {
             if (worker.end(task, attempt, fails ? EndKind.Failed : EndKind.Succeeded, this.clock.monotonic())) {
--- a/packages/evidence/src/bench/virtual/virtual-worker.ts
+++ b/packages/evidence/src/bench/virtual/virtual-worker.ts
@@ -17,8 +17,14 @@
     readonly attempt: Attempt;
     readonly grant: Resources;
     readonly startedAt: number;
+    /** Processors that it would use if it were let, in thousandths. */
+    readonly wants: number;
+    /** Set by a throttle message. */
+    throttledTo: number;
 }
 
+const usedBy = (task: Running): number => Math.min(task.wants, task.throttledTo);
+
 /** What the fakes noted of all workers of a run. */
 export class WorkerNotes {
     readonly runningTasks = new Map<TaskId, number>();
@@ -38,6 +44,8 @@
     isReachable = true;
     isLeaving = false;
     failsAll = false;
+    /** A baseline: nothing holds a task to its grant. */
+    ignoresThrottle = false;
     #number = 0;
     #incarnation = 1;
 
@@ -55,16 +63,40 @@
             incarnation: incarnation(`${this.listed.worker}-${this.#incarnation}`),
             number: ++this.#number,
             leaving: this.isLeaving,
-            running: [...this.running.values()].map(({ task, attempt, grant }) => ({ task, attempt, usage: grant })),
+            running: [...this.running.values()].map(running => ({
+                task: running.task,
+                attempt: running.attempt,
+                usage: { ...running.grant, processorThousandths: usedBy(running) },
+            })),
             ended: this.ended,
         };
     }
 
-    /** Starts a task. */
-    start(message: StartMessage, now: number): void {
+    /** Processors that are granted here and those that are used, in thousandths. */
+    use(): { readonly granted: number; readonly used: number; readonly overGrant: number; } {
+        const tasks = [...this.running.values()];
+        const sum = (amountOf: (task: Running) => number) => tasks.reduce((total, task) => total + amountOf(task), 0);
+        return {
+            granted: sum(task => task.grant.processorThousandths),
+            used: sum(usedBy),
+            overGrant: sum(task => Math.max(0, usedBy(task) - task.grant.processorThousandths)),
+        };
+    }
+
+    /** Holds a task to an amount of processors. */
+    throttle(task: TaskId, processorThousandths: number): void {
+        const running = this.running.get(task);
+        if (running !== undefined && !this.ignoresThrottle) {
+            running.throttledTo = processorThousandths;
+        }
+    }
+
+    /** Starts a task. `usesFactor`: processors that it would use over those declared. */
+    start(message: StartMessage, now: number, usesFactor: number): void {
         const { task, attempt, grant } = message;
         const { notes } = this;
-        this.running.set(task, { task, attempt, grant, startedAt: now });
+        const wants = grant.processorThousandths * usesFactor;
+        this.running.set(task, { task, attempt, grant, startedAt: now, wants, throttledTo: Infinity });
         notes.starts++;
         notes.startsOfTask.set(task, (notes.startsOfTask.get(task) ?? 0) + 1);
         const places = (notes.runningTasks.get(task) ?? 0) + 1;
