--- a/packages/evidence/src/capacity/process-slopes.ts
+++ b/packages/evidence/src/capacity/process-slopes.ts
@@ -32,7 +32,14 @@
     const slopes: Slope[] = [];
     const add = (role: string, what: string, value: number, unit: string) => slopes.push({ role, what, value, unit });
     const tree = "[organisation]\nworker.heartbeat = 1s\nlive.wait_limit = 5s\n";
-    const cell = await Cell.start({ gateways: 1, schedulers: 2, workers: 30, user: "bayanihan", tree });
+    const cell = await Cell.start({
+        gateways: 1,
+        schedulers: 2,
+        workers: 30,
+        user: "bayanihan",
+        tree,
+        ownerLease: "3s",
+    });
     try {
         await startService(cell, 20);
         const owner = Number((await cell.ownerOf())?.slice("scheduler-".length));
--- a/packages/evidence/src/cell/cell.ts
+++ b/packages/evidence/src/cell/cell.ts
@@ -27,12 +27,15 @@
     readonly user: "bayanihan" | "retrouve";
     readonly shards?: number;
     readonly tree?: string;
+    /** The platform's lease on a shard; a short one where it is left out. */
+    readonly ownerLease?: string;
     /** A module that the product's processes load first, to take a protection away. */
     readonly preload?: string;
 }
 
 const startLimit = 20_000;
 const listInterval = 100;
+const shortLease = "1s";
 const probeInterval = 50;
 
 const scriptOf = (packageName: string): string =>
@@ -131,7 +134,16 @@
         this.relays.set(name, relay);
         const address = await relay.listen();
         const file = join(this.folder, `${name}.ini`);
-        writeFileSync(file, schedulerFile(this.places, name, this.places.schedulers[index], address));
+        writeFileSync(
+            file,
+            schedulerFile(
+                this.places,
+                name,
+                this.places.schedulers[index],
+                address,
+                this.options.ownerLease ?? shortLease,
+            ),
+        );
         const child = new Child(
             name,
             scriptOf("scheduler"),
--- a/packages/evidence/src/cell/settings.ts
+++ b/packages/evidence/src/cell/settings.ts
@@ -54,14 +54,20 @@
 drain = 300ms
 `;
 
-/** The file of a scheduler. `platform`: its own way to the platform, which may be cut. */
-export const schedulerFile = (places: CellPlaces, name: string, peers: string, platform: string): string =>
+/** The file of a scheduler. `platform`: its own way to the platform, which may be cut. `lease`: on a shard. */
+export const schedulerFile = (
+    places: CellPlaces,
+    name: string,
+    peers: string,
+    platform: string,
+    lease: string,
+): string =>
     `${common(places, name, platform)}vm_list = ${platform}
 list_interval = 200ms
 [listen]
 peers = ${peers}
 [owner]
-lease = 1s
+lease = ${lease}
 commit_interval = 5ms
 [worker]
 timeout = 500ms
