--- a/packages/core/src/journal/journal.ts
+++ b/packages/core/src/journal/journal.ts
@@ -12,6 +12,7 @@
     type KeyVersion,
     type PlatformStore,
     PlatformUnavailableError,
+    type SwapOutcome,
 } from "../platform/index.js";
 import type { Random } from "../random/index.js";
 import type { Clock, Milliseconds } from "../time/index.js";
@@ -83,11 +84,6 @@
         return this.#writes;
     }
 
-    /** Number of record groups that wait to be written. */
-    get backlog(): number {
-        return this.#waiting.length;
-    }
-
     /** When the last write that confirmed ownership was sent, by the monotonic clock. */
     get lastContact(): Milliseconds {
         return this.#lastContact;
@@ -154,6 +150,7 @@
         const group = this.#takeGroup(most);
         try {
             await this.#write(group.flatMap(entry => entry.records));
+            this.#bytesSince += group.reduce((sum, entry) => sum + entry.bytes, 0);
         }
         catch (cause) {
             this.#waiting.unshift(...group);
@@ -193,7 +190,6 @@
         };
         const expected = this.#versions.get(slot) ?? absentVersion;
         const version = await this.#swapUntilSettled(ringKey(shard, slot), expected, segment);
-        this.#bytesSince += Buffer.byteLength(JSON.stringify(records));
         this.#versions.set(slot, version);
         this.#sequence = sequence;
         this.#removeObsolete();
@@ -201,8 +197,23 @@
 
     /** Repeats one write until its outcome is certain. The nonce tells this write from another owner's. */
     async #swapUntilSettled(key: string, expected: KeyVersion, segment: Segment): Promise<KeyVersion> {
+        const { outcome, sent } = await this.#swapUntilAnswered(key, expected, JSON.stringify(segment));
+        const current = outcome.kind === "conflict" ? outcome.current : undefined;
+        const isOwn = current !== undefined && parseSegment(current).nonce === segment.nonce;
+        if (outcome.kind === "conflict" && !isOwn) {
+            throw new JournalFencedError(`segment ${segment.sequence} of the journal was taken by another owner`);
+        }
+        this.#lastContact = sent;
+        return outcome.kind === "swapped" ? outcome.version : current!.version;
+    }
+
+    /** Repeats one write until it is answered. `sent`: when the answered one was sent. */
+    async #swapUntilAnswered(
+        key: string,
+        expected: KeyVersion,
+        value: string,
+    ): Promise<{ readonly outcome: SwapOutcome; readonly sent: Milliseconds; }> {
         const { store, clock, options, signal } = this.dependencies;
-        const value = JSON.stringify(segment);
         while (true) {
             signal.throwIfAborted();
             const sent = clock.monotonic();
@@ -210,15 +221,7 @@
                 this.#writes++;
                 const outcome = await store.compareAndSwap(key, expected, value);
                 this.#stalledSince = undefined;
-                if (outcome.kind === "swapped") {
-                    this.#lastContact = sent;
-                    return outcome.version;
-                }
-                if (outcome.current !== undefined && parseSegment(outcome.current).nonce === segment.nonce) {
-                    this.#lastContact = sent;
-                    return outcome.current.version;
-                }
-                throw new JournalFencedError(`segment ${segment.sequence} of the journal was taken by another owner`);
+                return { outcome, sent };
             }
             catch (cause) {
                 if (!(cause instanceof PlatformUnavailableError)) {
@@ -250,7 +253,12 @@
         const name = `${this.epoch}-${through}-${this.dependencies.random.name()}`;
         const parts = splitText(text, this.dependencies.options.largestBytes);
         for (const [index, part] of parts.entries()) {
-            await this.#createPart(`${snapshotPrefix(this.dependencies.shard)}${name}/${index}`, part);
+            // The name is drawn once, so a conflict means that a copy of this very part arrived first.
+            await this.#swapUntilAnswered(
+                `${snapshotPrefix(this.dependencies.shard)}${name}/${index}`,
+                absentVersion,
+                part,
+            );
         }
         this.#obsolete = this.#snapshot;
         this.#snapshot = { name, parts: parts.length, through };
@@ -265,31 +273,12 @@
     #isSnapshotDue(): boolean {
         const { snapshotEvery, ringSize, largestBytes } = this.dependencies.options;
         const since = this.#sequence - (this.#snapshot?.through ?? 0);
+        if (since < snapshotEvery) {
+            return false;
+        }
         const waitingBytes = this.#waiting.reduce((sum, entry) => sum + entry.bytes, 0);
         const expected = since + Math.ceil(2 * waitingBytes / largestBytes);
-        return since >= snapshotEvery && (this.#bytesSince >= this.#snapshotBytes || expected >= ringSize * fullShare);
-    }
-
-    /** Writes one part until it is kept. The name is drawn once, so a conflict means that a copy arrived first. */
-    async #createPart(key: string, part: string): Promise<void> {
-        const { store, clock, options, signal } = this.dependencies;
-        while (true) {
-            signal.throwIfAborted();
-            const sent = clock.monotonic();
-            try {
-                this.#writes++;
-                await store.compareAndSwap(key, absentVersion, part);
-                this.#stalledSince = undefined;
-                return;
-            }
-            catch (cause) {
-                if (!(cause instanceof PlatformUnavailableError)) {
-                    throw cause;
-                }
-                this.#stalledSince ??= sent;
-                await clock.sleep(options.retryDelay, signal);
-            }
-        }
+        return this.#bytesSince >= this.#snapshotBytes || expected >= ringSize * fullShare;
     }
 
     #removeObsolete(): void {
--- a/packages/core/src/shard/job-lifecycle.ts
+++ b/packages/core/src/shard/job-lifecycle.ts
@@ -57,7 +57,7 @@
     /** Puts units back into the queue whose wait before a further try is over. */
     requeueDue(now: Milliseconds): void {
         while (this.#delayed.length > 0 && this.#delayed.peek()!.at <= now) {
-            this.requeue(this.#delayed.pop()!.unit);
+            this.#requeue(this.#delayed.pop()!.unit);
         }
     }
 
@@ -96,11 +96,9 @@
     }
 
     /** Puts a unit that waited for a further try behind those that wait now, unless its job ended meanwhile. */
-    requeue(unit: PendingUnit): void {
+    #requeue(unit: PendingUnit): void {
         const job = this.context.book.jobs.get(unit.job);
-        const isWanted = job !== undefined && !isFinalState(job.state) && job.state !== JobState.Cancelling
-            && !job.tasks.some(task => task.phase === TaskPhase.Failed);
-        if (isWanted) {
+        if (job !== undefined && !isEnding(job)) {
             this.context.queue.add({ ...unit, ticket: this.#nextTicket++ });
         }
     }
@@ -116,8 +114,13 @@
         if (kind === EndKind.Stopped && !isEnding(job) && job.submission.class === WorkloadClass.Gang) {
             return false;
         }
-        return job.submission.unrepeatable
-            || task.spent + 1 > this.context.options.settings(job.submission.class).retryAttempts;
+        return this.#isLastTry(job, task);
+    }
+
+    /** Whether a task may not be tried again once this attempt was run or lost. */
+    #isLastTry({ submission }: JobEntry, task: TaskEntry): boolean {
+        return submission.unrepeatable
+            || task.spent + 1 > this.context.options.settings(submission.class).retryAttempts;
     }
 
     /** Records that an attempt was not run and will not be. */
@@ -136,9 +139,7 @@
     /** Records that an attempt can no longer run and may have run. */
     lose(task: TaskEntry, reason: string, builder: StepBuilder): void {
         const job = this.context.jobOf(jobOfTask(task.task));
-        const isFinal = job.submission.class !== WorkloadClass.Service
-            && (job.submission.unrepeatable
-                || task.spent + 1 > this.context.options.settings(job.submission.class).retryAttempts);
+        const isFinal = job.submission.class !== WorkloadClass.Service && this.#isLastTry(job, task);
         this.#leave(task, () => {
             builder.record({
                 kind: "lost",
--- a/packages/core/src/shard/records.ts
+++ b/packages/core/src/shard/records.ts
@@ -1,5 +1,5 @@
 /** Records of a shard's journal. Applying them in order gives the state of all jobs. */
-import type { Attempt, Incarnation, JobId, TaskId, WorkerId } from "../ids/index.js";
+import { type Attempt, type Incarnation, type JobId, jobOfTask, type TaskId, type WorkerId } from "../ids/index.js";
 import type { JobState, JobSubmission, RanAnswer } from "../jobs/index.js";
 import type { Resources } from "../resources/index.js";
 import type { EndKind } from "../worker/index.js";
@@ -127,3 +127,11 @@
     | OnceBeganRecord
     | OnceEndedRecord
     | TermsRecord;
+
+/** The job that a record is of, if it is of one. */
+export const jobOfRecord = (record: ShardRecord): JobId | undefined => {
+    if ("job" in record) {
+        return record.job;
+    }
+    return "task" in record ? jobOfTask(record.task) : undefined;
+};
--- a/packages/core/src/shard/shard-scheduler.ts
+++ b/packages/core/src/shard/shard-scheduler.ts
@@ -22,7 +22,7 @@
 import { JobLifecycle } from "./job-lifecycle.js";
 import { describeJob, isEnding, repeatedOutcome } from "./job-view.js";
 import { PendingQueue, type PendingUnit } from "./pending-queue.js";
-import type { RecordedPlacement, ShardRecord } from "./records.js";
+import { jobOfRecord, type RecordedPlacement, type ShardRecord } from "./records.js";
 import { ShardContext, type ShardSchedulerOptions } from "./shard-context.js";
 import { type SlotGrant, type SlotRequest } from "./slot-ledger.js";
 import { StepBuilder } from "./step-builder.js";
@@ -407,10 +407,3 @@
         this.#lastTick = now;
     }
 }
-
-const jobOfRecord = (record: ShardRecord): JobId | undefined => {
-    if ("job" in record) {
-        return record.job;
-    }
-    return "task" in record ? jobOfTask(record.task) : undefined;
-};
--- a/packages/core/src/shard/step-builder.ts
+++ b/packages/core/src/shard/step-builder.ts
@@ -1,7 +1,7 @@
 /** Gathers the records and effects of one input. */
-import { type JobId, jobOfTask } from "../ids/index.js";
+import type { JobId } from "../ids/index.js";
 import type { JobBook } from "./job-book.js";
-import type { ShardRecord } from "./records.js";
+import { jobOfRecord, type ShardRecord } from "./records.js";
 import type { Effect, Step } from "./types.js";
 
 /** Applies each record at once and keeps it for the journal. */
@@ -16,7 +16,7 @@
     record(record: ShardRecord): void {
         this.book.apply(record);
         this.#records.push(record);
-        const job = "job" in record ? record.job : "task" in record ? jobOfTask(record.task) : undefined;
+        const job = jobOfRecord(record);
         const entry = job === undefined ? undefined : this.book.jobs.get(job);
         if (entry !== undefined) {
             entry.unkept++;
--- a/packages/gateway/src/live/slot-broker.ts
+++ b/packages/gateway/src/live/slot-broker.ts
@@ -98,11 +98,6 @@
         return this.#waiting.length;
     }
 
-    /** Number of slots in use. */
-    get inUse(): number {
-        return this.#inUse;
-    }
-
     /** Renews the bundle until the signal fires or the service is idle; resolves then. */
     async run(): Promise<void> {
         const { clock, signal } = this.options;
