--- /dev/null
+++ b/packages/cell/src/configuration/index.ts
@@ -0,0 +1,3 @@
+/** The operators' configuration of a cell: queues, services and limits. */
+export * from "./queue-directory.js";
+export * from "./types.js";
--- /dev/null
+++ b/packages/cell/src/configuration/queue-directory.ts
@@ -0,0 +1,38 @@
+/** Finds the queue that a caller's request names. */
+import type { QueueName } from "@pebbledale/core";
+import type { CellConfiguration, QueueConfiguration } from "./types.js";
+
+/** A queue with the part of the path that follows its prefix. */
+export interface QueueMatch {
+    readonly queue: QueueConfiguration;
+    readonly rest: string;
+}
+
+/** Looks queues up by host and longest path prefix. */
+export class QueueDirectory {
+    readonly #byHost = new Map<string, QueueConfiguration[]>();
+    readonly #byName = new Map<QueueName, QueueConfiguration>();
+
+    constructor(readonly configuration: CellConfiguration) {
+        for (const queue of configuration.queues) {
+            this.#byName.set(queue.name, queue);
+            const atHost = this.#byHost.get(queue.host) ?? [];
+            atHost.push(queue);
+            this.#byHost.set(queue.host, atHost);
+        }
+        for (const atHost of this.#byHost.values()) {
+            atHost.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
+        }
+    }
+
+    /** The queue of a request, by the longest prefix; undefined when there is none. */
+    find(host: string, path: string): QueueMatch | undefined {
+        const queue = this.#byHost.get(host)?.find(candidate => path.startsWith(candidate.pathPrefix));
+        return queue === undefined ? undefined : { queue, rest: path.slice(queue.pathPrefix.length) };
+    }
+
+    /** The queue of a name. */
+    named(name: QueueName): QueueConfiguration | undefined {
+        return this.#byName.get(name);
+    }
+}
--- /dev/null
+++ b/packages/cell/src/scheduler/cell-context.ts
@@ -0,0 +1,86 @@
+/** What the parts of a cell's owner share. */
+import type { CellConfiguration } from "../configuration/index.js";
+import { QueueDirectory } from "../configuration/index.js";
+import type { Clock, LogEvent, Milliseconds, QueueName, WorkerId } from "@pebbledale/core";
+import type { Job, JobTerms } from "./entities.js";
+import { JobTable } from "./job-table.js";
+import { Outbox } from "./outbox.js";
+import type { CellRecord } from "./records.js";
+import { WorkerState } from "./worker-state.js";
+
+/** Takes a line for each decision. */
+export interface DecisionLog {
+    /** Notes an event with what led to it. */
+    log(event: LogEvent, fields?: Readonly<Record<string, unknown>>): void;
+}
+
+/** What a cell's owner is made from. */
+export interface CellOptions {
+    readonly clock: Clock;
+    readonly log: DecisionLog;
+}
+
+/** Used for a queue that the configuration has never named: one try, least urgent. */
+const unknownTerms: Omit<JobTerms, "service"> = {
+    priority: 9,
+    attempts: 1,
+    extension: 1,
+    latencyTarget: 0,
+    advice: undefined,
+};
+
+/** See the module's comment. */
+export class CellContext {
+    readonly table: JobTable;
+    readonly workers = new Map<WorkerId, WorkerState>();
+    readonly outbox = new Outbox();
+    queues: QueueDirectory | undefined;
+
+    constructor(readonly options: CellOptions) {
+        this.table = new JobTable(() => this.now());
+    }
+
+    /** Now, by the monotonic clock. */
+    now(): Milliseconds {
+        return this.options.clock.monotonic();
+    }
+
+    /** Now, in milliseconds since 1970. */
+    wallClock(): number {
+        return this.options.clock.now().getTime();
+    }
+
+    /** Takes a newer configuration. */
+    configure(configuration: CellConfiguration): void {
+        this.queues = new QueueDirectory(configuration);
+        for (const job of this.table.jobs.values()) {
+            job.terms = this.#termsOf(job.queue) ?? job.terms;
+        }
+    }
+
+    /** The terms of a job: its queue's newest ones. Undefined while its queue was never seen. */
+    termsOf(job: Job): JobTerms | undefined {
+        job.terms ??= this.#termsOf(job.queue);
+        return job.terms;
+    }
+
+    /** The priority of a job; least urgent while its queue was never seen. */
+    priorityOf(job: Job): number {
+        return this.termsOf(job)?.priority ?? unknownTerms.priority;
+    }
+
+    /** Failed runs after which a job's task is not tried again. */
+    attemptsOf(job: Job): number {
+        return this.termsOf(job)?.attempts ?? unknownTerms.attempts;
+    }
+
+    /** Applies a record and keeps it. */
+    record(record: CellRecord): void {
+        this.table.apply(record);
+        this.outbox.record(record);
+    }
+
+    #termsOf(queue: QueueName): JobTerms | undefined {
+        return this.queues?.named(queue);
+    }
+}
--- /dev/null
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -0,0 +1,335 @@
+/**
+ * Decisions of a cell's owner.
+ *
+ * Each input changes the state and leaves records, orders and questions in an outbox, which the caller drains. The
+ * class reads time only through the clock it is given and reaches nothing outside.
+ */
+import type { AdviceAnswer } from "../advice/index.js";
+import type { CellConfiguration } from "../configuration/index.js";
+import { type JobId, logEvents, type Milliseconds, type QueueName, type RunNumber, type TaskAddress, type WorkerId } from "@pebbledale/core";
+import { type Look, OrderRefusal, type RunEnd } from "../task-worker/index.js";
+import type { WorkerEntry } from "../worker-directory/index.js";
+import { AdviceDesk } from "./advice-desk.js";
+import { CellContext, type CellOptions } from "./cell-context.js";
+import { failedRunPause } from "./constants.js";
+import { CellJobState, isEndState, type JobDefinition } from "./definition.js";
+import { type Job, type Occurrence, type Step, type TaskRun } from "./entities.js";
+import type { CellSnapshot } from "./job-table.js";
+import type { Turn } from "./outbox.js";
+import { Placer } from "./placer.js";
+import type { CellRecord } from "./records.js";
+import { RunBook } from "./run-book.js";
+import { WorkerPool } from "./worker-pool.js";
+import type { WorkerState } from "./worker-state.js";
+
+/** See the module's comment. */
+export class CellScheduler {
+    readonly #context: CellContext;
+    readonly #runs: RunBook;
+    readonly #advice: AdviceDesk;
+    readonly #placer: Placer;
+    readonly #pool: WorkerPool;
+    #wantsPass = false;
+
+    constructor(options: CellOptions) {
+        this.#context = new CellContext(options);
+        this.#runs = new RunBook(this.#context, {
+            stepChanged: step => this.#stepChanged(step),
+            jobEnded: job => this.#jobEnded(job),
+            runEnded: (run, end) => this.#runEnded(run, end),
+        });
+        this.#advice = new AdviceDesk(this.#context);
+        this.#pool = new WorkerPool(this.#context, this.#runs, {
+            roomChanged: () => this.#wantsPass = true,
+            workerDrains: () => this.#wantsPass = true,
+        });
+        this.#placer = new Placer(this.#context, this.#runs, this.#advice, () => this.#pool.isSettled);
+    }
+
+    /** All workers that are to be asked. */
+    get workers(): ReadonlyMap<WorkerId, WorkerState> {
+        return this.#pool.workers;
+    }
+
+    /** All jobs that are known. */
+    get jobs(): ReadonlyMap<JobId, Job> {
+        return this.#context.table.jobs;
+    }
+
+    /** Whether there is a configuration. */
+    get isConfigured(): boolean {
+        return this.#context.queues !== undefined;
+    }
+
+    /** Whether a pass over what waits may place something. */
+    get wantsPass(): boolean {
+        return this.#wantsPass;
+    }
+
+    /** Takes over what the journal holds. Called once, before any other input. */
+    recover(snapshot: CellSnapshot | undefined, records: readonly CellRecord[]): void {
+        const { table } = this.#context;
+        if (snapshot !== undefined) {
+            table.restore(snapshot);
+        }
+        records.forEach(record => table.apply(record));
+        this.#pool.recover();
+        for (const job of table.jobs.values()) {
+            job.isKept = true;
+            job.isRecovered = true;
+            job.shownState = job.state;
+            this.#openSteps(job);
+        }
+    }
+
+    /** Takes a newer configuration. */
+    configure(configuration: CellConfiguration): void {
+        this.#context.configure(configuration);
+        this.#wantsPass = true;
+    }
+
+    /** Takes a job, which is known from then on; its caller is told once the record is kept. */
+    submit(definition: JobDefinition): Job {
+        const { table, outbox, options } = this.#context;
+        const known = table.jobs.get(definition.job);
+        if (known !== undefined) {
+            options.log.log(logEvents.jobRepeated, { job: known.id, state: known.state });
+            return known;
+        }
+        this.#context.record({ kind: "accepted", at: this.#context.wallClock(), definition });
+        const job = table.jobs.get(definition.job)!;
+        options.log.log(logEvents.jobAccepted, {
+            job: job.id,
+            queue: job.queue,
+            steps: definition.steps.length,
+            tasks: definition.steps.reduce((sum, step) => sum + step.taskCount, 0),
+        });
+        outbox.changed(job.id);
+        this.#openSteps(job);
+        return job;
+    }
+
+    /** Cancels a job; false when it is not known. Its caller is told once the record is kept. */
+    cancel(id: JobId): boolean {
+        const job = this.#context.table.jobs.get(id);
+        if (job === undefined) {
+            return false;
+        }
+        if (!job.isOver) {
+            this.#context.record({ kind: "cancelled", at: this.#context.wallClock(), job: id });
+            this.#context.options.log.log(logEvents.jobCancelled, { job: id });
+            this.#context.outbox.changed(id);
+            this.#runs.stopJob(job, "its caller cancelled the job");
+            this.#jobEnded(job);
+        }
+        return true;
+    }
+
+    /** The state of a job that its caller is told; undefined when it is not known. */
+    stateOf(id: JobId): CellJobState | undefined {
+        const job = this.#context.table.jobs.get(id);
+        return job?.isKept === true ? job.shownState : undefined;
+    }
+
+    /** Accepted jobs of a queue none of whose tasks has begun. */
+    pendingOf(queue: QueueName): number {
+        let count = 0;
+        for (const job of this.#context.table.jobs.values()) {
+            count += job.queue === queue && job.isKept && job.shownState === CellJobState.Queued ? 1 : 0;
+        }
+        return count;
+    }
+
+    /** Takes in all entries of workers. */
+    listWorkers(entries: readonly WorkerEntry[]): void {
+        this.#pool.takeListing(entries);
+    }
+
+    /** Takes in changes of workers' entries. */
+    changeWorkers(changed: readonly WorkerEntry[], gone: readonly WorkerId[]): void {
+        changed.forEach(entry => this.#pool.takeEntry(entry));
+        gone.forEach(id => this.#pool.takeGone(id));
+    }
+
+    /**
+     * Takes in a whole look at a worker. `sentAt`: when it was asked for, by the owner's monotonic clock.
+     * `settledBefore`: orders from before this moment that it does not show were not carried out and will not be.
+     */
+    takeLook(worker: WorkerId, look: Look, sentAt: Milliseconds, settledBefore: Milliseconds): void {
+        this.#pool.takeLook(worker, look, sentAt, settledBefore);
+    }
+
+    /** Takes in ends that a worker lists. */
+    takeEnds(worker: WorkerId, ended: Look["ended"]): void {
+        this.#pool.takeEnds(worker, ended);
+    }
+
+    /** A worker does not answer. `lapsesAt`: when every lease there is over, if that is known. */
+    takeSilence(worker: WorkerId, lapsesAt: Milliseconds | undefined): void {
+        this.#pool.takeSilence(worker, lapsesAt);
+    }
+
+    /** Another life of the worker answers at its address. */
+    takeOtherLife(worker: WorkerId): void {
+        this.#pool.takeOver(worker);
+    }
+
+    /** A worker has taken a start. */
+    startTaken(worker: WorkerId, task: TaskAddress, run: RunNumber): void {
+        const entry = this.workers.get(worker)?.runOf(task, run);
+        if (entry !== undefined) {
+            this.#runs.confirm(entry);
+        }
+    }
+
+    /** A start was not done and will not be. `refusal`: undefined when it never reached the worker. */
+    startRefused(worker: WorkerId, task: TaskAddress, run: RunNumber, refusal: OrderRefusal | undefined): void {
+        const entry = this.workers.get(worker)?.runOf(task, run);
+        this.#context.options.log.log(logEvents.runRefused, { worker, task, run, refusal: refusal ?? "not delivered" });
+        if (entry === undefined || refusal === undefined && entry.confirmedAt !== undefined) {
+            return;
+        }
+        const { step } = entry.task;
+        if (refusal === OrderRefusal.Ticket) {
+            step.permits?.drop(worker);
+        }
+        this.#runs.notStarted(entry, refusal);
+        if (step.definition.isGang) {
+            this.#stopMembers(step, "a member of its gang was not started");
+        }
+        this.#wantsPass = true;
+    }
+
+    /** Takes in an answer of the advice service; undefined when there was none. */
+    takeAdvice(step: string, asked: readonly WorkerId[], answer: AdviceAnswer | undefined): void {
+        this.#advice.take(step, asked, answer);
+        this.#wantsPass = true;
+    }
+
+    /** The records of a step are kept. */
+    kept(step: Turn): void {
+        const { table, workers } = this.#context;
+        for (const record of step.records) {
+            if (record.kind === "accepted") {
+                const job = table.jobs.get(record.definition.job);
+                if (job !== undefined) {
+                    job.isKept = true;
+                }
+                this.#wantsPass = true;
+            }
+            if (record.kind === "worker") {
+                const worker = workers.get(record.worker);
+                if (worker !== undefined) {
+                    worker.isRecorded = true;
+                }
+                this.#wantsPass = true;
+            }
+        }
+        step.changedJobs.forEach(id => this.#showState(table.jobs.get(id)));
+    }
+
+    /** Looks at what time has brought. */
+    tick(): void {
+        this.#pool.tick();
+        this.#wantsPass = true;
+    }
+
+    /** Places what fits. */
+    place(): void {
+        this.#wantsPass = false;
+        this.#placer.place();
+    }
+
+    /** Takes out what the inputs so far led to. */
+    drain(): Turn {
+        return this.#context.outbox.drain();
+    }
+
+    /** Whether the inputs so far led to anything. */
+    get hasOutput(): boolean {
+        return !this.#context.outbox.isEmpty;
+    }
+
+    /** The whole state, in a form that JSON holds. */
+    snapshot(): CellSnapshot {
+        return this.#context.table.snapshot();
+    }
+
+    /** A final state is shown only once its record is kept; `step` named the job when its records were. */
+    #showState(job: Job | undefined): void {
+        if (job !== undefined && (job.shownState === CellJobState.Queued || isEndState(job.state))) {
+            job.shownState = job.state;
+        }
+    }
+
+    #openSteps(job: Job): void {
+        if (job.isOver) {
+            return;
+        }
+        for (const occurrence of job.occurrences.values()) {
+            this.#openOccurrence(occurrence);
+        }
+        this.#wantsPass = true;
+    }
+
+    #openOccurrence(occurrence: Occurrence): void {
+        for (const step of occurrence.steps) {
+            if (!step.isDone && step.isUnblocked) {
+                this.#open(step);
+            }
+        }
+    }
+
+    #open(step: Step): void {
+        if (step.readyAt === undefined) {
+            step.readyAt = this.#context.now();
+            this.#context.options.log.log(logEvents.stepReady, { step: step.address, tasks: step.tasks.length });
+        }
+        this.#placer.add(step);
+        this.#wantsPass = true;
+    }
+
+    #stepChanged(step: Step): void {
+        this.#wantsPass = true;
+        this.#context.outbox.changed(step.job.id);
+        if (step.isDone) {
+            this.#placer.remove(step);
+            this.#openOccurrence(step.occurrence);
+            return;
+        }
+        this.#open(step);
+    }
+
+    #runEnded(run: TaskRun, end: RunEnd): void {
+        const { step } = run.task;
+        if (end !== "done" && step.definition.isGang && !step.isDone) {
+            this.#stopMembers(step, "another member of its gang ended");
+        }
+        if (end === "failed") {
+            step.notBefore = this.#context.now() + failedRunPause;
+        }
+    }
+
+    /** Stops what is left of a gang's run, so that it waits for no member that will not come. */
+    #stopMembers(step: Step, reason: string): void {
+        for (const task of step.tasks) {
+            task.runs.forEach(run => this.#runs.stop(run, reason));
+        }
+    }
+
+    #jobEnded(job: Job): void {
+        for (const occurrence of job.occurrences.values()) {
+            occurrence.steps.forEach(step => this.#placer.remove(step));
+        }
+        this.#context.outbox.changed(job.id);
+        this.#wantsPass = true;
+        if ([...job.occurrences.values()].every(hasNoRuns)) {
+            this.#context.options.log.log(logEvents.jobEnded, { job: job.id, state: job.state });
+            job.shrink();
+        }
+    }
+}
+
+const hasNoRuns = (occurrence: Occurrence): boolean =>
+    occurrence.steps.every(step => step.tasks.every(task => task.runs.length === 0));
+
--- /dev/null
+++ b/packages/cell/src/scheduler/entities.ts
@@ -0,0 +1,204 @@
+/** The owner's view of jobs, their steps and tasks, and the runs of these. */
+import type { AdvicePolicy } from "../advice/index.js";
+import type { JobId, Milliseconds, QueueName, RunNumber, ServiceName, TaskAddress } from "@pebbledale/core";
+import {
+    addressOf,
+    CellJobState,
+    isEndState,
+    type JobDefinition,
+    stepAddress,
+    type StepDefinition,
+} from "./definition.js";
+import type { StepPermits } from "./step-permits.js";
+import type { WorkerState } from "./worker-state.js";
+
+/** Phase of one task. */
+export enum TaskPhase {
+    /** Has no run at work. */
+    Waiting = "waiting",
+    /** Has at least one run that is ordered or at work. */
+    Active = "active",
+    Done = "done",
+    /** Will not be tried again. */
+    Failed = "failed",
+}
+
+/** Phase of one run. */
+export enum RunPhase {
+    /** Ordered; the worker has not confirmed it. */
+    Ordered = "ordered",
+    AtWork = "at-work",
+    /** Told to stop; its room is free once its end is seen. */
+    Stopping = "stopping",
+}
+
+/** One run of a task at a worker. */
+export interface TaskRun {
+    readonly task: Task;
+    readonly run: RunNumber;
+    readonly worker: WorkerState;
+    phase: RunPhase;
+    /** By the owner's monotonic clock. */
+    readonly orderedAt: Milliseconds;
+    /** When the worker confirmed it. */
+    confirmedAt: Milliseconds | undefined;
+    /** Progress as last seen, 0 to 100, and when it last changed. */
+    percent: number;
+    progressedAt: Milliseconds;
+    checkpoint: string;
+    /** Why it was told to stop; undefined while it was not. */
+    stopReason: string | undefined;
+}
+
+/** One task of an occurrence of a step. */
+export class Task {
+    phase = TaskPhase.Waiting;
+    /** Highest run number that is known of. */
+    lastRun = 0;
+    failures = 0;
+    /** The newest progress that is known of; empty when there is none. */
+    checkpoint = "";
+    readonly runs: TaskRun[] = [];
+    /** Runs whose ends were taken in. */
+    readonly endedRuns = new Set<number>();
+    readonly address: TaskAddress;
+
+    constructor(readonly step: Step, readonly index: number) {
+        this.address = addressOf({
+            job: step.occurrence.job.id,
+            occurrence: step.occurrence.number,
+            step: step.index,
+            index,
+        });
+    }
+
+    /** Notes newer progress. Any member's serves for its gang, and all members start from the same. */
+    noteCheckpoint(checkpoint: string): void {
+        if (checkpoint === "" || checkpoint === this.checkpoint) {
+            return;
+        }
+        const members = this.step.definition.isGang ? this.step.tasks : [this];
+        members.forEach(member => member.checkpoint = checkpoint);
+    }
+}
+
+/** One step of an occurrence. */
+export class Step {
+    readonly tasks: Task[];
+    doneCount = 0;
+    /** Failed runs of the whole gang. */
+    gangFailures = 0;
+    /** The highest run of the gang in which a member failed. */
+    lastFailedRun = 0;
+    /** When all it waits for was done, by the owner's monotonic clock. */
+    readyAt: Milliseconds | undefined;
+    /** Which workers may run it; undefined when all of the service may. */
+    permits: StepPermits | undefined;
+    /** Not before this, by the owner's monotonic clock. */
+    notBefore: Milliseconds = 0;
+    readonly address: string;
+
+    constructor(
+        readonly occurrence: Occurrence,
+        readonly index: number,
+        readonly definition: StepDefinition,
+    ) {
+        this.address = stepAddress(occurrence.job.id, occurrence.number, index);
+        this.tasks = Array.from({ length: definition.taskCount }, (_, task) => new Task(this, task));
+    }
+
+    /** The job it belongs to. */
+    get job(): Job {
+        return this.occurrence.job;
+    }
+
+    /** Whether each of its tasks is done. */
+    get isDone(): boolean {
+        return this.doneCount === this.tasks.length;
+    }
+
+    /** Whether all steps that it waits for are done. */
+    get isUnblocked(): boolean {
+        return this.definition.after.every(index => this.occurrence.steps[index].isDone);
+    }
+
+    /** Tasks that have no run. */
+    waitingTasks(): Task[] {
+        return this.tasks.filter(task => task.phase === TaskPhase.Waiting);
+    }
+}
+
+/** One time that a job's steps run. */
+export class Occurrence {
+    readonly steps: Step[];
+
+    constructor(readonly job: Job, readonly number: number, definition: JobDefinition) {
+        this.steps = definition.steps.map((step, index) => new Step(this, index, step));
+    }
+
+    /** Whether each of its steps is done. */
+    get isDone(): boolean {
+        return this.steps.every(step => step.isDone);
+    }
+}
+
+/** What the owner needs of a job's queue. Kept with the job, as a queue may be dropped while its jobs run. */
+export interface JobTerms {
+    readonly service: ServiceName;
+    readonly priority: number;
+    readonly attempts: number;
+    readonly extension: number;
+    readonly latencyTarget: Milliseconds;
+    readonly advice: AdvicePolicy | undefined;
+}
+
+/** One job. */
+export class Job {
+    readonly occurrences = new Map<number, Occurrence>();
+    state = CellJobState.Queued;
+    /** The state that callers are told: final only once its record is kept. */
+    shownState = CellJobState.Queued;
+    /** Whether the record of its acceptance is kept. */
+    isKept = false;
+    /** Occurrences that are done. */
+    doneOccurrences = 0;
+    /** When it ended, in milliseconds since 1970. */
+    endedAt: number | undefined;
+    /** Whether an earlier owner may have started tasks of it. */
+    isRecovered = false;
+    terms: JobTerms | undefined;
+    #definition: JobDefinition | undefined;
+
+    constructor(
+        readonly id: JobId,
+        readonly queue: QueueName,
+        /** Milliseconds since 1970. */
+        readonly acceptedAt: number,
+        definition: JobDefinition | undefined,
+        /** By the owner's monotonic clock; of a job of an earlier owner the time at which it was read. */
+        readonly acceptedSteady: Milliseconds,
+    ) {
+        this.#definition = definition;
+    }
+
+    /** What was handed in; undefined once the job is over and nothing of it runs. */
+    get definition(): JobDefinition | undefined {
+        return this.#definition;
+    }
+
+    /** How often its steps run. */
+    get occurrenceCount(): number {
+        return this.#definition?.timetable?.occurrences ?? 1;
+    }
+
+    /** Whether it has ended, kept or not. */
+    get isOver(): boolean {
+        return isEndState(this.state);
+    }
+
+    /** Lets go of all but its state. */
+    shrink(): void {
+        this.#definition = undefined;
+        this.occurrences.clear();
+    }
+}
--- /dev/null
+++ b/packages/cell/src/scheduler/job-table.ts
@@ -0,0 +1,235 @@
+/** All jobs of a cell, changed only by records, so that a replay of the journal gives the same. */
+import type { JobId, Milliseconds, WorkerId } from "@pebbledale/core";
+import { RunEnd } from "../task-worker/index.js";
+import { CellJobState, type JobDefinition, placeOf } from "./definition.js";
+import { Job, Occurrence, type Step, type Task, TaskPhase } from "./entities.js";
+import type { AcceptedRecord, CellRecord, EndedRecord, StartedRecord } from "./records.js";
+
+/** A task as snapshots hold it: step, index, phase, last run, failures, checkpoint, ended runs. */
+type TaskSnapshot = readonly [number, number, TaskPhase, number, number, string, readonly number[]];
+
+/** An occurrence as snapshots hold it: number, failures and last failed run of each step's gang, changed tasks. */
+type OccurrenceSnapshot = readonly [number, readonly (readonly [number, number])[], readonly TaskSnapshot[]];
+
+/** A job as snapshots hold it. */
+export interface JobSnapshot {
+    readonly id: JobId;
+    readonly queue: Job["queue"];
+    readonly acceptedAt: number;
+    readonly endedAt: number | undefined;
+    readonly state: CellJobState;
+    readonly doneOccurrences: number;
+    readonly definition: JobDefinition | undefined;
+    readonly occurrences: readonly OccurrenceSnapshot[];
+}
+
+/** A cell as snapshots hold it. */
+export interface CellSnapshot {
+    readonly jobs: readonly JobSnapshot[];
+    readonly workers: readonly (readonly [WorkerId, string])[];
+}
+
+/** See the module's comment. */
+export class JobTable {
+    readonly jobs = new Map<JobId, Job>();
+    /** Workers that runs may have been ordered on, with their addresses. */
+    readonly knownWorkers = new Map<WorkerId, string>();
+
+    constructor(private readonly now: () => Milliseconds) {}
+
+    /** Changes the table as a record says; a record that no longer applies changes nothing. */
+    apply(record: CellRecord): void {
+        switch (record.kind) {
+            case "accepted":
+                this.#accept(record);
+                break;
+            case "cancelled":
+                this.#end(this.jobs.get(record.job), CellJobState.Cancelled, record.at);
+                break;
+            case "started":
+                this.#start(record);
+                break;
+            case "ended":
+                this.#endRun(record);
+                break;
+            case "forgotten":
+                this.jobs.delete(record.job);
+                break;
+            case "worker":
+                this.knownWorkers.set(record.worker, record.address);
+                break;
+            case "worker-gone":
+                this.knownWorkers.delete(record.worker);
+                break;
+        }
+    }
+
+    /** The task of a name, if its job is known and not over. */
+    taskOf(address: EndedRecord["task"]): Task | undefined {
+        const place = placeOf(address);
+        const job = place === undefined ? undefined : this.jobs.get(place.job);
+        if (place === undefined || job?.definition === undefined) {
+            return undefined;
+        }
+        return this.occurrenceOf(job, place.occurrence)?.steps[place.step]?.tasks[place.index];
+    }
+
+    /** An occurrence of a job, made when it is first asked for. */
+    occurrenceOf(job: Job, number: number): Occurrence | undefined {
+        const known = job.occurrences.get(number);
+        if (known !== undefined || job.definition === undefined || number >= job.occurrenceCount) {
+            return known;
+        }
+        const made = new Occurrence(job, number, job.definition);
+        job.occurrences.set(number, made);
+        return made;
+    }
+
+    /** All of it, in a form that JSON holds. */
+    snapshot(): CellSnapshot {
+        return { jobs: [...this.jobs.values()].map(snapshotOf), workers: [...this.knownWorkers] };
+    }
+
+    /** Takes over a snapshot. */
+    restore(snapshot: CellSnapshot): void {
+        snapshot.workers.forEach(([worker, address]) => this.knownWorkers.set(worker, address));
+        snapshot.jobs.forEach(saved => this.#restoreJob(saved));
+    }
+
+    #accept({ at, definition }: AcceptedRecord): void {
+        const job = new Job(definition.job, definition.queue, at, definition, this.now());
+        this.jobs.set(job.id, job);
+        if (definition.timetable === undefined) {
+            this.occurrenceOf(job, 0);
+        }
+    }
+
+    #end(job: Job | undefined, state: CellJobState, at: number): void {
+        if (job !== undefined && !job.isOver) {
+            job.state = state;
+            job.endedAt = at;
+        }
+    }
+
+    #start({ task: address, run }: StartedRecord): void {
+        const task = this.taskOf(address);
+        if (task !== undefined) {
+            task.lastRun = Math.max(task.lastRun, run);
+            this.#noteBegun(task.step.job);
+        }
+    }
+
+    #endRun(record: EndedRecord): void {
+        const task = this.taskOf(record.task);
+        if (task === undefined || task.endedRuns.has(record.run)) {
+            return;
+        }
+        task.endedRuns.add(record.run);
+        task.lastRun = Math.max(task.lastRun, record.run);
+        this.#noteBegun(task.step.job);
+        task.noteCheckpoint(record.checkpoint);
+        if (record.end === RunEnd.Done) {
+            this.#finishTask(task, record.at);
+        }
+        else if (record.end === RunEnd.Failed) {
+            this.#countFailure(task, record);
+        }
+    }
+
+    #noteBegun(job: Job): void {
+        if (job.state === CellJobState.Queued) {
+            job.state = CellJobState.Running;
+        }
+    }
+
+    #finishTask(task: Task, at: number): void {
+        const { step } = task;
+        // The members of a gang end done together: one such end counts for all.
+        const finished = step.definition.isGang ? step.tasks : [task];
+        for (const other of finished) {
+            if (other.phase !== TaskPhase.Done) {
+                other.phase = TaskPhase.Done;
+                step.doneCount++;
+            }
+        }
+        const { occurrence, job } = step;
+        if (step.isDone && occurrence.isDone) {
+            job.doneOccurrences++;
+            if (job.doneOccurrences === job.occurrenceCount) {
+                this.#end(job, CellJobState.Completed, at);
+            }
+        }
+    }
+
+    #countFailure(task: Task, { run, isFinal, at }: EndedRecord): void {
+        const { step } = task;
+        task.failures++;
+        if (step.definition.isGang && step.lastFailedRun < run) {
+            step.lastFailedRun = run;
+            step.gangFailures++;
+        }
+        if (isFinal) {
+            task.phase = TaskPhase.Failed;
+            this.#end(step.job, CellJobState.Failed, at);
+        }
+    }
+
+    #restoreJob(saved: JobSnapshot): void {
+        const job = new Job(saved.id, saved.queue, saved.acceptedAt, saved.definition, this.now());
+        job.state = saved.state;
+        job.endedAt = saved.endedAt;
+        job.doneOccurrences = saved.doneOccurrences;
+        this.jobs.set(job.id, job);
+        for (const [number, gangs, tasks] of saved.occurrences) {
+            const occurrence = this.occurrenceOf(job, number);
+            if (occurrence !== undefined) {
+                gangs.forEach(([failures, lastFailed], index) => {
+                    occurrence.steps[index].gangFailures = failures;
+                    occurrence.steps[index].lastFailedRun = lastFailed;
+                });
+                tasks.forEach(task => restoreTask(occurrence, task));
+            }
+        }
+    }
+}
+
+const snapshotOf = (job: Job): JobSnapshot => ({
+    id: job.id,
+    queue: job.queue,
+    acceptedAt: job.acceptedAt,
+    endedAt: job.endedAt,
+    state: job.state,
+    doneOccurrences: job.doneOccurrences,
+    definition: job.isOver ? undefined : job.definition,
+    occurrences: job.isOver ? [] : [...job.occurrences.values()].map(snapshotOfOccurrence),
+});
+
+const snapshotOfOccurrence = (occurrence: Occurrence): OccurrenceSnapshot => [
+    occurrence.number,
+    occurrence.steps.map(step => [step.gangFailures, step.lastFailedRun] as const),
+    occurrence.steps.flatMap(step => step.tasks.filter(isChanged).map(task => snapshotOfTask(step, task))),
+];
+
+const isChanged = (task: Task): boolean => task.lastRun > 0 || task.phase === TaskPhase.Done;
+
+const snapshotOfTask = (step: Step, task: Task): TaskSnapshot => [
+    step.index,
+    task.index,
+    task.phase === TaskPhase.Active ? TaskPhase.Waiting : task.phase,
+    task.lastRun,
+    task.failures,
+    task.checkpoint,
+    [...task.endedRuns],
+];
+
+const restoreTask = (occurrence: Occurrence, saved: TaskSnapshot): void => {
+    const [stepIndex, taskIndex, phase, lastRun, failures, checkpoint, endedRuns] = saved;
+    const step = occurrence.steps[stepIndex];
+    const task = step.tasks[taskIndex];
+    task.phase = phase;
+    task.lastRun = lastRun;
+    task.failures = failures;
+    task.checkpoint = checkpoint;
+    endedRuns.forEach(run => task.endedRuns.add(run));
+    step.doneCount += phase === TaskPhase.Done ? 1 : 0;
+};
--- /dev/null
+++ b/packages/cell/src/scheduler/outbox.ts
@@ -0,0 +1,105 @@
+/** Gathers what the inputs of one turn lead to: records to keep, orders to send, questions to ask. */
+import type { JobId, RunNumber, TaskAddress, WorkerId } from "@pebbledale/core";
+import type { CellRecord } from "./records.js";
+
+/** Starts a run at a worker. */
+export interface StartCommand {
+    readonly kind: "start";
+    readonly worker: WorkerId;
+    readonly task: TaskAddress;
+    readonly run: RunNumber;
+    readonly payload: string;
+    readonly checkpoint: string;
+    readonly ticket?: string;
+}
+
+/** Stops a run at a worker. */
+export interface StopCommand {
+    readonly kind: "stop";
+    readonly worker: WorkerId;
+    readonly task: TaskAddress;
+    readonly run: RunNumber;
+}
+
+/** An order to a worker. */
+export type WorkerCommand = StartCommand | StopCommand;
+
+/** A question to the advice service. */
+export interface AdviceCommand {
+    /** Address of the step. */
+    readonly step: string;
+    readonly workers: readonly WorkerId[];
+    /** 0 is the most urgent. */
+    readonly priority: number;
+    /** What the call takes at the service, in milliseconds. */
+    readonly duration: number;
+}
+
+/** What one turn led to. */
+export interface Turn {
+    readonly records: readonly CellRecord[];
+    /** Sent at once: what a run is allowed to do does not hang on its record. */
+    readonly commands: readonly WorkerCommand[];
+    readonly questions: readonly AdviceCommand[];
+    /** Once the records are kept: ends that a worker may forget, by worker the highest number. */
+    readonly acknowledgements: ReadonlyMap<WorkerId, number>;
+    /** Jobs whose state may have changed. */
+    readonly changedJobs: ReadonlySet<JobId>;
+}
+
+/** See the module's comment. */
+export class Outbox {
+    #records: CellRecord[] = [];
+    #commands: WorkerCommand[] = [];
+    #questions: AdviceCommand[] = [];
+    #acknowledgements = new Map<WorkerId, number>();
+    #changedJobs = new Set<JobId>();
+
+    /** Whether anything was gathered. */
+    get isEmpty(): boolean {
+        return this.#records.length + this.#commands.length + this.#questions.length + this.#acknowledgements.size
+                + this.#changedJobs.size === 0;
+    }
+
+    /** Adds a record. */
+    record(record: CellRecord): void {
+        this.#records.push(record);
+    }
+
+    /** Adds an order to a worker. */
+    command(command: WorkerCommand): void {
+        this.#commands.push(command);
+    }
+
+    /** Adds a question to the advice service. */
+    ask(question: AdviceCommand): void {
+        this.#questions.push(question);
+    }
+
+    /** Lets a worker forget its ends up to `through` once the records so far are kept. */
+    acknowledge(worker: WorkerId, through: number): void {
+        this.#acknowledgements.set(worker, Math.max(through, this.#acknowledgements.get(worker) ?? 0));
+    }
+
+    /** Notes that a job's state may have changed. */
+    changed(job: JobId): void {
+        this.#changedJobs.add(job);
+    }
+
+    /** Takes out what was gathered. */
+    drain(): Turn {
+        const step: Turn = {
+            records: this.#records,
+            commands: this.#commands,
+            questions: this.#questions,
+            acknowledgements: this.#acknowledgements,
+            changedJobs: this.#changedJobs,
+        };
+        this.#records = [];
+        this.#commands = [];
+        this.#questions = [];
+        this.#acknowledgements = new Map();
+        this.#changedJobs = new Set();
+        return step;
+    }
+}
--- /dev/null
+++ b/packages/cell/src/scheduler/placer.ts
@@ -0,0 +1,165 @@
+/** Places what waits: goes through the ready steps in the order of their urgency and orders what fits. */
+import { logEvents, type Milliseconds } from "@pebbledale/core";
+import type { AdviceDesk } from "./advice-desk.js";
+import type { CellContext } from "./cell-context.js";
+import { addressOf } from "./definition.js";
+import type { Step, Task } from "./entities.js";
+import { compareUrgency } from "./urgency.js";
+import type { RunBook } from "./run-book.js";
+import { candidatesFor, dealAll, isEligible, type Share } from "./worker-choice.js";
+import type { WorkerState } from "./worker-state.js";
+
+/** See the module's comment. */
+export class Placer {
+    readonly #ready = new Set<Step>();
+    /** Workers whose room a gang further ahead in this pass waits for. */
+    readonly #kept = new Set<WorkerState>();
+
+    constructor(
+        private readonly context: CellContext,
+        private readonly runs: RunBook,
+        private readonly advice: AdviceDesk,
+        /** Whether tasks of jobs of an earlier owner may be started. */
+        private readonly isSettled: () => boolean,
+    ) {}
+
+    /** Steps that have tasks to place. */
+    get readySteps(): ReadonlySet<Step> {
+        return this.#ready;
+    }
+
+    /** Adds a step whose tasks may be placed. */
+    add(step: Step): void {
+        this.#ready.add(step);
+    }
+
+    /** Takes a step out. */
+    remove(step: Step): void {
+        this.#ready.delete(step);
+    }
+
+    /** One pass. */
+    place(): void {
+        const now = this.context.now();
+        this.#kept.clear();
+        const steps = [...this.#ready].sort((left, right) => compareUrgency(this.context, left, right, now));
+        for (const step of steps) {
+            this.#placeStep(step, now);
+        }
+    }
+
+    #placeStep(step: Step, now: Milliseconds): void {
+        const waiting = step.waitingTasks();
+        const terms = this.context.termsOf(step.job);
+        if (waiting.length === 0 && step.tasks.every(task => task.runs.length === 0)) {
+            this.#ready.delete(step);
+            return;
+        }
+        const isHeld = step.job.isRecovered && !this.isSettled();
+        if (waiting.length === 0 || terms === undefined || !step.job.isKept || isHeld || now < step.notBefore) {
+            return;
+        }
+        this.advice.prepare(step, terms);
+        const input = {
+            step,
+            service: terms.service,
+            workers: this.context.workers.values(),
+            now,
+            isKept: (worker: WorkerState) => this.#kept.has(worker),
+        };
+        const candidates = candidatesFor(input, waiting.length);
+        if (step.definition.isGang) {
+            this.#placeGang(step, waiting, candidates, now);
+        }
+        else {
+            this.#placeTasks(step, waiting, candidates);
+        }
+    }
+
+    #placeTasks(step: Step, waiting: readonly Task[], candidates: readonly Share[]): void {
+        let next = 0;
+        for (const { worker, count, ticket } of candidates) {
+            const taken = waiting.slice(next, next + count);
+            if (taken.length === 0) {
+                return;
+            }
+            this.#order(step, taken, worker, ticket);
+            next += taken.length;
+        }
+        if (next < waiting.length) {
+            this.advice.wantRoom(step, waiting.length - next);
+        }
+    }
+
+    #placeGang(step: Step, waiting: readonly Task[], candidates: readonly Share[], now: Milliseconds): void {
+        if (waiting.length < step.tasks.length) {
+            return;
+        }
+        const shares = dealAll(candidates, waiting.length);
+        if (shares === undefined) {
+            this.advice.wantRoom(step, waiting.length);
+            this.#keepRoom(step, waiting.length, now);
+            return;
+        }
+        let next = 0;
+        for (const { worker, count, ticket } of shares) {
+            this.#order(step, waiting.slice(next, next + count), worker, ticket);
+            next += count;
+        }
+    }
+
+    /** Keeps workers for a gang that does not fit yet, those with the most room first, until it would fit. */
+    #keepRoom(step: Step, count: number, now: Milliseconds): void {
+        const terms = this.context.termsOf(step.job);
+        if (terms === undefined) {
+            return;
+        }
+        const possible = [...this.context.workers.values()]
+            .filter(worker => isEligible(worker, step, terms.service, now) && !this.#kept.has(worker))
+            .filter(worker => step.permits === undefined || step.permits.isPermitted(worker.id))
+            .sort((left, right) => right.freeProcessor - left.freeProcessor);
+        let left = count;
+        for (const worker of possible) {
+            if (left <= 0) {
+                return;
+            }
+            this.#kept.add(worker);
+            left -= countInWhole(worker, step);
+        }
+    }
+
+    #order(step: Step, tasks: readonly Task[], worker: WorkerState, ticket: string | undefined): void {
+        const now = this.context.now();
+        const run = this.runs.nextRunOf(step, tasks[0]);
+        for (const task of tasks) {
+            this.runs.order(task, step.definition.isGang ? run : this.runs.nextRunOf(step, task), worker, ticket);
+        }
+        this.context.options.log.log(logEvents.runsOrdered, {
+            job: step.job.id,
+            first: addressOf({
+                job: step.job.id,
+                occurrence: step.occurrence.number,
+                step: step.index,
+                index: tasks[0].index,
+            }),
+            tasks: tasks.length,
+            run,
+            worker: worker.id,
+            freeAfter: worker.freeProcessor,
+            waited: Math.round(now - (step.readyAt ?? now)),
+        });
+    }
+}
+
+/** How many tasks of a step a worker could hold were it empty. */
+const countInWhole = (worker: WorkerState, step: Step): number => {
+    const { size } = step.definition;
+    const capacity = worker.entry?.capacity;
+    if (capacity === undefined) {
+        return 0;
+    }
+    return Math.min(
+        Math.floor(capacity.processorThousandths / Math.max(1, size.processorThousandths)),
+        Math.floor(capacity.memoryMebibytes / Math.max(1, size.memoryMebibytes)),
+    );
+};
--- /dev/null
+++ b/packages/cell/src/scheduler/records.ts
@@ -0,0 +1,68 @@
+/** What the journal of a cell holds. */
+import type { JobId, RunNumber, TaskAddress, WorkerId } from "@pebbledale/core";
+import type { RunEnd } from "../task-worker/index.js";
+import type { JobDefinition } from "./definition.js";
+
+/** A job was accepted. Kept before its caller hears of it. */
+export interface AcceptedRecord {
+    readonly kind: "accepted";
+    /** Milliseconds since 1970. */
+    readonly at: number;
+    readonly definition: JobDefinition;
+}
+
+/** A job was cancelled by its caller. Kept before the caller hears of it. */
+export interface CancelledRecord {
+    readonly kind: "cancelled";
+    readonly at: number;
+    readonly job: JobId;
+}
+
+/** Runs were ordered. Not waited for: what runs is asked of the workers. */
+export interface StartedRecord {
+    readonly kind: "started";
+    readonly worker: WorkerId;
+    readonly task: TaskAddress;
+    readonly run: RunNumber;
+}
+
+/** A run ended. Kept before its worker is told to forget it and before the job's state shows it. */
+export interface EndedRecord {
+    readonly kind: "ended";
+    readonly at: number;
+    readonly task: TaskAddress;
+    readonly run: RunNumber;
+    readonly end: RunEnd;
+    readonly checkpoint: string;
+    /** Whether the task has failed as often as it may, so that its job has failed. */
+    readonly isFinal: boolean;
+}
+
+/** A job that ended long enough ago is no longer known. */
+export interface ForgottenRecord {
+    readonly kind: "forgotten";
+    readonly job: JobId;
+}
+
+/** A worker that runs may be ordered on. A later owner asks it before it trusts that nothing runs there. */
+export interface WorkerRecord {
+    readonly kind: "worker";
+    readonly worker: WorkerId;
+    readonly address: string;
+}
+
+/** A worker is gone: nothing of it can run any more. */
+export interface WorkerGoneRecord {
+    readonly kind: "worker-gone";
+    readonly worker: WorkerId;
+}
+
+/** One record. */
+export type CellRecord =
+    | AcceptedRecord
+    | CancelledRecord
+    | StartedRecord
+    | EndedRecord
+    | ForgottenRecord
+    | WorkerRecord
+    | WorkerGoneRecord;
--- /dev/null
+++ b/packages/cell/src/scheduler/run-book.ts
@@ -0,0 +1,244 @@
+/** The life of runs: ordered, confirmed, ended, lost; and what follows from each for the task and its job. */
+import { logEvents, runNumber, type RunNumber, type TaskAddress } from "@pebbledale/core";
+import { type EndedRun, OrderRefusal, RunEnd, type WorkerRun } from "../task-worker/index.js";
+import type { CellContext } from "./cell-context.js";
+import { CellJobState } from "./definition.js";
+import { type Job, RunPhase, type Step, type Task, TaskPhase, type TaskRun } from "./entities.js";
+import type { WorkerState } from "./worker-state.js";
+
+/** Told what may make further work ready. */
+export interface RunListener {
+    /** A task waits again, or a step that others wait for is done. */
+    stepChanged(step: Step): void;
+    /** A job ended. */
+    jobEnded(job: Job): void;
+    /** A run ended at a worker. */
+    runEnded(run: TaskRun, end: RunEnd): void;
+}
+
+/** See the module's comment. */
+export class RunBook {
+    constructor(private readonly context: CellContext, private readonly listener: RunListener) {}
+
+    /** Orders one run; the caller has checked that it fits. */
+    order(task: Task, run: RunNumber, worker: WorkerState, ticket: string | undefined): void {
+        this.#add(task, run, worker, RunPhase.Ordered);
+        this.context.record({ kind: "started", worker: worker.id, task: task.address, run });
+        this.context.outbox.changed(task.step.job.id);
+        this.context.outbox.command({
+            kind: "start",
+            worker: worker.id,
+            task: task.address,
+            run,
+            payload: task.step.job.definition?.payload ?? "",
+            checkpoint: task.checkpoint,
+            ticket,
+        });
+    }
+
+    /** The number of a task's next run; of a gang the same for all. */
+    nextRunOf(step: Step, task: Task): RunNumber {
+        if (!step.definition.isGang) {
+            return runNumber(task.lastRun + 1);
+        }
+        return runNumber(Math.max(...step.tasks.map(member => member.lastRun)) + 1);
+    }
+
+    /** Takes over a run that a worker has and that this owner did not order. */
+    adopt(task: Task, seen: WorkerRun, worker: WorkerState): void {
+        task.lastRun = Math.max(task.lastRun, seen.run);
+        const run = this.#add(task, seen.run, worker, RunPhase.AtWork);
+        run.confirmedAt = this.context.now();
+        this.#noteBegun(task);
+        this.noteProgress(run, seen);
+    }
+
+    /** The worker has confirmed a run. */
+    confirm(run: TaskRun): void {
+        if (run.phase === RunPhase.Ordered) {
+            run.phase = RunPhase.AtWork;
+        }
+        run.confirmedAt ??= this.context.now();
+        this.#noteBegun(run.task);
+    }
+
+    /** Takes in how far a run is. */
+    noteProgress(run: TaskRun, seen: WorkerRun): void {
+        if (seen.percent !== run.percent) {
+            run.percent = seen.percent;
+            run.progressedAt = this.context.now();
+        }
+        if (seen.checkpoint !== "") {
+            run.checkpoint = seen.checkpoint;
+            run.task.noteCheckpoint(seen.checkpoint);
+        }
+    }
+
+    /** Tells a worker to stop a run; once. */
+    stop(run: TaskRun, reason: string): void {
+        if (run.stopReason !== undefined) {
+            return;
+        }
+        run.stopReason = reason;
+        run.phase = RunPhase.Stopping;
+        this.sendStop(run.worker, run.task.address, run.run);
+        this.context.options.log.log(logEvents.runStopped, {
+            task: run.task.address,
+            run: run.run,
+            worker: run.worker.id,
+            reason,
+        });
+    }
+
+    /** Sends the order to stop. */
+    sendStop(worker: WorkerState, task: TaskAddress, run: RunNumber): void {
+        this.context.outbox.command({ kind: "stop", worker: worker.id, task, run });
+    }
+
+    /** Stops all runs of a job. */
+    stopJob(job: Job, reason: string): void {
+        for (const run of runsOf(job)) {
+            this.stop(run, reason);
+        }
+    }
+
+    /** Takes in the end of a run that a worker lists. */
+    takeEnd(worker: WorkerState, ended: EndedRun): void {
+        const task = this.context.table.taskOf(ended.task);
+        const run = worker.runOf(ended.task, ended.run);
+        if (run !== undefined) {
+            this.#remove(run);
+        }
+        if (task === undefined || task.endedRuns.has(ended.run)) {
+            return;
+        }
+        this.#recordEnd(task, ended);
+        this.#log(worker, task, ended);
+        if (run !== undefined) {
+            this.listener.runEnded(run, ended.end);
+        }
+        this.#afterRun(task);
+    }
+
+    /** A run that was ordered was not done and will not be. */
+    notStarted(run: TaskRun, refusal: OrderRefusal | undefined): void {
+        this.#remove(run);
+        const { task } = run;
+        if (refusal === OrderRefusal.OldRun) {
+            // The worker has had a later run than is known here.
+            task.lastRun++;
+        }
+        this.#afterRun(task);
+    }
+
+    /** A run can no longer be at work and its end is not known. */
+    lose(run: TaskRun, reason: string): void {
+        this.#remove(run);
+        this.context.options.log.log(logEvents.runLost, {
+            task: run.task.address,
+            run: run.run,
+            worker: run.worker.id,
+            reason,
+        });
+        this.listener.runEnded(run, RunEnd.Lapsed);
+        this.#afterRun(run.task);
+    }
+
+    #recordEnd(task: Task, { task: address, run, end, checkpoint }: EndedRun): void {
+        const { step } = task;
+        const failures = 1 + (step.definition.isGang ? step.gangFailures : task.failures);
+        const isFinal = end === RunEnd.Failed
+            && !step.definition.isLasting
+            && task.phase !== TaskPhase.Done
+            && failures >= this.context.attemptsOf(step.job);
+        this.context.record({
+            kind: "ended",
+            at: this.context.wallClock(),
+            task: address,
+            run,
+            end,
+            checkpoint: end === RunEnd.Done ? "" : checkpoint,
+            isFinal,
+        });
+    }
+
+    #log(worker: WorkerState, task: Task, ended: EndedRun): void {
+        this.context.options.log.log(logEvents.runEnded, {
+            task: task.address,
+            run: ended.run,
+            worker: worker.id,
+            end: ended.end,
+            failures: task.failures,
+        });
+    }
+
+    #add(task: Task, run: RunNumber, worker: WorkerState, phase: RunPhase): TaskRun {
+        const now = this.context.now();
+        const entry: TaskRun = {
+            task,
+            run,
+            worker,
+            phase,
+            orderedAt: now,
+            confirmedAt: undefined,
+            percent: 0,
+            progressedAt: now,
+            checkpoint: "",
+            stopReason: undefined,
+        };
+        task.runs.push(entry);
+        if (task.phase === TaskPhase.Waiting) {
+            task.phase = TaskPhase.Active;
+        }
+        worker.charge(entry);
+        return entry;
+    }
+
+    #remove(run: TaskRun): void {
+        run.worker.discharge(run);
+        const { runs } = run.task;
+        const at = runs.indexOf(run);
+        if (at >= 0) {
+            runs.splice(at, 1);
+        }
+    }
+
+    #noteBegun(task: Task): void {
+        const { job } = task.step;
+        if (job.shownState === CellJobState.Queued) {
+            job.shownState = CellJobState.Running;
+            this.context.outbox.changed(job.id);
+        }
+    }
+
+    /** What follows for a task of which a run is over. */
+    #afterRun(task: Task): void {
+        const { step } = task;
+        const { job } = step;
+        if (task.phase === TaskPhase.Active && task.runs.length === 0) {
+            task.phase = TaskPhase.Waiting;
+        }
+        if (job.isOver) {
+            this.stopJob(job, "its job is over");
+            this.listener.jobEnded(job);
+            return;
+        }
+        if (task.phase === TaskPhase.Done) {
+            task.runs.forEach(copy => this.stop(copy, "another copy is done"));
+        }
+        this.listener.stepChanged(step);
+    }
+}
+
+/** All runs of a job that are not over. */
+export const runsOf = (job: Job): TaskRun[] => {
+    const runs: TaskRun[] = [];
+    for (const occurrence of job.occurrences.values()) {
+        for (const step of occurrence.steps) {
+            for (const task of step.tasks) {
+                runs.push(...task.runs);
+            }
+        }
+    }
+    return runs;
+};
--- /dev/null
+++ b/packages/cell/src/scheduler/step-permits.ts
@@ -0,0 +1,59 @@
+/** What the advice service said of a step: which workers may run it, and with which ticket. */
+import type { Permit } from "../advice/index.js";
+import type { Milliseconds, WorkerId } from "@pebbledale/core";
+
+/** A ticket is taken for over this long before it is, in milliseconds: a start takes some time to arrive. */
+const ticketMargin: Milliseconds = 150;
+
+interface HeldTicket {
+    ticket: string;
+    /** By the owner's monotonic clock. */
+    until: Milliseconds;
+}
+
+/** See the module's comment. What was said of a worker holds for its life; tickets run out. */
+export class StepPermits {
+    readonly #held = new Map<WorkerId, HeldTicket>();
+    readonly #asked = new Set<WorkerId>();
+    /** Whether a call is on its way. */
+    isAsking = false;
+    /** When the last call was asked for, by the owner's monotonic clock. */
+    askedAt: Milliseconds = -Infinity;
+
+    /** Whether the service was asked of a worker. */
+    wasAsked(worker: WorkerId): boolean {
+        return this.#asked.has(worker);
+    }
+
+    /** Whether a worker may run the step, as far as is known. */
+    isPermitted(worker: WorkerId): boolean {
+        return this.#held.has(worker);
+    }
+
+    /** How many workers are known to be permitted. */
+    get permittedCount(): number {
+        return this.#held.size;
+    }
+
+    /** The ticket of a worker, if it still holds. */
+    ticketOf(worker: WorkerId, now: Milliseconds): string | undefined {
+        const held = this.#held.get(worker);
+        return held !== undefined && held.until > now ? held.ticket : undefined;
+    }
+
+    /** Takes an answer in. `until`: when its tickets run out. */
+    take(asked: readonly WorkerId[], permits: readonly Permit[], until: Milliseconds): void {
+        asked.forEach(worker => this.#asked.add(worker));
+        for (const { worker, ticket } of permits) {
+            this.#held.set(worker, { ticket, until: until - ticketMargin });
+        }
+    }
+
+    /** A worker refused its ticket. */
+    drop(worker: WorkerId): void {
+        const held = this.#held.get(worker);
+        if (held !== undefined) {
+            held.until = 0;
+        }
+    }
+}
--- /dev/null
+++ b/packages/cell/src/scheduler/worker-choice.ts
@@ -0,0 +1,80 @@
+/** Chooses workers for the tasks of one step. */
+import type { Milliseconds, ServiceName } from "@pebbledale/core";
+import type { Step } from "./entities.js";
+import type { WorkerState } from "./worker-state.js";
+
+/** Some tasks of a step at one worker. */
+export interface Share {
+    readonly worker: WorkerState;
+    readonly count: number;
+    readonly ticket: string | undefined;
+}
+
+/** A worker that may run a step, and how much of it. */
+interface Candidate extends Share {
+    /** Lower is better. */
+    readonly cost: number;
+}
+
+/** What a choice is made from. */
+export interface ChoiceInput {
+    readonly step: Step;
+    readonly service: ServiceName;
+    readonly workers: Iterable<WorkerState>;
+    readonly now: Milliseconds;
+    /** Whether a worker's room is kept for something else. */
+    readonly isKept: (worker: WorkerState) => boolean;
+}
+
+/** Added for a worker on another rack than the step's data: that takes longer, so it comes after all near ones. */
+const farCost = 1_000;
+
+/** Whether a worker may run a step, whatever its room and tickets. */
+export const isEligible = (worker: WorkerState, step: Step, service: ServiceName, now: Milliseconds): boolean => {
+    const { requiredLabel } = step.definition;
+    return worker.isOpen(now)
+        && worker.entry?.service === service
+        && (requiredLabel === undefined || worker.labels.includes(requiredLabel));
+};
+
+/** Workers that can take tasks of a step now, best first. */
+export const candidatesFor = ({ step, service, workers, now, isKept }: ChoiceInput, most: number): Share[] => {
+    const candidates: Candidate[] = [];
+    for (const worker of workers) {
+        if (!isEligible(worker, step, service, now) || isKept(worker)) {
+            continue;
+        }
+        const ticket = step.permits?.ticketOf(worker.id, now);
+        if (step.permits !== undefined && ticket === undefined) {
+            continue;
+        }
+        const count = worker.countFitting(step, most);
+        if (count > 0) {
+            candidates.push({ worker, count, ticket, cost: costOf(worker, step, count) });
+        }
+    }
+    return candidates.sort((left, right) => left.cost - right.cost);
+};
+
+/** Best fit: the less stays free the better, so that room for wide tasks stays whole elsewhere. */
+const costOf = (worker: WorkerState, step: Step, count: number): number => {
+    const { size, dataRack } = step.definition;
+    const isFar = dataRack !== undefined && !worker.labels.includes(dataRack);
+    const left = worker.freeProcessor - count * size.processorThousandths;
+    return (isFar ? farCost : 0) + left / 1_000;
+};
+
+/** Deals `count` tasks to candidates in their order; undefined when they do not all fit. */
+export const dealAll = (candidates: readonly Share[], count: number): Share[] | undefined => {
+    const shares: Share[] = [];
+    let left = count;
+    for (const candidate of candidates) {
+        if (left === 0) {
+            break;
+        }
+        const taken = Math.min(left, candidate.count);
+        shares.push({ ...candidate, count: taken });
+        left -= taken;
+    }
+    return left === 0 ? shares : undefined;
+};
--- /dev/null
+++ b/packages/cell/src/scheduler/worker-pool.ts
@@ -0,0 +1,283 @@
+/** The cell's workers: who there is, what they say runs there, and when nothing can run there any more. */
+import { logEvents, type Milliseconds, type WorkerId } from "@pebbledale/core";
+import type { Look, WorkerRun } from "../task-worker/index.js";
+import type { WorkerEntry } from "../worker-directory/index.js";
+import type { CellContext } from "./cell-context.js";
+import { leaseMargin, unlistedGrace } from "./constants.js";
+import { type Task, TaskPhase, type TaskRun } from "./entities.js";
+import type { RunBook } from "./run-book.js";
+import { WorkerState } from "./worker-state.js";
+
+/** Told what may make room or free what was held. */
+export interface WorkerListener {
+    /** A worker may be ordered that could not be before, or has more room. */
+    roomChanged(): void;
+    /** A worker drains: what runs there may have to move. */
+    workerDrains(worker: WorkerState): void;
+}
+
+/** See the module's comment. */
+export class WorkerPool {
+    /** Workers on which an earlier owner may have started what is not known here. */
+    readonly #unsettled = new Set<WorkerId>();
+    /** Whether such a worker was passed without having been asked. */
+    #hasPassedUnasked = false;
+
+    constructor(
+        private readonly context: CellContext,
+        private readonly runs: RunBook,
+        private readonly listener: WorkerListener,
+    ) {}
+
+    /** Whether what an earlier owner started is known in full. */
+    get isSettled(): boolean {
+        return this.#unsettled.size === 0;
+    }
+
+    /** Whether some worker of an earlier owner was given up without an answer, so that run numbers may be taken. */
+    get hasPassedUnasked(): boolean {
+        return this.#hasPassedUnasked;
+    }
+
+    /** All workers that are to be asked. */
+    get workers(): ReadonlyMap<WorkerId, WorkerState> {
+        return this.context.workers;
+    }
+
+    /** Takes over the workers of the journal. */
+    recover(): void {
+        for (const [id, address] of this.context.table.knownWorkers) {
+            const worker = new WorkerState(id, address);
+            worker.isRecorded = true;
+            this.context.workers.set(id, worker);
+            this.#unsettled.add(id);
+        }
+    }
+
+    /** Takes in all entries of the platform's store. */
+    takeListing(entries: readonly WorkerEntry[]): void {
+        const listed = new Set(entries.map(entry => entry.worker));
+        entries.forEach(entry => this.takeEntry(entry));
+        for (const id of this.context.workers.keys()) {
+            if (!listed.has(id)) {
+                this.takeGone(id);
+            }
+        }
+    }
+
+    /** Takes in one entry. */
+    takeEntry(entry: WorkerEntry): void {
+        const { log } = this.context.options;
+        let worker = this.context.workers.get(entry.worker);
+        if (worker === undefined) {
+            worker = new WorkerState(entry.worker, entry.address);
+            this.context.workers.set(entry.worker, worker);
+        }
+        if (!worker.isRecorded) {
+            this.context.record({ kind: "worker", worker: entry.worker, address: entry.address });
+        }
+        const wasDraining = worker.entry?.isDraining === true;
+        const isNew = worker.entry === undefined;
+        worker.describe(entry);
+        worker.unlistedSince = undefined;
+        if (entry.isDraining && !wasDraining) {
+            worker.leavesAt = this.context.now() + (entry.leavesIn ?? 0);
+            log.log(logEvents.workerDrains, { worker: entry.worker, leavesIn: entry.leavesIn });
+            this.listener.workerDrains(worker);
+        }
+        if (isNew) {
+            log.log(logEvents.workerListed, { worker: entry.worker, address: entry.address, labels: entry.labels });
+        }
+        this.listener.roomChanged();
+    }
+
+    /** An entry is gone from the platform's store. The worker may live on: it is asked until its leases are over. */
+    takeGone(id: WorkerId): void {
+        const worker = this.context.workers.get(id);
+        if (worker !== undefined && worker.unlistedSince === undefined) {
+            worker.unlistedSince = this.context.now();
+            this.context.options.log.log(logEvents.workerUnlisted, { worker: id });
+        }
+    }
+
+    /**
+     * Takes in a whole look. `sentAt`: when it was asked for, by the owner's monotonic clock. `settledBefore`: orders
+     * from before this moment that it does not show were not carried out and will not be.
+     */
+    takeLook(id: WorkerId, look: Look, sentAt: Milliseconds, settledBefore: Milliseconds): void {
+        const worker = this.context.workers.get(id);
+        if (worker === undefined) {
+            return;
+        }
+        const isFirst = !worker.isClaimed;
+        worker.isClaimed = true;
+        this.#noteAnswer(worker);
+        this.takeEnds(id, look.ended);
+        this.#compare(worker, look.running, sentAt, settledBefore);
+        if (isFirst) {
+            this.context.options.log.log(logEvents.workerSeen, {
+                worker: id,
+                running: look.running.length,
+                ended: look.ended.length,
+            });
+            this.#settle(id);
+        }
+        this.listener.roomChanged();
+    }
+
+    /** Takes in ends that a worker lists. */
+    takeEnds(id: WorkerId, ended: Look["ended"]): void {
+        const worker = this.context.workers.get(id);
+        if (worker === undefined || ended.length === 0) {
+            return;
+        }
+        for (const end of ended) {
+            this.runs.takeEnd(worker, end);
+            worker.takenThrough = Math.max(worker.takenThrough, end.number);
+        }
+        this.context.outbox.acknowledge(id, worker.takenThrough);
+        this.listener.roomChanged();
+    }
+
+    /** A worker does not answer. `lapsesAt`: when every lease there is over, if that is known. */
+    takeSilence(id: WorkerId, lapsesAt: Milliseconds | undefined): void {
+        const worker = this.context.workers.get(id);
+        if (worker === undefined) {
+            return;
+        }
+        if (worker.silentSince === undefined) {
+            worker.silentSince = this.context.now();
+            this.context.options.log.log(logEvents.workerSilent, { worker: id, lapsesAt, runs: worker.runs.size });
+        }
+        worker.lapsesAt = lapsesAt ?? worker.lapsesAt;
+    }
+
+    /** Another life of the worker answers at its address: this one is over, with all that ran there. */
+    takeOver(id: WorkerId): void {
+        const worker = this.context.workers.get(id);
+        if (worker !== undefined) {
+            this.#dismiss(worker, "another life of the worker answers at its address");
+        }
+    }
+
+    /** Looks at what time has brought: leases that are over. */
+    tick(): void {
+        const now = this.context.now();
+        for (const worker of [...this.context.workers.values()]) {
+            if (worker.silentSince !== undefined && worker.lapsesAt !== undefined) {
+                if (now > worker.lapsesAt + leaseMargin) {
+                    this.#lapse(worker);
+                }
+            }
+            else if (this.#isLeft(worker, now)) {
+                this.#dismiss(worker, "it left");
+            }
+        }
+    }
+
+    /** Whether a worker that answers is no longer listed and has nothing at work. */
+    #isLeft(worker: WorkerState, now: Milliseconds): boolean {
+        return worker.unlistedSince !== undefined
+            && worker.silentSince === undefined
+            && worker.isClaimed
+            && worker.runs.size === 0
+            && now - worker.unlistedSince > unlistedGrace;
+    }
+
+    #noteAnswer(worker: WorkerState): void {
+        if (worker.silentSince !== undefined) {
+            this.context.options.log.log(logEvents.workerAnswers, { worker: worker.id });
+        }
+        worker.silentSince = undefined;
+        worker.lapsesAt = undefined;
+    }
+
+    /** Compares what a worker has with what is thought to run there. */
+    #compare(
+        worker: WorkerState,
+        running: readonly WorkerRun[],
+        sentAt: Milliseconds,
+        settledBefore: Milliseconds,
+    ): void {
+        const seen = new Set<TaskRun>();
+        let strangers = 0;
+        for (const entry of running) {
+            const run = worker.runOf(entry.task, entry.run) ?? this.#adopt(worker, entry);
+            if (run === undefined) {
+                strangers++;
+                this.runs.sendStop(worker, entry.task, entry.run);
+                continue;
+            }
+            seen.add(run);
+            this.runs.confirm(run);
+            this.runs.noteProgress(run, entry);
+            if (run.stopReason !== undefined) {
+                // The first order to stop may have been lost.
+                this.runs.sendStop(worker, entry.task, entry.run);
+            }
+        }
+        worker.strangers = strangers;
+        for (const run of [...worker.runs.values()]) {
+            if (seen.has(run)) {
+                continue;
+            }
+            if (run.confirmedAt === undefined && run.orderedAt < settledBefore) {
+                this.runs.notStarted(run, undefined);
+            }
+            else if (run.confirmedAt !== undefined && run.confirmedAt < sentAt) {
+                this.runs.lose(run, "its worker no longer has it");
+            }
+        }
+    }
+
+    /** Takes over a run of a task that is known; undefined when it is not. */
+    #adopt(worker: WorkerState, entry: WorkerRun): TaskRun | undefined {
+        const task = this.context.table.taskOf(entry.task);
+        if (task === undefined || task.endedRuns.has(entry.run)) {
+            return undefined;
+        }
+        this.runs.adopt(task, entry, worker);
+        const run = worker.runOf(entry.task, entry.run);
+        if (run !== undefined && !isWanted(task)) {
+            this.runs.stop(run, "its job is over or its task is done");
+        }
+        return run;
+    }
+
+    /** Every lease at a worker that does not answer is over. */
+    #lapse(worker: WorkerState): void {
+        if (this.#unsettled.has(worker.id)) {
+            this.#hasPassedUnasked = true;
+        }
+        const isListed = worker.unlistedSince === undefined && worker.entry !== undefined;
+        const lost = [...worker.runs.values()];
+        this.context.options.log.log(logEvents.workerLapsed, { worker: worker.id, runs: lost.length });
+        lost.forEach(run => this.runs.lose(run, "every lease at its silent worker is over"));
+        worker.lapsesAt = undefined;
+        // Whatever it says next is compared as if it were new.
+        worker.isClaimed = false;
+        this.#settle(worker.id);
+        if (!isListed) {
+            this.#dismiss(worker, "it is neither listed nor heard and its leases are over");
+        }
+    }
+
+    #dismiss(worker: WorkerState, reason: string): void {
+        [...worker.runs.values()].forEach(run => this.runs.lose(run, reason));
+        this.context.workers.delete(worker.id);
+        this.context.record({ kind: "worker-gone", worker: worker.id });
+        this.context.options.log.log(logEvents.workerGone, { worker: worker.id, reason });
+        this.#settle(worker.id);
+    }
+
+    #settle(id: WorkerId): void {
+        if (this.#unsettled.delete(id) && this.#unsettled.size === 0) {
+            this.context.options.log.log(logEvents.cellSettled, { passedUnasked: this.#hasPassedUnasked });
+            this.listener.roomChanged();
+        }
+    }
+}
+
+/** Whether a task is to be at work. */
+const isWanted = (task: Task): boolean =>
+    !task.step.job.isOver && task.phase !== TaskPhase.Done && task.phase !== TaskPhase.Failed;
--- /dev/null
+++ b/packages/cell/src/worker-directory/index.ts
@@ -0,0 +1,43 @@
+/** Workers as they record themselves in the platform's store. */
+import type { Milliseconds, ServiceName, WorkerId } from "@pebbledale/core";
+import type { TaskSize } from "../scheduler/index.js";
+
+/** One life of a worker, as it last described itself. */
+export interface WorkerEntry {
+    /** Names this life; a restarted worker has another. */
+    readonly worker: WorkerId;
+    /** IP number and port. */
+    readonly address: string;
+    readonly service: ServiceName;
+    readonly dataHall: string;
+    /** The VM that it lives on; its rack and room are the VM's. Empty when it names none. */
+    readonly vm: string;
+    readonly capacity: TaskSize;
+    /** Its kind and its rack. */
+    readonly labels: readonly string[];
+    readonly isDraining: boolean;
+    /** While it drains: the least time before it leaves. */
+    readonly leavesIn: Milliseconds | undefined;
+}
+
+/** All workers at a moment. */
+export interface WorkerListing {
+    readonly workers: readonly WorkerEntry[];
+    /** Where {@link WorkerDirectory.follow} goes on. */
+    readonly cursor: string;
+}
+
+/** What changed since a cursor. */
+export interface WorkerChanges {
+    readonly changed: readonly WorkerEntry[];
+    readonly gone: readonly WorkerId[];
+    readonly cursor: string;
+}
+
+/** Reads and follows the workers' entries. Calls reject with `PlatformUnavailableError` when no answer came. */
+export interface WorkerDirectory {
+    /** Reads all entries. */
+    list(signal: AbortSignal): Promise<WorkerListing>;
+    /** Waits for changes; undefined when the history since `cursor` is gone and all must be read again. */
+    follow(cursor: string, wait: Milliseconds, signal: AbortSignal): Promise<WorkerChanges | undefined>;
+}
--- a/packages/core/src/ids/index.ts
+++ b/packages/core/src/ids/index.ts
@@ -19,6 +19,18 @@
 export type Incarnation = Branded<string, "Incarnation">;
 /** Number of an ownership period of a shard. Grows by at least one with each new owner. */
 export type Epoch = Branded<number, "Epoch">;
+/** Names one task of a job made of steps: job, occurrence, step and index, with slashes between. */
+export type TaskAddress = Branded<string, "TaskAddress">;
+/** Names a queue that callers hand jobs to. */
+export type QueueName = Branded<string, "QueueName">;
+/** Names a service: the pool of workers that a queue's tasks run on. */
+export type ServiceName = Branded<string, "ServiceName">;
+/** Names one entry VM, the same over restarts of its process. */
+export type EntryVmName = Branded<string, "EntryVmName">;
+/** Counts the starts of a task, from 1; members of a gang share it. */
+export type RunNumber = Branded<number, "RunNumber">;
+/** A worker ignores orders that carry a lower token than the highest it has seen. */
+export type FencingToken = Branded<number, "FencingToken">;
 /** Number of an attempt to run a task, from 1. */
 export type Attempt = Branded<number, "Attempt">;
 /** Number of an accepted settings tree, from 1. */
@@ -36,6 +48,18 @@
 export const incarnation = (text: string): Incarnation => text as Incarnation;
 /** Makes an epoch from a whole number. */
 export const epoch = (value: number): Epoch => value as Epoch;
+/** Makes a queue name from text that is known to be one. */
+export const queueName = (text: string): QueueName => text as QueueName;
+/** Makes a service name from text that is known to be one. */
+export const serviceName = (text: string): ServiceName => text as ServiceName;
+/** Makes the name of an entry VM from text that is known to be one. */
+export const entryVmName = (text: string): EntryVmName => text as EntryVmName;
+/** Makes a run number from a whole number. */
+export const runNumber = (value: number): RunNumber => value as RunNumber;
+/** Makes a fencing token from a whole number. */
+export const fencingToken = (value: number): FencingToken => value as FencingToken;
+/** Makes a task address from text that is known to be one. */
+export const taskAddress = (text: string): TaskAddress => text as TaskAddress;
 /** Makes an attempt number from a whole number. */
 export const attempt = (value: number): Attempt => value as Attempt;
 /** Makes a settings revision from a whole number. */
--- a/packages/core/src/log-events/index.ts
+++ b/packages/core/src/log-events/index.ts
@@ -20,7 +20,7 @@
 });
 const nothing = "Nothing.";
 
-/** All events. Numbers are never used twice: 1xxx every program, 2xxx gateway, 3xxx scheduler. */
+/** All events. Numbers are never used twice: 1xxx every program, 2xxx gateway, 3xxx scheduler, 4xxx cell. */
 export const logEvents = {
     processStarted: define(1001, "info", "process started", nothing),
     processStopping: define(1002, "info", "process stopping", nothing),
@@ -77,4 +77,43 @@
         "the journal's keys do not fit together",
         "Keep the keys and report it; the shard is not served.",
     ),
+    jobAccepted: define(4001, "info", "a job was accepted", nothing),
+    jobRepeated: define(4002, "info", "a job that is known was handed in again", nothing),
+    jobCancelled: define(4003, "info", "a job was cancelled by its caller", nothing),
+    jobEnded: define(4004, "info", "a job ended", nothing),
+    jobForgotten: define(4005, "debug", "a job that ended long ago is no longer known", nothing),
+    stepReady: define(4101, "debug", "all that a step waits for is done", nothing),
+    stepAsked: define(4102, "debug", "the advice service is asked about a step", nothing),
+    stepAdvised: define(4103, "info", "the advice service answered about a step", nothing),
+    adviceFailed: define(4104, "warn", "the advice service gave no answer", "Look at the advice service if it lasts."),
+    runsOrdered: define(4201, "info", "runs were ordered", nothing),
+    runRefused: define(4202, "warn", "a worker refused a run", "Look at the reason it names."),
+    runStopped: define(4203, "info", "a run is stopped", nothing),
+    runEnded: define(4204, "info", "a run ended", nothing),
+    runLost: define(4205, "warn", "a run was lost", "Look at the worker it names."),
+    workerListed: define(4301, "info", "the platform lists a worker", nothing),
+    workerUnlisted: define(4302, "info", "the platform no longer lists a worker", nothing),
+    workerSeen: define(4303, "info", "a worker answered this owner for the first time", nothing),
+    workerDrains: define(4304, "info", "a worker drains", nothing),
+    workerSilent: define(4305, "warn", "a worker does not answer", "Look at the VM if it lasts."),
+    workerAnswers: define(4306, "info", "a worker answers again", nothing),
+    workerLapsed: define(4307, "warn", "every lease at a silent worker is over", "Look at the VM."),
+    workerGone: define(4308, "info", "a worker is gone", nothing),
+    workerQuarantined: define(4309, "warn", "a worker takes no new work for a while", "Look at the VM if it recurs."),
+    ownershipClaimed: define(4501, "info", "this VM claims the cell", nothing),
+    ownershipBegun: define(4502, "info", "this VM owns the cell", nothing),
+    ownershipEnded: define(4503, "info", "this VM no longer owns the cell", nothing),
+    ownerConnected: define(4504, "info", "an owner speaks to this VM", nothing),
+    ownerLost: define(4505, "warn", "the connection of the owner has ended", "Nothing, unless no owner follows."),
+    configurationApplied: define(4601, "info", "a configuration is in force", nothing),
+    configurationRefused: define(
+        4602,
+        "error",
+        "a configuration cannot be read; the former stays in force",
+        "Look at the reason it names.",
+    ),
+    storeUnreachable: define(4603, "warn", "the platform's store does not answer", "Look at the platform's store."),
+    storeReachable: define(4604, "info", "the platform's store answers again", nothing),
+    settingsReloaded: define(4605, "info", "the settings file was read again", nothing),
+    cellSettled: define(4401, "info", "what an earlier owner started is known in full", nothing),
 } as const;
--- a/packages/core/src/platform/index.ts
+++ b/packages/core/src/platform/index.ts
@@ -57,3 +57,29 @@
      */
     watch(prefix: string, cursor: string, duration: Milliseconds, signal: AbortSignal): Promise<WatchEvents>;
 }
+
+/** Keys below a prefix, with where {@link ChangeFeed.changes} goes on. */
+export interface KeysAtCursor {
+    readonly entries: readonly KeyValue[];
+    readonly cursor: string;
+}
+
+/** What changed below a prefix since a cursor. */
+export interface KeyChanges {
+    readonly changed: readonly KeyValue[];
+    readonly removed: readonly string[];
+    readonly cursor: string;
+}
+
+/** Follows keys with their values. Each call rejects with {@link PlatformUnavailableError} when no answer came. */
+export interface ChangeFeed {
+    /** Reads all keys that begin with `prefix`. Pages are no snapshot: changes from the cursor on are to be taken in. */
+    readAll(prefix: string, signal?: AbortSignal): Promise<KeysAtCursor>;
+    /** Waits at most `duration` for changes; undefined when the history since the cursor is gone: read all again. */
+    changes(
+        prefix: string,
+        cursor: string,
+        duration: Milliseconds,
+        signal: AbortSignal,
+    ): Promise<KeyChanges | undefined>;
+}
--- /dev/null
+++ b/packages/entry/src/configuration/index.ts
@@ -0,0 +1,2 @@
+/** The operators' configuration on this VM. */
+export * from "./watch.js";
--- /dev/null
+++ b/packages/entry/src/entry-process.ts
@@ -0,0 +1,219 @@
+/** Puts the parts of an entry VM together: front, links, and the owner's work while this VM has the cell. */
+import {
+    type AdviceClient,
+    type ConfigurationFeed,
+    type QueueDirectory,
+    type TaskWorkerClients,
+    type WorkerDirectory,
+} from "@pebbledale/cell";
+import {
+    type ChangeFeed,
+    type Clock,
+    logEvents,
+    type Milliseconds,
+    type PlatformStore,
+    type Random,
+} from "@pebbledale/core";
+import { createAbortController, type EventLogger } from "@pebbledale/runtime";
+import { ConfigurationWatch } from "./configuration/index.js";
+import { JobService } from "./front/index.js";
+import { clockDrift, ownerHorizon, VmSession } from "./links/index.js";
+import { cellPrefix, CellView, type EntryVm, followKeys, Registration, vmKey } from "./membership/index.js";
+import { dialDelay, dialLimit, rememberVm } from "./owner/constants.js";
+import type { OwnerSession } from "./owner/index.js";
+import { Candidate, ownerLease } from "./ownership/index.js";
+import { dialVm, isRefused, listenForOwners } from "./peers/index.js";
+import { createMemoryChannel, type OwnerMessage, type VmMessage } from "./protocol/index.js";
+import type { EntrySettings } from "./settings/index.js";
+
+/** Limit of the look whether a lost owner's process is gone, in milliseconds. */
+const refusalLimit: Milliseconds = 300;
+/** Time between two looks at which VMs the owner is to dial, in milliseconds. */
+const connectInterval: Milliseconds = 50;
+/** Margin added to the leases of an earlier owner, in milliseconds. */
+const formerLeaseMargin: Milliseconds = 300;
+
+/** What an entry VM is made from. */
+export interface EntryOptions {
+    readonly settings: EntrySettings;
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly logger: EventLogger;
+    readonly store: PlatformStore & ChangeFeed;
+    readonly directory: WorkerDirectory;
+    readonly configuration: ConfigurationFeed;
+    readonly clients: TaskWorkerClients;
+    readonly advice: AdviceClient | undefined;
+}
+
+/** See the module's comment. */
+export class EntryProcess {
+    readonly jobs: JobService;
+    readonly #self: EntryVm;
+    readonly #view = new CellView();
+    readonly #configuration: ConfigurationWatch;
+    readonly #session: VmSession;
+    readonly #registration: Registration;
+    readonly #candidate: Candidate;
+    #deadOwner: string | undefined;
+    #ownerWaiters: (() => void)[] = [];
+
+    constructor(private readonly options: EntryOptions) {
+        const { settings, clock, random, logger, store } = options;
+        this.#self = {
+            name: settings.vm,
+            address: settings.peerAddress,
+            dataHall: settings.dataHall,
+            processorShare: settings.processorShare,
+            process: random.name(),
+        };
+        this.#configuration = new ConfigurationWatch({
+            feed: options.configuration,
+            clock,
+            logger,
+            onChange: configuration => {
+                this.#session.tellConfiguration(configuration);
+                this.#candidate.session?.configure(configuration);
+            },
+        });
+        this.#session = new VmSession({
+            clients: options.clients,
+            advice: options.advice,
+            clock,
+            leaseLength: settings.bounds.longestLease,
+            onConfiguration: configuration => this.#configuration.take(configuration, "owner"),
+            onOwner: hasOwner => this.#noteOwner(hasOwner),
+        });
+        this.#registration = new Registration({
+            store,
+            clock,
+            key: vmKey(settings.vm),
+            value: JSON.stringify(this.#self),
+            leaseLength: Math.max(ownerLease, settings.store.shortestLease),
+        });
+        this.#candidate = new Candidate({
+            store,
+            directory: options.directory,
+            clock,
+            random,
+            logger,
+            self: this.#self,
+            view: this.#view,
+            registration: this.#registration,
+            configuration: () => this.#configuration.configuration,
+            onConfiguration: configuration => this.#configuration.take(configuration, "vm"),
+            formerLeases: ownerHorizon + settings.bounds.longestLease / (1 - clockDrift) + formerLeaseMargin,
+            knownOwner: () => ({
+                ownerSilence: this.#session.hasOwner ? this.#session.ownerSilence : Infinity,
+                deadOwner: this.#deadOwner,
+                isAsked: false,
+            }),
+            connectVms: (session, signal) => this.#connectVms(session, signal),
+        });
+        this.jobs = new JobService({
+            hasOwner: () => this.#session.hasOwner,
+            ask: body => this.#session.ask(body),
+            untilOwner: wait => this.#untilOwner(wait),
+        }, clock);
+    }
+
+    /** The queues in force; undefined while there is no configuration. */
+    get queues(): QueueDirectory | undefined {
+        return this.#configuration.queues;
+    }
+
+    /** Why this VM is not ready for callers; undefined when it is. */
+    get notReady(): string | undefined {
+        return this.queues === undefined ? "no configuration yet" : undefined;
+    }
+
+    /** Serves until `stop` fires. */
+    async run(stop: AbortSignal): Promise<void> {
+        const { settings, store, clock } = this.options;
+        const background = createAbortController();
+        await listenForOwners(settings.peerAddress, channel => this.#session.attach(channel), background.signal);
+        const follower = {
+            all: (keys: Parameters<CellView["replace"]>[0]) => this.#view.replace(keys),
+            changes: (changes: Parameters<CellView["change"]>[0]) => this.#view.change(changes),
+        };
+        const running = [
+            this.#configuration.run(background.signal),
+            this.#registration.run(background.signal),
+            followKeys(store, clock, cellPrefix, follower, background.signal),
+            this.#session.run(background.signal),
+        ];
+        await this.#candidate.run(stop);
+        background.abort();
+        await Promise.all(running);
+    }
+
+    #noteOwner(hasOwner: boolean): void {
+        const { logger } = this.options;
+        if (hasOwner) {
+            logger.log(logEvents.ownerConnected, { epoch: this.#session.epoch });
+            const waiters = this.#ownerWaiters;
+            this.#ownerWaiters = [];
+            waiters.forEach(wake => wake());
+            return;
+        }
+        logger.log(logEvents.ownerLost, { epoch: this.#session.epoch });
+        void this.#checkOwner();
+    }
+
+    /** Finds out whether a lost owner's process is gone: then its lease need not be waited for. */
+    async #checkOwner(): Promise<void> {
+        const owner = this.#view.owner;
+        if (owner !== undefined && await isRefused(owner.address, refusalLimit)) {
+            this.#deadOwner = owner.process;
+        }
+    }
+
+    #untilOwner(wait: Milliseconds): Promise<void> {
+        return new Promise(resolve => {
+            const timer = setTimeout(resolve, wait);
+            this.#ownerWaiters.push(() => {
+                clearTimeout(timer);
+                resolve();
+            });
+        });
+    }
+
+    /** Keeps an owner connected to all VMs that the store shows, or showed lately. */
+    async #connectVms(session: OwnerSession, signal: AbortSignal): Promise<void> {
+        const { clock } = this.options;
+        const [ownerEnd, vmEnd] = createMemoryChannel<OwnerMessage, VmMessage>();
+        this.#session.attach(vmEnd);
+        session.connect(this.#self, ownerEnd);
+        const known = new Map<string, { vm: EntryVm; seenAt: Milliseconds; triedAt: Milliseconds; }>();
+        while (!signal.aborted) {
+            const now = clock.monotonic();
+            for (const vm of this.#view.vms.values()) {
+                const triedAt = known.get(vm.name)?.triedAt ?? -Infinity;
+                known.set(vm.name, { vm, seenAt: now, triedAt });
+            }
+            for (const [name, entry] of known) {
+                const isDue = now - entry.triedAt >= dialDelay;
+                if (now - entry.seenAt > rememberVm) {
+                    known.delete(name);
+                }
+                else if (name !== this.#self.name && isDue && !session.isConnected(name)) {
+                    entry.triedAt = now;
+                    void this.#dial(session, entry.vm, signal);
+                }
+            }
+            await clock.sleep(connectInterval, signal);
+        }
+    }
+
+    async #dial(session: OwnerSession, vm: EntryVm, signal: AbortSignal): Promise<void> {
+        const channel = await dialVm(vm.address, dialLimit);
+        if (channel === undefined) {
+            return;
+        }
+        if (signal.aborted || session.isConnected(vm.name)) {
+            channel.close();
+            return;
+        }
+        session.connect(vm, channel);
+    }
+}
--- /dev/null
+++ b/packages/entry/src/front/constants.ts
@@ -0,0 +1,11 @@
+/** Times of the front, in milliseconds. */
+import type { Milliseconds } from "@pebbledale/core";
+
+/** Kept back from a caller's deadline for the answer's way. */
+export const answerMargin: Milliseconds = 150;
+/** Longest wait for an owner before a request is answered without one. */
+export const ownerWait: Milliseconds = 1_500;
+/** When a caller that was refused for want of an owner is to come back. */
+export const noOwnerRetryAfter: Milliseconds = 500;
+/** How long a queue's count may be answered again without asking the owner. The users allow two seconds. */
+export const pendingAge: Milliseconds = 700;
--- /dev/null
+++ b/packages/entry/src/front/index.ts
@@ -0,0 +1,2 @@
+/** What a front does for callers. */
+export * from "./job-service.js";
--- /dev/null
+++ b/packages/entry/src/front/job-service.ts
@@ -0,0 +1,118 @@
+/** What a front does for callers: passes requests to the owner and answers each as truly as it can. */
+import type { CellJobState, JobDefinition } from "@pebbledale/cell";
+import type { Clock, JobId, Milliseconds, QueueName } from "@pebbledale/core";
+import type { OwnerReply, OwnerRequest } from "../protocol/index.js";
+import { answerMargin, noOwnerRetryAfter, ownerWait, pendingAge } from "./constants.js";
+
+/** Answer to a caller. */
+export type JobAnswer =
+    | { readonly kind: "accepted"; }
+    | { readonly kind: "cancelled"; }
+    | { readonly kind: "state"; readonly state: CellJobState; }
+    | { readonly kind: "pending"; readonly count: number; }
+    | { readonly kind: "unknown-job"; }
+    /** It was not done and will not be; come back after a while. */
+    | { readonly kind: "refused"; readonly retryAfter: Milliseconds; readonly reason: string; }
+    /** Whether it was done is not known; the same request may be sent again. */
+    | { readonly kind: "uncertain"; readonly reason: string; };
+
+/** The owner as a front reaches it. */
+export interface OwnerAccess {
+    hasOwner(): boolean;
+    /** Asks the owner; resolves to undefined when the connection ends before there is an answer. */
+    ask(body: OwnerRequest): Promise<OwnerReply | undefined>;
+    /** Resolves when there is an owner, or after `wait`. */
+    untilOwner(wait: Milliseconds): Promise<void>;
+}
+
+/** See the module's comment. */
+export class JobService {
+    readonly #pending = new Map<QueueName, { readonly at: Milliseconds; readonly count: number; }>();
+
+    constructor(private readonly owner: OwnerAccess, private readonly clock: Clock) {}
+
+    /** Hands a job in. `within`: how long the caller waits. */
+    submit(definition: JobDefinition, within: Milliseconds): Promise<JobAnswer> {
+        return this.#ask({ kind: "submit", definition }, within);
+    }
+
+    /** The state of a job. */
+    state(job: JobId, within: Milliseconds): Promise<JobAnswer> {
+        return this.#ask({ kind: "state", job }, within);
+    }
+
+    /** Cancels a job. */
+    cancel(job: JobId, within: Milliseconds): Promise<JobAnswer> {
+        return this.#ask({ kind: "cancel", job }, within);
+    }
+
+    /** How many jobs of a queue wait. */
+    async pending(queue: QueueName, within: Milliseconds): Promise<JobAnswer> {
+        const now = this.clock.monotonic();
+        const known = this.#pending.get(queue);
+        if (known !== undefined && now - known.at < pendingAge) {
+            return { kind: "pending", count: known.count };
+        }
+        const answer = await this.#ask({ kind: "pending", queue }, within);
+        if (answer.kind === "pending") {
+            this.#pending.set(queue, { at: now, count: answer.count });
+        }
+        return answer;
+    }
+
+    /** Asks until there is an answer: each request may be sent to the owner again without harm. */
+    async #ask(body: OwnerRequest, within: Milliseconds): Promise<JobAnswer> {
+        const deadline = this.clock.monotonic() + within - answerMargin;
+        let wasSent = false;
+        for (;;) {
+            const left = deadline - this.clock.monotonic();
+            if (!this.owner.hasOwner() && left > 0) {
+                await this.owner.untilOwner(Math.min(left, ownerWait));
+            }
+            if (!this.owner.hasOwner()) {
+                return unanswered(body, wasSent, "no owner is known");
+            }
+            wasSent = true;
+            const reply = await this.#withLimit(this.owner.ask(body), deadline);
+            if (reply === "late") {
+                return unanswered(body, wasSent, "the owner gave no answer in time");
+            }
+            if (reply !== undefined) {
+                return answerOf(reply);
+            }
+        }
+    }
+
+    #withLimit(
+        asked: Promise<OwnerReply | undefined>,
+        deadline: Milliseconds,
+    ): Promise<OwnerReply | undefined | "late"> {
+        const left = Math.max(0, deadline - this.clock.monotonic());
+        return new Promise(resolve => {
+            const timer = setTimeout(() => resolve("late"), left);
+            void asked.then(reply => {
+                clearTimeout(timer);
+                resolve(reply);
+            });
+        });
+    }
+}
+
+/** Only what was never sent to an owner is surely not done. A state that was not read harms nothing. */
+const unanswered = (body: OwnerRequest, wasSent: boolean, reason: string): JobAnswer => {
+    const changesNothing = body.kind === "state" || body.kind === "pending";
+    return wasSent && !changesNothing
+        ? { kind: "uncertain", reason }
+        : { kind: "refused", retryAfter: noOwnerRetryAfter, reason };
+};
+
+const answerOf = (reply: OwnerReply): JobAnswer => {
+    switch (reply.kind) {
+        case "not-now":
+            return { kind: "refused", retryAfter: reply.retryAfter, reason: "the owner cannot keep records now" };
+        case "uncertain":
+            return { kind: "uncertain", reason: "the record was not confirmed in time" };
+        default:
+            return reply;
+    }
+};
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,12 @@
+/** The program of an entry VM: front, links to workers and the owner of the cell. */
+export * from "./advice/index.js";
+export * from "./configuration/index.js";
+export * from "./entry-process.js";
+export * from "./front/index.js";
+export * from "./links/index.js";
+export * from "./membership/index.js";
+export * from "./owner/index.js";
+export * from "./ownership/index.js";
+export * from "./peers/index.js";
+export * from "./protocol/index.js";
+export * from "./settings/index.js";
--- /dev/null
+++ b/packages/entry/src/links/links.ts
@@ -0,0 +1,70 @@
+/** All links of this VM to workers, for the owner that speaks at the moment. */
+import type { TaskWorkerClient, TaskWorkerClients } from "@pebbledale/cell";
+import type { Clock, Milliseconds, WorkerId } from "@pebbledale/core";
+import type { AssignMessage, CommandMessage, VmMessage } from "../protocol/index.js";
+import { ownerHorizon } from "./constants.js";
+import { WorkerLink } from "./worker-link.js";
+
+/** What links need. */
+export interface LinksOptions {
+    readonly clients: TaskWorkerClients;
+    readonly clock: Clock;
+    readonly leaseLength: Milliseconds;
+    readonly send: (message: VmMessage) => void;
+}
+
+/** See the module's comment. */
+export class Links {
+    readonly #links = new Map<WorkerId, WorkerLink>();
+    readonly #clients = new Map<WorkerId, TaskWorkerClient>();
+    #heardAt = -Infinity;
+
+    constructor(private readonly options: LinksOptions) {}
+
+    /** The owner was heard. */
+    noteOwner(): void {
+        this.#heardAt = this.options.clock.monotonic();
+    }
+
+    /** Takes a link over. */
+    assign(assignment: AssignMessage): void {
+        const { worker, address } = assignment;
+        this.#links.get(worker)?.end();
+        const client = this.#clients.get(worker) ?? this.options.clients.clientOf(worker, address);
+        this.#clients.set(worker, client);
+        const link = new WorkerLink({
+            assignment,
+            client,
+            clock: this.options.clock,
+            leaseLength: this.options.leaseLength,
+            mayRenew: () => this.options.clock.monotonic() - this.#heardAt < ownerHorizon,
+            send: message => this.options.send(message),
+        });
+        this.#links.set(worker, link);
+    }
+
+    /** Gives a link up. */
+    unassign(worker: WorkerId): void {
+        this.#links.get(worker)?.end();
+        this.#links.delete(worker);
+        const client = this.#clients.get(worker);
+        this.#clients.delete(worker);
+        void client?.close();
+    }
+
+    /** Passes an order on. */
+    command({ command }: CommandMessage): void {
+        this.#links.get(command.worker)?.order(command);
+    }
+
+    /** Ends up to `through` are kept. */
+    acknowledge(worker: WorkerId, through: number): void {
+        this.#links.get(worker)?.acknowledge(through);
+    }
+
+    /** Ends all links: another owner speaks. Connections stay for the links it assigns. */
+    endAll(): void {
+        this.#links.forEach(link => link.end());
+        this.#links.clear();
+    }
+}
--- /dev/null
+++ b/packages/entry/src/links/vm-session.ts
@@ -0,0 +1,183 @@
+/** What this VM does for the owner: links to workers, questions to the advice service, replies to callers. */
+import type { AdviceClient, CellConfiguration, TaskWorkerClients } from "@pebbledale/cell";
+import type { Clock, Epoch, Milliseconds } from "@pebbledale/core";
+import { createAbortController } from "@pebbledale/runtime";
+import type { AskMessage, Channel, OwnerMessage, OwnerReply, OwnerRequest, VmMessage } from "../protocol/index.js";
+import { Links } from "./links.js";
+
+/** Added to what a question takes at the service before it has failed, in milliseconds. */
+const adviceSlack: Milliseconds = 1_500;
+/** Time between two beats to the owner when nothing else is sent, in milliseconds. */
+const beatInterval: Milliseconds = 250;
+
+/** What a session needs. */
+export interface VmSessionOptions {
+    readonly clients: TaskWorkerClients;
+    readonly advice: AdviceClient | undefined;
+    readonly clock: Clock;
+    readonly leaseLength: Milliseconds;
+    readonly onConfiguration: (configuration: CellConfiguration) => void;
+    /** Told when there is a new owner, or none. */
+    readonly onOwner: (hasOwner: boolean) => void;
+}
+
+interface WaitingRequest {
+    readonly resolve: (reply: OwnerReply | undefined) => void;
+}
+
+/** See the module's comment. */
+export class VmSession {
+    readonly #links: Links;
+    readonly #requests = new Map<number, WaitingRequest>();
+    #channel: Channel<VmMessage, OwnerMessage> | undefined;
+    #epoch = 0;
+    #nextRequest = 1;
+    #lastHeard = -Infinity;
+
+    constructor(private readonly options: VmSessionOptions) {
+        this.#links = new Links({
+            clients: options.clients,
+            clock: options.clock,
+            leaseLength: options.leaseLength,
+            send: message => this.#channel?.send(message),
+        });
+    }
+
+    /** The highest epoch that spoke here. */
+    get epoch(): number {
+        return this.#epoch;
+    }
+
+    /** Whether an owner is connected. */
+    get hasOwner(): boolean {
+        return this.#channel !== undefined;
+    }
+
+    /** How long ago the owner was last heard. */
+    get ownerSilence(): Milliseconds {
+        return this.options.clock.monotonic() - this.#lastHeard;
+    }
+
+    /** Takes a connection on which an owner may speak; the one with the highest epoch counts. */
+    attach(channel: Channel<VmMessage, OwnerMessage>): void {
+        channel.onMessage = message => {
+            if (message.kind === "welcome") {
+                this.#welcome(channel, message.epoch);
+            }
+            else if (channel === this.#channel) {
+                this.#take(message);
+            }
+        };
+        channel.onClose = () => this.#lose(channel);
+    }
+
+    /** Asks the owner; resolves to undefined when the connection ends before there is an answer. */
+    ask(body: OwnerRequest): Promise<OwnerReply | undefined> {
+        const channel = this.#channel;
+        if (channel === undefined) {
+            return Promise.resolve(undefined);
+        }
+        const request = this.#nextRequest++;
+        return new Promise(resolve => {
+            this.#requests.set(request, { resolve });
+            channel.send({ kind: "request", request, body });
+        });
+    }
+
+    /** Tells the owner of a configuration that this VM saw. */
+    tellConfiguration(configuration: CellConfiguration): void {
+        this.#channel?.send({ kind: "configuration", configuration });
+    }
+
+    /** Sends beats until `signal` fires. */
+    async run(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            await this.options.clock.sleep(beatInterval, signal);
+            this.#channel?.send({ kind: "beat" });
+        }
+        this.#links.endAll();
+    }
+
+    #welcome(channel: Channel<VmMessage, OwnerMessage>, epoch: Epoch): void {
+        if (epoch < this.#epoch) {
+            channel.close();
+            return;
+        }
+        const former = this.#channel;
+        if (epoch > this.#epoch || former !== undefined) {
+            this.#links.endAll();
+        }
+        this.#epoch = epoch;
+        this.#channel = channel;
+        this.#noteHeard();
+        if (former !== undefined && former !== channel) {
+            former.close();
+        }
+        this.#dropRequests();
+        this.options.onOwner(true);
+    }
+
+    #take(message: OwnerMessage): void {
+        this.#noteHeard();
+        switch (message.kind) {
+            case "assign":
+                this.#links.assign(message);
+                break;
+            case "unassign":
+                this.#links.unassign(message.worker);
+                break;
+            case "command":
+                this.#links.command(message);
+                break;
+            case "acknowledge":
+                this.#links.acknowledge(message.worker, message.through);
+                break;
+            case "ask":
+                void this.#ask(message);
+                break;
+            case "reply":
+                this.#requests.get(message.request)?.resolve(message.reply);
+                this.#requests.delete(message.request);
+                break;
+            case "configuration":
+                this.options.onConfiguration(message.configuration);
+                break;
+            case "welcome":
+            case "beat":
+                break;
+        }
+    }
+
+    #noteHeard(): void {
+        this.#lastHeard = this.options.clock.monotonic();
+        this.#links.noteOwner();
+    }
+
+    async #ask({ question, step, workers, duration }: AskMessage): Promise<void> {
+        const channel = this.#channel;
+        const { signal } = createAbortController();
+        try {
+            const answer = await this.options.advice?.ask({ step, workers }, duration + adviceSlack, signal);
+            channel?.send({ kind: "advised", question, answer });
+        }
+        catch {
+            channel?.send({ kind: "advised", question });
+        }
+    }
+
+    #lose(channel: Channel<VmMessage, OwnerMessage>): void {
+        if (channel !== this.#channel) {
+            return;
+        }
+        this.#channel = undefined;
+        this.#dropRequests();
+        this.options.onOwner(false);
+    }
+
+    /** What was asked of an owner that is gone has no answer; whether it was done is not known. */
+    #dropRequests(): void {
+        const dropped = [...this.#requests.values()];
+        this.#requests.clear();
+        dropped.forEach(request => request.resolve(undefined));
+    }
+}
--- /dev/null
+++ b/packages/entry/src/links/worker-link.ts
@@ -0,0 +1,302 @@
+/**
+ * The link to one worker for one owner: orders, and looks one after the other that renew its lease.
+ *
+ * A start without an answer may still be carried out later. The link then raises the fencing token and looks: what that
+ * look shows is final, as the worker refuses whatever still carries a lower token.
+ */
+import {
+    type Look,
+    type LookRequest,
+    OrderRefusal,
+    type StartCommand,
+    type StopCommand,
+    type TaskWorkerClient,
+    type WorkerCommand,
+    type WorkerTime,
+} from "@pebbledale/cell";
+import {
+    type Clock,
+    type FencingToken,
+    fencingToken,
+    type Milliseconds,
+    type WorkerId,
+} from "@pebbledale/core";
+import { createAbortController } from "@pebbledale/runtime";
+import type { AssignMessage, VmMessage } from "../protocol/index.js";
+import {
+    acknowledgeWait,
+    clockDrift,
+    lookLimit,
+    lookWait,
+    orderLimit,
+    progressInterval,
+    retryDelay,
+} from "./constants.js";
+
+/** What a link needs. */
+export interface WorkerLinkOptions {
+    readonly assignment: AssignMessage;
+    readonly client: TaskWorkerClient;
+    readonly clock: Clock;
+    /** How long a lease runs. */
+    readonly leaseLength: Milliseconds;
+    /** Whether the owner was heard lately enough to give leases in its name. */
+    readonly mayRenew: () => boolean;
+    readonly send: (message: VmMessage) => void;
+}
+
+interface ClockReading {
+    readonly clock: WorkerTime;
+    readonly sentAt: Milliseconds;
+    readonly receivedAt: Milliseconds;
+}
+
+/** See the module's comment. */
+export class WorkerLink {
+    readonly worker: WorkerId;
+    readonly #ended = createAbortController();
+    #token: FencingToken;
+    #reading: ClockReading | undefined;
+    /** The latest moment until which anything was allowed to run, on the worker's clock. */
+    #leaseUntil: WorkerTime = 0;
+    #forgetThrough = 0;
+    #reportedThrough = 0;
+    #progressAt = -Infinity;
+    #isSilent = false;
+    #acknowledged: (() => void) | undefined;
+    #waitingStarts: StartCommand[] = [];
+    #settling: Promise<void> | undefined;
+    /** Starts without an answer. */
+    #uncertain: StartCommand[] = [];
+
+    constructor(private readonly options: WorkerLinkOptions) {
+        this.worker = options.assignment.worker;
+        this.#token = options.assignment.token;
+        void this.#run();
+    }
+
+    /** Ends the link: nothing more is sent. */
+    end(): void {
+        this.#ended.abort();
+        this.#acknowledged?.();
+    }
+
+    /** Passes an order on. */
+    order(command: WorkerCommand): void {
+        if (command.kind === "stop") {
+            void this.#stop(command);
+        }
+        else if (this.#reading === undefined) {
+            this.#waitingStarts.push(command);
+        }
+        else {
+            void this.#start(command);
+        }
+    }
+
+    /** Ends up to `through` are kept. */
+    acknowledge(through: number): void {
+        this.#forgetThrough = Math.max(this.#forgetThrough, through);
+        this.#acknowledged?.();
+    }
+
+    async #run(): Promise<void> {
+        while (!this.#ended.signal.aborted) {
+            if (!this.options.mayRenew()) {
+                await this.options.clock.sleep(retryDelay, this.#ended.signal);
+                continue;
+            }
+            const isAnswered = await this.#lookOnce(this.#isSilent || this.#reading === undefined ? 0 : lookWait);
+            if (!isAnswered) {
+                await this.options.clock.sleep(retryDelay, this.#ended.signal);
+            }
+            else if (this.#reportedThrough > this.#forgetThrough) {
+                await this.#untilAcknowledged();
+            }
+        }
+    }
+
+    /** One look; false when it had no answer. */
+    async #lookOnce(wait: Milliseconds, isWhole = false): Promise<boolean> {
+        const { client, clock } = this.options;
+        const sentAt = clock.monotonic();
+        const request = this.#lookRequest(wait);
+        const token = this.#token;
+        try {
+            const answer = await client.look(request, lookLimit + wait, this.#ended.signal);
+            if (this.#ended.signal.aborted) {
+                return true;
+            }
+            if (answer.kind === "refused") {
+                return this.#takeRefusal(answer.refusal, token);
+            }
+            this.#takeLook(answer.look, sentAt, isWhole);
+            return true;
+        }
+        catch {
+            this.#noteSilence();
+            return false;
+        }
+    }
+
+    #lookRequest(wait: Milliseconds): LookRequest {
+        const leaseUntil = this.#nextLease();
+        return {
+            token: this.#token,
+            forgetThrough: this.#forgetThrough,
+            ...(leaseUntil === undefined ? {} : { leaseUntil }),
+            ...(wait > 0 ? { wait } : {}),
+        };
+    }
+
+    /** The end of a lease given now, on the worker's clock; undefined before that clock was read. */
+    #nextLease(): WorkerTime | undefined {
+        const reading = this.#reading;
+        if (reading === undefined) {
+            return undefined;
+        }
+        const elapsed = this.options.clock.monotonic() - reading.receivedAt;
+        const until = Math.floor(reading.clock + elapsed * (1 - clockDrift) + this.options.leaseLength);
+        this.#leaseUntil = Math.max(this.#leaseUntil, until);
+        return until;
+    }
+
+    /** Time until everything that this link allowed to run is over. */
+    #lapsesIn(): Milliseconds {
+        const reading = this.#reading;
+        if (reading === undefined) {
+            return this.options.leaseLength;
+        }
+        const left = (this.#leaseUntil - reading.clock) / (1 - clockDrift);
+        return Math.max(0, reading.receivedAt + left - this.options.clock.monotonic());
+    }
+
+    #takeLook(look: Look, sentAt: Milliseconds, isWhole: boolean): void {
+        const { clock, send } = this.options;
+        const now = clock.monotonic();
+        const isFirst = this.#reading === undefined;
+        if (isFirst || sentAt >= this.#reading!.sentAt) {
+            this.#reading = { clock: look.clock, sentAt, receivedAt: now };
+        }
+        const wasSilent = this.#isSilent;
+        this.#isSilent = false;
+        const fresh = look.ended.filter(end => end.number > this.#reportedThrough);
+        fresh.forEach(end => this.#reportedThrough = Math.max(this.#reportedThrough, end.number));
+        const isDue = now - this.#progressAt >= progressInterval;
+        if (isFirst || wasSilent || isDue || isWhole) {
+            this.#progressAt = now;
+            send({ kind: "looked", worker: this.worker, look: { ...look, ended: fresh }, age: now - sentAt });
+        }
+        else if (fresh.length > 0) {
+            send({ kind: "ends", worker: this.worker, ended: fresh });
+        }
+        const starts = this.#waitingStarts;
+        this.#waitingStarts = [];
+        starts.forEach(start => void this.#start(start));
+    }
+
+    #takeRefusal(refusal: OrderRefusal, token: FencingToken): boolean {
+        if (refusal === OrderRefusal.OtherLife) {
+            this.options.send({ kind: "other-life", worker: this.worker });
+            this.end();
+            return true;
+        }
+        if (refusal === OrderRefusal.Fenced) {
+            if (token === this.#token) {
+                this.options.send({ kind: "fenced", worker: this.worker });
+            }
+            return false;
+        }
+        this.#noteSilence();
+        return false;
+    }
+
+    #noteSilence(): void {
+        if (this.#ended.signal.aborted) {
+            return;
+        }
+        if (!this.#isSilent) {
+            this.#isSilent = true;
+            this.options.send({ kind: "silent", worker: this.worker, lapsesIn: this.#lapsesIn() });
+        }
+    }
+
+    async #start(command: StartCommand): Promise<void> {
+        const { client, send } = this.options;
+        const { worker, task, run } = command;
+        const token = this.#token;
+        const leaseUntil = this.#nextLease()!;
+        try {
+            const answer = await client.start({ ...command, token, leaseUntil }, orderLimit, this.#ended.signal);
+            if (answer.kind === "taken") {
+                send({ kind: "started", worker, task, run });
+                return;
+            }
+            if (answer.refusal === OrderRefusal.OtherLife) {
+                this.#takeRefusal(answer.refusal, token);
+                return;
+            }
+            if (answer.refusal === OrderRefusal.Fenced && token === this.#token) {
+                send({ kind: "fenced", worker });
+            }
+            send({ kind: "started", worker, task, run, refusal: answer.refusal });
+        }
+        catch {
+            if (!this.#ended.signal.aborted) {
+                this.#uncertain.push(command);
+                this.#settle();
+            }
+        }
+    }
+
+    /** Finds out what became of starts without an answer. */
+    #settle(): void {
+        this.#settling ??= this.#settleAll().finally(() => {
+            this.#settling = undefined;
+            if (this.#uncertain.length > 0 && !this.#ended.signal.aborted) {
+                this.#settle();
+            }
+        });
+    }
+
+    async #settleAll(): Promise<void> {
+        const doubtful = this.#uncertain;
+        this.#uncertain = [];
+        this.#token = fencingToken(this.#token + 1);
+        while (!this.#ended.signal.aborted) {
+            if (this.options.mayRenew() && await this.#lookOnce(0, true)) {
+                break;
+            }
+            await this.options.clock.sleep(retryDelay, this.#ended.signal);
+        }
+        if (this.#ended.signal.aborted) {
+            return;
+        }
+        // The look was sent first on the same channel, so the owner has seen which of these run or ended.
+        doubtful.forEach(({ worker, task, run }) =>
+            this.options.send({ kind: "started", worker, task, run, refusal: "not-delivered" })
+        );
+    }
+
+    async #stop(command: StopCommand): Promise<void> {
+        try {
+            const order = { task: command.task, run: command.run, token: this.#token };
+            await this.options.client.stop(order, orderLimit, this.#ended.signal);
+        }
+        catch {
+            // The owner sends it again as long as a look shows the run.
+            this.#progressAt = -Infinity;
+        }
+    }
+
+    #untilAcknowledged(): Promise<void> {
+        return new Promise(resolve => {
+            const timer = setTimeout(() => this.#acknowledged?.(), acknowledgeWait);
+            this.#acknowledged = () => {
+                clearTimeout(timer);
+                this.#acknowledged = undefined;
+                resolve();
+            };
+        });
+    }
+}
--- /dev/null
+++ b/packages/entry/src/membership/registration.ts
@@ -0,0 +1,71 @@
+/** This VM's lease in the store, and the keys that hang on it. */
+import {
+    absentVersion,
+    type Clock,
+    type KeyVersion,
+    type Milliseconds,
+    type PlatformLeaseId,
+    type PlatformStore,
+} from "@pebbledale/core";
+
+/** What a registration needs. */
+export interface RegistrationOptions {
+    readonly store: PlatformStore;
+    readonly clock: Clock;
+    readonly key: string;
+    readonly value: string;
+    /** How long the lease runs after its last renewal. */
+    readonly leaseLength: Milliseconds;
+}
+
+/** A lease is renewed this many times in its length. */
+const renewalsPerLease = 3;
+
+/** See the module's comment. */
+export class Registration {
+    #lease: PlatformLeaseId | undefined;
+
+    constructor(private readonly options: RegistrationOptions) {}
+
+    /** The lease, while it is thought to stand. */
+    get lease(): PlatformLeaseId | undefined {
+        return this.#lease;
+    }
+
+    /** Keeps the lease and this VM's key until `signal` fires, then ends the lease. */
+    async run(signal: AbortSignal): Promise<void> {
+        const { store, clock, leaseLength } = this.options;
+        while (!signal.aborted) {
+            await this.#keep().catch(() => undefined);
+            await clock.sleep(leaseLength / renewalsPerLease, signal);
+        }
+        if (this.#lease !== undefined) {
+            await store.revokeLease(this.#lease).catch(() => undefined);
+        }
+    }
+
+    /** This VM's key is gone though its lease may stand: the lease is made anew at the next renewal. */
+    renew(): void {
+        this.#lease = undefined;
+    }
+
+    async #keep(): Promise<void> {
+        const { store } = this.options;
+        if (this.#lease !== undefined && await store.renewLease(this.#lease)) {
+            return;
+        }
+        this.#lease = undefined;
+        const lease = await store.grantLease(this.options.leaseLength);
+        await this.#put(lease, absentVersion);
+        this.#lease = lease;
+    }
+
+    async #put(lease: PlatformLeaseId, expected: KeyVersion): Promise<void> {
+        const { store, key, value } = this.options;
+        const outcome = await store.compareAndSwap(key, expected, value, lease);
+        if (outcome.kind === "conflict" && outcome.current !== undefined) {
+            // An earlier life of this VM, or a lost answer: the newer lease replaces it.
+            await this.#put(lease, outcome.current.version);
+        }
+    }
+}
--- /dev/null
+++ b/packages/entry/src/owner/assignments.ts
@@ -0,0 +1,115 @@
+/** Which VM has the link to which worker. */
+import { type Epoch, fencingToken, type FencingToken, type Milliseconds, type WorkerId } from "@pebbledale/core";
+import type { WorkerState } from "@pebbledale/cell";
+import { assignmentsPerEpoch, tokensPerAssignment } from "./constants.js";
+import type { VmLink } from "./vm-link.js";
+
+/** One worker's link. */
+interface Assignment {
+    readonly vm: VmLink;
+    /** When it was assigned, by the owner's monotonic clock: what was ordered before is settled by its first look. */
+    readonly since: Milliseconds;
+    /** Whether its first look was taken in. */
+    hasLooked: boolean;
+}
+
+/** A VM may have this many more links than another, for each share of a core, before some are moved. */
+const imbalance = 2;
+/** The owner's own VM counts as loaded with this many links more: it also decides. */
+const ownerLoad = 4;
+
+/** See the module's comment. */
+export class Assignments {
+    readonly #assigned = new Map<WorkerId, Assignment>();
+    readonly #counts = new Map<WorkerId, number>();
+
+    constructor(
+        private readonly epoch: Epoch,
+        private readonly ownVm: string,
+        private readonly now: () => Milliseconds,
+    ) {}
+
+    /** The VM that has the link to a worker. */
+    vmOf(worker: WorkerId): VmLink | undefined {
+        return this.#assigned.get(worker)?.vm;
+    }
+
+    /** The assignment of a worker at a VM; undefined when another VM has it. */
+    at(worker: WorkerId, vm: VmLink): Assignment | undefined {
+        const assignment = this.#assigned.get(worker);
+        return assignment?.vm === vm ? assignment : undefined;
+    }
+
+    /** Gives workers without a link to VMs, those of their data hall first, and evens VMs out. */
+    balance(workers: Iterable<WorkerState>, vms: readonly VmLink[]): void {
+        if (vms.length === 0) {
+            return;
+        }
+        for (const worker of workers) {
+            if (!this.#assigned.has(worker.id)) {
+                this.#assign(worker, this.#leastLoaded(vms, worker));
+            }
+        }
+    }
+
+    /** Moves links to a VM that has just joined, as long as others of its data hall have many more. */
+    even(workers: ReadonlyMap<WorkerId, WorkerState>, joined: VmLink, vms: readonly VmLink[]): void {
+        const near = vms.filter(vm => vm.vm.dataHall === joined.vm.dataHall && vm !== joined);
+        for (;;) {
+            const fullest = near.reduce<VmLink | undefined>(
+                (best, vm) => best === undefined || this.#loadOf(vm) > this.#loadOf(best) ? vm : best,
+                undefined,
+            );
+            const moved = fullest === undefined ? undefined : [...fullest.workers].at(-1);
+            const worker = moved === undefined ? undefined : workers.get(moved);
+            if (fullest === undefined || worker === undefined
+                || this.#loadOf(fullest) - this.#loadOf(joined) < imbalance / joined.vm.processorShare) {
+                return;
+            }
+            fullest.channel.send({ kind: "unassign", worker: worker.id });
+            this.remove(worker.id);
+            this.#assign(worker, joined);
+        }
+    }
+
+    /** A worker has no link any more. */
+    remove(worker: WorkerId): void {
+        this.#assigned.get(worker)?.vm.workers.delete(worker);
+        this.#assigned.delete(worker);
+    }
+
+    /** Takes all links of a VM away. */
+    removeAll(vm: VmLink): void {
+        for (const worker of [...vm.workers]) {
+            this.remove(worker);
+        }
+    }
+
+    #leastLoaded(vms: readonly VmLink[], worker: WorkerState): VmLink {
+        const near = vms.filter(vm => vm.vm.dataHall === worker.entry?.dataHall);
+        return (near.length > 0 ? near : vms)
+            .reduce((best, vm) => this.#loadOf(vm) < this.#loadOf(best) ? vm : best);
+    }
+
+    #loadOf(vm: VmLink): number {
+        return vm.load + (vm.vm.name === this.ownVm ? ownerLoad / vm.vm.processorShare : 0);
+    }
+
+    #assign(worker: WorkerState, vm: VmLink): void {
+        const count = (this.#counts.get(worker.id) ?? 0) + 1;
+        this.#counts.set(worker.id, count);
+        vm.workers.add(worker.id);
+        this.#assigned.set(worker.id, { vm, since: this.now(), hasLooked: false });
+        vm.channel.send({
+            kind: "assign",
+            worker: worker.id,
+            address: worker.address,
+            token: this.#tokenOf(count),
+        });
+    }
+
+    /** Tokens of a later owner, and of a later assignment, are higher than all of earlier ones. */
+    #tokenOf(count: number): FencingToken {
+        return fencingToken((this.epoch * assignmentsPerEpoch + count) * tokensPerAssignment);
+    }
+}
--- /dev/null
+++ b/packages/entry/src/owner/constants.ts
@@ -0,0 +1,37 @@
+/** Times and sizes of the owner, in milliseconds where they are times. */
+import type { Milliseconds } from "@pebbledale/core";
+
+/** Time between two beats to each VM when nothing else is sent. */
+export const ownerBeatInterval: Milliseconds = 250;
+/** Time between two looks at what time has brought. */
+export const tickInterval: Milliseconds = 100;
+/** A VM that is not heard for this long is taken for gone: its links go to others. Six beats. */
+export const vmSilence: Milliseconds = 1_500;
+/** Wait before a VM that could not be reached is dialled again. */
+export const dialDelay: Milliseconds = 250;
+/** A dial without an answer by then has failed. */
+export const dialLimit: Milliseconds = 700;
+/** A VM whose entry is gone is dialled for this long: it may only be cut off from the store. */
+export const rememberVm: Milliseconds = 30_000;
+/** Least time between two writes of the journal: bounds the writes of the cell. */
+export const commitInterval: Milliseconds = 20;
+/** Keys of the journal's ring. */
+export const journalRingSize = 4_096;
+/** Segments after which a snapshot may replace them. */
+export const journalSnapshotEvery = 512;
+/** Largest value that the journal writes, in bytes, well below the store's limit with its encoding. */
+export const journalLargestBytes = 500_000;
+/** Wait before a write without an answer is settled. */
+export const journalRetryDelay: Milliseconds = 60;
+/** A journal that was not answered for this long takes no new jobs. */
+export const stalledAfter: Milliseconds = 600;
+/** When a caller that was refused for a stalled journal is to come back. */
+export const stalledRetryAfter: Milliseconds = 1_000;
+/** A record that is not kept by then is uncertain to its caller. */
+export const recordLimit: Milliseconds = 2_500;
+/** Tokens that a link may count up from the one that it was assigned with. */
+export const tokensPerAssignment = 1_000;
+/** Assignments of a worker's link under one owner. */
+export const assignmentsPerEpoch = 10_000;
+/** Taken off a look's time: messages between two VMs may be delayed by as much. */
+export const lookAgeMargin: Milliseconds = 1_000;
--- /dev/null
+++ b/packages/entry/src/owner/index.ts
@@ -0,0 +1,2 @@
+/** The owner of a cell. */
+export * from "./owner-session.js";
--- /dev/null
+++ b/packages/entry/src/owner/owner-session.ts
@@ -0,0 +1,381 @@
+/** The owner's work: drives the decisions with what the VMs, the store and time bring, and carries them out. */
+import {
+    CellScheduler,
+    type CellConfiguration,
+    type CellRecord,
+    type CellSnapshot,
+    type JobDefinition,
+    type Turn,
+    type WorkerDirectory,
+} from "@pebbledale/cell";
+import {
+    type Clock,
+    type Journal,
+    type JournalContents,
+    type JobId,
+    JournalFencedError,
+    logEvents,
+    type Milliseconds,
+    type WorkerId,
+} from "@pebbledale/core";
+import type { EventLogger } from "@pebbledale/runtime";
+import { AdviceDispatcher } from "../advice/index.js";
+import type { EntryVm } from "../membership/index.js";
+import type { Channel, OwnerMessage, OwnerReply, OwnerRequest, VmMessage } from "../protocol/index.js";
+import { Assignments } from "./assignments.js";
+import {
+    lookAgeMargin,
+    ownerBeatInterval,
+    recordLimit,
+    stalledAfter,
+    stalledRetryAfter,
+    tickInterval,
+    vmSilence,
+} from "./constants.js";
+import { VmLink } from "./vm-link.js";
+
+/** What an owner needs. */
+export interface OwnerSessionOptions {
+    readonly journal: Journal;
+    readonly contents: JournalContents;
+    readonly directory: WorkerDirectory;
+    readonly clock: Clock;
+    readonly logger: EventLogger;
+    readonly name: string;
+    readonly configuration: CellConfiguration | undefined;
+    /** How long after a take-over an earlier owner's leases may run at a worker that nobody reaches. */
+    readonly formerLeases: Milliseconds;
+    /** Fires when the cell is lost to another owner. */
+    readonly lost: AbortController;
+    /** Told of a configuration that a VM saw. */
+    readonly onConfiguration: (configuration: CellConfiguration) => void;
+}
+
+/** Longest wait in one call that follows the workers' entries, in milliseconds. */
+const followWait: Milliseconds = 20_000;
+/** Wait before the workers' entries are read again after a failure, in milliseconds. */
+const directoryRetry: Milliseconds = 150;
+
+/** See the module's comment. */
+export class OwnerSession {
+    readonly cell: CellScheduler;
+    readonly #vms = new Map<string, VmLink>();
+    readonly #assignments: Assignments;
+    readonly #advice: AdviceDispatcher;
+    readonly #openedAt: Milliseconds;
+    #configuration: CellConfiguration | undefined;
+    #isTurnDue = false;
+    /** Resolves once all records so far are kept. */
+    #kept: Promise<void> = Promise.resolve();
+
+    constructor(private readonly options: OwnerSessionOptions) {
+        const { clock, logger, journal, contents, name } = options;
+        this.cell = new CellScheduler({ clock, log: logger });
+        this.cell.recover(
+            contents.snapshot as CellSnapshot | undefined,
+            contents.records as readonly CellRecord[],
+        );
+        journal.setSnapshotSource(() => this.cell.snapshot());
+        this.#openedAt = clock.monotonic();
+        this.#assignments = new Assignments(journal.epoch, name, () => clock.monotonic());
+        this.#advice = new AdviceDispatcher(() => clock.monotonic());
+        if (options.configuration !== undefined) {
+            this.configure(options.configuration);
+        }
+    }
+
+    /** Serves until `lost` fires. */
+    async run(): Promise<void> {
+        const { lost, clock } = this.options;
+        const following = this.#followWorkers(lost.signal);
+        let beatAt = clock.monotonic();
+        while (!lost.signal.aborted) {
+            this.cell.tick();
+            this.#dropSilentVms();
+            if (clock.monotonic() - beatAt >= ownerBeatInterval) {
+                beatAt = clock.monotonic();
+                this.#vms.forEach(vm => vm.channel.send({ kind: "beat" }));
+            }
+            this.#requestTurn();
+            await clock.sleep(tickInterval, lost.signal);
+        }
+        await following;
+        this.#vms.forEach(vm => vm.channel.close());
+        this.#vms.clear();
+    }
+
+    /** Takes a newer configuration and passes it on. */
+    configure(configuration: CellConfiguration): void {
+        if (configuration.version <= (this.#configuration?.version ?? 0)) {
+            return;
+        }
+        this.#configuration = configuration;
+        this.cell.configure(configuration);
+        this.#vms.forEach(vm => vm.channel.send({ kind: "configuration", configuration }));
+        this.#requestTurn();
+    }
+
+    /** Whether a VM is connected. */
+    isConnected(name: string): boolean {
+        return this.#vms.has(name);
+    }
+
+    /** Takes a connection to a VM into use. */
+    connect(vm: EntryVm, channel: Channel<OwnerMessage, VmMessage>): void {
+        const { clock, journal, name } = this.options;
+        const link = new VmLink(vm, channel, clock.monotonic());
+        this.#drop(this.#vms.get(vm.name));
+        this.#vms.set(vm.name, link);
+        channel.onMessage = message => this.#take(link, message);
+        channel.onClose = () => this.#drop(link);
+        channel.send({ kind: "welcome", epoch: journal.epoch, owner: name });
+        if (this.#configuration !== undefined) {
+            channel.send({ kind: "configuration", configuration: this.#configuration });
+        }
+        this.#advice.join(vm.name, (question, { step, workers, duration }) =>
+            channel.send({ kind: "ask", question, step, workers, duration })
+        );
+        this.#assignments.balance(this.cell.workers.values(), [...this.#vms.values()]);
+        this.#assignments.even(this.cell.workers, link, [...this.#vms.values()]);
+    }
+
+    #drop(link: VmLink | undefined): void {
+        if (link === undefined || this.#vms.get(link.vm.name) !== link) {
+            return;
+        }
+        this.#vms.delete(link.vm.name);
+        link.channel.close();
+        this.#advice.leave(link.vm.name);
+        this.#assignments.removeAll(link);
+        this.#assignments.balance(this.cell.workers.values(), [...this.#vms.values()]);
+    }
+
+    #dropSilentVms(): void {
+        const now = this.options.clock.monotonic();
+        for (const link of [...this.#vms.values()]) {
+            if (now - link.heardAt > vmSilence) {
+                this.#drop(link);
+            }
+        }
+    }
+
+    #take(link: VmLink, message: VmMessage): void {
+        const now = this.options.clock.monotonic();
+        link.heardAt = now;
+        switch (message.kind) {
+            case "request":
+                void this.#answer(link, message.request, message.body);
+                break;
+            case "configuration":
+                this.options.onConfiguration(message.configuration);
+                break;
+            case "advised": {
+                const command = this.#advice.answered(message.question);
+                if (command !== undefined) {
+                    this.cell.takeAdvice(command.step, command.workers, message.answer);
+                }
+                break;
+            }
+            case "beat":
+                return;
+            default:
+                this.#takeOfWorker(link, message, now);
+        }
+        this.#requestTurn();
+    }
+
+    #takeOfWorker(
+        link: VmLink,
+        message: Exclude<VmMessage, { kind: "request" | "configuration" | "advised" | "beat"; }>,
+        now: Milliseconds,
+    ): void {
+        const assignment = this.#assignments.at(message.worker, link);
+        if (assignment === undefined) {
+            // Another VM has the link by now; its first look tells all that is known here.
+            return;
+        }
+        switch (message.kind) {
+            case "looked": {
+                const settledBefore = assignment.hasLooked ? -Infinity : assignment.since;
+                assignment.hasLooked = true;
+                this.cell.takeLook(message.worker, message.look, now - message.age - lookAgeMargin, settledBefore);
+                break;
+            }
+            case "ends":
+                this.cell.takeEnds(message.worker, message.ended);
+                break;
+            case "started":
+                this.#takeStarted(message);
+                break;
+            case "silent":
+                this.cell.takeSilence(message.worker, this.#lapsesAt(message.worker, message.lapsesIn, now));
+                break;
+            case "other-life":
+                this.cell.takeOtherLife(message.worker);
+                this.#assignments.remove(message.worker);
+                break;
+            case "fenced":
+                this.options.lost.abort(new JournalFencedError(`worker ${message.worker} has seen a later owner`));
+                break;
+        }
+    }
+
+    #takeStarted({ worker, task, run, refusal }: VmMessage & { kind: "started"; }): void {
+        if (refusal === undefined) {
+            this.cell.startTaken(worker, task, run);
+            return;
+        }
+        this.cell.startRefused(worker, task, run, refusal === "not-delivered" ? undefined : refusal);
+    }
+
+    /** Until the first look of this owner, an earlier one's leases may run longer than this link's own. */
+    #lapsesAt(worker: WorkerId, lapsesIn: Milliseconds, now: Milliseconds): Milliseconds {
+        const isClaimed = this.cell.workers.get(worker)?.isClaimed === true;
+        return isClaimed ? now + lapsesIn : Math.max(now + lapsesIn, this.#openedAt + this.options.formerLeases);
+    }
+
+    async #answer(link: VmLink, request: number, body: OwnerRequest): Promise<void> {
+        const reply = await this.#replyTo(body);
+        link.channel.send({ kind: "reply", request, reply });
+    }
+
+    async #replyTo(body: OwnerRequest): Promise<OwnerReply> {
+        switch (body.kind) {
+            case "pending":
+                return { kind: "pending", count: this.cell.pendingOf(body.queue) };
+            case "state": {
+                const state = this.cell.stateOf(body.job);
+                return state === undefined ? this.#unknown(body.job) : { kind: "state", state };
+            }
+            case "submit":
+                return this.#submit(body.definition);
+            case "cancel":
+                return this.#cancel(body.job);
+        }
+    }
+
+    /** A job whose acceptance is not kept yet is neither known nor unknown. */
+    #unknown(job: JobId): OwnerReply {
+        return this.cell.jobs.has(job)
+            ? { kind: "not-now", retryAfter: stalledRetryAfter }
+            : { kind: "unknown-job" };
+    }
+
+    async #submit(definition: JobDefinition): Promise<OwnerReply> {
+        const known = this.cell.jobs.get(definition.job);
+        if (known?.isKept === true) {
+            this.cell.submit(definition);
+            return { kind: "accepted" };
+        }
+        if (known === undefined && this.options.journal.stalledFor() > stalledAfter) {
+            return { kind: "not-now", retryAfter: stalledRetryAfter };
+        }
+        this.cell.submit(definition);
+        return await this.#untilKept() ? { kind: "accepted" } : { kind: "uncertain" };
+    }
+
+    async #cancel(job: JobId): Promise<OwnerReply> {
+        if (!this.cell.cancel(job)) {
+            return { kind: "unknown-job" };
+        }
+        return await this.#untilKept() ? { kind: "cancelled" } : { kind: "uncertain" };
+    }
+
+    /** Whether all that was recorded so far is kept, waited for up to the limit. */
+    async #untilKept(): Promise<boolean> {
+        const { clock, lost } = this.options;
+        const kept = this.#turn().then(() => !lost.signal.aborted);
+        return Promise.race([kept, clock.sleep(recordLimit).then(() => false)]);
+    }
+
+    #requestTurn(): void {
+        if (this.#isTurnDue) {
+            return;
+        }
+        this.#isTurnDue = true;
+        setImmediate(() => {
+            this.#isTurnDue = false;
+            if (this.cell.wantsPass) {
+                this.cell.place();
+            }
+            void this.#turn();
+        });
+    }
+
+    /** Carries out what the inputs so far led to; resolves once the records are kept. */
+    async #turn(): Promise<void> {
+        const turn = this.cell.drain();
+        turn.commands.forEach(command =>
+            this.#assignments.vmOf(command.worker)?.channel.send({ kind: "command", command })
+        );
+        turn.questions.forEach(question => this.#advice.ask(question));
+        this.#tidyLinks(turn);
+        try {
+            if (turn.records.length > 0) {
+                this.#kept = this.options.journal.append(turn.records);
+            }
+            // What this turn acknowledges may hang on records of an earlier one.
+            await this.#kept;
+        }
+        catch (cause) {
+            this.options.lost.abort(cause);
+            return;
+        }
+        this.cell.kept(turn);
+        for (const [worker, through] of turn.acknowledgements) {
+            this.#assignments.vmOf(worker)?.channel.send({ kind: "acknowledge", worker, through });
+        }
+        if (this.cell.wantsPass) {
+            this.#requestTurn();
+        }
+    }
+
+    /** Workers that came get a link, those that are gone lose it. */
+    #tidyLinks(turn: Turn): void {
+        let hasNew = false;
+        for (const record of turn.records) {
+            hasNew ||= record.kind === "worker";
+            if (record.kind === "worker-gone") {
+                this.#assignments.vmOf(record.worker)?.channel.send({ kind: "unassign", worker: record.worker });
+                this.#assignments.remove(record.worker);
+            }
+        }
+        if (hasNew) {
+            this.#assignments.balance(this.cell.workers.values(), [...this.#vms.values()]);
+        }
+    }
+
+    async #followWorkers(signal: AbortSignal): Promise<void> {
+        const { directory, clock, logger } = this.options;
+        let cursor: string | undefined;
+        while (!signal.aborted) {
+            try {
+                cursor = await this.#followOnce(cursor, directory, signal);
+            }
+            catch (cause) {
+                if (!signal.aborted) {
+                    logger.log(logEvents.workerListUnavailable, { cause: String(cause) });
+                    await clock.sleep(directoryRetry, signal);
+                }
+            }
+            this.#requestTurn();
+        }
+    }
+
+    async #followOnce(
+        cursor: string | undefined,
+        directory: WorkerDirectory,
+        signal: AbortSignal,
+    ): Promise<string | undefined> {
+        if (cursor === undefined) {
+            const listing = await directory.list(signal);
+            this.cell.listWorkers(listing.workers);
+            return listing.cursor;
+        }
+        const changes = await directory.follow(cursor, followWait, signal);
+        if (changes !== undefined) {
+            this.cell.changeWorkers(changes.changed, changes.gone);
+        }
+        return changes?.cursor;
+    }
+}
--- /dev/null
+++ b/packages/entry/src/ownership/campaign.ts
@@ -0,0 +1,46 @@
+/** Decides when this VM claims the cell: pure, from what is known at the moment. */
+import type { Milliseconds } from "@pebbledale/core";
+import type { CellView, EntryVm } from "../membership/index.js";
+import { candidateDelay, ownerHeardLately } from "./constants.js";
+
+/** What is known at a moment. */
+export interface CampaignInput {
+    readonly view: CellView;
+    readonly self: EntryVm;
+    /** How long ago an owner was heard. */
+    readonly ownerSilence: Milliseconds;
+    /** Process of an owner that is known to be gone. */
+    readonly deadOwner: string | undefined;
+    /** Whether the owner asked this VM to take over. */
+    readonly isAsked: boolean;
+}
+
+/** Why a VM may claim; undefined when it may not. */
+export const reasonToClaim = (input: CampaignInput): string | undefined => {
+    const { view, self, ownerSilence, deadOwner, isAsked } = input;
+    const { owner } = view;
+    if (isAsked) {
+        return "the owner hands over";
+    }
+    if (owner === undefined) {
+        return ownerSilence > ownerHeardLately ? "there is no owner" : undefined;
+    }
+    if (owner.name === self.name && owner.process !== self.process) {
+        return "an earlier life of this VM is the owner";
+    }
+    return owner.process === deadOwner ? "the owner's process is gone" : undefined;
+};
+
+/** How long a VM leaves the claim to those before it: larger ones first, then by name. */
+export const claimDelay = ({ view, self, isAsked }: CampaignInput): Milliseconds => {
+    if (isAsked) {
+        return 0;
+    }
+    const before = [...view.vms.values()].filter(vm => vm.name !== view.owner?.name && isBefore(vm, self));
+    return before.length * candidateDelay;
+};
+
+const isBefore = (left: EntryVm, right: EntryVm): boolean =>
+    left.processorShare !== right.processorShare
+        ? left.processorShare > right.processorShare
+        : left.name < right.name;
--- /dev/null
+++ b/packages/entry/src/ownership/candidate.ts
@@ -0,0 +1,159 @@
+/** Campaigns for the cell, and serves as its owner while this VM has it. */
+import type { CellConfiguration, WorkerDirectory } from "@pebbledale/cell";
+import {
+    absentVersion,
+    type Clock,
+    JournalFencedError,
+    logEvents,
+    type Milliseconds,
+    openJournal,
+    type PlatformLeaseId,
+    type PlatformStore,
+    processId,
+    type Random,
+    shardId,
+} from "@pebbledale/core";
+import { createAbortController, type EventLogger, linkSignals } from "@pebbledale/runtime";
+import { type CellView, type EntryVm, ownerKey, type Registration } from "../membership/index.js";
+import {
+    commitInterval,
+    journalLargestBytes,
+    journalRetryDelay,
+    journalRingSize,
+    journalSnapshotEvery,
+} from "../owner/constants.js";
+import { OwnerSession } from "../owner/index.js";
+import { type CampaignInput, claimDelay, reasonToClaim } from "./campaign.js";
+import { campaignInterval, claimRetryDelay } from "./constants.js";
+
+/** What a candidate needs. */
+export interface CandidateOptions {
+    readonly store: PlatformStore;
+    readonly directory: WorkerDirectory;
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly logger: EventLogger;
+    readonly self: EntryVm;
+    readonly view: CellView;
+    readonly registration: Registration;
+    readonly configuration: () => CellConfiguration | undefined;
+    readonly onConfiguration: (configuration: CellConfiguration) => void;
+    readonly formerLeases: Milliseconds;
+    /** What is known of the present owner. */
+    readonly knownOwner: () => Pick<CampaignInput, "ownerSilence" | "deadOwner" | "isAsked">;
+    /** Serves the connections of an owner until `signal` fires. */
+    readonly connectVms: (session: OwnerSession, signal: AbortSignal) => Promise<void>;
+}
+
+/** The one journal of a cell. */
+const cellShard = shardId("cell");
+
+/** See the module's comment. */
+export class Candidate {
+    #session: OwnerSession | undefined;
+    #wantsSince: Milliseconds | undefined;
+
+    constructor(private readonly options: CandidateOptions) {}
+
+    /** The owner's work, while this VM is the owner. */
+    get session(): OwnerSession | undefined {
+        return this.#session;
+    }
+
+    /** Campaigns and serves until `stop` fires. */
+    async run(stop: AbortSignal): Promise<void> {
+        const { clock, logger } = this.options;
+        while (!stop.aborted) {
+            const input = this.#input();
+            const reason = this.options.registration.lease === undefined ? undefined : reasonToClaim(input);
+            if (reason === undefined || !this.#hasWaited(input)) {
+                this.#wantsSince = reason === undefined ? undefined : this.#wantsSince;
+                await clock.sleep(campaignInterval, stop);
+                continue;
+            }
+            this.#wantsSince = undefined;
+            try {
+                await this.#claimAndServe(reason, stop);
+            }
+            catch (cause) {
+                logger.log(logEvents.claimFailed, { cause: String(cause) });
+                await clock.sleep(claimRetryDelay, stop);
+            }
+        }
+    }
+
+    #input(): CampaignInput {
+        return { view: this.options.view, self: this.options.self, ...this.options.knownOwner() };
+    }
+
+    #hasWaited(input: CampaignInput): boolean {
+        const now = this.options.clock.monotonic();
+        this.#wantsSince ??= now;
+        return now - this.#wantsSince >= claimDelay(input);
+    }
+
+    async #claimAndServe(reason: string, stop: AbortSignal): Promise<void> {
+        const { store, view, self, registration, logger } = this.options;
+        const lease = registration.lease;
+        if (lease === undefined) {
+            return;
+        }
+        const value = JSON.stringify({ name: self.name, address: self.address, process: self.process });
+        const outcome = await store.compareAndSwap(ownerKey, view.ownerVersion ?? absentVersion, value, lease);
+        if (outcome.kind === "conflict") {
+            return;
+        }
+        logger.log(logEvents.ownershipClaimed, { reason });
+        await this.#serve(lease, stop);
+    }
+
+    async #serve(_lease: PlatformLeaseId, stop: AbortSignal): Promise<void> {
+        const { store, clock, random, logger, self, directory } = this.options;
+        const lost = createAbortController();
+        const ending = linkSignals([stop]);
+        ending.signal.addEventListener("abort", () => lost.abort(new Error("the process stops")));
+        try {
+            const { journal, contents } = await openJournal({
+                store,
+                clock,
+                random,
+                shard: cellShard,
+                writer: processId(self.process),
+                signal: lost.signal,
+                options: {
+                    ringSize: journalRingSize,
+                    snapshotEvery: journalSnapshotEvery,
+                    commitInterval,
+                    retryDelay: journalRetryDelay,
+                    largestBytes: journalLargestBytes,
+                },
+            });
+            logger.log(logEvents.ownershipBegun, { epoch: journal.epoch, records: contents.records.length });
+            const session = new OwnerSession({
+                journal,
+                contents,
+                directory,
+                clock,
+                logger,
+                name: self.name,
+                configuration: this.options.configuration(),
+                formerLeases: this.options.formerLeases,
+                lost,
+                onConfiguration: this.options.onConfiguration,
+            });
+            this.#session = session;
+            const connecting = this.options.connectVms(session, lost.signal);
+            await session.run();
+            await connecting;
+        }
+        finally {
+            this.#session = undefined;
+            const cause: unknown = lost.signal.reason;
+            lost.abort();
+            ending.release();
+            logger.log(logEvents.ownershipEnded, {
+                cause: cause instanceof JournalFencedError ? cause.message : String(cause),
+            });
+        }
+    }
+}
--- /dev/null
+++ b/packages/entry/src/peers/index.ts
@@ -0,0 +1,2 @@
+/** Connections among entry VMs. */
+export * from "./server.js";
--- /dev/null
+++ b/packages/entry/src/protocol/index.ts
@@ -0,0 +1,4 @@
+/** The protocol among entry VMs. */
+export * from "./channel.js";
+export * from "./messages.js";
+export * from "./socket-channel.js";
--- /dev/null
+++ b/packages/entry/src/protocol/messages.ts
@@ -0,0 +1,180 @@
+/** Messages between the owner and the entry VMs. Both sides send them in bundles over one connection. */
+import type {
+    AdviceAnswer,
+    CellConfiguration,
+    CellJobState,
+    EndedRun,
+    JobDefinition,
+    Look,
+    OrderRefusal,
+    WorkerCommand,
+} from "@pebbledale/cell";
+import type { Epoch, FencingToken, JobId, QueueName, RunNumber, TaskAddress, WorkerId } from "@pebbledale/core";
+import type { Milliseconds } from "@pebbledale/core";
+
+/** Begins a connection: which owner speaks. */
+export interface WelcomeMessage {
+    readonly kind: "welcome";
+    readonly epoch: Epoch;
+    readonly owner: string;
+}
+
+/** Gives the VM the link to a worker. */
+export interface AssignMessage {
+    readonly kind: "assign";
+    readonly worker: WorkerId;
+    readonly address: string;
+    /** Orders of this link carry this token or one a little higher, as it settles what got no answer. */
+    readonly token: FencingToken;
+}
+
+/** Takes the link to a worker away. */
+export interface UnassignMessage {
+    readonly kind: "unassign";
+    readonly worker: WorkerId;
+}
+
+/** An order to pass on to a worker. */
+export interface CommandMessage {
+    readonly kind: "command";
+    readonly command: WorkerCommand;
+}
+
+/** Ends up to `through` are kept: the worker may forget them. */
+export interface AcknowledgeMessage {
+    readonly kind: "acknowledge";
+    readonly worker: WorkerId;
+    readonly through: number;
+}
+
+/** A question to put to the advice service. */
+export interface AskMessage {
+    readonly kind: "ask";
+    readonly question: number;
+    readonly step: string;
+    readonly workers: readonly WorkerId[];
+    /** What the call takes at the service. */
+    readonly duration: Milliseconds;
+}
+
+/** Answer to a caller's request. */
+export interface ReplyMessage {
+    readonly kind: "reply";
+    readonly request: number;
+    readonly reply: OwnerReply;
+}
+
+/** The newest configuration that the owner knows. */
+export interface ConfigurationMessage {
+    readonly kind: "configuration";
+    readonly configuration: CellConfiguration;
+}
+
+/** Says that the owner lives; sent when nothing else was. */
+export interface BeatMessage {
+    readonly kind: "beat";
+}
+
+/** What the owner says. */
+export type OwnerMessage =
+    | WelcomeMessage
+    | AssignMessage
+    | UnassignMessage
+    | CommandMessage
+    | AcknowledgeMessage
+    | AskMessage
+    | ReplyMessage
+    | ConfigurationMessage
+    | BeatMessage;
+
+/** A whole look at a worker. */
+export interface LookedMessage {
+    readonly kind: "looked";
+    readonly worker: WorkerId;
+    readonly look: Look;
+    /** How long ago the look was sent. */
+    readonly age: Milliseconds;
+}
+
+/** Ends that a worker lists and that were not reported on this link yet. */
+export interface EndsMessage {
+    readonly kind: "ends";
+    readonly worker: WorkerId;
+    readonly ended: readonly EndedRun[];
+}
+
+/** What became of a start. */
+export interface StartedMessage {
+    readonly kind: "started";
+    readonly worker: WorkerId;
+    readonly task: TaskAddress;
+    readonly run: RunNumber;
+    /** Left out when the worker took it; "not-delivered" when it never reached the worker and never will. */
+    readonly refusal?: OrderRefusal | "not-delivered";
+}
+
+/** A worker does not answer. */
+export interface SilentMessage {
+    readonly kind: "silent";
+    readonly worker: WorkerId;
+    /** Time until every lease given on this link is over. */
+    readonly lapsesIn: Milliseconds;
+}
+
+/** Another life of the worker answers at its address. */
+export interface OtherLifeMessage {
+    readonly kind: "other-life";
+    readonly worker: WorkerId;
+}
+
+/** A worker has seen a higher fencing token than this owner's. */
+export interface FencedMessage {
+    readonly kind: "fenced";
+    readonly worker: WorkerId;
+}
+
+/** Answer of the advice service; left out when there was none. */
+export interface AdvisedMessage {
+    readonly kind: "advised";
+    readonly question: number;
+    readonly answer?: AdviceAnswer;
+}
+
+/** A caller's request. */
+export interface RequestMessage {
+    readonly kind: "request";
+    readonly request: number;
+    readonly body: OwnerRequest;
+}
+
+/** What an entry VM says. */
+export type VmMessage =
+    | LookedMessage
+    | EndsMessage
+    | StartedMessage
+    | SilentMessage
+    | OtherLifeMessage
+    | FencedMessage
+    | AdvisedMessage
+    | RequestMessage
+    | ConfigurationMessage
+    | BeatMessage;
+
+/** What a front asks of the owner for a caller. */
+export type OwnerRequest =
+    | { readonly kind: "submit"; readonly definition: JobDefinition; }
+    | { readonly kind: "state"; readonly job: JobId; }
+    | { readonly kind: "cancel"; readonly job: JobId; }
+    | { readonly kind: "pending"; readonly queue: QueueName; };
+
+/** What the owner answers to a front. */
+export type OwnerReply =
+    | { readonly kind: "accepted"; }
+    | { readonly kind: "cancelled"; }
+    | { readonly kind: "state"; readonly state: CellJobState; }
+    | { readonly kind: "pending"; readonly count: number; }
+    | { readonly kind: "unknown-job"; }
+    /** Nothing was done; come back after a while. */
+    | { readonly kind: "not-now"; readonly retryAfter: Milliseconds; }
+    /** Whether it was done is not known. */
+    | { readonly kind: "uncertain"; };
--- /dev/null
+++ b/packages/entry/src/protocol/socket-channel.ts
@@ -0,0 +1,61 @@
+/** A channel over a WebSocket: bundles of messages as JSON arrays. */
+import type { Milliseconds } from "@pebbledale/core";
+import { WebSocket } from "ws";
+import type { Channel } from "./channel.js";
+
+/** Messages of this long are gathered into one bundle, in milliseconds: a wake-up costs more than a message. */
+const bundleDelay: Milliseconds = 2;
+
+/** See the module's comment. */
+export class SocketChannel<Sent, Received> implements Channel<Sent, Received> {
+    onMessage: (message: Received) => void = () => undefined;
+    onClose: () => void = () => undefined;
+    #bundle: Sent[] = [];
+    #isClosed = false;
+
+    constructor(private readonly socket: WebSocket) {
+        socket.on("message", data => this.#receive(String(data)));
+        socket.on("close", () => this.#ended());
+        socket.on("error", () => this.close());
+    }
+
+    /** See {@link Channel.isOpen}. */
+    get isOpen(): boolean {
+        return !this.#isClosed;
+    }
+
+    /** See {@link Channel.send}. */
+    send(message: Sent): void {
+        this.#bundle.push(message);
+        if (this.#bundle.length === 1) {
+            setTimeout(() => this.#flush(), bundleDelay);
+        }
+    }
+
+    /** See {@link Channel.close}. */
+    close(): void {
+        this.socket.terminate();
+        this.#ended();
+    }
+
+    #flush(): void {
+        const bundle = this.#bundle;
+        this.#bundle = [];
+        if (this.socket.readyState === WebSocket.OPEN) {
+            this.socket.send(JSON.stringify(bundle));
+        }
+    }
+
+    #receive(text: string): void {
+        for (const message of JSON.parse(text) as Received[]) {
+            this.onMessage(message);
+        }
+    }
+
+    #ended(): void {
+        if (!this.#isClosed) {
+            this.#isClosed = true;
+            this.onClose();
+        }
+    }
+}
