Members of a gang on several workers share one run number

Cause: the number was worked out for each worker's share, after the first share had raised it; members waited for others of their own number in vain. Ruled out: late starts (all members of a share began within a millisecond). Change: the number is worked out once for the gang.

--- a/packages/cell/src/scheduler/placer.ts
+++ b/packages/cell/src/scheduler/placer.ts
@@ -1,5 +1,5 @@
 /** Places what waits: goes through the ready steps in the order of their urgency and orders what fits. */
-import { logEvents, type Milliseconds } from "@pebbledale/core";
+import { logEvents, type Milliseconds, type RunNumber } from "@pebbledale/core";
 import type { AdviceDesk } from "./advice-desk.js";
 import type { CellContext } from "./cell-context.js";
 import { addressOf } from "./definition.js";
@@ -83,7 +83,7 @@
             if (taken.length === 0) {
                 return;
             }
-            this.#order(step, taken, worker, ticket);
+            this.#order(taken, worker, ticket);
             next += taken.length;
         }
         if (next < waiting.length) {
@@ -101,9 +101,10 @@
             this.#keepRoom(step, waiting.length, now);
             return;
         }
+        const run = this.runs.nextRunOf(step, waiting[0]);
         let next = 0;
         for (const { worker, count, ticket } of shares) {
-            this.#order(step, waiting.slice(next, next + count), worker, ticket);
+            this.#order(waiting.slice(next, next + count), worker, ticket, run);
             next += count;
         }
     }
@@ -128,11 +129,12 @@
         }
     }
 
-    #order(step: Step, tasks: readonly Task[], worker: WorkerState, ticket: string | undefined): void {
+    /** Orders tasks of one step at one worker. `run`: their common number, if they are of a gang. */
+    #order(tasks: readonly Task[], worker: WorkerState, ticket: string | undefined, run?: RunNumber): void {
         const now = this.context.now();
-        const run = this.runs.nextRunOf(step, tasks[0]);
+        const { step } = tasks[0];
         for (const task of tasks) {
-            this.runs.order(task, step.definition.isGang ? run : this.runs.nextRunOf(step, task), worker, ticket);
+            this.runs.order(task, run ?? this.runs.nextRunOf(step, task), worker, ticket);
         }
         this.context.options.log.log(logEvents.runsOrdered, {
             job: step.job.id,
@@ -143,7 +145,7 @@
                 index: tasks[0].index,
             }),
             tasks: tasks.length,
-            run,
+            run: tasks[0].lastRun,
             worker: worker.id,
             freeAfter: worker.freeProcessor,
             waited: Math.round(now - (step.readyAt ?? now)),
