Store calls through another VM, hand-over and drain at SIGTERM, settings read again at SIGHUP

SIGTERM ended the process with open requests. SIGHUP ended it at all. Ruled out: a longer wait at the fronts (the owner itself was cut off). Change: a call without an answer for 250 ms is also made through another VM; a stopping VM hands the cell and its links over and serves until the platform has taken it out; the settings file is read again.

--- a/packages/core/src/log-events/index.ts
+++ b/packages/core/src/log-events/index.ts
@@ -114,6 +114,14 @@
     ),
     storeUnreachable: define(4603, "warn", "the platform's store does not answer", "Look at the platform's store."),
     storeReachable: define(4604, "info", "the platform's store answers again", nothing),
+    storeRelayed: define(4606, "warn", "calls of the store go through another VM", "Look at this VM's way to it."),
+    ownershipOffered: define(4506, "info", "the cell is handed to another VM", nothing),
     settingsReloaded: define(4605, "info", "the settings file was read again", nothing),
+    settingsUnreadable: define(
+        4607,
+        "error",
+        "the settings file cannot be used; the former settings stay",
+        "Correct the place it names.",
+    ),
     cellSettled: define(4401, "info", "what an earlier owner started is known in full", nothing),
 } as const;
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -25,7 +25,9 @@
 import { dialVm, isRefused, listenForOwners } from "./peers/index.js";
 import { createMemoryChannel, type OwnerMessage, type VmMessage } from "./protocol/index.js";
 import type { EntrySettings } from "./settings/index.js";
+import { RelayedStore } from "./store-relay/index.js";
 
+const millisecondsPerSecond = 1_000;
 /** Limit of the look whether a lost owner's process is gone, in milliseconds. */
 const refusalLimit: Milliseconds = 300;
 /** Time between two looks at which VMs the owner is to dial, in milliseconds. */
@@ -40,7 +42,8 @@
     readonly random: Random;
     readonly logger: EventLogger;
     readonly store: PlatformStore & ChangeFeed;
-    readonly directory: WorkerDirectory;
+    /** The workers' entries, read through this way to the store. */
+    readonly directory: (feed: ChangeFeed) => WorkerDirectory;
     readonly configuration: ConfigurationFeed;
     readonly clients: TaskWorkerClients;
     readonly advice: AdviceClient | undefined;
@@ -55,7 +58,10 @@
     readonly #session: VmSession;
     readonly #registration: Registration;
     readonly #candidate: Candidate;
+    readonly #store: RelayedStore;
     #deadOwner: string | undefined;
+    /** Whether the owner asked this VM to take the cell over. */
+    #isAsked = false;
     #ownerWaiters: (() => void)[] = [];
 
     constructor(private readonly options: EntryOptions) {
@@ -66,7 +72,14 @@
             dataHall: settings.dataHall,
             processorShare: settings.processorShare,
             process: random.name(),
+            startedAt: Math.floor(clock.now().getTime() / millisecondsPerSecond),
         };
+        this.#store = new RelayedStore({
+            direct: store,
+            relays: () => this.#candidate.session?.storeRelays() ?? [],
+            clock,
+            logger,
+        });
         this.#configuration = new ConfigurationWatch({
             feed: options.configuration,
             clock,
@@ -81,19 +94,21 @@
             advice: options.advice,
             clock,
             leaseLength: settings.bounds.longestLease,
+            store,
+            onHandOver: () => this.#isAsked = true,
             onConfiguration: configuration => this.#configuration.take(configuration, "owner"),
             onOwner: hasOwner => this.#noteOwner(hasOwner),
         });
         this.#registration = new Registration({
-            store,
+            store: this.#store,
             clock,
             key: vmKey(settings.vm),
             value: JSON.stringify(this.#self),
             leaseLength: Math.max(ownerLease, settings.store.shortestLease),
         });
         this.#candidate = new Candidate({
-            store,
-            directory: options.directory,
+            store: this.#store,
+            directory: options.directory(this.#store),
             clock,
             random,
             logger,
@@ -106,7 +121,7 @@
             knownOwner: () => ({
                 ownerSilence: this.#session.hasOwner ? this.#session.ownerSilence : Infinity,
                 deadOwner: this.#deadOwner,
-                isAsked: false,
+                isAsked: this.#isAsked,
             }),
             connectVms: (session, signal) => this.#connectVms(session, signal),
         });
@@ -127,8 +142,8 @@
         return this.queues === undefined ? "no configuration yet" : undefined;
     }
 
-    /** Serves until `stop` fires. */
-    async run(stop: AbortSignal): Promise<void> {
+    /** Serves until `stop` fires, then hands over and goes on until callers are `drained`. */
+    async run(stop: AbortSignal, drained: () => Promise<void>): Promise<void> {
         const { settings, store, clock } = this.options;
         const background = createAbortController();
         await listenForOwners(settings.peerAddress, channel => this.#session.attach(channel), background.signal);
@@ -142,7 +157,9 @@
             followKeys(store, clock, cellPrefix, follower, background.signal),
             this.#session.run(background.signal),
         ];
+        stop.addEventListener("abort", () => this.#session.leave());
         await this.#candidate.run(stop);
+        await drained();
         background.abort();
         await Promise.all(running);
     }
@@ -151,6 +168,8 @@
         const { logger } = this.options;
         if (hasOwner) {
             logger.log(logEvents.ownerConnected, { epoch: this.#session.epoch });
+            this.#isAsked = false;
+            this.#candidate.noteOwner(this.#session.epoch);
             const waiters = this.#ownerWaiters;
             this.#ownerWaiters = [];
             waiters.forEach(wake => wake());
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -10,3 +10,4 @@
 export * from "./peers/index.js";
 export * from "./protocol/index.js";
 export * from "./settings/index.js";
+export * from "./store-relay/index.js";
--- a/packages/entry/src/links/vm-session.ts
+++ b/packages/entry/src/links/vm-session.ts
@@ -1,8 +1,9 @@
 /** What this VM does for the owner: links to workers, questions to the advice service, replies to callers. */
 import type { AdviceClient, CellConfiguration, TaskWorkerClients } from "@pebbledale/cell";
-import type { Clock, Epoch, Milliseconds } from "@pebbledale/core";
+import type { ChangeFeed, Clock, Epoch, Milliseconds, PlatformStore } from "@pebbledale/core";
 import { createAbortController } from "@pebbledale/runtime";
 import type { AskMessage, Channel, OwnerMessage, OwnerReply, OwnerRequest, VmMessage } from "../protocol/index.js";
+import { performOperation, type StoreOperation } from "../store-relay/index.js";
 import { Links } from "./links.js";
 
 /** Added to what a question takes at the service before it has failed, in milliseconds. */
@@ -16,6 +17,10 @@
     readonly advice: AdviceClient | undefined;
     readonly clock: Clock;
     readonly leaseLength: Milliseconds;
+    /** The store as this VM reaches it by itself. */
+    readonly store: PlatformStore & ChangeFeed;
+    /** The owner stops and asks this VM to take over. */
+    readonly onHandOver: () => void;
     readonly onConfiguration: (configuration: CellConfiguration) => void;
     /** Told when there is a new owner, or none. */
     readonly onOwner: (hasOwner: boolean) => void;
@@ -33,6 +38,7 @@
     #epoch = 0;
     #nextRequest = 1;
     #lastHeard = -Infinity;
+    #isLeaving = false;
 
     constructor(private readonly options: VmSessionOptions) {
         this.#links = new Links({
@@ -89,6 +95,12 @@
         this.#channel?.send({ kind: "configuration", configuration });
     }
 
+    /** Tells the owner, and each that follows, that this VM is about to stop. */
+    leave(): void {
+        this.#isLeaving = true;
+        this.#channel?.send({ kind: "leaving" });
+    }
+
     /** Sends beats until `signal` fires. */
     async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
@@ -114,6 +126,9 @@
             former.close();
         }
         this.#dropRequests();
+        if (this.#isLeaving) {
+            channel.send({ kind: "leaving" });
+        }
         this.options.onOwner(true);
     }
 
@@ -142,6 +157,12 @@
             case "configuration":
                 this.options.onConfiguration(message.configuration);
                 break;
+            case "store-call":
+                void this.#callStore(message.call, message.operation);
+                break;
+            case "hand-over":
+                this.options.onHandOver();
+                break;
             case "welcome":
             case "beat":
                 break;
@@ -153,6 +174,17 @@
         this.#links.noteOwner();
     }
 
+    async #callStore(call: number, operation: StoreOperation): Promise<void> {
+        const channel = this.#channel;
+        try {
+            const answer = await performOperation(this.options.store, operation, createAbortController().signal);
+            channel?.send({ kind: "store-answer", call, isAnswered: true, answer });
+        }
+        catch {
+            channel?.send({ kind: "store-answer", call, isAnswered: false });
+        }
+    }
+
     async #ask({ question, step, workers, duration }: AskMessage): Promise<void> {
         const channel = this.#channel;
         const { signal } = createAbortController();
--- a/packages/entry/src/membership/view.ts
+++ b/packages/entry/src/membership/view.ts
@@ -20,6 +20,8 @@
     readonly processorShare: number;
     /** Names one life of its process. */
     readonly process: string;
+    /** When its process started, in whole seconds since 1970 by its own clock. */
+    readonly startedAt: number;
 }
 
 /** The owner's entry. */
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -22,6 +22,7 @@
 import { AdviceDispatcher } from "../advice/index.js";
 import type { EntryVm } from "../membership/index.js";
 import type { Channel, OwnerMessage, OwnerReply, OwnerRequest, VmMessage } from "../protocol/index.js";
+import type { StoreRelay } from "../store-relay/index.js";
 import { Assignments } from "./assignments.js";
 import {
     lookAgeMargin,
@@ -51,6 +52,9 @@
     readonly onConfiguration: (configuration: CellConfiguration) => void;
 }
 
+/** Messages that concern one worker's link. */
+type WorkerMessage = Extract<VmMessage, { worker: WorkerId; }>;
+
 /** Longest wait in one call that follows the workers' entries, in milliseconds. */
 const followWait: Milliseconds = 20_000;
 /** Wait before the workers' entries are read again after a failure, in milliseconds. */
@@ -65,6 +69,8 @@
     readonly #openedAt: Milliseconds;
     #configuration: CellConfiguration | undefined;
     #isTurnDue = false;
+    #isHandingOver = false;
+    #nextRelay = 0;
     /** Resolves once all records so far are kept. */
     #kept: Promise<void> = Promise.resolve();
 
@@ -84,6 +90,16 @@
         }
     }
 
+    /** The epoch of this owner. */
+    get epoch(): number {
+        return this.options.journal.epoch;
+    }
+
+    /** Gives the cell up: there is another owner. */
+    stepDown(reason: string): void {
+        this.options.lost.abort(new JournalFencedError(reason));
+    }
+
     /** Serves until `lost` fires. */
     async run(): Promise<void> {
         const { lost, clock } = this.options;
@@ -135,19 +151,63 @@
         this.#advice.join(vm.name, (question, { step, workers, duration }) =>
             channel.send({ kind: "ask", question, step, workers, duration })
         );
-        this.#assignments.balance(this.cell.workers.values(), [...this.#vms.values()]);
+        this.#balance();
         this.#assignments.even(this.cell.workers, link, [...this.#vms.values()]);
     }
 
+    /** VMs that can make calls of the store for this one. */
+    storeRelays(): StoreRelay[] {
+        const others = [...this.#vms.values()].filter(link => link.vm.name !== this.options.name);
+        const first = this.#nextRelay++;
+        return others.map((_, index) => {
+            const link = others[(first + index) % others.length];
+            return operation => link.callStore(operation);
+        });
+    }
+
+    /** Gives the cell to another VM once all that was accepted is kept; false when there is none. */
+    async handOver(): Promise<boolean> {
+        const candidates = [...this.#vms.values()].filter(link =>
+            link.vm.name !== this.options.name && !link.isLeaving
+        );
+        const successor = candidates.reduce<VmLink | undefined>(
+            (best, link) => best === undefined || isBetterSuccessor(link, best) ? link : best,
+            undefined,
+        );
+        this.#isHandingOver = true;
+        await this.#kept;
+        successor?.channel.send({ kind: "hand-over" });
+        return successor !== undefined;
+    }
+
+    /** A VM is about to stop: its links and questions go to others. */
+    #takeLeave(link: VmLink): void {
+        link.isLeaving = true;
+        this.#advice.leave(link.vm.name);
+        for (const worker of link.workers) {
+            link.channel.send({ kind: "unassign", worker });
+        }
+        this.#assignments.removeAll(link);
+        this.#balance();
+    }
+
+    /** Gives workers without a link to VMs that stay. */
+    #balance(): void {
+        const staying = [...this.#vms.values()].filter(link => !link.isLeaving);
+        const vms = staying.length > 0 ? staying : [...this.#vms.values()];
+        this.#assignments.balance(this.cell.workers.values(), vms);
+    }
+
     #drop(link: VmLink | undefined): void {
         if (link === undefined || this.#vms.get(link.vm.name) !== link) {
             return;
         }
         this.#vms.delete(link.vm.name);
         link.channel.close();
+        link.dropCalls();
         this.#advice.leave(link.vm.name);
         this.#assignments.removeAll(link);
-        this.#assignments.balance(this.cell.workers.values(), [...this.#vms.values()]);
+        this.#balance();
     }
 
     #dropSilentVms(): void {
@@ -176,6 +236,12 @@
                 }
                 break;
             }
+            case "store-answer":
+                link.takeStoreAnswer(message.call, message.isAnswered, message.answer);
+                return;
+            case "leaving":
+                this.#takeLeave(link);
+                break;
             case "beat":
                 return;
             default:
@@ -186,7 +252,7 @@
 
     #takeOfWorker(
         link: VmLink,
-        message: Exclude<VmMessage, { kind: "request" | "configuration" | "advised" | "beat"; }>,
+        message: WorkerMessage,
         now: Milliseconds,
     ): void {
         const assignment = this.#assignments.at(message.worker, link);
@@ -215,7 +281,7 @@
                 this.#assignments.remove(message.worker);
                 break;
             case "fenced":
-                this.options.lost.abort(new JournalFencedError(`worker ${message.worker} has seen a later owner`));
+                this.stepDown(`worker ${message.worker} has seen a later owner`);
                 break;
         }
     }
@@ -236,10 +302,16 @@
 
     async #answer(link: VmLink, request: number, body: OwnerRequest): Promise<void> {
         const reply = await this.#replyTo(body);
-        link.channel.send({ kind: "reply", request, reply });
+        if (reply !== undefined) {
+            link.channel.send({ kind: "reply", request, reply });
+        }
     }
 
-    async #replyTo(body: OwnerRequest): Promise<OwnerReply> {
+    async #replyTo(body: OwnerRequest): Promise<OwnerReply | undefined> {
+        if (this.#isHandingOver) {
+            // The next owner is asked again by the front.
+            return undefined;
+        }
         switch (body.kind) {
             case "pending":
                 return { kind: "pending", count: this.cell.pendingOf(body.queue) };
@@ -295,7 +367,7 @@
         this.#isTurnDue = true;
         setImmediate(() => {
             this.#isTurnDue = false;
-            if (this.cell.wantsPass) {
+            if (this.cell.wantsPass && !this.#isHandingOver) {
                 this.cell.place();
             }
             void this.#turn();
@@ -341,7 +413,7 @@
             }
         }
         if (hasNew) {
-            this.#assignments.balance(this.cell.workers.values(), [...this.#vms.values()]);
+            this.#balance();
         }
     }
 
@@ -379,3 +451,9 @@
         return changes?.cursor;
     }
 }
+
+/** A VM that started later has been stopped already, where all are stopped in turn; then the larger one. */
+const isBetterSuccessor = (left: VmLink, right: VmLink): boolean =>
+    left.vm.startedAt !== right.vm.startedAt
+        ? left.vm.startedAt > right.vm.startedAt
+        : left.vm.processorShare > right.vm.processorShare;
--- a/packages/entry/src/owner/vm-link.ts
+++ b/packages/entry/src/owner/vm-link.ts
@@ -1,12 +1,26 @@
 /** The owner's view of one entry VM: its connection and the workers whose links it has. */
-import type { Milliseconds, WorkerId } from "@pebbledale/core";
+import { type Milliseconds, PlatformUnavailableError, type WorkerId } from "@pebbledale/core";
 import type { EntryVm } from "../membership/index.js";
 import type { Channel, OwnerMessage, VmMessage } from "../protocol/index.js";
+import type { StoreOperation } from "../store-relay/index.js";
+
+/** Added to a watch's wait before a call through a VM has failed, and the limit of other calls. */
+const storeCallLimit: Milliseconds = 1_000;
+
+interface StoreCall {
+    readonly resolve: (answer: unknown) => void;
+    readonly reject: (cause: Error) => void;
+    readonly timer: NodeJS.Timeout;
+}
 
 /** See the module's comment. */
 export class VmLink {
     readonly workers = new Set<WorkerId>();
     heardAt: Milliseconds;
+    /** Whether it is about to stop: it gets no links and no questions. */
+    isLeaving = false;
+    readonly #calls = new Map<number, StoreCall>();
+    #nextCall = 1;
 
     constructor(
         readonly vm: EntryVm,
@@ -20,4 +34,36 @@
     get load(): number {
         return (this.workers.size + 1) / this.vm.processorShare;
     }
+
+    /** Has the VM make a call of the store. */
+    callStore(operation: StoreOperation): Promise<unknown> {
+        const call = this.#nextCall++;
+        const limit = storeCallLimit + (operation.kind === "changes" ? operation.duration : 0);
+        return new Promise((resolve, reject) => {
+            const timer = setTimeout(() => this.takeStoreAnswer(call, false, undefined), limit);
+            this.#calls.set(call, { resolve, reject, timer });
+            this.channel.send({ kind: "store-call", call, operation });
+        });
+    }
+
+    /** Takes the answer to a call of the store. */
+    takeStoreAnswer(number: number, isAnswered: boolean, answer: unknown): void {
+        const call = this.#calls.get(number);
+        if (call === undefined) {
+            return;
+        }
+        this.#calls.delete(number);
+        clearTimeout(call.timer);
+        if (isAnswered) {
+            call.resolve(answer);
+        }
+        else {
+            call.reject(new PlatformUnavailableError(`no answer through ${this.vm.name}`));
+        }
+    }
+
+    /** The connection has ended: no call gets an answer any more. */
+    dropCalls(): void {
+        [...this.#calls.keys()].forEach(call => this.takeStoreAnswer(call, false, undefined));
+    }
 }
--- a/packages/entry/src/ownership/campaign.ts
+++ b/packages/entry/src/ownership/campaign.ts
@@ -25,8 +25,10 @@
     if (owner === undefined) {
         return ownerSilence > ownerHeardLately ? "there is no owner" : undefined;
     }
-    if (owner.name === self.name && owner.process !== self.process) {
-        return "an earlier life of this VM is the owner";
+    if (owner.name === self.name) {
+        return owner.process === self.process
+            ? "an earlier claim of this process had no answer"
+            : "an earlier life of this VM is the owner";
     }
     return owner.process === deadOwner ? "the owner's process is gone" : undefined;
 };
--- a/packages/entry/src/ownership/candidate.ts
+++ b/packages/entry/src/ownership/candidate.ts
@@ -7,13 +7,12 @@
     logEvents,
     type Milliseconds,
     openJournal,
-    type PlatformLeaseId,
     type PlatformStore,
     processId,
     type Random,
     shardId,
 } from "@pebbledale/core";
-import { createAbortController, type EventLogger, linkSignals } from "@pebbledale/runtime";
+import { createAbortController, type EventLogger } from "@pebbledale/runtime";
 import { type CellView, type EntryVm, ownerKey, type Registration } from "../membership/index.js";
 import {
     commitInterval,
@@ -24,7 +23,7 @@
 } from "../owner/constants.js";
 import { OwnerSession } from "../owner/index.js";
 import { type CampaignInput, claimDelay, reasonToClaim } from "./campaign.js";
-import { campaignInterval, claimRetryDelay } from "./constants.js";
+import { campaignInterval, claimRetryDelay, handOverWait } from "./constants.js";
 
 /** What a candidate needs. */
 export interface CandidateOptions {
@@ -60,6 +59,13 @@
         return this.#session;
     }
 
+    /** Another owner with a higher epoch speaks: what this VM still does as owner is over. */
+    noteOwner(epoch: number): void {
+        if (this.#session !== undefined && epoch > this.#session.epoch) {
+            this.#session.stepDown("another owner speaks");
+        }
+    }
+
     /** Campaigns and serves until `stop` fires. */
     async run(stop: AbortSignal): Promise<void> {
         const { clock, logger } = this.options;
@@ -100,18 +106,18 @@
         }
         const value = JSON.stringify({ name: self.name, address: self.address, process: self.process });
         const outcome = await store.compareAndSwap(ownerKey, view.ownerVersion ?? absentVersion, value, lease);
-        if (outcome.kind === "conflict") {
+        if (outcome.kind === "conflict" && outcome.current?.value !== value) {
             return;
         }
         logger.log(logEvents.ownershipClaimed, { reason });
-        await this.#serve(lease, stop);
+        await this.#serve(stop);
     }
 
-    async #serve(_lease: PlatformLeaseId, stop: AbortSignal): Promise<void> {
+    async #serve(stop: AbortSignal): Promise<void> {
         const { store, clock, random, logger, self, directory } = this.options;
         const lost = createAbortController();
-        const ending = linkSignals([stop]);
-        ending.signal.addEventListener("abort", () => lost.abort(new Error("the process stops")));
+        const onStop = () => void this.#handOver(lost);
+        stop.addEventListener("abort", onStop);
         try {
             const { journal, contents } = await openJournal({
                 store,
@@ -150,10 +156,19 @@
             this.#session = undefined;
             const cause: unknown = lost.signal.reason;
             lost.abort();
-            ending.release();
+            stop.removeEventListener("abort", onStop);
             logger.log(logEvents.ownershipEnded, {
                 cause: cause instanceof JournalFencedError ? cause.message : String(cause),
             });
         }
     }
+
+    /** Gives the cell to another VM, and goes on until that VM has it or the wait is over. */
+    async #handOver(lost: AbortController): Promise<void> {
+        const { clock, logger } = this.options;
+        const isOffered = await this.#session?.handOver() ?? false;
+        logger.log(logEvents.ownershipOffered, { isOffered });
+        await clock.sleep(isOffered ? handOverWait : 0, lost.signal);
+        lost.abort(new Error("the process stops"));
+    }
 }
--- a/packages/entry/src/ownership/constants.ts
+++ b/packages/entry/src/ownership/constants.ts
@@ -11,3 +11,5 @@
 export const claimRetryDelay: Milliseconds = 300;
 /** How long the owner's key outlives its last renewal. */
 export const ownerLease: Milliseconds = 2_000;
+/** How long a stopping owner waits for the next one to speak. */
+export const handOverWait: Milliseconds = 1_500;
--- a/packages/entry/src/protocol/messages.ts
+++ b/packages/entry/src/protocol/messages.ts
@@ -11,6 +11,7 @@
 } from "@pebbledale/cell";
 import type { Epoch, FencingToken, JobId, QueueName, RunNumber, TaskAddress, WorkerId } from "@pebbledale/core";
 import type { Milliseconds } from "@pebbledale/core";
+import type { StoreOperation } from "../store-relay/index.js";
 
 /** Begins a connection: which owner speaks. */
 export interface WelcomeMessage {
@@ -70,6 +71,18 @@
     readonly configuration: CellConfiguration;
 }
 
+/** Asks the VM to make a call of the store for the owner, which cannot reach it. */
+export interface StoreCallMessage {
+    readonly kind: "store-call";
+    readonly call: number;
+    readonly operation: StoreOperation;
+}
+
+/** The owner stops: this VM is to take the cell over at once. */
+export interface HandOverMessage {
+    readonly kind: "hand-over";
+}
+
 /** Says that the owner lives; sent when nothing else was. */
 export interface BeatMessage {
     readonly kind: "beat";
@@ -85,6 +98,8 @@
     | AskMessage
     | ReplyMessage
     | ConfigurationMessage
+    | StoreCallMessage
+    | HandOverMessage
     | BeatMessage;
 
 /** A whole look at a worker. */
@@ -140,6 +155,19 @@
     readonly answer?: AdviceAnswer;
 }
 
+/** Answer to a call of the store; `isAnswered` is false when the store gave none. */
+export interface StoreAnswerMessage {
+    readonly kind: "store-answer";
+    readonly call: number;
+    readonly isAnswered: boolean;
+    readonly answer?: unknown;
+}
+
+/** The VM is about to stop: its links and questions go to others. */
+export interface LeavingMessage {
+    readonly kind: "leaving";
+}
+
 /** A caller's request. */
 export interface RequestMessage {
     readonly kind: "request";
@@ -157,6 +185,8 @@
     | FencedMessage
     | AdvisedMessage
     | RequestMessage
+    | StoreAnswerMessage
+    | LeavingMessage
     | ConfigurationMessage
     | BeatMessage;
 
--- /dev/null
+++ b/packages/entry/src/store-relay/index.ts
@@ -0,0 +1,3 @@
+/** The platform's store through other VMs. */
+export * from "./operations.js";
+export * from "./relayed-store.js";
--- /dev/null
+++ b/packages/entry/src/store-relay/relayed-store.ts
@@ -0,0 +1,191 @@
+/**
+ * The platform's store, reached directly or through another VM.
+ *
+ * The store may turn one VM away and serve the others. A call that stays without an answer for a while is then also made
+ * through another VM; the first answer counts. Each call may be made twice without harm: writes carry conditions.
+ */
+import {
+    type ChangeFeed,
+    type Clock,
+    type KeyChanges,
+    type KeysAtCursor,
+    type KeyValue,
+    type KeyVersion,
+    logEvents,
+    type Milliseconds,
+    type PlatformLeaseId,
+    type PlatformStore,
+    PlatformUnavailableError,
+    type SwapOutcome,
+    type WatchEvents,
+} from "@pebbledale/core";
+import { createAbortController, type EventLogger, withLinkedSignal } from "@pebbledale/runtime";
+import { performOperation, type StoreOperation } from "./operations.js";
+
+/** Makes a call through another VM; rejects when it had no answer there either. */
+export type StoreRelay = (operation: StoreOperation) => Promise<unknown>;
+
+/** What a relayed store needs. */
+export interface RelayedStoreOptions {
+    readonly direct: PlatformStore & ChangeFeed;
+    /** VMs that may make calls for this one, in the order in which they are to be tried. */
+    readonly relays: () => readonly StoreRelay[];
+    readonly clock: Clock;
+    readonly logger: EventLogger;
+}
+
+/** A direct call without an answer by then is also made through another VM. The store answers in about 4 ms. */
+const relayAfter: Milliseconds = 250;
+/** After a call that only another VM could make, direct ones are not tried for this long; twice as long each time. */
+const avoidDirectFor: Milliseconds = 1_000;
+const avoidDirectAtMost: Milliseconds = 4_000;
+/** Longest wait in one watch that another VM makes. */
+const relayedWatch: Milliseconds = 2_000;
+
+/** See the module's comment. */
+export class RelayedStore implements PlatformStore, ChangeFeed {
+    #avoidDirectUntil = -Infinity;
+    #avoidNext = avoidDirectFor;
+    /** Fires when the way to the store changes, so that long waits begin anew on the other way. */
+    #wayChanged = createAbortController();
+
+    constructor(private readonly options: RelayedStoreOptions) {}
+
+    /** See {@link PlatformStore.get}. */
+    async get(key: string): Promise<KeyValue | undefined> {
+        return await this.#perform({ kind: "get", key }) as KeyValue | undefined;
+    }
+
+    /** See {@link PlatformStore.list}. */
+    async list(prefix: string): Promise<readonly KeyValue[]> {
+        return (await this.readAll(prefix)).entries;
+    }
+
+    /** See {@link ChangeFeed.readAll}. */
+    async readAll(prefix: string): Promise<KeysAtCursor> {
+        return await this.#perform({ kind: "read-all", prefix }) as KeysAtCursor;
+    }
+
+    /** See {@link ChangeFeed.changes}. */
+    async changes(
+        prefix: string,
+        cursor: string,
+        duration: Milliseconds,
+        signal: AbortSignal,
+    ): Promise<KeyChanges | undefined> {
+        const relay = this.#avoidsDirect() ? this.options.relays()[0] : undefined;
+        if (relay !== undefined) {
+            const wait = Math.min(duration, relayedWatch);
+            return await relay({ kind: "changes", prefix, cursor, duration: wait }) as KeyChanges | undefined;
+        }
+        const sources = [signal, this.#wayChanged.signal];
+        return withLinkedSignal(sources, undefined, linked =>
+            this.options.direct.changes(prefix, cursor, duration, linked)
+        );
+    }
+
+    /** See {@link PlatformStore.watch}. */
+    watch(prefix: string, cursor: string, duration: Milliseconds, signal: AbortSignal): Promise<WatchEvents> {
+        return this.options.direct.watch(prefix, cursor, duration, signal);
+    }
+
+    /** See {@link PlatformStore.compareAndSwap}. */
+    async compareAndSwap(
+        key: string,
+        expected: KeyVersion,
+        value: string,
+        lease?: PlatformLeaseId,
+    ): Promise<SwapOutcome> {
+        return await this.#perform({ kind: "swap", key, expected, value, lease }) as SwapOutcome;
+    }
+
+    /** See {@link PlatformStore.remove}. */
+    async remove(key: string, expected: KeyVersion): Promise<boolean> {
+        return await this.#perform({ kind: "remove", key, expected }) as boolean;
+    }
+
+    /** See {@link PlatformStore.grantLease}. */
+    async grantLease(duration: Milliseconds): Promise<PlatformLeaseId> {
+        return await this.#perform({ kind: "grant", duration }) as PlatformLeaseId;
+    }
+
+    /** See {@link PlatformStore.renewLease}. */
+    async renewLease(lease: PlatformLeaseId): Promise<boolean> {
+        return await this.#perform({ kind: "renew", lease }) as boolean;
+    }
+
+    /** See {@link PlatformStore.revokeLease}. */
+    async revokeLease(lease: PlatformLeaseId): Promise<void> {
+        await this.#perform({ kind: "revoke", lease });
+    }
+
+    #avoidsDirect(): boolean {
+        return this.options.clock.monotonic() < this.#avoidDirectUntil;
+    }
+
+    #perform(operation: StoreOperation): Promise<unknown> {
+        return this.#avoidsDirect() && this.options.relays().length > 0
+            ? this.#throughOthers(operation)
+            : this.#directFirst(operation);
+    }
+
+    /** The direct call; when it fails or stays out, another VM's as well. */
+    #directFirst(operation: StoreOperation): Promise<unknown> {
+        const { direct, relays, clock } = this.options;
+        const { signal } = createAbortController();
+        const called = performOperation(direct, operation, signal);
+        if (relays().length === 0) {
+            return called;
+        }
+        return new Promise((resolve, reject) => {
+            let isAnswered = false;
+            let relayed: Promise<void> | undefined;
+            const answer = (value: unknown) => {
+                isAnswered = true;
+                resolve(value);
+            };
+            const answerDirect = (value: unknown) => {
+                this.#avoidNext = isAnswered ? this.#avoidNext : avoidDirectFor;
+                answer(value);
+            };
+            const alsoRelay = (): Promise<void> =>
+                relayed ??= this.#throughOthers(operation).then(value => {
+                    if (!isAnswered) {
+                        this.#avoidDirect();
+                        answer(value);
+                    }
+                });
+            called.then(answerDirect, cause => alsoRelay().catch(() => reject(cause)));
+            void clock.sleep(relayAfter).then(() => isAnswered ? undefined : alsoRelay().catch(() => undefined));
+        });
+    }
+
+    /** Tries two VMs, then fails. */
+    async #throughOthers(operation: StoreOperation): Promise<unknown> {
+        const [first, second] = this.options.relays();
+        if (first === undefined) {
+            throw new PlatformUnavailableError("no other VM is connected");
+        }
+        try {
+            return await first(operation);
+        }
+        catch (cause) {
+            if (second === undefined) {
+                throw cause;
+            }
+            return second(operation);
+        }
+    }
+
+    #avoidDirect(): void {
+        const wasAvoided = this.#avoidsDirect();
+        this.#avoidDirectUntil = this.options.clock.monotonic() + this.#avoidNext;
+        this.#avoidNext = Math.min(this.#avoidNext * 2, avoidDirectAtMost);
+        if (!wasAvoided) {
+            this.options.logger.log(logEvents.storeRelayed);
+            const former = this.#wayChanged;
+            this.#wayChanged = createAbortController();
+            former.abort();
+        }
+    }
+}
