Starts are kept before they are sent, so that a new owner knows where each task may be at work

Ruled out: trusting a refused connection or a missing entry as a sign of death (cuts may refuse, entries lapse).

--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -13,7 +13,7 @@
 import { CellContext, type CellOptions } from "./cell-context.js";
 import { failedRunPause } from "./constants.js";
 import { CellJobState, isEndState, type JobDefinition } from "./definition.js";
-import { type Job, type Occurrence, type Step, type TaskRun } from "./entities.js";
+import { type Job, type Occurrence, RunPhase, type Step, type TaskRun } from "./entities.js";
 import type { CellSnapshot } from "./job-table.js";
 import type { Turn } from "./outbox.js";
 import { Placer } from "./placer.js";
@@ -43,7 +43,7 @@
             roomChanged: () => this.#wantsPass = true,
             workerDrains: () => this.#wantsPass = true,
         });
-        this.#placer = new Placer(this.#context, this.#runs, this.#advice, () => this.#pool.isSettled);
+        this.#placer = new Placer(this.#context, this.#runs, this.#advice);
     }
 
     /** All workers that are to be asked. */
@@ -76,7 +76,6 @@
         this.#pool.recover();
         for (const job of table.jobs.values()) {
             job.isKept = true;
-            job.isRecovered = true;
             job.shownState = job.state;
             this.#openSteps(job);
         }
@@ -228,6 +227,24 @@
         step.changedJobs.forEach(id => this.#showState(table.jobs.get(id)));
     }
 
+    /** Whether a run that was ordered is still to be started, now that its record is kept; it is then sent. */
+    sendStart(worker: WorkerId, task: TaskAddress, run: RunNumber): boolean {
+        const entry = this.workers.get(worker)?.runOf(task, run);
+        if (entry?.phase !== RunPhase.Ordered) {
+            return false;
+        }
+        entry.sentAt = this.#context.now();
+        return true;
+    }
+
+    /** A run that was ordered is not sent: it is no longer wanted. */
+    dropStart(worker: WorkerId, task: TaskAddress, run: RunNumber): void {
+        const entry = this.workers.get(worker)?.runOf(task, run);
+        if (entry !== undefined && entry.confirmedAt === undefined) {
+            this.#runs.notStarted(entry, undefined);
+        }
+    }
+
     /** Looks at what time has brought. */
     tick(): void {
         this.#pool.tick();
--- a/packages/cell/src/scheduler/entities.ts
+++ b/packages/cell/src/scheduler/entities.ts
@@ -1,6 +1,6 @@
 /** The owner's view of jobs, their steps and tasks, and the runs of these. */
 import type { AdvicePolicy } from "../advice/index.js";
-import type { JobId, Milliseconds, QueueName, RunNumber, ServiceName, TaskAddress } from "@pebbledale/core";
+import type { JobId, Milliseconds, QueueName, RunNumber, ServiceName, TaskAddress, WorkerId } from "@pebbledale/core";
 import {
     addressOf,
     CellJobState,
@@ -38,8 +38,8 @@
     readonly run: RunNumber;
     readonly worker: WorkerState;
     phase: RunPhase;
-    /** By the owner's monotonic clock. */
-    readonly orderedAt: Milliseconds;
+    /** When its order was handed to the worker's link, by the owner's monotonic clock; undefined before. */
+    sentAt: Milliseconds | undefined;
     /** When the worker confirmed it. */
     confirmedAt: Milliseconds | undefined;
     /** Progress as last seen, 0 to 100, and when it last changed. */
@@ -61,6 +61,8 @@
     readonly runs: TaskRun[] = [];
     /** Runs whose ends were taken in. */
     readonly endedRuns = new Set<number>();
+    /** Workers at which runs were recorded that are not over, by run. */
+    readonly openRuns = new Map<RunNumber, WorkerId>();
     readonly address: TaskAddress;
 
     constructor(readonly step: Step, readonly index: number) {
@@ -164,8 +166,6 @@
     doneOccurrences = 0;
     /** When it ended, in milliseconds since 1970. */
     endedAt: number | undefined;
-    /** Whether an earlier owner may have started tasks of it. */
-    isRecovered = false;
     terms: JobTerms | undefined;
     #definition: JobDefinition | undefined;
 
--- a/packages/cell/src/scheduler/job-table.ts
+++ b/packages/cell/src/scheduler/job-table.ts
@@ -1,12 +1,21 @@
 /** All jobs of a cell, changed only by records, so that a replay of the journal gives the same. */
-import type { JobId, Milliseconds, WorkerId } from "@pebbledale/core";
+import type { JobId, RunNumber, Milliseconds, WorkerId } from "@pebbledale/core";
 import { RunEnd } from "../task-worker/index.js";
 import { CellJobState, type JobDefinition, placeOf } from "./definition.js";
 import { Job, Occurrence, type Step, type Task, TaskPhase } from "./entities.js";
 import type { AcceptedRecord, CellRecord, EndedRecord, StartedRecord } from "./records.js";
 
-/** A task as snapshots hold it: step, index, phase, last run, failures, checkpoint, ended runs. */
-type TaskSnapshot = readonly [number, number, TaskPhase, number, number, string, readonly number[]];
+/** A task as snapshots hold it: step, index, phase, last run, failures, checkpoint, ended runs, open runs. */
+type TaskSnapshot = readonly [
+    number,
+    number,
+    TaskPhase,
+    number,
+    number,
+    string,
+    readonly number[],
+    readonly (readonly [RunNumber, WorkerId])[],
+];
 
 /** An occurrence as snapshots hold it: number, failures and last failed run of each step's gang, changed tasks. */
 type OccurrenceSnapshot = readonly [number, readonly (readonly [number, number])[], readonly TaskSnapshot[]];
@@ -52,6 +61,9 @@
             case "ended":
                 this.#endRun(record);
                 break;
+            case "lost":
+                this.taskOf(record.task)?.openRuns.delete(record.run);
+                break;
             case "forgotten":
                 this.jobs.delete(record.job);
                 break;
@@ -111,11 +123,11 @@
         }
     }
 
-    #start({ task: address, run }: StartedRecord): void {
+    #start({ task: address, run, worker }: StartedRecord): void {
         const task = this.taskOf(address);
         if (task !== undefined) {
             task.lastRun = Math.max(task.lastRun, run);
-            this.#noteBegun(task.step.job);
+            task.openRuns.set(run, worker);
         }
     }
 
@@ -125,6 +137,7 @@
             return;
         }
         task.endedRuns.add(record.run);
+        task.openRuns.delete(record.run);
         task.lastRun = Math.max(task.lastRun, record.run);
         this.#noteBegun(task.step.job);
         task.noteCheckpoint(record.checkpoint);
@@ -220,10 +233,11 @@
     task.failures,
     task.checkpoint,
     [...task.endedRuns],
+    [...task.openRuns],
 ];
 
 const restoreTask = (occurrence: Occurrence, saved: TaskSnapshot): void => {
-    const [stepIndex, taskIndex, phase, lastRun, failures, checkpoint, endedRuns] = saved;
+    const [stepIndex, taskIndex, phase, lastRun, failures, checkpoint, endedRuns, openRuns] = saved;
     const step = occurrence.steps[stepIndex];
     const task = step.tasks[taskIndex];
     task.phase = phase;
@@ -231,5 +245,6 @@
     task.failures = failures;
     task.checkpoint = checkpoint;
     endedRuns.forEach(run => task.endedRuns.add(run));
+    openRuns.forEach(([run, worker]) => task.openRuns.set(run, worker));
     step.doneCount += phase === TaskPhase.Done ? 1 : 0;
 };
--- a/packages/cell/src/scheduler/outbox.ts
+++ b/packages/cell/src/scheduler/outbox.ts
@@ -38,7 +38,7 @@
 /** What one turn led to. */
 export interface Turn {
     readonly records: readonly CellRecord[];
-    /** Sent at once: what a run is allowed to do does not hang on its record. */
+    /** Stops are sent at once, starts once the records are kept. */
     readonly commands: readonly WorkerCommand[];
     readonly questions: readonly AdviceCommand[];
     /** Once the records are kept: ends that a worker may forget, by worker the highest number. */
--- a/packages/cell/src/scheduler/placer.ts
+++ b/packages/cell/src/scheduler/placer.ts
@@ -19,8 +19,6 @@
         private readonly context: CellContext,
         private readonly runs: RunBook,
         private readonly advice: AdviceDesk,
-        /** Whether tasks of jobs of an earlier owner may be started. */
-        private readonly isSettled: () => boolean,
     ) {}
 
     /** Steps that have tasks to place. */
@@ -55,8 +53,7 @@
             this.#ready.delete(step);
             return;
         }
-        const isHeld = step.job.isRecovered && !this.isSettled();
-        if (waiting.length === 0 || terms === undefined || !step.job.isKept || isHeld || now < step.notBefore) {
+        if (waiting.length === 0 || terms === undefined || now < step.notBefore) {
             return;
         }
         this.advice.prepare(step, terms);
--- a/packages/cell/src/scheduler/records.ts
+++ b/packages/cell/src/scheduler/records.ts
@@ -18,7 +18,7 @@
     readonly job: JobId;
 }
 
-/** Runs were ordered. Not waited for: what runs is asked of the workers. */
+/** A run is ordered. Kept before the order is sent, so that a later owner knows where a task may be at work. */
 export interface StartedRecord {
     readonly kind: "started";
     readonly worker: WorkerId;
@@ -38,6 +38,13 @@
     readonly isFinal: boolean;
 }
 
+/** A run that was ordered is over without an end that its worker listed: it was not started, or its lease is over. */
+export interface LostRecord {
+    readonly kind: "lost";
+    readonly task: TaskAddress;
+    readonly run: RunNumber;
+}
+
 /** A job that ended long enough ago is no longer known. */
 export interface ForgottenRecord {
     readonly kind: "forgotten";
@@ -63,6 +70,7 @@
     | CancelledRecord
     | StartedRecord
     | EndedRecord
+    | LostRecord
     | ForgottenRecord
     | WorkerRecord
     | WorkerGoneRecord;
--- a/packages/cell/src/scheduler/run-book.ts
+++ b/packages/cell/src/scheduler/run-book.ts
@@ -1,5 +1,5 @@
 /** The life of runs: ordered, confirmed, ended, lost; and what follows from each for the task and its job. */
-import { logEvents, runNumber, type RunNumber, type TaskAddress } from "@pebbledale/core";
+import { logEvents, type Milliseconds, runNumber, type RunNumber, type TaskAddress } from "@pebbledale/core";
 import { type EndedRun, OrderRefusal, RunEnd, type WorkerRun } from "../task-worker/index.js";
 import type { CellContext } from "./cell-context.js";
 import { CellJobState } from "./definition.js";
@@ -44,6 +44,11 @@
         return runNumber(Math.max(...step.tasks.map(member => member.lastRun)) + 1);
     }
 
+    /** Takes over a run of the journal whose end is not known. */
+    recover(task: Task, run: RunNumber, worker: WorkerState): void {
+        this.#add(task, run, worker, RunPhase.Ordered, -Infinity);
+    }
+
     /** Takes over a run that a worker has and that this owner did not order. */
     adopt(task: Task, seen: WorkerRun, worker: WorkerState): void {
         task.lastRun = Math.max(task.lastRun, seen.run);
@@ -124,6 +129,7 @@
     notStarted(run: TaskRun, refusal: OrderRefusal | undefined): void {
         this.#remove(run);
         const { task } = run;
+        this.context.record({ kind: "lost", task: task.address, run: run.run });
         if (refusal === OrderRefusal.OldRun) {
             // The worker has had a later run than is known here.
             task.lastRun++;
@@ -134,6 +140,7 @@
     /** A run can no longer be at work and its end is not known. */
     lose(run: TaskRun, reason: string): void {
         this.#remove(run);
+        this.context.record({ kind: "lost", task: run.task.address, run: run.run });
         this.context.options.log.log(logEvents.runLost, {
             task: run.task.address,
             run: run.run,
@@ -172,14 +179,20 @@
         });
     }
 
-    #add(task: Task, run: RunNumber, worker: WorkerState, phase: RunPhase): TaskRun {
+    #add(
+        task: Task,
+        run: RunNumber,
+        worker: WorkerState,
+        phase: RunPhase,
+        sentAt?: Milliseconds,
+    ): TaskRun {
         const now = this.context.now();
         const entry: TaskRun = {
             task,
             run,
             worker,
             phase,
-            orderedAt: now,
+            sentAt,
             confirmedAt: undefined,
             percent: 0,
             progressedAt: now,
--- a/packages/cell/src/scheduler/worker-pool.ts
+++ b/packages/cell/src/scheduler/worker-pool.ts
@@ -4,7 +4,7 @@
 import type { WorkerEntry } from "../worker-directory/index.js";
 import type { CellContext } from "./cell-context.js";
 import { leaseMargin, unlistedGrace } from "./constants.js";
-import { type Task, TaskPhase, type TaskRun } from "./entities.js";
+import { type Job, type Task, TaskPhase, type TaskRun } from "./entities.js";
 import type { RunBook } from "./run-book.js";
 import { WorkerState } from "./worker-state.js";
 
@@ -18,39 +18,27 @@
 
 /** See the module's comment. */
 export class WorkerPool {
-    /** Workers on which an earlier owner may have started what is not known here. */
-    readonly #unsettled = new Set<WorkerId>();
-    /** Whether such a worker was passed without having been asked. */
-    #hasPassedUnasked = false;
-
     constructor(
         private readonly context: CellContext,
         private readonly runs: RunBook,
         private readonly listener: WorkerListener,
     ) {}
 
-    /** Whether what an earlier owner started is known in full. */
-    get isSettled(): boolean {
-        return this.#unsettled.size === 0;
-    }
-
-    /** Whether some worker of an earlier owner was given up without an answer, so that run numbers may be taken. */
-    get hasPassedUnasked(): boolean {
-        return this.#hasPassedUnasked;
-    }
-
     /** All workers that are to be asked. */
     get workers(): ReadonlyMap<WorkerId, WorkerState> {
         return this.context.workers;
     }
 
-    /** Takes over the workers of the journal. */
+    /** Takes over the workers of the journal, and the runs there whose ends are not known. */
     recover(): void {
-        for (const [id, address] of this.context.table.knownWorkers) {
+        const { table, workers } = this.context;
+        for (const [id, address] of table.knownWorkers) {
             const worker = new WorkerState(id, address);
             worker.isRecorded = true;
-            this.context.workers.set(id, worker);
-            this.#unsettled.add(id);
+            workers.set(id, worker);
+        }
+        for (const job of table.jobs.values()) {
+            tasksOf(job).forEach(task => this.#recoverRuns(task));
         }
     }
 
@@ -120,7 +108,6 @@
                 running: look.running.length,
                 ended: look.ended.length,
             });
-            this.#settle(id);
         }
         this.listener.roomChanged();
     }
@@ -175,6 +162,18 @@
         }
     }
 
+    #recoverRuns(task: Task): void {
+        for (const [run, id] of [...task.openRuns]) {
+            const worker = this.context.workers.get(id);
+            if (worker === undefined) {
+                // The worker was recorded as gone after this run was: the run went with it.
+                this.context.record({ kind: "lost", task: task.address, run });
+                continue;
+            }
+            this.runs.recover(task, run, worker);
+        }
+    }
+
     /** Whether a worker that answers is no longer listed and has nothing at work. */
     #isLeft(worker: WorkerState, now: Milliseconds): boolean {
         return worker.unlistedSince !== undefined
@@ -221,7 +220,7 @@
             if (seen.has(run)) {
                 continue;
             }
-            if (run.confirmedAt === undefined && run.orderedAt < settledBefore) {
+            if (run.confirmedAt === undefined && run.sentAt !== undefined && run.sentAt < settledBefore) {
                 this.runs.notStarted(run, undefined);
             }
             else if (run.confirmedAt !== undefined && run.confirmedAt < sentAt) {
@@ -246,9 +245,6 @@
 
     /** Every lease at a worker that does not answer is over. */
     #lapse(worker: WorkerState): void {
-        if (this.#unsettled.has(worker.id)) {
-            this.#hasPassedUnasked = true;
-        }
         const isListed = worker.unlistedSince === undefined && worker.entry !== undefined;
         const lost = [...worker.runs.values()];
         this.context.options.log.log(logEvents.workerLapsed, { worker: worker.id, runs: lost.length });
@@ -256,7 +252,6 @@
         worker.lapsesAt = undefined;
         // Whatever it says next is compared as if it were new.
         worker.isClaimed = false;
-        this.#settle(worker.id);
         if (!isListed) {
             this.#dismiss(worker, "it is neither listed nor heard and its leases are over");
         }
@@ -267,17 +262,12 @@
         this.context.workers.delete(worker.id);
         this.context.record({ kind: "worker-gone", worker: worker.id });
         this.context.options.log.log(logEvents.workerGone, { worker: worker.id, reason });
-        this.#settle(worker.id);
-    }
-
-    #settle(id: WorkerId): void {
-        if (this.#unsettled.delete(id) && this.#unsettled.size === 0) {
-            this.context.options.log.log(logEvents.cellSettled, { passedUnasked: this.#hasPassedUnasked });
-            this.listener.roomChanged();
-        }
     }
 }
 
 /** Whether a task is to be at work. */
 const isWanted = (task: Task): boolean =>
     !task.step.job.isOver && task.phase !== TaskPhase.Done && task.phase !== TaskPhase.Failed;
+
+const tasksOf = (job: Job): Task[] =>
+    [...job.occurrences.values()].flatMap(occurrence => occurrence.steps.flatMap(step => step.tasks));
--- a/packages/core/src/log-events/index.ts
+++ b/packages/core/src/log-events/index.ts
@@ -123,5 +123,4 @@
         "the settings file cannot be used; the former settings stay",
         "Correct the place it names.",
     ),
-    cellSettled: define(4401, "info", "what an earlier owner started is known in full", nothing),
 } as const;
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -5,7 +5,9 @@
     type CellRecord,
     type CellSnapshot,
     type JobDefinition,
+    type StartCommand,
     type Turn,
+    type WorkerCommand,
     type WorkerDirectory,
 } from "@pebbledale/cell";
 import {
@@ -377,9 +379,7 @@
     /** Carries out what the inputs so far led to; resolves once the records are kept. */
     async #turn(): Promise<void> {
         const turn = this.cell.drain();
-        turn.commands.forEach(command =>
-            this.#assignments.vmOf(command.worker)?.channel.send({ kind: "command", command })
-        );
+        turn.commands.filter(command => command.kind === "stop").forEach(command => this.#send(command));
         turn.questions.forEach(question => this.#advice.ask(question));
         this.#tidyLinks(turn);
         try {
@@ -394,6 +394,7 @@
             return;
         }
         this.cell.kept(turn);
+        turn.commands.filter(command => command.kind === "start").forEach(command => this.#sendStart(command));
         for (const [worker, through] of turn.acknowledgements) {
             this.#assignments.vmOf(worker)?.channel.send({ kind: "acknowledge", worker, through });
         }
@@ -402,6 +403,22 @@
         }
     }
 
+    /** A start whose job ended while its record was written is not sent. */
+    #sendStart(command: StartCommand): void {
+        const { worker, task, run } = command;
+        const hasLink = this.#assignments.vmOf(worker) !== undefined;
+        if (hasLink && this.cell.sendStart(worker, task, run)) {
+            this.#send(command);
+        }
+        else {
+            this.cell.dropStart(worker, task, run);
+        }
+    }
+
+    #send(command: WorkerCommand): void {
+        this.#assignments.vmOf(command.worker)?.channel.send({ kind: "command", command });
+    }
+
     /** Workers that came get a link, those that are gone lose it. */
     #tidyLinks(turn: Turn): void {
         let hasNew = false;
