Workers that fail all they start take nothing new; a silent owner is replaced after a second; stale tickets are not sent

Change: failures of distinct jobs in a row put a worker aside, then it takes one run at a time until one succeeds; the owner's key has a lease of its own of 1 s; a start whose ticket ran out is decided anew; new jobs are refused with a time to come back once a write has waited 350 ms.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,10 +2,10 @@
 import typescript from "typescript-eslint";
 
 export default typescript.config(
-    { ignores: ["**/dist/**", "**/node_modules/**"] },
+    { ignores: ["**/dist/**", "**/node_modules/**", "target/**"] },
     ...typescript.configs.recommended,
     {
-        files: ["packages/**/*.ts"],
+        files: ["packages/**/*.ts", "platform/**/*.ts"],
         plugins: { jsdoc },
         rules: {
             "curly": "error",
@@ -32,7 +32,7 @@
         },
     },
     {
-        files: ["packages/*/src/**/*.ts"],
+        files: ["packages/*/src/**/*.ts", "platform/src/**/*.ts"],
         rules: {
             "jsdoc/require-jsdoc": ["error", {
                 publicOnly: true,
--- a/packages/cell/src/configuration/types.ts
+++ b/packages/cell/src/configuration/types.ts
@@ -1,6 +1,6 @@
 /** What operators configure for a cell. */
-import type { AdvicePolicy } from "../advice/index.js";
 import type { Milliseconds, QueueName, ServiceName } from "@pebbledale/core";
+import type { AdvicePolicy } from "../advice/index.js";
 
 /** A queue that callers hand jobs to. */
 export interface QueueConfiguration {
--- a/packages/cell/src/scheduler/advice-desk.ts
+++ b/packages/cell/src/scheduler/advice-desk.ts
@@ -1,6 +1,6 @@
 /** Decides which steps are asked about, of which workers, and when tickets are asked for again. */
-import { mostAdviceWorkers, type AdviceAnswer, type AdvicePolicy } from "../advice/index.js";
 import { logEvents, type Milliseconds, type WorkerId } from "@pebbledale/core";
+import { type AdviceAnswer, type AdvicePolicy, mostAdviceWorkers } from "../advice/index.js";
 import type { CellContext } from "./cell-context.js";
 import { adviceBreadth, adviceInterval } from "./constants.js";
 import type { JobTerms, Step } from "./entities.js";
--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -4,9 +4,17 @@
  * Each input changes the state and leaves records, orders and questions in an outbox, which the caller drains. The
  * class reads time only through the clock it is given and reaches nothing outside.
  */
+import {
+    type JobId,
+    logEvents,
+    type Milliseconds,
+    type QueueName,
+    type RunNumber,
+    type TaskAddress,
+    type WorkerId,
+} from "@pebbledale/core";
 import type { AdviceAnswer } from "../advice/index.js";
 import type { CellConfiguration } from "../configuration/index.js";
-import { type JobId, logEvents, type Milliseconds, type QueueName, type RunNumber, type TaskAddress, type WorkerId } from "@pebbledale/core";
 import { type Look, OrderRefusal, type RunEnd } from "../task-worker/index.js";
 import type { WorkerEntry } from "../worker-directory/index.js";
 import { AdviceDesk } from "./advice-desk.js";
@@ -14,6 +22,7 @@
 import { failedRunPause } from "./constants.js";
 import { CellJobState, isEndState, type JobDefinition } from "./definition.js";
 import { type Job, type Occurrence, RunPhase, type Step, type TaskRun } from "./entities.js";
+import { HealthWatch } from "./health-watch.js";
 import type { CellSnapshot } from "./job-table.js";
 import type { Turn } from "./outbox.js";
 import { Placer } from "./placer.js";
@@ -27,6 +36,7 @@
     readonly #context: CellContext;
     readonly #runs: RunBook;
     readonly #advice: AdviceDesk;
+    readonly #health: HealthWatch;
     readonly #placer: Placer;
     readonly #pool: WorkerPool;
     #wantsPass = false;
@@ -39,11 +49,13 @@
             runEnded: (run, end) => this.#runEnded(run, end),
         });
         this.#advice = new AdviceDesk(this.#context);
+        this.#health = new HealthWatch(this.#context);
         this.#pool = new WorkerPool(this.#context, this.#runs, {
             roomChanged: () => this.#wantsPass = true,
             workerDrains: () => this.#wantsPass = true,
+            workerGone: worker => this.#health.forgetWorker(worker),
         });
-        this.#placer = new Placer(this.#context, this.#runs, this.#advice);
+        this.#placer = new Placer(this.#context, this.#runs, this.#advice, this.#health);
     }
 
     /** All workers that are to be asked. */
@@ -233,6 +245,11 @@
         if (entry?.phase !== RunPhase.Ordered) {
             return false;
         }
+        const { permits } = entry.task.step;
+        if (permits !== undefined && permits.ticketOf(worker, this.#context.now()) === undefined) {
+            // The record took so long that the ticket no longer holds.
+            return false;
+        }
         entry.sentAt = this.#context.now();
         return true;
     }
@@ -240,9 +257,14 @@
     /** A run that was ordered is not sent: it is no longer wanted. */
     dropStart(worker: WorkerId, task: TaskAddress, run: RunNumber): void {
         const entry = this.workers.get(worker)?.runOf(task, run);
-        if (entry !== undefined && entry.confirmedAt === undefined) {
-            this.#runs.notStarted(entry, undefined);
+        if (entry === undefined || entry.confirmedAt !== undefined) {
+            return;
         }
+        this.#runs.notStarted(entry, undefined);
+        if (entry.task.step.definition.isGang) {
+            this.#stopMembers(entry.task.step, "a member of its gang was not started");
+        }
+        this.#wantsPass = true;
     }
 
     /** Looks at what time has brought. */
@@ -319,6 +341,7 @@
 
     #runEnded(run: TaskRun, end: RunEnd): void {
         const { step } = run.task;
+        this.#health.noteEnd(run, end);
         if (end !== "done" && step.definition.isGang && !step.isDone) {
             this.#stopMembers(step, "another member of its gang ended");
         }
@@ -342,6 +365,7 @@
         this.#wantsPass = true;
         if ([...job.occurrences.values()].every(hasNoRuns)) {
             this.#context.options.log.log(logEvents.jobEnded, { job: job.id, state: job.state });
+            this.#health.forgetJob(job);
             job.shrink();
         }
     }
@@ -349,4 +373,3 @@
 
 const hasNoRuns = (occurrence: Occurrence): boolean =>
     occurrence.steps.every(step => step.tasks.every(task => task.runs.length === 0));
-
--- a/packages/cell/src/scheduler/constants.ts
+++ b/packages/cell/src/scheduler/constants.ts
@@ -1,4 +1,5 @@
 /** Times and sizes of a cell's owner that are not settings. All times in milliseconds. */
+import type { HealthLimits } from "@pebbledale/core";
 
 /** Added to the end of a silent worker's leases: for the delay of messages between two of our VMs. */
 export const leaseMargin = 100;
@@ -13,3 +14,14 @@
 export const adviceInterval = 100;
 /** A task whose run failed waits this long before the next, so that a worker at fault is found out first. */
 export const failedRunPause = 50;
+/**
+ * When a worker looks at fault. Its tasks are many and short, and a failed run costs one of the two or three that a
+ * task has: two or three failures in a row are enough.
+ */
+export const workerLimits: HealthLimits = { rememberedOutcomes: 6, fewestFailures: 2, failingShare: 0.5 };
+/** First time that a worker at fault takes nothing new; twice as long each further time in a row. */
+export const firstQuarantine = 1_500;
+/** Most doublings of a quarantine. */
+export const quarantineDoublings = 3;
+/** Most workers that are in quarantine at once, as a share of all. */
+export const quarantineShare = 0.34;
--- a/packages/cell/src/scheduler/definition.ts
+++ b/packages/cell/src/scheduler/definition.ts
@@ -1,5 +1,12 @@
 /** Jobs made of steps, as callers hand them in. */
-import { type JobId, type Milliseconds, type QueueName, type RunNumber, taskAddress, type TaskAddress } from "@pebbledale/core";
+import {
+    type JobId,
+    type Milliseconds,
+    type QueueName,
+    type RunNumber,
+    type TaskAddress,
+    taskAddress,
+} from "@pebbledale/core";
 
 /** What one task takes of a worker, and what a worker has. */
 export interface TaskSize {
--- a/packages/cell/src/scheduler/entities.ts
+++ b/packages/cell/src/scheduler/entities.ts
@@ -1,6 +1,6 @@
 /** The owner's view of jobs, their steps and tasks, and the runs of these. */
-import type { AdvicePolicy } from "../advice/index.js";
 import type { JobId, Milliseconds, QueueName, RunNumber, ServiceName, TaskAddress, WorkerId } from "@pebbledale/core";
+import type { AdvicePolicy } from "../advice/index.js";
 import {
     addressOf,
     CellJobState,
@@ -88,6 +88,8 @@
 export class Step {
     readonly tasks: Task[];
     doneCount = 0;
+    /** Failed runs of all its tasks. */
+    failedRuns = 0;
     /** Failed runs of the whole gang. */
     gangFailures = 0;
     /** The highest run of the gang in which a member failed. */
--- /dev/null
+++ b/packages/cell/src/scheduler/health-watch.ts
@@ -0,0 +1,65 @@
+/** Keeps work away from workers that fail what succeeds elsewhere. */
+import { logEvents, WorkerHealth } from "@pebbledale/core";
+import { RunEnd } from "../task-worker/index.js";
+import type { CellContext } from "./cell-context.js";
+import { firstQuarantine, quarantineDoublings, quarantineShare, workerLimits } from "./constants.js";
+import type { Job, Step, TaskRun } from "./entities.js";
+import type { WorkerState } from "./worker-state.js";
+
+/** Added to the cost of a worker whose last outcomes hold a failure that is not its job's own. */
+const suspectCost = 20;
+/** Added for a step with failed runs: another failure may be the last that its job can have. */
+const failedBeforeCost = 500;
+
+/** See the module's comment. */
+export class HealthWatch {
+    readonly #health = new WorkerHealth(workerLimits);
+
+    constructor(private readonly context: CellContext) {}
+
+    /** Takes in how a run ended. */
+    noteEnd({ task, worker }: TaskRun, end: RunEnd): void {
+        const { id } = task.step.job;
+        if (end === RunEnd.Done) {
+            worker.isOnProbation = false;
+            this.#health.noteSuccess(worker.id, id);
+        }
+        else if (end === RunEnd.Failed && this.#health.noteFailure(worker.id, id)) {
+            this.#quarantine(worker);
+        }
+    }
+
+    /** What is added to the cost of a worker for a step; 0 when nothing speaks against it. */
+    costOf(worker: WorkerState, step: Step): number {
+        const isSuspect = this.#health.isSuspect(worker.id);
+        const hasFailed = step.failedRuns > 0;
+        if (hasFailed && (isSuspect || this.#health.failedWorkersOf(step.job.id).has(worker.id))) {
+            return failedBeforeCost;
+        }
+        return isSuspect ? suspectCost : 0;
+    }
+
+    /** Drops what is known of a job that is over. */
+    forgetJob(job: Job): void {
+        this.#health.forgetJob(job.id);
+    }
+
+    /** Drops what is known of a worker that is gone. */
+    forgetWorker(worker: WorkerState): void {
+        this.#health.forgetWorker(worker.id);
+    }
+
+    #quarantine(worker: WorkerState): void {
+        const now = this.context.now();
+        const all = [...this.context.workers.values()];
+        const quarantined = all.filter(other => other.quarantinedUntil > now).length;
+        if (quarantined + 1 > all.length * quarantineShare) {
+            return;
+        }
+        const count = this.#health.beginQuarantine(worker.id);
+        const duration = firstQuarantine * 2 ** Math.min(count - 1, quarantineDoublings);
+        worker.quarantinedUntil = now + duration;
+        worker.isOnProbation = true;
+        this.context.options.log.log(logEvents.workerQuarantined, { worker: worker.id, count, duration });
+    }
+}
--- a/packages/cell/src/scheduler/job-table.ts
+++ b/packages/cell/src/scheduler/job-table.ts
@@ -1,5 +1,5 @@
 /** All jobs of a cell, changed only by records, so that a replay of the journal gives the same. */
-import type { JobId, RunNumber, Milliseconds, WorkerId } from "@pebbledale/core";
+import type { JobId, Milliseconds, RunNumber, WorkerId } from "@pebbledale/core";
 import { RunEnd } from "../task-worker/index.js";
 import { CellJobState, type JobDefinition, placeOf } from "./definition.js";
 import { Job, Occurrence, type Step, type Task, TaskPhase } from "./entities.js";
@@ -177,6 +177,7 @@
     #countFailure(task: Task, { run, isFinal, at }: EndedRecord): void {
         const { step } = task;
         task.failures++;
+        step.failedRuns++;
         if (step.definition.isGang && step.lastFailedRun < run) {
             step.lastFailedRun = run;
             step.gangFailures++;
@@ -243,6 +244,7 @@
     task.phase = phase;
     task.lastRun = lastRun;
     task.failures = failures;
+    step.failedRuns += failures;
     task.checkpoint = checkpoint;
     endedRuns.forEach(run => task.endedRuns.add(run));
     openRuns.forEach(([run, worker]) => task.openRuns.set(run, worker));
--- a/packages/cell/src/scheduler/placer.ts
+++ b/packages/cell/src/scheduler/placer.ts
@@ -4,8 +4,9 @@
 import type { CellContext } from "./cell-context.js";
 import { addressOf } from "./definition.js";
 import type { Step, Task } from "./entities.js";
-import { compareUrgency } from "./urgency.js";
+import type { HealthWatch } from "./health-watch.js";
 import type { RunBook } from "./run-book.js";
+import { compareUrgency } from "./urgency.js";
 import { candidatesFor, dealAll, isEligible, type Share } from "./worker-choice.js";
 import type { WorkerState } from "./worker-state.js";
 
@@ -19,6 +20,7 @@
         private readonly context: CellContext,
         private readonly runs: RunBook,
         private readonly advice: AdviceDesk,
+        private readonly health: HealthWatch,
     ) {}
 
     /** Steps that have tasks to place. */
@@ -63,6 +65,7 @@
             workers: this.context.workers.values(),
             now,
             isKept: (worker: WorkerState) => this.#kept.has(worker),
+            doubt: (worker: WorkerState) => this.health.costOf(worker, step),
         };
         const candidates = candidatesFor(input, waiting.length);
         if (step.definition.isGang) {
--- a/packages/cell/src/scheduler/run-book.ts
+++ b/packages/cell/src/scheduler/run-book.ts
@@ -1,5 +1,5 @@
 /** The life of runs: ordered, confirmed, ended, lost; and what follows from each for the task and its job. */
-import { logEvents, type Milliseconds, runNumber, type RunNumber, type TaskAddress } from "@pebbledale/core";
+import { logEvents, type Milliseconds, type RunNumber, runNumber, type TaskAddress } from "@pebbledale/core";
 import { type EndedRun, OrderRefusal, RunEnd, type WorkerRun } from "../task-worker/index.js";
 import type { CellContext } from "./cell-context.js";
 import { CellJobState } from "./definition.js";
--- a/packages/cell/src/scheduler/step-permits.ts
+++ b/packages/cell/src/scheduler/step-permits.ts
@@ -1,6 +1,6 @@
 /** What the advice service said of a step: which workers may run it, and with which ticket. */
-import type { Permit } from "../advice/index.js";
 import type { Milliseconds, WorkerId } from "@pebbledale/core";
+import type { Permit } from "../advice/index.js";
 
 /** A ticket is taken for over this long before it is, in milliseconds: a start takes some time to arrive. */
 const ticketMargin: Milliseconds = 150;
--- a/packages/cell/src/scheduler/worker-choice.ts
+++ b/packages/cell/src/scheduler/worker-choice.ts
@@ -24,6 +24,8 @@
     readonly now: Milliseconds;
     /** Whether a worker's room is kept for something else. */
     readonly isKept: (worker: WorkerState) => boolean;
+    /** What speaks against a worker, added to its cost. */
+    readonly doubt: (worker: WorkerState) => number;
 }
 
 /** Added for a worker on another rack than the step's data: that takes longer, so it comes after all near ones. */
@@ -38,7 +40,7 @@
 };
 
 /** Workers that can take tasks of a step now, best first. */
-export const candidatesFor = ({ step, service, workers, now, isKept }: ChoiceInput, most: number): Share[] => {
+export const candidatesFor = ({ step, service, workers, now, isKept, doubt }: ChoiceInput, most: number): Share[] => {
     const candidates: Candidate[] = [];
     for (const worker of workers) {
         if (!isEligible(worker, step, service, now) || isKept(worker)) {
@@ -50,7 +52,7 @@
         }
         const count = worker.countFitting(step, most);
         if (count > 0) {
-            candidates.push({ worker, count, ticket, cost: costOf(worker, step, count) });
+            candidates.push({ worker, count, ticket, cost: costOf(worker, step, count) + doubt(worker) });
         }
     }
     return candidates.sort((left, right) => left.cost - right.cost);
--- a/packages/cell/src/scheduler/worker-pool.ts
+++ b/packages/cell/src/scheduler/worker-pool.ts
@@ -14,6 +14,8 @@
     roomChanged(): void;
     /** A worker drains: what runs there may have to move. */
     workerDrains(worker: WorkerState): void;
+    /** Nothing of a worker can run any more. */
+    workerGone(worker: WorkerState): void;
 }
 
 /** See the module's comment. */
@@ -260,6 +262,7 @@
     #dismiss(worker: WorkerState, reason: string): void {
         [...worker.runs.values()].forEach(run => this.runs.lose(run, reason));
         this.context.workers.delete(worker.id);
+        this.listener.workerGone(worker);
         this.context.record({ kind: "worker-gone", worker: worker.id });
         this.context.options.log.log(logEvents.workerGone, { worker: worker.id, reason });
     }
--- a/packages/cell/src/scheduler/worker-state.ts
+++ b/packages/cell/src/scheduler/worker-state.ts
@@ -29,6 +29,8 @@
     strangers = 0;
     /** Takes nothing new before this, by the owner's monotonic clock. */
     quarantinedUntil: Milliseconds = 0;
+    /** After a quarantine: takes one run at a time until one succeeds. */
+    isOnProbation = false;
     /** Ends up to this number were taken in. */
     takenThrough = 0;
 
@@ -63,7 +65,7 @@
     /** How many more tasks of a step it takes, at most `most`. */
     countFitting(step: Step, most: number): number {
         const { size, fills, mostPerWorker } = step.definition;
-        let count = most;
+        let count = this.isOnProbation ? Math.max(0, Math.min(most, 1 - this.runs.size)) : most;
         if (size.processorThousandths > 0 && !fills) {
             count = Math.min(count, Math.floor(this.freeProcessor / size.processorThousandths));
         }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -12,4 +12,5 @@
 export * from "./shard/index.js";
 export * from "./time/index.js";
 export * from "./vm-list/index.js";
+export * from "./worker-health/index.js";
 export * from "./worker/index.js";
--- a/packages/core/src/journal/journal.ts
+++ b/packages/core/src/journal/journal.ts
@@ -57,6 +57,8 @@
     #running = false;
     #fenced: JournalFencedError | undefined;
     #stalledSince: Milliseconds | undefined;
+    /** When the write that is on its way was first sent. */
+    #writingSince: Milliseconds | undefined;
     #lastContact: Milliseconds;
     #takeSnapshot: (() => unknown) | undefined;
     #writes = 0;
@@ -94,6 +96,11 @@
         return this.#stalledSince === undefined ? 0 : this.dependencies.clock.monotonic() - this.#stalledSince;
     }
 
+    /** How long the write that is on its way has been without an answer; 0 when none is on its way. */
+    waitingFor(): Milliseconds {
+        return this.#writingSince === undefined ? 0 : this.dependencies.clock.monotonic() - this.#writingSince;
+    }
+
     /** Gives the function that returns the whole state, in a form that JSON holds, for snapshots. */
     setSnapshotSource(source: () => unknown): void {
         this.#takeSnapshot = source;
@@ -217,10 +224,12 @@
         while (true) {
             signal.throwIfAborted();
             const sent = clock.monotonic();
+            this.#writingSince ??= sent;
             try {
                 this.#writes++;
                 const outcome = await store.compareAndSwap(key, expected, value);
                 this.#stalledSince = undefined;
+                this.#writingSince = undefined;
                 return { outcome, sent };
             }
             catch (cause) {
--- a/packages/core/src/shard/shard-context.ts
+++ b/packages/core/src/shard/shard-context.ts
@@ -3,6 +3,7 @@
 import { WorkloadClass } from "../jobs/index.js";
 import type { Random } from "../random/index.js";
 import type { Clock, Milliseconds } from "../time/index.js";
+import { WorkerHealth } from "../worker-health/index.js";
 import { JobBook } from "./job-book.js";
 import { LeaseTerms } from "./lease-terms.js";
 import { PendingQueue } from "./pending-queue.js";
@@ -12,7 +13,6 @@
 import { StepBuilder } from "./step-builder.js";
 import { TeamUse } from "./team-use.js";
 import { type JobEntry, type TaskEntry } from "./types.js";
-import { WorkerHealth } from "./worker-health.js";
 import { type WorkerEntry, WorkerTable } from "./worker-table.js";
 
 /** What a shard's owner is made from. */
--- a/packages/core/src/shard/worker-health.ts
+++ b/packages/core/src/worker-health/worker-health.ts
@@ -8,12 +8,18 @@
  */
 import type { JobId, WorkerId } from "../ids/index.js";
 
-/** Outcomes that are remembered of one worker. */
-const rememberedOutcomes = 12;
-/** Fewest failures that can lead to quarantine. */
-const fewestFailures = 4;
-/** Share of failures among the remembered outcomes that leads to quarantine. */
-const failingShare = 0.5;
+/** When a worker looks at fault. */
+export interface HealthLimits {
+    /** Outcomes that are remembered of one worker. */
+    readonly rememberedOutcomes: number;
+    /** Fewest failures that can lead to quarantine. */
+    readonly fewestFailures: number;
+    /** Share of failures among the remembered outcomes that leads to quarantine. */
+    readonly failingShare: number;
+}
+
+/** Limits where a worker's tasks are few and long: a wrong quarantine costs more than some failures. */
+export const patientLimits: HealthLimits = { rememberedOutcomes: 12, fewestFailures: 4, failingShare: 0.5 };
 
 const noWorkers: ReadonlySet<WorkerId> = new Set();
 
@@ -34,6 +40,8 @@
     #failures = 0;
     readonly #quarantines = new Map<WorkerId, number>();
 
+    constructor(private readonly limits: HealthLimits = patientLimits) {}
+
     /** Notes that a task of a job succeeded at a worker. */
     noteSuccess(worker: WorkerId, job: JobId): void {
         // The job can succeed, so the workers where it failed are at fault after all.
@@ -58,7 +66,7 @@
         const counted = this.#counted(worker);
         const failures = counted.filter(outcome => outcome.failed).length;
         const share = failures / Math.max(1, counted.length);
-        return failures >= fewestFailures && share >= failingShare
+        return failures >= this.limits.fewestFailures && share >= this.limits.failingShare
             && share >= this.#shareOfPeers(worker) * worseThanPeers;
     }
 
@@ -69,6 +77,18 @@
         return (this.#failures - ownFailures) / Math.max(1, this.#remembered - own.length);
     }
 
+    /** Whether a worker's last outcomes hold failures that are not their jobs' own. */
+    isSuspect(worker: WorkerId): boolean {
+        return this.#recentFailures(worker) > 0;
+    }
+
+    /** Drops what is known of a worker that is gone. */
+    forgetWorker(worker: WorkerId): void {
+        (this.#outcomes.get(worker) ?? []).forEach(outcome => this.#count(outcome, -1));
+        this.#outcomes.delete(worker);
+        this.#quarantines.delete(worker);
+    }
+
     /** Number of this quarantine of a worker, from 1; its outcomes are forgotten, so that it starts afresh. */
     beginQuarantine(worker: WorkerId): number {
         const count = (this.#quarantines.get(worker) ?? 0) + 1;
@@ -102,7 +122,7 @@
         const outcomes = this.#outcomes.get(worker) ?? [];
         outcomes.push(outcome);
         this.#count(outcome, 1);
-        if (outcomes.length > rememberedOutcomes) {
+        if (outcomes.length > this.limits.rememberedOutcomes) {
             this.#count(outcomes.shift()!, -1);
         }
         this.#outcomes.set(worker, outcomes);
--- a/packages/core/test/shard/worker-health.test.ts
+++ b/packages/core/test/shard/worker-health.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { jobId, workerId } from "../../src/index.js";
-import { WorkerHealth } from "../../src/shard/worker-health.js";
+import { WorkerHealth } from "../../src/worker-health/index.js";
 
 const worker = (index: number) => workerId(`worker-${index}`);
 const job = (index: number) => jobId(`job-${index}`);
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -21,7 +21,7 @@
 import { cellPrefix, CellView, type EntryVm, followKeys, Registration, vmKey } from "./membership/index.js";
 import { dialDelay, dialLimit, rememberVm } from "./owner/constants.js";
 import type { OwnerSession } from "./owner/index.js";
-import { Candidate, ownerLease } from "./ownership/index.js";
+import { Candidate, ownerLease, vmLease } from "./ownership/index.js";
 import { dialVm, isRefused, listenForOwners } from "./peers/index.js";
 import { createMemoryChannel, type OwnerMessage, type VmMessage } from "./protocol/index.js";
 import type { EntrySettings } from "./settings/index.js";
@@ -104,7 +104,7 @@
             clock,
             key: vmKey(settings.vm),
             value: JSON.stringify(this.#self),
-            leaseLength: Math.max(ownerLease, settings.store.shortestLease),
+            leaseLength: Math.max(vmLease, settings.store.shortestLease),
         });
         this.#candidate = new Candidate({
             store: this.#store,
@@ -114,7 +114,7 @@
             logger,
             self: this.#self,
             view: this.#view,
-            registration: this.#registration,
+            leaseLength: Math.max(ownerLease, settings.store.shortestLease),
             configuration: () => this.#configuration.configuration,
             onConfiguration: configuration => this.#configuration.take(configuration, "vm"),
             formerLeases: ownerHorizon + settings.bounds.longestLease / (1 - clockDrift) + formerLeaseMargin,
--- a/packages/entry/src/links/worker-link.ts
+++ b/packages/entry/src/links/worker-link.ts
@@ -14,13 +14,7 @@
     type WorkerCommand,
     type WorkerTime,
 } from "@pebbledale/cell";
-import {
-    type Clock,
-    type FencingToken,
-    fencingToken,
-    type Milliseconds,
-    type WorkerId,
-} from "@pebbledale/core";
+import { type Clock, type FencingToken, fencingToken, type Milliseconds, type WorkerId } from "@pebbledale/core";
 import { createAbortController } from "@pebbledale/runtime";
 import type { AssignMessage, VmMessage } from "../protocol/index.js";
 import {
--- a/packages/entry/src/membership/follow.ts
+++ b/packages/entry/src/membership/follow.ts
@@ -1,11 +1,5 @@
 /** Follows keys of the store: reads all, then takes changes in; reads all again when the history is gone. */
-import {
-    type ChangeFeed,
-    type Clock,
-    type KeyChanges,
-    type KeysAtCursor,
-    type Milliseconds,
-} from "@pebbledale/core";
+import { type ChangeFeed, type Clock, type KeyChanges, type KeysAtCursor, type Milliseconds } from "@pebbledale/core";
 
 /** Longest wait in one call, in milliseconds: the platform's store allows 30 s. */
 const watchDuration: Milliseconds = 20_000;
--- a/packages/entry/src/owner/assignments.ts
+++ b/packages/entry/src/owner/assignments.ts
@@ -1,6 +1,6 @@
 /** Which VM has the link to which worker. */
-import { type Epoch, fencingToken, type FencingToken, type Milliseconds, type WorkerId } from "@pebbledale/core";
 import type { WorkerState } from "@pebbledale/cell";
+import { type Epoch, type FencingToken, fencingToken, type Milliseconds, type WorkerId } from "@pebbledale/core";
 import { assignmentsPerEpoch, tokensPerAssignment } from "./constants.js";
 import type { VmLink } from "./vm-link.js";
 
@@ -62,8 +62,10 @@
             );
             const moved = fullest === undefined ? undefined : [...fullest.workers].at(-1);
             const worker = moved === undefined ? undefined : workers.get(moved);
-            if (fullest === undefined || worker === undefined
-                || this.#loadOf(fullest) - this.#loadOf(joined) < imbalance / joined.vm.processorShare) {
+            if (
+                fullest === undefined || worker === undefined
+                || this.#loadOf(fullest) - this.#loadOf(joined) < imbalance / joined.vm.processorShare
+            ) {
                 return;
             }
             fullest.channel.send({ kind: "unassign", worker: worker.id });
--- a/packages/entry/src/owner/constants.ts
+++ b/packages/entry/src/owner/constants.ts
@@ -5,8 +5,8 @@
 export const ownerBeatInterval: Milliseconds = 250;
 /** Time between two looks at what time has brought. */
 export const tickInterval: Milliseconds = 100;
-/** A VM that is not heard for this long is taken for gone: its links go to others. Six beats. */
-export const vmSilence: Milliseconds = 1_500;
+/** A VM that is not heard for this long is taken for gone: its links go to others. Four beats. */
+export const vmSilence: Milliseconds = 1_000;
 /** Wait before a VM that could not be reached is dialled again. */
 export const dialDelay: Milliseconds = 250;
 /** A dial without an answer by then has failed. */
@@ -23,8 +23,8 @@
 export const journalLargestBytes = 500_000;
 /** Wait before a write without an answer is settled. */
 export const journalRetryDelay: Milliseconds = 60;
-/** A journal that was not answered for this long takes no new jobs. */
-export const stalledAfter: Milliseconds = 600;
+/** A journal whose write has no answer for this long takes no new jobs. A slow store answers in up to 250 ms. */
+export const stalledAfter: Milliseconds = 350;
 /** When a caller that was refused for a stalled journal is to come back. */
 export const stalledRetryAfter: Milliseconds = 1_000;
 /** A record that is not kept by then is uncertain to its caller. */
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -1,8 +1,8 @@
 /** The owner's work: drives the decisions with what the VMs, the store and time bring, and carries them out. */
 import {
-    CellScheduler,
     type CellConfiguration,
     type CellRecord,
+    CellScheduler,
     type CellSnapshot,
     type JobDefinition,
     type StartCommand,
@@ -12,9 +12,9 @@
 } from "@pebbledale/cell";
 import {
     type Clock,
+    type JobId,
     type Journal,
     type JournalContents,
-    type JobId,
     JournalFencedError,
     logEvents,
     type Milliseconds,
@@ -150,8 +150,9 @@
         if (this.#configuration !== undefined) {
             channel.send({ kind: "configuration", configuration: this.#configuration });
         }
-        this.#advice.join(vm.name, (question, { step, workers, duration }) =>
-            channel.send({ kind: "ask", question, step, workers, duration })
+        this.#advice.join(
+            vm.name,
+            (question, { step, workers, duration }) => channel.send({ kind: "ask", question, step, workers, duration }),
         );
         this.#balance();
         this.#assignments.even(this.cell.workers, link, [...this.#vms.values()]);
@@ -341,7 +342,7 @@
             this.cell.submit(definition);
             return { kind: "accepted" };
         }
-        if (known === undefined && this.options.journal.stalledFor() > stalledAfter) {
+        if (known === undefined && this.options.journal.waitingFor() > stalledAfter) {
             return { kind: "not-now", retryAfter: stalledRetryAfter };
         }
         this.cell.submit(definition);
--- a/packages/entry/src/ownership/candidate.ts
+++ b/packages/entry/src/ownership/candidate.ts
@@ -13,7 +13,7 @@
     shardId,
 } from "@pebbledale/core";
 import { createAbortController, type EventLogger } from "@pebbledale/runtime";
-import { type CellView, type EntryVm, ownerKey, type Registration } from "../membership/index.js";
+import { type CellView, type EntryVm } from "../membership/index.js";
 import {
     commitInterval,
     journalLargestBytes,
@@ -24,6 +24,7 @@
 import { OwnerSession } from "../owner/index.js";
 import { type CampaignInput, claimDelay, reasonToClaim } from "./campaign.js";
 import { campaignInterval, claimRetryDelay, handOverWait } from "./constants.js";
+import { OwnerKey } from "./owner-key.js";
 
 /** What a candidate needs. */
 export interface CandidateOptions {
@@ -34,7 +35,8 @@
     readonly logger: EventLogger;
     readonly self: EntryVm;
     readonly view: CellView;
-    readonly registration: Registration;
+    /** How long the owner's key outlives its last renewal. */
+    readonly leaseLength: Milliseconds;
     readonly configuration: () => CellConfiguration | undefined;
     readonly onConfiguration: (configuration: CellConfiguration) => void;
     readonly formerLeases: Milliseconds;
@@ -71,7 +73,7 @@
         const { clock, logger } = this.options;
         while (!stop.aborted) {
             const input = this.#input();
-            const reason = this.options.registration.lease === undefined ? undefined : reasonToClaim(input);
+            const reason = reasonToClaim(input);
             if (reason === undefined || !this.#hasWaited(input)) {
                 this.#wantsSince = reason === undefined ? undefined : this.#wantsSince;
                 await clock.sleep(campaignInterval, stop);
@@ -99,18 +101,22 @@
     }
 
     async #claimAndServe(reason: string, stop: AbortSignal): Promise<void> {
-        const { store, view, self, registration, logger } = this.options;
-        const lease = registration.lease;
-        if (lease === undefined) {
-            return;
-        }
+        const { store, clock, view, self, leaseLength, logger } = this.options;
         const value = JSON.stringify({ name: self.name, address: self.address, process: self.process });
-        const outcome = await store.compareAndSwap(ownerKey, view.ownerVersion ?? absentVersion, value, lease);
-        if (outcome.kind === "conflict" && outcome.current?.value !== value) {
+        const key = new OwnerKey({ store, clock, value, leaseLength });
+        if (!await key.claim(view.ownerVersion ?? absentVersion)) {
             return;
         }
         logger.log(logEvents.ownershipClaimed, { reason });
-        await this.#serve(stop);
+        const released = createAbortController();
+        const keeping = key.keep(released.signal);
+        try {
+            await this.#serve(stop);
+        }
+        finally {
+            released.abort();
+            await keeping;
+        }
     }
 
     async #serve(stop: AbortSignal): Promise<void> {
--- a/packages/entry/src/ownership/constants.ts
+++ b/packages/entry/src/ownership/constants.ts
@@ -6,10 +6,14 @@
 /** Each VM that stands before this one in the order of candidates makes it wait this long more. */
 export const candidateDelay: Milliseconds = 120;
 /** While an owner was heard this lately, a missing key is its own to renew. */
-export const ownerHeardLately: Milliseconds = 1_000;
+export const ownerHeardLately: Milliseconds = 600;
 /** Wait after a failed claim. */
 export const claimRetryDelay: Milliseconds = 300;
-/** How long the owner's key outlives its last renewal. */
-export const ownerLease: Milliseconds = 2_000;
+/** How long the owner's key outlives its last renewal: bounds how late a silent owner is replaced. */
+export const ownerLease: Milliseconds = 1_000;
+/** How long the key of an entry VM outlives its last renewal. */
+export const vmLease: Milliseconds = 4_000;
 /** How long a stopping owner waits for the next one to speak. */
 export const handOverWait: Milliseconds = 1_500;
+/** The owner's lease is renewed this many times in its length. */
+export const renewalsPerLease = 3;
--- a/packages/entry/src/ownership/index.ts
+++ b/packages/entry/src/ownership/index.ts
@@ -2,3 +2,4 @@
 export * from "./campaign.js";
 export * from "./candidate.js";
 export * from "./constants.js";
+export * from "./owner-key.js";
--- /dev/null
+++ b/packages/entry/src/ownership/owner-key.ts
@@ -0,0 +1,61 @@
+/** The owner's leased key: claimed under a condition, then kept alive, and put back when it was lost to no one. */
+import {
+    absentVersion,
+    type Clock,
+    type KeyVersion,
+    type Milliseconds,
+    type PlatformLeaseId,
+    type PlatformStore,
+} from "@pebbledale/core";
+import { ownerKey } from "../membership/index.js";
+import { renewalsPerLease } from "./constants.js";
+
+/** What an owner's key needs. */
+export interface OwnerKeyOptions {
+    readonly store: PlatformStore;
+    readonly clock: Clock;
+    /** Names this process; no other has the same value. */
+    readonly value: string;
+    readonly leaseLength: Milliseconds;
+}
+
+/** See the module's comment. */
+export class OwnerKey {
+    #lease: PlatformLeaseId | undefined;
+
+    constructor(private readonly options: OwnerKeyOptions) {}
+
+    /** Claims the key if its version is still `expected`; false when another process was faster. */
+    async claim(expected: KeyVersion): Promise<boolean> {
+        const { store, value, leaseLength } = this.options;
+        const lease = await store.grantLease(leaseLength);
+        const outcome = await store.compareAndSwap(ownerKey, expected, value, lease);
+        // A conflict with our own value: the first answer was lost.
+        const isOwn = outcome.kind === "swapped" || outcome.current?.value === value;
+        this.#lease = isOwn ? lease : undefined;
+        return isOwn;
+    }
+
+    /** Keeps the key until `signal` fires, then gives it up. */
+    async keep(signal: AbortSignal): Promise<void> {
+        const { store, clock, leaseLength } = this.options;
+        while (!signal.aborted) {
+            await clock.sleep(leaseLength / renewalsPerLease, signal);
+            if (!signal.aborted) {
+                await this.#renew().catch(() => undefined);
+            }
+        }
+        if (this.#lease !== undefined) {
+            await store.revokeLease(this.#lease).catch(() => undefined);
+        }
+    }
+
+    /** Renews the lease. One that ended is replaced, unless another process has the key: the journal then decides. */
+    async #renew(): Promise<void> {
+        if (this.#lease !== undefined && await this.options.store.renewLease(this.#lease)) {
+            return;
+        }
+        this.#lease = undefined;
+        await this.claim(absentVersion);
+    }
+}
--- a/packages/entry/src/store-relay/operations.ts
+++ b/packages/entry/src/store-relay/operations.ts
@@ -1,11 +1,5 @@
 /** Calls of the platform's store as data, so that one VM can make them for another. */
-import type {
-    ChangeFeed,
-    KeyVersion,
-    Milliseconds,
-    PlatformLeaseId,
-    PlatformStore,
-} from "@pebbledale/core";
+import type { ChangeFeed, KeyVersion, Milliseconds, PlatformLeaseId, PlatformStore } from "@pebbledale/core";
 
 /** One call of the store. */
 export type StoreOperation =
--- a/packages/entry/src/store-relay/relayed-store.ts
+++ b/packages/entry/src/store-relay/relayed-store.ts
@@ -79,8 +79,10 @@
             return await relay({ kind: "changes", prefix, cursor, duration: wait }) as KeyChanges | undefined;
         }
         const sources = [signal, this.#wayChanged.signal];
-        return withLinkedSignal(sources, undefined, linked =>
-            this.options.direct.changes(prefix, cursor, duration, linked)
+        return withLinkedSignal(
+            sources,
+            undefined,
+            linked => this.options.direct.changes(prefix, cursor, duration, linked),
         );
     }
 
