Tests of the cell's decisions, a fuzz under random faults among them; failures of a gang counted once a run

Cause: the decisions of the cell had no test without the bench. The first ones found: two members that failed in one run counted as two failures, so that a gang was shown as failed a run too early; several failed tasks of one job put a worker aside.

--- a/packages/cell/src/scheduler/run-book.ts
+++ b/packages/cell/src/scheduler/run-book.ts
@@ -153,7 +153,9 @@
 
     #recordEnd(task: Task, { task: address, run, end, checkpoint }: EndedRun): void {
         const { step } = task;
-        const failures = 1 + (step.definition.isGang ? step.gangFailures : task.failures);
+        const failures = step.definition.isGang
+            ? step.gangFailures + (step.lastFailedRun < run ? 1 : 0)
+            : task.failures + 1;
         const isFinal = end === RunEnd.Failed
             && !step.definition.isLasting
             && task.phase !== TaskPhase.Done
--- /dev/null
+++ b/packages/cell/test/scheduler/advice.test.ts
@@ -0,0 +1,56 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { CellDriver, idOf, makeConfiguration, makeJob, makeQueue, makeStep, makeWorker } from "../support/index.js";
+
+const policy = { decision: 50, eachWorker: 1, validity: 1_500 };
+
+const advised = (): CellDriver => {
+    const driver = new CellDriver(undefined, makeConfiguration(1, [makeQueue("work", { advice: policy })]));
+    driver.addWorkers(makeWorker("w1"), makeWorker("w2"));
+    driver.cell.submit(makeJob("j", [makeStep()]));
+    return driver;
+};
+
+const permit = (worker: string, ticket: string) => ({ worker: idOf(worker), ticket });
+
+describe("advice", () => {
+    it("is asked for as soon as a job is taken, and its ticket goes with the start", () => {
+        const driver = advised();
+        const { questions, starts } = driver.run();
+        expect(starts).toEqual([]);
+        expect(questions.map(question => [question.step, question.workers.length])).toEqual([["j/0/0", 2]]);
+        const answer = { kind: "advised" as const, permits: [permit("w2", "ticket-2")], validity: 1_500 };
+        driver.cell.takeAdvice("j/0/0", questions[0].workers, answer);
+        expect(driver.run().starts.map(start => [String(start.worker), start.ticket])).toEqual([["w2", "ticket-2"]]);
+    });
+
+    it("is asked for again for the permitted workers alone once a ticket ran out", () => {
+        const driver = advised();
+        const { questions } = driver.run();
+        const answer = { kind: "advised" as const, permits: [permit("w2", "ticket-2")], validity: 1_500 };
+        driver.cell.takeAdvice("j/0/0", questions[0].workers, answer);
+        driver.clock.advance(1_500);
+        const later = driver.run();
+        expect(later.starts).toEqual([]);
+        expect(later.questions.map(question => question.workers.map(String))).toEqual([["w2"]]);
+    });
+
+    it("does not send a start whose ticket ran out while its record was written", () => {
+        const driver = advised();
+        const { questions } = driver.run();
+        const answer = { kind: "advised" as const, permits: [permit("w2", "ticket-2")], validity: 1_500 };
+        driver.cell.takeAdvice("j/0/0", questions[0].workers, answer);
+        driver.decide();
+        driver.clock.advance(1_500);
+        expect(driver.keep().starts).toEqual([]);
+        expect(driver.run().questions.length).toEqual(1);
+    });
+
+    it("that had no answer is asked for again", () => {
+        const driver = advised();
+        const { questions } = driver.run();
+        driver.cell.takeAdvice("j/0/0", questions[0].workers, undefined);
+        driver.clock.advance(200);
+        expect(driver.run().questions.length).toEqual(1);
+    });
+});
--- /dev/null
+++ b/packages/cell/test/scheduler/jobs.test.ts
@@ -0,0 +1,183 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { CellJobState, RunEnd } from "../../src/index.js";
+import { CellDriver, idOf, makeJob, makeStep, makeWorker, running } from "../support/index.js";
+
+const ready = (): CellDriver => {
+    const driver = new CellDriver();
+    driver.addWorkers(makeWorker("w1"));
+    return driver;
+};
+
+describe("a job", () => {
+    it("is not known to its caller before its record is kept", () => {
+        const driver = ready();
+        const { id } = driver.cell.submit(makeJob("j", [makeStep()]));
+        driver.decide();
+        expect(driver.cell.stateOf(id)).toEqual(undefined);
+        driver.keep();
+        expect(driver.cell.stateOf(id)).toEqual(CellJobState.Queued);
+    });
+
+    it("is one job however often it is handed in", () => {
+        const driver = ready();
+        driver.cell.submit(makeJob("j", [makeStep()]));
+        driver.cell.submit(makeJob("j", [makeStep()]));
+        expect(driver.run().starts.length).toEqual(1);
+        expect(driver.records.filter(record => record.kind === "accepted").length).toEqual(1);
+    });
+
+    it("is shown as completed only once the last end is kept", () => {
+        const driver = ready();
+        const { id } = driver.cell.submit(makeJob("j", [makeStep()]));
+        const [start] = driver.run().starts;
+        driver.confirm(start);
+        driver.end(start);
+        driver.decide();
+        expect(driver.cell.stateOf(id)).toEqual(CellJobState.Running);
+        driver.keep();
+        expect(driver.cell.stateOf(id)).toEqual(CellJobState.Completed);
+    });
+
+    it("lets a worker forget an end only once it is kept", () => {
+        const driver = ready();
+        driver.cell.submit(makeJob("j", [makeStep()]));
+        const [start] = driver.run().starts;
+        driver.end(start);
+        driver.decide();
+        expect(driver.keep().acknowledged).toEqual({ w1: 1 });
+    });
+
+    it("begins a step once all tasks of the steps before it are done", () => {
+        const driver = ready();
+        driver.cell.submit(makeJob("j", [makeStep({ taskCount: 2 }), makeStep({ after: [0] })]));
+        const [first, second] = driver.run().starts;
+        driver.end(first);
+        expect(driver.run().starts).toEqual([]);
+        driver.end(second);
+        expect(driver.run().starts.map(start => String(start.task))).toEqual(["j/0/1/0"]);
+    });
+
+    it("fails after as many failed runs of a task as its queue allows, and stops the rest", () => {
+        const driver = ready();
+        const { id } = driver.cell.submit(makeJob("j", [makeStep({ taskCount: 2 })]));
+        const [failing, other] = driver.run().starts;
+        driver.confirm(failing, other);
+        driver.end(failing, RunEnd.Failed);
+        for (let run = 2; run <= 3; run++) {
+            driver.clock.advance(10_000);
+            const [start] = driver.run().starts;
+            driver.end(start, RunEnd.Failed);
+        }
+        const { stops } = driver.run();
+        expect(driver.cell.stateOf(id)).toEqual(CellJobState.Failed);
+        expect(stops.map(stop => stop.task)).toEqual([other.task]);
+    });
+
+    it("does not count runs that were stopped or lapsed as failed", () => {
+        const driver = ready();
+        const { id } = driver.cell.submit(makeJob("j", [makeStep()]));
+        for (let run = 1; run <= 6; run++) {
+            driver.clock.advance(1_000);
+            const [start] = driver.run().starts;
+            driver.end(start, run % 2 === 0 ? RunEnd.Stopped : RunEnd.Lapsed);
+        }
+        driver.run();
+        expect(driver.cell.stateOf(id)).toEqual(CellJobState.Running);
+    });
+});
+
+describe("a cancelled job", () => {
+    it("stops what runs and starts nothing more", () => {
+        const driver = ready();
+        const { id } = driver.cell.submit(makeJob("j", [makeStep({ taskCount: 12 })]));
+        const { starts } = driver.run();
+        driver.confirm(...starts);
+        expect(driver.cell.cancel(id)).toEqual(true);
+        const { stops } = driver.run();
+        expect(stops.length).toEqual(starts.length);
+        starts.forEach(start => driver.end(start, RunEnd.Stopped));
+        expect(driver.run().starts).toEqual([]);
+        expect(driver.cell.stateOf(id)).toEqual(CellJobState.Cancelled);
+    });
+
+    it("does not send a start whose record was still being written", () => {
+        const driver = ready();
+        const { id } = driver.cell.submit(makeJob("j", [makeStep()]));
+        driver.decide();
+        driver.cell.cancel(id);
+        expect(driver.run().starts).toEqual([]);
+    });
+
+    it("is stopped again as long as a look shows it at work", () => {
+        const driver = ready();
+        const { id } = driver.cell.submit(makeJob("j", [makeStep()]));
+        const [start] = driver.run().starts;
+        driver.confirm(start);
+        driver.cell.cancel(id);
+        expect(driver.run().stops.length).toEqual(1);
+        driver.look("w1", [running(start)], [], false);
+        expect(driver.run().stops.length).toEqual(1);
+    });
+
+    it("is unknown to one who never had it", () => {
+        const driver = ready();
+        expect(driver.cell.cancel(makeJob("never", [makeStep()]).job)).toEqual(false);
+    });
+});
+
+describe("a worker", () => {
+    it("is never given more than it has, also while a run is being stopped", () => {
+        const driver = ready();
+        const big = makeStep({ size: { processorThousandths: 8_000, memoryMebibytes: 1, accelerators: 0 } });
+        const { id } = driver.cell.submit(makeJob("j", [big]));
+        const [start] = driver.run().starts;
+        driver.confirm(start);
+        driver.cell.cancel(id);
+        driver.cell.submit(makeJob("k", [big]));
+        expect(driver.run().starts).toEqual([]);
+        driver.end(start, RunEnd.Stopped);
+        expect(driver.run().starts.length).toEqual(1);
+    });
+
+    it("takes nothing new while it drains", () => {
+        const driver = ready();
+        driver.cell.changeWorkers([makeWorker("w1", { isDraining: true, leavesIn: 2_000 })], []);
+        driver.cell.submit(makeJob("j", [makeStep()]));
+        expect(driver.run().starts).toEqual([]);
+    });
+
+    it("takes nothing before this owner has seen what runs there", () => {
+        const driver = new CellDriver();
+        driver.cell.changeWorkers([makeWorker("w1")], []);
+        driver.cell.submit(makeJob("j", [makeStep()]));
+        expect(driver.run().starts).toEqual([]);
+        driver.look("w1");
+        expect(driver.run().starts.length).toEqual(1);
+    });
+
+    it("loses what ran there when another life answers at its address", () => {
+        const driver = ready();
+        driver.cell.submit(makeJob("j", [makeStep()]));
+        const [start] = driver.run().starts;
+        driver.confirm(start);
+        driver.cell.takeOtherLife(idOf("w1"));
+        driver.addWorkers(makeWorker("w2"));
+        expect(driver.run().starts.map(again => [String(again.worker), Number(again.run)])).toEqual([["w2", 2]]);
+    });
+
+    it("that is silent keeps its tasks until every lease there is over", () => {
+        const driver = ready();
+        driver.cell.submit(makeJob("j", [makeStep()]));
+        const [start] = driver.run().starts;
+        driver.confirm(start);
+        driver.addWorkers(makeWorker("w2"));
+        driver.cell.takeSilence(idOf("w1"), driver.clock.monotonic() + 6_000);
+        driver.clock.advance(5_900);
+        driver.cell.tick();
+        expect(driver.run().starts).toEqual([]);
+        driver.clock.advance(300);
+        driver.cell.tick();
+        expect(driver.run().starts.map(again => String(again.worker))).toEqual(["w2"]);
+    });
+});
--- /dev/null
+++ b/packages/cell/test/support/index.ts
@@ -0,0 +1,5 @@
+/** Support of the cell's tests. */
+export * from "./builders.js";
+export * from "./cell-driver.js";
+export * from "./fake-worker.js";
+export * from "./world.js";
--- /dev/null
+++ b/packages/cell/test/support/world.ts
@@ -0,0 +1,367 @@
+/**
+ * A small cell under random faults: workers that keep their protocol's rules, links that lose and delay messages, and
+ * owners that die. What must always hold is checked at the workers, whatever the owner believes.
+ */
+import { fencingToken, jobId, ManualClock, type Milliseconds, SeededRandom, type TaskAddress } from "@pebbledale/core";
+import {
+    type EndedRun,
+    isEndState,
+    type JobDefinition,
+    placeOf,
+    RunEnd,
+    type StartCommand,
+    type StepDefinition,
+    type StopCommand,
+} from "../../src/index.js";
+import { makeJob, makeStep, makeWorker } from "./builders.js";
+import { CellDriver } from "./cell-driver.js";
+import { type FakeTask, FakeWorker } from "./fake-worker.js";
+
+const lease: Milliseconds = 2_000;
+const stepTime: Milliseconds = 50;
+const mostFailures = 3;
+
+/** How likely each fault is in one step of time, from 0 to 1. */
+export interface Faults {
+    readonly crash: number;
+    readonly cut: number;
+    readonly takeOver: number;
+    readonly cancel: number;
+    /** Of each start: lost, answered late, or carried out late. */
+    readonly start: number;
+    /** Of each run: its task fails. */
+    readonly fail: number;
+}
+
+/** No faults. */
+export const noFaults: Faults = { crash: 0, cut: 0, takeOver: 0, cancel: 0, start: 0, fail: 0 };
+
+interface Link {
+    worker: FakeWorker;
+    token: number;
+    forgetThrough: number;
+    cutUntil: Milliseconds;
+    isAssigned: boolean;
+    isSilent: boolean;
+    reportedThrough: number;
+}
+
+interface LateStart {
+    readonly at: Milliseconds;
+    readonly link: Link;
+    readonly worker: FakeWorker;
+    readonly token: number;
+    readonly command: StartCommand;
+}
+
+/** See the module's comment. */
+export class World {
+    readonly clock = new ManualClock();
+    readonly driver = new CellDriver(this.clock);
+    /** What was broken, in words. */
+    readonly broken: string[] = [];
+    readonly #random: SeededRandom;
+    readonly #links = new Map<string, Link>();
+    readonly #jobs = new Map<string, JobDefinition>();
+    readonly #done = new Set<TaskAddress>();
+    readonly #noted = new Set<string>();
+    readonly #failures = new Map<TaskAddress, number>();
+    readonly #cancelled = new Set<string>();
+    #late: LateStart[] = [];
+    #epoch = 1;
+    #nextWorker = 1;
+    #nextJob = 1;
+
+    constructor(seed: number, private readonly faults: Faults, workers: number) {
+        this.#random = new SeededRandom(seed);
+        for (let index = 0; index < workers; index++) {
+            this.#addWorker();
+        }
+    }
+
+    /** Jobs that were handed in. */
+    get jobs(): ReadonlyMap<string, JobDefinition> {
+        return this.#jobs;
+    }
+
+    /** Whether every job has its final state. */
+    get isFinished(): boolean {
+        return [...this.#jobs.keys()].every(id => {
+            const state = this.driver.cell.stateOf(jobId(id));
+            return state !== undefined && isEndState(state);
+        });
+    }
+
+    /** Hands a random job in. */
+    submit(): void {
+        const id = `job${this.#nextJob++}`;
+        const count = 1 + this.#below(3);
+        const steps = Array.from({ length: count }, (_, index) => this.#randomStep(index));
+        const definition = makeJob(id, steps);
+        this.#jobs.set(id, definition);
+        this.driver.cell.submit(definition);
+    }
+
+    /** One step of time under the faults, or without them. */
+    step(hasFaults: boolean): void {
+        this.clock.advance(stepTime);
+        const now = this.clock.monotonic();
+        this.#links.forEach(link => link.worker.tick(now));
+        this.#deliverLate(now);
+        if (hasFaults) {
+            this.#strike(now);
+        }
+        this.#links.forEach(link => this.#look(link, now));
+        this.driver.cell.tick();
+        const { starts, stops, acknowledged } = this.driver.run();
+        for (const [worker, through] of Object.entries(acknowledged)) {
+            const link = this.#links.get(worker);
+            if (link !== undefined) {
+                link.forgetThrough = Math.max(link.forgetThrough, through);
+            }
+        }
+        stops.forEach(stop => this.#stop(stop, now));
+        starts.forEach(start => this.#start(start, now, hasFaults));
+    }
+
+    #randomStep(index: number): StepDefinition {
+        return makeStep({
+            taskCount: 1 + this.#below(6),
+            isGang: this.#happens(0.3),
+            after: index > 0 && this.#happens(0.7) ? [this.#below(index)] : [],
+            size: { processorThousandths: 500 + this.#below(3_000), memoryMebibytes: 512, accelerators: 0 },
+            mostPerWorker: this.#happens(0.2) ? 2 : undefined,
+        });
+    }
+
+    #addWorker(): Link {
+        const entry = makeWorker(`w${this.#nextWorker++}`);
+        const link: Link = {
+            worker: new FakeWorker(entry.worker, entry.capacity),
+            token: this.#tokenBase(),
+            forgetThrough: 0,
+            cutUntil: 0,
+            isAssigned: true,
+            isSilent: false,
+            reportedThrough: 0,
+        };
+        this.#links.set(entry.worker, link);
+        this.driver.cell.changeWorkers([entry], []);
+        return link;
+    }
+
+    #tokenBase(): number {
+        return this.#epoch * 1_000_000;
+    }
+
+    #strike(now: Milliseconds): void {
+        if (this.#happens(this.faults.takeOver)) {
+            this.#takeOver();
+        }
+        for (const link of [...this.#links.values()]) {
+            if (this.#happens(this.faults.crash)) {
+                this.#crash(link);
+            }
+            else if (this.#happens(this.faults.cut)) {
+                link.cutUntil = now + this.#below(3 * lease);
+            }
+        }
+        const ids = [...this.#jobs.keys()];
+        if (ids.length > 0 && this.#happens(this.faults.cancel)) {
+            const id = ids[this.#below(ids.length)];
+            if (this.driver.cell.cancel(jobId(id))) {
+                this.#cancelled.add(id);
+            }
+        }
+    }
+
+    #takeOver(): void {
+        this.#epoch++;
+        this.driver.takeOver();
+        for (const link of this.#links.values()) {
+            link.token = this.#tokenBase();
+            link.isAssigned = true;
+            link.reportedThrough = 0;
+            link.forgetThrough = 0;
+            link.isSilent = false;
+        }
+        const entries = [...this.#links.values()].map(link => makeWorker(link.worker.id));
+        this.driver.cell.listWorkers(entries);
+        // A job whose record was not kept is not known to its caller either: it is handed in again.
+        this.#jobs.forEach(definition => this.driver.cell.submit(definition));
+    }
+
+    #crash(link: Link): void {
+        link.worker.crash();
+        this.#links.delete(link.worker.id);
+        this.driver.cell.takeOtherLife(link.worker.id);
+        this.#addWorker();
+    }
+
+    #look(link: Link, now: Milliseconds): void {
+        if (now < link.cutUntil) {
+            if (!link.isSilent) {
+                link.isSilent = true;
+                this.driver.cell.takeSilence(link.worker.id, Math.max(now, link.worker.leaseUntil));
+            }
+            return;
+        }
+        const look = link.worker.look(fencingToken(link.token), link.forgetThrough, now + lease, now);
+        if (look === undefined) {
+            this.broken.push(`${link.worker.id} refuses the owner's token`);
+            return;
+        }
+        const fresh = look.ended.filter(end => end.number > link.reportedThrough);
+        fresh.forEach(end => this.#noteEnd(end));
+        link.reportedThrough = Math.max(link.reportedThrough, ...fresh.map(end => end.number));
+        const settledBefore = link.isAssigned ? now : -Infinity;
+        link.isAssigned = false;
+        link.isSilent = false;
+        this.driver.cell.takeLook(link.worker.id, { ...look, ended: fresh }, now, settledBefore);
+    }
+
+    #start(command: StartCommand, now: Milliseconds, hasFaults: boolean): void {
+        const link = this.#links.get(command.worker);
+        if (link === undefined) {
+            return;
+        }
+        const isCut = now < link.cutUntil;
+        if (!isCut && !(hasFaults && this.#happens(this.faults.start))) {
+            this.#deliver(link, link.worker, link.token, command, true);
+            return;
+        }
+        const { token, worker } = link;
+        if (!isCut && this.#happens(0.5)) {
+            this.#deliver(link, worker, token, command, false);
+        }
+        else {
+            this.#late.push({ at: now + this.#below(3 * lease), link, worker, token, command });
+        }
+        this.#settle(link, command, now);
+    }
+
+    /** No answer: the token is raised, and the next look is final. */
+    #settle(link: Link, { worker, task, run }: StartCommand, now: Milliseconds): void {
+        link.token++;
+        if (now < link.cutUntil) {
+            // The link goes on asking; what it finds once the worker answers settles this start too.
+            link.isAssigned = true;
+            return;
+        }
+        this.#look(link, now);
+        this.driver.cell.startRefused(worker, task, run, undefined);
+    }
+
+    #deliverLate(now: Milliseconds): void {
+        const due = this.#late.filter(start => start.at <= now);
+        this.#late = this.#late.filter(start => start.at > now);
+        due.forEach(({ link, worker, token, command }) => this.#deliver(link, worker, token, command, false));
+    }
+
+    #deliver(link: Link, worker: FakeWorker, token: number, command: StartCommand, isAnswered: boolean): void {
+        if (!worker.isUp) {
+            return;
+        }
+        const definition = this.#stepOf(command.task);
+        const before = worker.runs.length;
+        const refusal = worker.start(command, fencingToken(token), this.#taskOf(definition), this.clock.monotonic());
+        if (worker.runs.length > before) {
+            this.#check(worker, command, definition);
+        }
+        if (isAnswered && refusal === undefined) {
+            this.driver.cell.startTaken(command.worker, command.task, command.run);
+        }
+        else if (isAnswered) {
+            this.driver.cell.startRefused(link.worker.id, command.task, command.run, refusal);
+        }
+    }
+
+    #stop({ worker, task, run }: StopCommand, now: Milliseconds): void {
+        const link = this.#links.get(worker);
+        if (link !== undefined && now >= link.cutUntil) {
+            link.worker.stop(task, run, fencingToken(link.token));
+        }
+    }
+
+    #taskOf(step: StepDefinition): FakeTask {
+        return {
+            size: step.size,
+            duration: 50 + this.#below(1_500),
+            end: this.#happens(this.faults.fail) ? RunEnd.Failed : RunEnd.Done,
+        };
+    }
+
+    #stepOf(task: TaskAddress): StepDefinition {
+        const place = placeOf(task)!;
+        return this.#jobs.get(place.job)!.steps[place.step];
+    }
+
+    /** An end that another owner sees again counts once. */
+    #noteEnd({ task, run, end }: EndedRun): void {
+        const name = `${task}#${run}`;
+        if (this.#noted.has(name)) {
+            return;
+        }
+        this.#noted.add(name);
+        if (end === RunEnd.Done) {
+            this.#done.add(task);
+        }
+        if (end === RunEnd.Failed) {
+            this.#failures.set(task, (this.#failures.get(task) ?? 0) + 1);
+        }
+    }
+
+    /** What must hold whenever a worker begins a run. */
+    #check(worker: FakeWorker, { task, payload }: StartCommand, step: StepDefinition): void {
+        const place = placeOf(task)!;
+        for (const { worker: other } of this.#links.values()) {
+            const copies = other.runs.filter(run => run.task === task).length - (other === worker ? 1 : 0);
+            if (copies > 0) {
+                this.broken.push(`${task} runs twice, at ${other.id} and ${worker.id}`);
+            }
+        }
+        const used = worker.runs.reduce((sum, run) => sum + run.size.processorThousandths, 0);
+        if (used > worker.capacity.processorThousandths) {
+            this.broken.push(`${worker.id} is given ${used}`);
+        }
+        if (this.#isNoted(task)) {
+            this.broken.push(`${task} starts after it was done`);
+        }
+        for (const before of step.after) {
+            const tasks = this.#jobs.get(place.job)!.steps[before].taskCount;
+            const isOpen = Array.from({ length: tasks }, (_, index) => index)
+                .some(index => !this.#isNotedOrGang(place.job, before, index));
+            if (isOpen) {
+                this.broken.push(`${task} starts before step ${before} is done`);
+            }
+        }
+        if ((this.#failures.get(task) ?? 0) >= mostFailures) {
+            this.broken.push(`${task} starts after ${mostFailures} failed runs`);
+        }
+        const sameStep = worker.runs.filter(run => run.task.startsWith(`${place.job}/0/${place.step}/`)).length;
+        if (step.mostPerWorker !== undefined && sameStep > step.mostPerWorker) {
+            this.broken.push(`${worker.id} has ${sameStep} tasks of ${place.job}/0/${place.step}`);
+        }
+        if (payload !== this.#jobs.get(place.job)!.payload) {
+            this.broken.push(`${task} starts with another payload`);
+        }
+    }
+
+    #isNoted(task: TaskAddress): boolean {
+        return this.#done.has(task);
+    }
+
+    #isNotedOrGang(job: string, step: number, index: number): boolean {
+        const { isGang, taskCount } = this.#jobs.get(job)!.steps[step];
+        const indexes = isGang ? Array.from({ length: taskCount }, (_, other) => other) : [index];
+        return indexes.some(other => this.#done.has(`${job}/0/${step}/${other}` as TaskAddress));
+    }
+
+    #happens(probability: number): boolean {
+        return this.#random.next() < probability;
+    }
+
+    #below(limit: number): number {
+        return Math.floor(this.#random.next() * limit);
+    }
+}
--- a/packages/core/src/worker-health/worker-health.ts
+++ b/packages/core/src/worker-health/worker-health.ts
@@ -12,7 +12,7 @@
 export interface HealthLimits {
     /** Outcomes that are remembered of one worker. */
     readonly rememberedOutcomes: number;
-    /** Fewest failures that can lead to quarantine. */
+    /** Fewest jobs with failures there that can lead to quarantine. */
     readonly fewestFailures: number;
     /** Share of failures among the remembered outcomes that leads to quarantine. */
     readonly failingShare: number;
@@ -64,9 +64,11 @@
     /** Whether a worker fails most of what it starts, jobs that fail elsewhere too left out. */
     isFailing(worker: WorkerId): boolean {
         const counted = this.#counted(worker);
-        const failures = counted.filter(outcome => outcome.failed).length;
-        const share = failures / Math.max(1, counted.length);
-        return failures >= this.limits.fewestFailures && share >= this.limits.failingShare
+        const failed = counted.filter(outcome => outcome.failed);
+        const share = failed.length / Math.max(1, counted.length);
+        // Several tasks of one job may fail together for the job's own sake.
+        const jobs = new Set(failed.map(outcome => outcome.job)).size;
+        return jobs >= this.limits.fewestFailures && share >= this.limits.failingShare
             && share >= this.#shareOfPeers(worker) * worseThanPeers;
     }
 
