Timed and lasting jobs; steps are placed by what their job can still earn

Change: occurrences open as their time comes; a task that lasts starts again however it ends and fails no job; ready steps are ordered by prospect (lasting, on time, late, overdue), priority and the latest start that keeps the objective.

--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -28,6 +28,7 @@
 import { Placer } from "./placer.js";
 import type { CellRecord } from "./records.js";
 import { RunBook } from "./run-book.js";
+import { TimetableWatch } from "./timetable-watch.js";
 import { WorkerPool } from "./worker-pool.js";
 import type { WorkerState } from "./worker-state.js";
 
@@ -38,6 +39,7 @@
     readonly #advice: AdviceDesk;
     readonly #health: HealthWatch;
     readonly #placer: Placer;
+    readonly #timetables: TimetableWatch;
     readonly #pool: WorkerPool;
     #wantsPass = false;
 
@@ -55,6 +57,7 @@
             workerDrains: () => this.#wantsPass = true,
             workerGone: worker => this.#health.forgetWorker(worker),
         });
+        this.#timetables = new TimetableWatch(this.#context, occurrence => this.#openOccurrence(occurrence));
         this.#placer = new Placer(this.#context, this.#runs, this.#advice, this.#health);
     }
 
@@ -270,6 +273,7 @@
     /** Looks at what time has brought. */
     tick(): void {
         this.#pool.tick();
+        this.#timetables.tick();
         this.#wantsPass = true;
     }
 
@@ -305,6 +309,7 @@
         if (job.isOver) {
             return;
         }
+        this.#timetables.add(job);
         for (const occurrence of job.occurrences.values()) {
             this.#openOccurrence(occurrence);
         }
@@ -319,6 +324,14 @@
         }
     }
 
+    /** Lets go of an occurrence that is done, unless it is its job's only one. */
+    #closeOccurrence({ job, number, steps }: Occurrence): void {
+        const isOver = job.doneOccurrences.has(number) && steps.every(hasNoRuns);
+        if (isOver && job.occurrenceCount > 1) {
+            job.occurrences.delete(number);
+        }
+    }
+
     #open(step: Step): void {
         if (step.readyAt === undefined) {
             step.readyAt = this.#context.now();
@@ -334,6 +347,7 @@
         if (step.isDone) {
             this.#placer.remove(step);
             this.#openOccurrence(step.occurrence);
+            this.#closeOccurrence(step.occurrence);
             return;
         }
         this.#open(step);
@@ -346,7 +360,7 @@
             this.#stopMembers(step, "another member of its gang ended");
         }
         if (end === "failed") {
-            step.notBefore = this.#context.now() + failedRunPause;
+            step.notBefore = Math.max(step.notBefore, this.#context.now() + failedRunPause);
         }
     }
 
@@ -363,7 +377,7 @@
         }
         this.#context.outbox.changed(job.id);
         this.#wantsPass = true;
-        if ([...job.occurrences.values()].every(hasNoRuns)) {
+        if ([...job.occurrences.values()].every(occurrence => occurrence.steps.every(hasNoRuns))) {
             this.#context.options.log.log(logEvents.jobEnded, { job: job.id, state: job.state });
             this.#health.forgetJob(job);
             job.shrink();
@@ -371,5 +385,4 @@
     }
 }
 
-const hasNoRuns = (occurrence: Occurrence): boolean =>
-    occurrence.steps.every(step => step.tasks.every(task => task.runs.length === 0));
+const hasNoRuns = (step: Step): boolean => step.tasks.every(task => task.runs.length === 0);
--- a/packages/cell/src/scheduler/entities.ts
+++ b/packages/cell/src/scheduler/entities.ts
@@ -164,8 +164,10 @@
     shownState = CellJobState.Queued;
     /** Whether the record of its acceptance is kept. */
     isKept = false;
-    /** Occurrences that are done. */
-    doneOccurrences = 0;
+    /** Occurrences that are done; nothing more is kept of them. */
+    readonly doneOccurrences = new Set<number>();
+    /** The first occurrence whose time has not come. */
+    nextOccurrence = 0;
     /** When it ended, in milliseconds since 1970. */
     endedAt: number | undefined;
     terms: JobTerms | undefined;
@@ -193,6 +195,12 @@
         return this.#definition?.timetable?.occurrences ?? 1;
     }
 
+    /** When an occurrence is due, in milliseconds since 1970; undefined for a job without a timetable. */
+    dueAt(number: number): number | undefined {
+        const timetable = this.#definition?.timetable;
+        return timetable === undefined ? undefined : timetable.firstAt + number * timetable.interval;
+    }
+
     /** Whether it has ended, kept or not. */
     get isOver(): boolean {
         return isEndState(this.state);
--- a/packages/cell/src/scheduler/health-watch.ts
+++ b/packages/cell/src/scheduler/health-watch.ts
@@ -19,7 +19,11 @@
 
     /** Takes in how a run ended. */
     noteEnd({ task, worker }: TaskRun, end: RunEnd): void {
-        const { id } = task.step.job;
+        const { job: { id }, definition } = task.step;
+        if (definition.isLasting) {
+            // Tasks that last may fail at any time; that says nothing of their worker.
+            return;
+        }
         if (end === RunEnd.Done) {
             worker.isOnProbation = false;
             this.#health.noteSuccess(worker.id, id);
--- a/packages/cell/src/scheduler/job-table.ts
+++ b/packages/cell/src/scheduler/job-table.ts
@@ -27,7 +27,7 @@
     readonly acceptedAt: number;
     readonly endedAt: number | undefined;
     readonly state: CellJobState;
-    readonly doneOccurrences: number;
+    readonly doneOccurrences: readonly number[];
     readonly definition: JobDefinition | undefined;
     readonly occurrences: readonly OccurrenceSnapshot[];
 }
@@ -89,7 +89,8 @@
     /** An occurrence of a job, made when it is first asked for. */
     occurrenceOf(job: Job, number: number): Occurrence | undefined {
         const known = job.occurrences.get(number);
-        if (known !== undefined || job.definition === undefined || number >= job.occurrenceCount) {
+        const isOver = number >= job.occurrenceCount || job.doneOccurrences.has(number);
+        if (known !== undefined || job.definition === undefined || isOver) {
             return known;
         }
         const made = new Occurrence(job, number, job.definition);
@@ -113,6 +114,7 @@
         this.jobs.set(job.id, job);
         if (definition.timetable === undefined) {
             this.occurrenceOf(job, 0);
+            job.nextOccurrence = 1;
         }
     }
 
@@ -141,6 +143,10 @@
         task.lastRun = Math.max(task.lastRun, record.run);
         this.#noteBegun(task.step.job);
         task.noteCheckpoint(record.checkpoint);
+        if (task.step.definition.isLasting) {
+            // However a task that lasts ends, it is started again.
+            return;
+        }
         if (record.end === RunEnd.Done) {
             this.#finishTask(task, record.at);
         }
@@ -167,8 +173,8 @@
         }
         const { occurrence, job } = step;
         if (step.isDone && occurrence.isDone) {
-            job.doneOccurrences++;
-            if (job.doneOccurrences === job.occurrenceCount) {
+            job.doneOccurrences.add(occurrence.number);
+            if (job.doneOccurrences.size === job.occurrenceCount) {
                 this.#end(job, CellJobState.Completed, at);
             }
         }
@@ -192,7 +198,7 @@
         const job = new Job(saved.id, saved.queue, saved.acceptedAt, saved.definition, this.now());
         job.state = saved.state;
         job.endedAt = saved.endedAt;
-        job.doneOccurrences = saved.doneOccurrences;
+        saved.doneOccurrences.forEach(number => job.doneOccurrences.add(number));
         this.jobs.set(job.id, job);
         for (const [number, gangs, tasks] of saved.occurrences) {
             const occurrence = this.occurrenceOf(job, number);
@@ -213,7 +219,7 @@
     acceptedAt: job.acceptedAt,
     endedAt: job.endedAt,
     state: job.state,
-    doneOccurrences: job.doneOccurrences,
+    doneOccurrences: [...job.doneOccurrences],
     definition: job.isOver ? undefined : job.definition,
     occurrences: job.isOver ? [] : [...job.occurrences.values()].map(snapshotOfOccurrence),
 });
--- a/packages/cell/src/scheduler/placer.ts
+++ b/packages/cell/src/scheduler/placer.ts
@@ -6,7 +6,7 @@
 import type { Step, Task } from "./entities.js";
 import type { HealthWatch } from "./health-watch.js";
 import type { RunBook } from "./run-book.js";
-import { compareUrgency } from "./urgency.js";
+import { compareRanks, rank } from "./urgency.js";
 import { candidatesFor, dealAll, isEligible, type Share } from "./worker-choice.js";
 import type { WorkerState } from "./worker-state.js";
 
@@ -42,8 +42,8 @@
     place(): void {
         const now = this.context.now();
         this.#kept.clear();
-        const steps = [...this.#ready].sort((left, right) => compareUrgency(this.context, left, right, now));
-        for (const step of steps) {
+        const ranked = [...this.#ready].map(step => rank(this.context, step, now)).sort(compareRanks);
+        for (const { step } of ranked) {
             this.#placeStep(step, now);
         }
     }
@@ -55,10 +55,13 @@
             this.#ready.delete(step);
             return;
         }
-        if (waiting.length === 0 || terms === undefined || now < step.notBefore) {
+        if (waiting.length === 0 || terms === undefined) {
             return;
         }
         this.advice.prepare(step, terms);
+        if (now < step.notBefore) {
+            return;
+        }
         const input = {
             step,
             service: terms.service,
--- a/packages/cell/src/scheduler/urgency.ts
+++ b/packages/cell/src/scheduler/urgency.ts
@@ -1,15 +1,69 @@
 /** The order in which ready steps are placed. */
 import type { Milliseconds } from "@pebbledale/core";
 import type { CellContext } from "./cell-context.js";
-import type { Step } from "./entities.js";
-
-/** Negative when `left` goes first: the more urgent priority, then the earlier job. */
-export const compareUrgency = (
-    context: CellContext,
-    left: Step,
-    right: Step,
-    _now: Milliseconds,
-): number => {
-    const byPriority = context.priorityOf(left.job) - context.priorityOf(right.job);
-    return byPriority !== 0 ? byPriority : left.job.acceptedSteady - right.job.acceptedSteady;
+import type { Job, Occurrence, Step } from "./entities.js";
+
+/** What a step can still earn. */
+enum Prospect {
+    /** Its tasks last and serve users all the time: they go first. */
+    Lasting = 0,
+    /** Its job can meet its objective. */
+    OnTime = 1,
+    /** Its job is late, and may earn a part of its worth. */
+    Late = 2,
+    /** Its job is so late that it earns nothing, but it is owed. */
+    Overdue = 3,
+}
+
+/** A job that takes more than this many times its objective earns nothing (the users' rules). */
+const lateFactor = 3;
+
+/** A ready step with what decides its place. */
+export interface RankedStep {
+    readonly step: Step;
+    readonly prospect: Prospect;
+    readonly priority: number;
+    /** The latest time, by the owner's monotonic clock, at which it can begin and its job be on time. */
+    readonly latestStart: Milliseconds;
+}
+
+/** Longest chain of work of an occurrence from a step on, by the callers' estimates. */
+const chainFrom = (occurrence: Occurrence, index: number): Milliseconds => {
+    const { steps } = occurrence;
+    const longest = new Array<Milliseconds>(steps.length).fill(0);
+    for (let later = steps.length - 1; later >= 0; later--) {
+        longest[later] += steps[later].definition.estimate;
+        for (const before of steps[later].definition.after) {
+            longest[before] = Math.max(longest[before], longest[later]);
+        }
+    }
+    return index < 0 ? Math.max(...longest) : longest[index];
 };
+
+/** When an occurrence of a job began to count, by the owner's monotonic clock. */
+const beganAt = (context: CellContext, job: Job, occurrence: Occurrence): Milliseconds => {
+    const dueAt = job.dueAt(occurrence.number);
+    return dueAt === undefined ? job.acceptedSteady : context.now() - (context.wallClock() - dueAt);
+};
+
+/** Ranks one step. */
+export const rank = (context: CellContext, step: Step, now: Milliseconds): RankedStep => {
+    const { job, occurrence, definition } = step;
+    const terms = context.termsOf(job);
+    const began = beganAt(context, job, occurrence);
+    const objective = (terms?.extension ?? 1) * chainFrom(occurrence, -1) + (terms?.latencyTarget ?? 0);
+    const remaining = chainFrom(occurrence, step.index);
+    const latestStart = began + objective - remaining;
+    const priority = context.priorityOf(job);
+    if (definition.isLasting) {
+        return { step, prospect: Prospect.Lasting, priority, latestStart };
+    }
+    const isLate = now > latestStart;
+    const isOverdue = now > began + lateFactor * objective - remaining;
+    const prospect = isOverdue ? Prospect.Overdue : isLate ? Prospect.Late : Prospect.OnTime;
+    return { step, prospect, priority, latestStart };
+};
+
+/** Negative when `left` goes first. */
+export const compareRanks = (left: RankedStep, right: RankedStep): number =>
+    left.prospect - right.prospect || left.priority - right.priority || left.latestStart - right.latestStart;
