Slow workers take nothing new, and what runs there is moved where that loses nothing

Change: the middle one of four or more runs tells a worker's speed; below 0.28 it takes nothing new for 1.5 s after the last sample, runs with saved progress go on elsewhere, steps that allow copies get one; runs at a leaving worker that would not end in time are moved when their progress is saved.

--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -24,8 +24,10 @@
 import { type Job, type Occurrence, RunPhase, type Step, type TaskRun } from "./entities.js";
 import { HealthWatch } from "./health-watch.js";
 import type { CellSnapshot } from "./job-table.js";
+import { Mover } from "./mover.js";
 import type { Turn } from "./outbox.js";
 import { Placer } from "./placer.js";
+import { ProgressWatch } from "./progress-watch.js";
 import type { CellRecord } from "./records.js";
 import { RunBook } from "./run-book.js";
 import { TimetableWatch } from "./timetable-watch.js";
@@ -38,6 +40,7 @@
     readonly #runs: RunBook;
     readonly #advice: AdviceDesk;
     readonly #health: HealthWatch;
+    readonly #mover: Mover;
     readonly #placer: Placer;
     readonly #timetables: TimetableWatch;
     readonly #pool: WorkerPool;
@@ -52,13 +55,15 @@
         });
         this.#advice = new AdviceDesk(this.#context);
         this.#health = new HealthWatch(this.#context);
-        this.#pool = new WorkerPool(this.#context, this.#runs, {
+        const progress = new ProgressWatch(this.#context);
+        this.#mover = new Mover(this.#context, this.#runs, progress);
+        this.#pool = new WorkerPool(this.#context, this.#runs, progress, {
             roomChanged: () => this.#wantsPass = true,
             workerDrains: () => this.#wantsPass = true,
             workerGone: worker => this.#health.forgetWorker(worker),
         });
         this.#timetables = new TimetableWatch(this.#context, occurrence => this.#openOccurrence(occurrence));
-        this.#placer = new Placer(this.#context, this.#runs, this.#advice, this.#health);
+        this.#placer = new Placer(this.#context, this.#runs, this.#advice, this.#health, this.#mover);
     }
 
     /** All workers that are to be asked. */
@@ -274,6 +279,7 @@
     tick(): void {
         this.#pool.tick();
         this.#timetables.tick();
+        this.#mover.tick();
         this.#wantsPass = true;
     }
 
--- a/packages/cell/src/scheduler/constants.ts
+++ b/packages/cell/src/scheduler/constants.ts
@@ -25,3 +25,20 @@
 export const quarantineDoublings = 3;
 /** Most workers that are in quarantine at once, as a share of all. */
 export const quarantineShare = 0.34;
+/** Least time between two samples of a run's progress. A look reports it about twice a second. */
+export const progressInterval = 300;
+/** A run gets this long to get going before its progress counts: restoring saved progress takes up to 600 ms. */
+export const startingTime = 300;
+/** Fewest runs whose progress tells a worker's speed. */
+export const fewestSpeedSamples = 4;
+/**
+ * A worker is slow when the middle one of its runs makes less progress than this share of what the callers' estimates
+ * say. Estimates are off by up to a factor of two, the slowest sound workers by 1.3; slow ones are four times as slow.
+ */
+export const slowSpeed = 0.28;
+/** A worker that was slow is taken for slow for this long after the last sample. */
+export const slowFor = 1_500;
+/** Most workers that are taken for slow at once, as a share of all. */
+export const slowShare = 0.4;
+/** A run at a hindered worker is moved only if more than this share of it, in percent, is left. */
+export const leastLeftToMove = 15;
--- a/packages/cell/src/scheduler/entities.ts
+++ b/packages/cell/src/scheduler/entities.ts
@@ -45,6 +45,9 @@
     /** Progress as last seen, 0 to 100, and when it last changed. */
     percent: number;
     progressedAt: Milliseconds;
+    /** Progress when it was last sampled for its worker's speed, and when that was. */
+    sampledPercent: number;
+    sampledAt: Milliseconds;
     checkpoint: string;
     /** Why it was told to stop; undefined while it was not. */
     stopReason: string | undefined;
@@ -126,6 +129,11 @@
         return this.definition.after.every(index => this.occurrence.steps[index].isDone);
     }
 
+    /** Whether a task has no run. */
+    get hasWaitingTask(): boolean {
+        return this.tasks.some(task => task.phase === TaskPhase.Waiting);
+    }
+
     /** Tasks that have no run. */
     waitingTasks(): Task[] {
         return this.tasks.filter(task => task.phase === TaskPhase.Waiting);
@@ -135,9 +143,17 @@
 /** One time that a job's steps run. */
 export class Occurrence {
     readonly steps: Step[];
+    /** By step, the longest chain of work from it to the end, by the caller's estimates. */
+    readonly chains: readonly Milliseconds[];
 
     constructor(readonly job: Job, readonly number: number, definition: JobDefinition) {
         this.steps = definition.steps.map((step, index) => new Step(this, index, step));
+        this.chains = chainsOf(definition.steps);
+    }
+
+    /** The longest chain of work of all its steps. */
+    get longestChain(): Milliseconds {
+        return Math.max(...this.chains);
     }
 
     /** Whether each of its steps is done. */
@@ -212,3 +228,13 @@
         this.occurrences.clear();
     }
 }
+
+const chainsOf = (steps: readonly StepDefinition[]): Milliseconds[] => {
+    const chains = steps.map(step => step.estimate);
+    for (let later = steps.length - 1; later >= 0; later--) {
+        for (const before of steps[later].after) {
+            chains[before] = Math.max(chains[before], steps[before].estimate + chains[later]);
+        }
+    }
+    return chains;
+};
--- /dev/null
+++ b/packages/cell/src/scheduler/mover.ts
@@ -0,0 +1,95 @@
+/** Moves runs away from workers that are slow, silent or about to leave, where that loses little. */
+import type { Milliseconds } from "@pebbledale/core";
+import type { CellContext } from "./cell-context.js";
+import { leastLeftToMove } from "./constants.js";
+import { RunPhase, type Step, type Task, type TaskRun } from "./entities.js";
+import type { ProgressWatch } from "./progress-watch.js";
+import type { RunBook } from "./run-book.js";
+import { isEligible } from "./worker-choice.js";
+import type { WorkerState } from "./worker-state.js";
+
+/** See the module's comment. */
+export class Mover {
+    constructor(
+        private readonly context: CellContext,
+        private readonly runs: RunBook,
+        private readonly progress: ProgressWatch,
+    ) {}
+
+    /** Looks at all workers for runs that are better off elsewhere. */
+    tick(): void {
+        const now = this.context.now();
+        for (const worker of this.context.workers.values()) {
+            if (worker.slowUntil > now && worker.silentSince === undefined) {
+                this.#moveFromSlow(worker, now);
+            }
+            if (worker.leavesAt !== undefined && worker.entry?.isDraining === true) {
+                this.#moveFromLeaving(worker, worker.leavesAt, now);
+            }
+        }
+    }
+
+    /** Tasks of a step that may have a copy and whose only run is hindered. */
+    tasksToCopy(step: Step, now: Milliseconds): Task[] {
+        if (!step.definition.allowsCopies) {
+            return [];
+        }
+        return step.tasks.filter(({ runs }) =>
+            runs.length === 1 && runs[0].stopReason === undefined && this.progress.isHindered(runs[0].worker, now)
+        );
+    }
+
+    #moveFromSlow(worker: WorkerState, now: Milliseconds): void {
+        for (const run of worker.runs.values()) {
+            const { definition } = run.task.step;
+            const isCheap = definition.savesProgress && !definition.isGang && !definition.isLasting;
+            if (isCheap && isMovable(run) && run.percent < 100 - leastLeftToMove && this.#hasPlace(run, now)) {
+                this.runs.stop(run, "its worker is slow");
+            }
+        }
+    }
+
+    /** What will not end before its worker leaves is stopped in time, if its progress is saved or it lasts. */
+    #moveFromLeaving(worker: WorkerState, leavesAt: Milliseconds, now: Milliseconds): void {
+        for (const run of worker.runs.values()) {
+            const { definition } = run.task.step;
+            const endsAt = expectedEnd(run, now);
+            const isCheap = definition.savesProgress || definition.isLasting;
+            if (isCheap && isMovable(run) && endsAt > leavesAt && this.#hasPlace(run, now)) {
+                this.runs.stop(run, "its worker is about to leave");
+            }
+        }
+    }
+
+    /** Whether another worker could take the task now. */
+    #hasPlace(run: TaskRun, now: Milliseconds): boolean {
+        const { step } = run.task;
+        const terms = this.context.termsOf(step.job);
+        if (terms === undefined) {
+            return false;
+        }
+        for (const worker of this.context.workers.values()) {
+            const isPermitted = step.permits === undefined || step.permits.isPermitted(worker.id);
+            const isOther = worker !== run.worker && isEligible(worker, step, terms.service, now);
+            if (isOther && isPermitted && worker.countFitting(step, 1) > 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
+
+const isMovable = (run: TaskRun): boolean => run.phase === RunPhase.AtWork && run.stopReason === undefined;
+
+/** When a run will end at the speed it had so far; without progress so far, by its estimate. */
+const expectedEnd = (run: TaskRun, now: Milliseconds): Milliseconds => {
+    const { definition } = run.task.step;
+    if (definition.isLasting) {
+        return Infinity;
+    }
+    const began = run.confirmedAt ?? now;
+    if (run.percent <= 0) {
+        return Math.max(now, began) + definition.estimate;
+    }
+    return now + (now - began) / run.percent * (100 - run.percent);
+};
--- a/packages/cell/src/scheduler/placer.ts
+++ b/packages/cell/src/scheduler/placer.ts
@@ -5,6 +5,7 @@
 import { addressOf } from "./definition.js";
 import type { Step, Task } from "./entities.js";
 import type { HealthWatch } from "./health-watch.js";
+import type { Mover } from "./mover.js";
 import type { RunBook } from "./run-book.js";
 import { compareRanks, rank } from "./urgency.js";
 import { candidatesFor, dealAll, isEligible, type Share } from "./worker-choice.js";
@@ -21,6 +22,7 @@
         private readonly runs: RunBook,
         private readonly advice: AdviceDesk,
         private readonly health: HealthWatch,
+        private readonly mover: Mover,
     ) {}
 
     /** Steps that have tasks to place. */
@@ -42,19 +44,18 @@
     place(): void {
         const now = this.context.now();
         this.#kept.clear();
-        const ranked = [...this.#ready].map(step => rank(this.context, step, now)).sort(compareRanks);
+        const ranked = [...this.#ready]
+            .filter(step => step.hasWaitingTask || step.definition.allowsCopies)
+            .map(step => rank(this.context, step, now))
+            .sort(compareRanks);
         for (const { step } of ranked) {
             this.#placeStep(step, now);
         }
     }
 
     #placeStep(step: Step, now: Milliseconds): void {
-        const waiting = step.waitingTasks();
+        const waiting = [...step.waitingTasks(), ...this.mover.tasksToCopy(step, now)];
         const terms = this.context.termsOf(step.job);
-        if (waiting.length === 0 && step.tasks.every(task => task.runs.length === 0)) {
-            this.#ready.delete(step);
-            return;
-        }
         if (waiting.length === 0 || terms === undefined) {
             return;
         }
--- a/packages/cell/src/scheduler/run-book.ts
+++ b/packages/cell/src/scheduler/run-book.ts
@@ -198,6 +198,8 @@
             confirmedAt: undefined,
             percent: 0,
             progressedAt: now,
+            sampledPercent: 0,
+            sampledAt: now,
             checkpoint: "",
             stopReason: undefined,
         };
--- a/packages/cell/src/scheduler/urgency.ts
+++ b/packages/cell/src/scheduler/urgency.ts
@@ -27,19 +27,6 @@
     readonly latestStart: Milliseconds;
 }
 
-/** Longest chain of work of an occurrence from a step on, by the callers' estimates. */
-const chainFrom = (occurrence: Occurrence, index: number): Milliseconds => {
-    const { steps } = occurrence;
-    const longest = new Array<Milliseconds>(steps.length).fill(0);
-    for (let later = steps.length - 1; later >= 0; later--) {
-        longest[later] += steps[later].definition.estimate;
-        for (const before of steps[later].definition.after) {
-            longest[before] = Math.max(longest[before], longest[later]);
-        }
-    }
-    return index < 0 ? Math.max(...longest) : longest[index];
-};
-
 /** When an occurrence of a job began to count, by the owner's monotonic clock. */
 const beganAt = (context: CellContext, job: Job, occurrence: Occurrence): Milliseconds => {
     const dueAt = job.dueAt(occurrence.number);
@@ -51,8 +38,8 @@
     const { job, occurrence, definition } = step;
     const terms = context.termsOf(job);
     const began = beganAt(context, job, occurrence);
-    const objective = (terms?.extension ?? 1) * chainFrom(occurrence, -1) + (terms?.latencyTarget ?? 0);
-    const remaining = chainFrom(occurrence, step.index);
+    const objective = (terms?.extension ?? 1) * occurrence.longestChain + (terms?.latencyTarget ?? 0);
+    const remaining = occurrence.chains[step.index];
     const latestStart = began + objective - remaining;
     const priority = context.priorityOf(job);
     if (definition.isLasting) {
--- a/packages/cell/src/scheduler/worker-pool.ts
+++ b/packages/cell/src/scheduler/worker-pool.ts
@@ -5,6 +5,7 @@
 import type { CellContext } from "./cell-context.js";
 import { leaseMargin, unlistedGrace } from "./constants.js";
 import { type Job, type Task, TaskPhase, type TaskRun } from "./entities.js";
+import type { ProgressWatch } from "./progress-watch.js";
 import type { RunBook } from "./run-book.js";
 import { WorkerState } from "./worker-state.js";
 
@@ -23,6 +24,7 @@
     constructor(
         private readonly context: CellContext,
         private readonly runs: RunBook,
+        private readonly progress: ProgressWatch,
         private readonly listener: WorkerListener,
     ) {}
 
@@ -201,6 +203,7 @@
         settledBefore: Milliseconds,
     ): void {
         const seen = new Set<TaskRun>();
+        const progress: [TaskRun, WorkerRun][] = [];
         let strangers = 0;
         for (const entry of running) {
             const run = worker.runOf(entry.task, entry.run) ?? this.#adopt(worker, entry);
@@ -210,6 +213,7 @@
                 continue;
             }
             seen.add(run);
+            progress.push([run, entry]);
             this.runs.confirm(run);
             this.runs.noteProgress(run, entry);
             if (run.stopReason !== undefined) {
@@ -218,6 +222,7 @@
             }
         }
         worker.strangers = strangers;
+        this.progress.note(worker, progress);
         for (const run of [...worker.runs.values()]) {
             if (seen.has(run)) {
                 continue;
--- a/packages/cell/src/scheduler/worker-state.ts
+++ b/packages/cell/src/scheduler/worker-state.ts
@@ -29,6 +29,8 @@
     strangers = 0;
     /** Takes nothing new before this, by the owner's monotonic clock. */
     quarantinedUntil: Milliseconds = 0;
+    /** Its runs make far less progress than expected; taken for slow until then, by the owner's monotonic clock. */
+    slowUntil: Milliseconds = 0;
     /** After a quarantine: takes one run at a time until one succeeds. */
     isOnProbation = false;
     /** Ends up to this number were taken in. */
@@ -59,7 +61,8 @@
             && this.silentSince === undefined
             && this.unlistedSince === undefined
             && this.strangers === 0
-            && this.quarantinedUntil <= now;
+            && this.quarantinedUntil <= now
+            && this.slowUntil <= now;
     }
 
     /** How many more tasks of a step it takes, at most `most`. */
--- a/packages/core/src/log-events/index.ts
+++ b/packages/core/src/log-events/index.ts
@@ -100,6 +100,8 @@
     workerLapsed: define(4307, "warn", "every lease at a silent worker is over", "Look at the VM."),
     workerGone: define(4308, "info", "a worker is gone", nothing),
     workerQuarantined: define(4309, "warn", "a worker takes no new work for a while", "Look at the VM if it recurs."),
+    workerSlow: define(4310, "warn", "a worker's tasks make little progress", "Look at the VM if it lasts."),
+    workerFast: define(4311, "info", "a worker's tasks make progress again", nothing),
     ownershipClaimed: define(4501, "info", "this VM claims the cell", nothing),
     ownershipBegun: define(4502, "info", "this VM owns the cell", nothing),
     ownershipEnded: define(4503, "info", "this VM no longer owns the cell", nothing),
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -19,10 +19,9 @@
 import { JobService } from "./front/index.js";
 import { clockDrift, ownerHorizon, VmSession } from "./links/index.js";
 import { cellPrefix, CellView, type EntryVm, followKeys, Registration, vmKey } from "./membership/index.js";
-import { dialDelay, dialLimit, rememberVm } from "./owner/constants.js";
 import type { OwnerSession } from "./owner/index.js";
 import { Candidate, ownerLease, vmLease } from "./ownership/index.js";
-import { dialVm, isRefused, listenForOwners } from "./peers/index.js";
+import { isRefused, listenForOwners } from "./peers/index.js";
 import { createMemoryChannel, type OwnerMessage, type VmMessage } from "./protocol/index.js";
 import type { EntrySettings } from "./settings/index.js";
 import { RelayedStore } from "./store-relay/index.js";
@@ -30,8 +29,6 @@
 const millisecondsPerSecond = 1_000;
 /** Limit of the look whether a lost owner's process is gone, in milliseconds. */
 const refusalLimit: Milliseconds = 300;
-/** Time between two looks at which VMs the owner is to dial, in milliseconds. */
-const connectInterval: Milliseconds = 50;
 /** Margin added to the leases of an earlier owner, in milliseconds. */
 const formerLeaseMargin: Milliseconds = 300;
 
@@ -123,7 +120,7 @@
                 deadOwner: this.#deadOwner,
                 isAsked: this.#isAsked,
             }),
-            connectVms: (session, signal) => this.#connectVms(session, signal),
+            connectOwn: session => this.#connectOwn(session),
         });
         this.jobs = new JobService({
             hasOwner: () => this.#session.hasOwner,
@@ -197,42 +194,10 @@
         });
     }
 
-    /** Keeps an owner connected to all VMs that the store shows, or showed lately. */
-    async #connectVms(session: OwnerSession, signal: AbortSignal): Promise<void> {
-        const { clock } = this.options;
+    /** This VM is one of the owner's: it is connected without a socket. */
+    #connectOwn(session: OwnerSession): void {
         const [ownerEnd, vmEnd] = createMemoryChannel<OwnerMessage, VmMessage>();
         this.#session.attach(vmEnd);
         session.connect(this.#self, ownerEnd);
-        const known = new Map<string, { vm: EntryVm; seenAt: Milliseconds; triedAt: Milliseconds; }>();
-        while (!signal.aborted) {
-            const now = clock.monotonic();
-            for (const vm of this.#view.vms.values()) {
-                const triedAt = known.get(vm.name)?.triedAt ?? -Infinity;
-                known.set(vm.name, { vm, seenAt: now, triedAt });
-            }
-            for (const [name, entry] of known) {
-                const isDue = now - entry.triedAt >= dialDelay;
-                if (now - entry.seenAt > rememberVm) {
-                    known.delete(name);
-                }
-                else if (name !== this.#self.name && isDue && !session.isConnected(name)) {
-                    entry.triedAt = now;
-                    void this.#dial(session, entry.vm, signal);
-                }
-            }
-            await clock.sleep(connectInterval, signal);
-        }
-    }
-
-    async #dial(session: OwnerSession, vm: EntryVm, signal: AbortSignal): Promise<void> {
-        const channel = await dialVm(vm.address, dialLimit);
-        if (channel === undefined) {
-            return;
-        }
-        if (signal.aborted || session.isConnected(vm.name)) {
-            channel.close();
-            return;
-        }
-        session.connect(vm, channel);
     }
 }
--- a/packages/entry/src/ownership/candidate.ts
+++ b/packages/entry/src/ownership/candidate.ts
@@ -22,6 +22,7 @@
     journalSnapshotEvery,
 } from "../owner/constants.js";
 import { OwnerSession } from "../owner/index.js";
+import { VmDialer } from "../peers/index.js";
 import { type CampaignInput, claimDelay, reasonToClaim } from "./campaign.js";
 import { campaignInterval, claimRetryDelay, handOverWait } from "./constants.js";
 import { OwnerKey } from "./owner-key.js";
@@ -42,8 +43,8 @@
     readonly formerLeases: Milliseconds;
     /** What is known of the present owner. */
     readonly knownOwner: () => Pick<CampaignInput, "ownerSilence" | "deadOwner" | "isAsked">;
-    /** Serves the connections of an owner until `signal` fires. */
-    readonly connectVms: (session: OwnerSession, signal: AbortSignal) => Promise<void>;
+    /** Connects this VM itself to its own work as owner. */
+    readonly connectOwn: (session: OwnerSession) => void;
 }
 
 /** The one journal of a cell. */
@@ -122,6 +123,8 @@
     async #serve(stop: AbortSignal): Promise<void> {
         const { store, clock, random, logger, self, directory } = this.options;
         const lost = createAbortController();
+        const dialer = new VmDialer(this.options.view, self, clock);
+        const dialing = dialer.run(lost.signal);
         const onStop = () => void this.#handOver(lost);
         stop.addEventListener("abort", onStop);
         try {
@@ -154,14 +157,15 @@
                 onConfiguration: this.options.onConfiguration,
             });
             this.#session = session;
-            const connecting = this.options.connectVms(session, lost.signal);
+            this.options.connectOwn(session);
+            dialer.use(session);
             await session.run();
-            await connecting;
         }
         finally {
             this.#session = undefined;
             const cause: unknown = lost.signal.reason;
             lost.abort();
+            await dialing;
             stop.removeEventListener("abort", onStop);
             logger.log(logEvents.ownershipEnded, {
                 cause: cause instanceof JournalFencedError ? cause.message : String(cause),
--- a/packages/entry/src/peers/index.ts
+++ b/packages/entry/src/peers/index.ts
@@ -1,2 +1,3 @@
 /** Connections among entry VMs. */
 export * from "./server.js";
+export * from "./vm-dialer.js";
