--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -26,6 +26,7 @@
 import type { CellSnapshot } from "./job-table.js";
 import { Mover } from "./mover.js";
 import type { Turn } from "./outbox.js";
+import { PaceKeeper } from "./pace-keeper.js";
 import { Placer } from "./placer.js";
 import { ProgressWatch } from "./progress-watch.js";
 import type { CellRecord } from "./records.js";
@@ -57,7 +58,7 @@
         this.#health = new HealthWatch(this.#context);
         const progress = new ProgressWatch(this.#context);
         this.#mover = new Mover(this.#context, this.#runs, progress);
-        this.#pool = new WorkerPool(this.#context, this.#runs, progress, {
+        this.#pool = new WorkerPool(this.#context, this.#runs, progress, new PaceKeeper(this.#context), {
             roomChanged: () => this.#wantsPass = true,
             workerDrains: () => this.#wantsPass = true,
             workerGone: worker => this.#health.forgetWorker(worker),
--- a/packages/cell/src/scheduler/constants.ts
+++ b/packages/cell/src/scheduler/constants.ts
@@ -42,3 +42,15 @@
 export const slowShare = 0.4;
 /** A run at a hindered worker is moved only if more than this share of it, in percent, is left. */
 export const leastLeftToMove = 15;
+/** Pace of a run that is not slowed down, in percent. */
+export const fullPace = 100;
+/** A filler's pace grows by this much, in percent, each time all tails are well below their targets. */
+export const paceStep = 10;
+/** Below this pace, in percent, fillers stand still. */
+export const paceFloor = 5;
+/** Share of its target at which a tail is near it: it is measured over half a second and shifts within seconds. */
+export const tailNearTarget = 0.8;
+/** Share of its target below which a tail leaves room for fillers to work more. */
+export const tailWellBelowTarget = 0.6;
+/** Added to the cost of a worker with tasks that serve, for tasks that fill. */
+export const servingCost = 100;
--- a/packages/cell/src/scheduler/entities.ts
+++ b/packages/cell/src/scheduler/entities.ts
@@ -49,6 +49,8 @@
     sampledPercent: number;
     sampledAt: Milliseconds;
     checkpoint: string;
+    /** Share of its speed at which it may work, in percent. */
+    pace: number;
     /** Why it was told to stop; undefined while it was not. */
     stopReason: string | undefined;
 }
--- a/packages/cell/src/scheduler/outbox.ts
+++ b/packages/cell/src/scheduler/outbox.ts
@@ -21,8 +21,18 @@
     readonly run: RunNumber;
 }
 
+/** Lets a run work at a share of its speed. */
+export interface PaceCommand {
+    readonly kind: "pace";
+    readonly worker: WorkerId;
+    readonly task: TaskAddress;
+    readonly run: RunNumber;
+    /** From 0 to 100. */
+    readonly percent: number;
+}
+
 /** An order to a worker. */
-export type WorkerCommand = StartCommand | StopCommand;
+export type WorkerCommand = StartCommand | StopCommand | PaceCommand;
 
 /** A question to the advice service. */
 export interface AdviceCommand {
@@ -38,7 +48,7 @@
 /** What one turn led to. */
 export interface Turn {
     readonly records: readonly CellRecord[];
-    /** Stops are sent at once, starts once the records are kept. */
+    /** Stops and paces are sent at once, starts once the records are kept. */
     readonly commands: readonly WorkerCommand[];
     readonly questions: readonly AdviceCommand[];
     /** Once the records are kept: ends that a worker may forget, by worker the highest number. */
--- a/packages/cell/src/scheduler/placer.ts
+++ b/packages/cell/src/scheduler/placer.ts
@@ -76,11 +76,11 @@
             this.#placeGang(step, waiting, candidates, now);
         }
         else {
-            this.#placeTasks(step, waiting, candidates);
+            this.#placeTasks(step, waiting, candidates, now);
         }
     }
 
-    #placeTasks(step: Step, waiting: readonly Task[], candidates: readonly Share[]): void {
+    #placeTasks(step: Step, waiting: readonly Task[], candidates: readonly Share[], now: Milliseconds): void {
         let next = 0;
         for (const { worker, count, ticket } of candidates) {
             const taken = waiting.slice(next, next + count);
@@ -90,8 +90,13 @@
             this.#order(taken, worker, ticket);
             next += taken.length;
         }
-        if (next < waiting.length) {
-            this.advice.wantRoom(step, waiting.length - next);
+        if (next === waiting.length) {
+            return;
+        }
+        this.advice.wantRoom(step, waiting.length - next);
+        if (step.definition.isLasting) {
+            // However full the service is, tasks that last are owed a place.
+            this.#keepRoom(step, waiting.length - next, now);
         }
     }
 
@@ -113,7 +118,7 @@
         }
     }
 
-    /** Keeps workers for a gang that does not fit yet, those with the most room first, until it would fit. */
+    /** Keeps workers for tasks that do not fit yet, those with the most room first, until it would fit. */
     #keepRoom(step: Step, count: number, now: Milliseconds): void {
         const terms = this.context.termsOf(step.job);
         if (terms === undefined) {
--- a/packages/cell/src/scheduler/run-book.ts
+++ b/packages/cell/src/scheduler/run-book.ts
@@ -2,6 +2,7 @@
 import { logEvents, type Milliseconds, type RunNumber, runNumber, type TaskAddress } from "@pebbledale/core";
 import { type EndedRun, OrderRefusal, RunEnd, type WorkerRun } from "../task-worker/index.js";
 import type { CellContext } from "./cell-context.js";
+import { fullPace } from "./constants.js";
 import { CellJobState } from "./definition.js";
 import { type Job, RunPhase, type Step, type Task, TaskPhase, type TaskRun } from "./entities.js";
 import type { WorkerState } from "./worker-state.js";
@@ -201,6 +202,7 @@
             sampledPercent: 0,
             sampledAt: now,
             checkpoint: "",
+            pace: fullPace,
             stopReason: undefined,
         };
         task.runs.push(entry);
--- a/packages/cell/src/scheduler/worker-choice.ts
+++ b/packages/cell/src/scheduler/worker-choice.ts
@@ -1,5 +1,6 @@
 /** Chooses workers for the tasks of one step. */
 import type { Milliseconds, ServiceName } from "@pebbledale/core";
+import { servingCost } from "./constants.js";
 import type { Step } from "./entities.js";
 import type { WorkerState } from "./worker-state.js";
 
@@ -60,8 +61,12 @@
 
 /** Best fit: the less stays free the better, so that room for wide tasks stays whole elsewhere. */
 const costOf = (worker: WorkerState, step: Step, count: number): number => {
-    const { size, dataRack } = step.definition;
+    const { size, dataRack, fills } = step.definition;
     const isFar = dataRack !== undefined && !worker.labels.includes(dataRack);
+    if (fills) {
+        // They get what the others leave unused: the emptiest worker without tasks that serve is best.
+        return (isFar ? farCost : 0) + (worker.hasServingRun ? servingCost : 0) - worker.freeProcessor / 1_000;
+    }
     const left = worker.freeProcessor - count * size.processorThousandths;
     return (isFar ? farCost : 0) + left / 1_000;
 };
--- a/packages/cell/src/scheduler/worker-pool.ts
+++ b/packages/cell/src/scheduler/worker-pool.ts
@@ -5,6 +5,7 @@
 import type { CellContext } from "./cell-context.js";
 import { leaseMargin, unlistedGrace } from "./constants.js";
 import { type Job, type Task, TaskPhase, type TaskRun } from "./entities.js";
+import type { PaceKeeper } from "./pace-keeper.js";
 import type { ProgressWatch } from "./progress-watch.js";
 import type { RunBook } from "./run-book.js";
 import { WorkerState } from "./worker-state.js";
@@ -25,6 +26,7 @@
         private readonly context: CellContext,
         private readonly runs: RunBook,
         private readonly progress: ProgressWatch,
+        private readonly paces: PaceKeeper,
         private readonly listener: WorkerListener,
     ) {}
 
@@ -223,6 +225,7 @@
         }
         worker.strangers = strangers;
         this.progress.note(worker, progress);
+        this.paces.note(worker, progress);
         for (const run of [...worker.runs.values()]) {
             if (seen.has(run)) {
                 continue;
--- a/packages/cell/src/scheduler/worker-state.ts
+++ b/packages/cell/src/scheduler/worker-state.ts
@@ -1,6 +1,7 @@
 /** The owner's view of one life of a worker: its room, what runs there and whether it may be ordered. */
 import type { Milliseconds, RunNumber, TaskAddress, WorkerId } from "@pebbledale/core";
 import type { WorkerEntry } from "../worker-directory/index.js";
+import { fullPace } from "./constants.js";
 import type { StepDefinition, TaskSize } from "./definition.js";
 import type { Step, TaskRun } from "./entities.js";
 
@@ -31,6 +32,8 @@
     quarantinedUntil: Milliseconds = 0;
     /** Its runs make far less progress than expected; taken for slow until then, by the owner's monotonic clock. */
     slowUntil: Milliseconds = 0;
+    /** Share of their speed at which tasks that fill may work here, in percent. */
+    fillerPace = fullPace;
     /** After a quarantine: takes one run at a time until one succeeds. */
     isOnProbation = false;
     /** Ends up to this number were taken in. */
@@ -84,6 +87,16 @@
         return Math.max(0, count);
     }
 
+    /** Whether a task with a latency target runs here. */
+    get hasServingRun(): boolean {
+        for (const { task } of this.runs.values()) {
+            if (task.step.definition.latencyTarget !== undefined) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** How many runs of a step are here. */
     countRunsOf(step: Step): number {
         let count = 0;
--- /dev/null
+++ b/packages/cell/test/scheduler/lasting.test.ts
@@ -0,0 +1,180 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { CellJobState, RunEnd, type StartCommand, type WorkerRun } from "../../src/index.js";
+import { CellDriver, idOf, makeJob, makeStep, makeWorker, running } from "../support/index.js";
+
+const ready = (): CellDriver => {
+    const driver = new CellDriver();
+    driver.addWorkers(makeWorker("w1"));
+    return driver;
+};
+
+const measured = (start: StartCommand, measure: number): WorkerRun => ({ ...running(start, 100), measure });
+
+describe("a task that lasts", () => {
+    it("starts again however it ends, and fails no job", () => {
+        const driver = ready();
+        const { id } = driver.cell.submit(makeJob("j", [makeStep({ isLasting: true })]));
+        const ends = [RunEnd.Failed, RunEnd.Done, RunEnd.Failed, RunEnd.Failed, RunEnd.Lapsed];
+        ends.forEach((end, index) => {
+            driver.clock.advance(1_000);
+            const [start] = driver.run().starts;
+            expect<number>(start.run).toEqual(index + 1);
+            driver.end(start, end);
+        });
+        driver.run();
+        expect(driver.cell.stateOf(id)).toEqual(CellJobState.Running);
+    });
+
+    it("is owed a place before all else, however full the workers are", () => {
+        const driver = ready();
+        driver.cell.submit(makeJob("j", [makeStep({ taskCount: 30 })]));
+        const { starts } = driver.run();
+        const big = { processorThousandths: 6_000, memoryMebibytes: 1, accelerators: 0 };
+        driver.cell.submit(makeJob("l", [makeStep({ isLasting: true, size: big })]));
+        let started: readonly StartCommand[] = [];
+        for (const start of starts) {
+            driver.end(start);
+            started = [...started, ...driver.run().starts];
+        }
+        expect(started.filter(start => start.task.startsWith("l/")).length).toEqual(1);
+        // No task of the first job took the room that came free before there was enough.
+        expect(started.findIndex(start => start.task.startsWith("l/"))).toEqual(0);
+    });
+});
+
+describe("tasks that fill", () => {
+    const target = 100;
+    const fillerAndServer = () => {
+        const driver = ready();
+        driver.cell.submit(makeJob("s", [makeStep({ isLasting: true, latencyTarget: target, image: "web" })]));
+        driver.cell.submit(makeJob("f", [makeStep({ fills: true, isLasting: true })]));
+        const { starts } = driver.run();
+        driver.confirm(...starts);
+        const server = starts.find(start => start.task.startsWith("s/"))!;
+        const filler = starts.find(start => start.task.startsWith("f/"))!;
+        return { driver, server, filler };
+    };
+    const pacesOf = (driver: CellDriver): number[] => {
+        driver.decide();
+        return driver.keep().paces.map(pace => pace.percent);
+    };
+
+    it("take no processor of a worker's room", () => {
+        const driver = ready();
+        const whole = { processorThousandths: 8_000, memoryMebibytes: 1, accelerators: 0 };
+        driver.cell.submit(makeJob("f", [makeStep({ fills: true, size: whole })]));
+        driver.cell.submit(makeJob("j", [makeStep({ size: whole })]));
+        expect(driver.run().starts.length).toEqual(2);
+    });
+
+    it("are slowed down while a task that serves is near its target, and let go in steps", () => {
+        const { driver, server, filler } = fillerAndServer();
+        const look = (tail: number): number[] => {
+            driver.clock.advance(500);
+            driver.look("w1", [measured(server, tail), running(filler)], [], false);
+            return pacesOf(driver);
+        };
+        expect(look(50)).toEqual([]);
+        expect(look(90)).toEqual([50]);
+        expect(look(95)).toEqual([25]);
+        expect(look(70)).toEqual([25]);
+        expect(look(40)).toEqual([35]);
+    });
+
+    it("stand still rather than crawl", () => {
+        const { driver, server, filler } = fillerAndServer();
+        let last: number[] = [];
+        for (let look = 0; look < 8; look++) {
+            driver.look("w1", [measured(server, 200), running(filler)], [], false);
+            last = pacesOf(driver);
+        }
+        expect(last).toEqual([0]);
+    });
+});
+
+describe("a timed job", () => {
+    const interval = 5_000;
+    const timed = (occurrences: number) => {
+        const driver = ready();
+        const firstAt = driver.clock.now().getTime() + interval;
+        const timetable = { occurrences, firstAt, interval };
+        const { id } = driver.cell.submit(makeJob("t", [makeStep()], { timetable }));
+        const at = (time: number): readonly StartCommand[] => {
+            driver.clock.advance(time);
+            driver.cell.tick();
+            return driver.run().starts;
+        };
+        return { driver, id, at };
+    };
+
+    it("starts each occurrence when it is due, not before", () => {
+        const { at } = timed(2);
+        expect(at(interval - 100)).toEqual([]);
+        expect(at(100).map(start => String(start.task))).toEqual(["t/0/0/0"]);
+        expect(at(interval - 100)).toEqual([]);
+        expect(at(100).map(start => String(start.task))).toEqual(["t/1/0/0"]);
+    });
+
+    it("is completed once all occurrences are done, and a next owner knows which are", () => {
+        const { driver, id, at } = timed(2);
+        const [first] = at(interval);
+        driver.end(first);
+        driver.run();
+        expect(driver.cell.stateOf(id)).toEqual(CellJobState.Running);
+        driver.takeOver();
+        driver.cell.changeWorkers([makeWorker("w1")], []);
+        driver.look("w1");
+        const [second] = at(interval);
+        expect(String(second.task)).toEqual("t/1/0/0");
+        driver.end(second);
+        driver.run();
+        expect(driver.cell.stateOf(id)).toEqual(CellJobState.Completed);
+    });
+});
+
+describe("a hindered run", () => {
+    it("gets a copy elsewhere if its step allows copies, and the first that is done ends the other", () => {
+        const driver = ready();
+        driver.cell.submit(makeJob("j", [makeStep({ allowsCopies: true })]));
+        const [first] = driver.run().starts;
+        driver.confirm(first);
+        driver.addWorkers(makeWorker("w2"));
+        driver.cell.takeSilence(idOf("w1"), driver.clock.monotonic() + 6_000);
+        const [copy] = driver.run().starts;
+        expect([String(copy.worker), Number(copy.run)]).toEqual(["w2", 2]);
+        driver.end(copy);
+        expect(driver.run().stops.map(stop => Number(stop.run))).toEqual([1]);
+    });
+
+    it("is moved from a slow worker if its progress is saved, and goes on from there", () => {
+        const driver = new CellDriver();
+        driver.addWorkers(makeWorker("w1"), makeWorker("w2"), makeWorker("w3"));
+        driver.cell.submit(makeJob("j", [makeStep({ taskCount: 5, savesProgress: true, estimate: 2_000 })]));
+        const { starts } = driver.run();
+        driver.confirm(...starts);
+        driver.clock.advance(1_000);
+        driver.look("w1", starts.map(start => running(start, 40, "forty")), [], false);
+        driver.clock.advance(600);
+        driver.look("w1", starts.map(start => running(start, 41, "forty-one")), [], false);
+        driver.cell.tick();
+        const { stops } = driver.run();
+        expect(stops.length).toEqual(5);
+        starts.forEach(start => driver.end(start, RunEnd.Stopped, "forty-one"));
+        const again = driver.run().starts;
+        expect(again.every(start => start.worker !== idOf("w1") && start.checkpoint === "forty-one")).toEqual(true);
+        expect(again.length).toEqual(5);
+    });
+
+    it("is moved from a worker that leaves before it would end, if its progress is saved", () => {
+        const driver = ready();
+        driver.cell.submit(makeJob("j", [makeStep({ savesProgress: true, estimate: 8_000 })]));
+        driver.cell.submit(makeJob("k", [makeStep({ estimate: 8_000 })]));
+        const { starts } = driver.run();
+        driver.confirm(...starts);
+        driver.addWorkers(makeWorker("w2"));
+        driver.cell.changeWorkers([makeWorker("w1", { isDraining: true, leavesIn: 2_000 })], []);
+        driver.cell.tick();
+        expect(driver.run().stops.map(stop => String(stop.task))).toEqual(["j/0/0/0"]);
+    });
+});
--- a/packages/cell/test/support/cell-driver.ts
+++ b/packages/cell/test/support/cell-driver.ts
@@ -8,6 +8,7 @@
     type CellSnapshot,
     type EndedRun,
     type Look,
+    type PaceCommand,
     RunEnd,
     type StartCommand,
     type StopCommand,
@@ -21,6 +22,7 @@
 export interface Output {
     readonly starts: readonly StartCommand[];
     readonly stops: readonly StopCommand[];
+    readonly paces: readonly PaceCommand[];
     readonly questions: readonly AdviceCommand[];
     /** Ends that a worker may forget, by its name. */
     readonly acknowledged: Readonly<Record<string, number>>;
@@ -76,6 +78,7 @@
         return {
             starts: output.flatMap(part => part.starts),
             stops: output.flatMap(part => part.stops),
+            paces: output.flatMap(part => part.paces),
             questions: output.flatMap(part => part.questions),
             acknowledged: Object.assign({}, ...output.map(part => part.acknowledged)) as Record<string, number>,
         };
@@ -127,6 +130,7 @@
                 return isSent;
             }),
             stops: turn.commands.filter(command => command.kind === "stop"),
+            paces: turn.commands.filter(command => command.kind === "pace"),
             questions: turn.questions,
             acknowledged: Object.fromEntries(turn.acknowledgements),
         };
--- a/packages/core/src/log-events/index.ts
+++ b/packages/core/src/log-events/index.ts
@@ -91,6 +91,7 @@
     runStopped: define(4203, "info", "a run is stopped", nothing),
     runEnded: define(4204, "info", "a run ended", nothing),
     runLost: define(4205, "warn", "a run was lost", "Look at the worker it names."),
+    fillersPaced: define(4206, "info", "tasks that fill a worker may work at another pace", nothing),
     workerListed: define(4301, "info", "the platform lists a worker", nothing),
     workerUnlisted: define(4302, "info", "the platform no longer lists a worker", nothing),
     workerSeen: define(4303, "info", "a worker answered this owner for the first time", nothing),
--- a/packages/entry/src/links/constants.ts
+++ b/packages/entry/src/links/constants.ts
@@ -17,3 +17,5 @@
 export const ownerHorizon: Milliseconds = 4_000;
 /** A worker's clock may run this much slower than ours (the workers' protocol says 2%). */
 export const clockDrift = 0.02;
+/** An order to pace a run is given at most this often. */
+export const paceAttempts = 4;
--- a/packages/entry/src/links/worker-link.ts
+++ b/packages/entry/src/links/worker-link.ts
@@ -8,6 +8,7 @@
     type Look,
     type LookRequest,
     OrderRefusal,
+    type PaceCommand,
     type StartCommand,
     type StopCommand,
     type TaskWorkerClient,
@@ -23,6 +24,7 @@
     lookLimit,
     lookWait,
     orderLimit,
+    paceAttempts,
     progressInterval,
     retryDelay,
 } from "./constants.js";
@@ -80,6 +82,9 @@
         if (command.kind === "stop") {
             void this.#stop(command);
         }
+        else if (command.kind === "pace") {
+            void this.#pace(command);
+        }
         else if (this.#reading === undefined) {
             this.#waitingStarts.push(command);
         }
@@ -283,6 +288,20 @@
         }
     }
 
+    /** An order that got no answer is given again, a few times: the full pace is not told a second time. */
+    async #pace({ task, run, percent }: PaceCommand): Promise<void> {
+        for (let attempt = 0; attempt < paceAttempts && !this.#ended.signal.aborted; attempt++) {
+            try {
+                const order = { task, run, percent, token: this.#token };
+                await this.options.client.pace(order, orderLimit, this.#ended.signal);
+                return;
+            }
+            catch {
+                await this.options.clock.sleep(retryDelay, this.#ended.signal);
+            }
+        }
+    }
+
     #untilAcknowledged(): Promise<void> {
         return new Promise(resolve => {
             const timer = setTimeout(() => this.#acknowledged?.(), acknowledgeWait);
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -380,7 +380,7 @@
     /** Carries out what the inputs so far led to; resolves once the records are kept. */
     async #turn(): Promise<void> {
         const turn = this.cell.drain();
-        turn.commands.filter(command => command.kind === "stop").forEach(command => this.#send(command));
+        turn.commands.filter(command => command.kind !== "start").forEach(command => this.#send(command));
         turn.questions.forEach(question => this.#advice.ask(question));
         this.#tidyLinks(turn);
         try {
