--- a/packages/cell/src/configuration/types.ts
+++ b/packages/cell/src/configuration/types.ts
@@ -1,6 +1,7 @@
 /** What operators configure for a cell. */
 import type { Milliseconds, QueueName, ServiceName } from "@pebbledale/core";
 import type { AdvicePolicy } from "../advice/index.js";
+import type { UpkeepWave } from "../upkeep/index.js";
 
 /** A queue that callers hand jobs to. */
 export interface QueueConfiguration {
@@ -46,6 +47,8 @@
 export interface OperatorNews {
     /** Undefined while there is none, or when it did not change since the cursor. */
     readonly configuration: CellConfiguration | undefined;
+    /** Waves of upkeep that are new, or changed. */
+    readonly waves: readonly UpkeepWave[];
     /** Where {@link ConfigurationFeed.follow} goes on. */
     readonly cursor: string;
 }
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -3,4 +3,5 @@
 export * from "./configuration/index.js";
 export * from "./scheduler/index.js";
 export * from "./task-worker/index.js";
+export * from "./upkeep/index.js";
 export * from "./worker-directory/index.js";
--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -16,6 +16,7 @@
 import type { AdviceAnswer } from "../advice/index.js";
 import type { CellConfiguration } from "../configuration/index.js";
 import { type Look, OrderRefusal, type RunEnd } from "../task-worker/index.js";
+import type { PlannedWorker } from "../upkeep/index.js";
 import type { WorkerEntry } from "../worker-directory/index.js";
 import { AdviceDesk } from "./advice-desk.js";
 import { CellContext, type CellOptions } from "./cell-context.js";
@@ -24,7 +25,7 @@
 import { type Job, type Occurrence, RunPhase, type Step, type TaskRun } from "./entities.js";
 import { HealthWatch } from "./health-watch.js";
 import type { CellSnapshot } from "./job-table.js";
-import { Mover } from "./mover.js";
+import { mayLoseOne, Mover } from "./mover.js";
 import type { Turn } from "./outbox.js";
 import { PaceKeeper } from "./pace-keeper.js";
 import { Placer } from "./placer.js";
@@ -284,6 +285,21 @@
         this.#wantsPass = true;
     }
 
+    /** Workers that take nothing new, as their VMs are about to have their upkeep. */
+    closeWorkers(closed: ReadonlySet<WorkerId>): void {
+        for (const worker of this.workers.values()) {
+            this.#wantsPass ||= worker.isClosed && !closed.has(worker.id);
+            worker.isClosed = closed.has(worker.id);
+        }
+    }
+
+    /** What is known of a worker, for the planner of upkeep. */
+    plannedWorkerOf(id: WorkerId): PlannedWorker {
+        const runs = [...this.workers.get(id)?.runs.values() ?? []];
+        const holdsNeeded = runs.some(({ task: { step } }) => step.definition.isLasting && !mayLoseOne(step));
+        return { runs: runs.length, holdsNeeded };
+    }
+
     /** Places what fits. */
     place(): void {
         this.#wantsPass = false;
--- a/packages/cell/src/scheduler/mover.ts
+++ b/packages/cell/src/scheduler/mover.ts
@@ -8,6 +8,9 @@
 import { isEligible } from "./worker-choice.js";
 import type { WorkerState } from "./worker-state.js";
 
+/** Progress of a task that lasts once it is at work, in percent (the users' rules). */
+const servingPercent = 100;
+
 /** See the module's comment. */
 export class Mover {
     constructor(
@@ -23,6 +26,9 @@
             if (worker.slowUntil > now && worker.silentSince === undefined) {
                 this.#moveFromSlow(worker, now);
             }
+            if (worker.isClosed) {
+                this.#emptyClosed(worker, now);
+            }
             if (worker.leavesAt !== undefined && worker.entry?.isDraining === true) {
                 this.#moveFromLeaving(worker, worker.leavesAt, now);
             }
@@ -49,6 +55,18 @@
         }
     }
 
+    /** A worker whose VM is about to have its upkeep: what loses nothing goes elsewhere, the rest ends by itself. */
+    #emptyClosed(worker: WorkerState, now: Milliseconds): void {
+        for (const run of worker.runs.values()) {
+            const { step } = run.task;
+            const { savesProgress, isGang, isLasting } = step.definition;
+            const isCheap = isLasting ? mayLoseOne(step) : savesProgress && !isGang;
+            if (isCheap && isMovable(run) && this.#hasPlace(run, now)) {
+                this.runs.stop(run, "its VM is about to have its upkeep");
+            }
+        }
+    }
+
     /** What will not end before its worker leaves is stopped in time, if its progress is saved or it lasts. */
     #moveFromLeaving(worker: WorkerState, leavesAt: Milliseconds, now: Milliseconds): void {
         for (const run of worker.runs.values()) {
@@ -93,3 +111,13 @@
     }
     return now + (now - began) / run.percent * (100 - run.percent);
 };
+
+/** Whether one more task of a step that lasts may be away through our doing. */
+export const mayLoseOne = ({ definition, tasks }: Step): boolean => {
+    const { mayBeAway } = definition;
+    return mayBeAway === undefined || tasks.filter(task => !isServing(task)).length < mayBeAway;
+};
+
+/** Whether a task that lasts is at work: its progress is complete once it serves. */
+const isServing = (task: Task): boolean =>
+    task.runs.some(run => run.phase === RunPhase.AtWork && run.percent >= servingPercent);
--- a/packages/cell/src/scheduler/worker-state.ts
+++ b/packages/cell/src/scheduler/worker-state.ts
@@ -34,6 +34,8 @@
     slowUntil: Milliseconds = 0;
     /** Share of their speed at which tasks that fill may work here, in percent. */
     fillerPace = fullPace;
+    /** Its VM is about to have its upkeep: it takes nothing new. */
+    isClosed = false;
     /** After a quarantine: takes one run at a time until one succeeds. */
     isOnProbation = false;
     /** Ends up to this number were taken in. */
@@ -64,6 +66,7 @@
             && this.silentSince === undefined
             && this.unlistedSince === undefined
             && this.strangers === 0
+            && !this.isClosed
             && this.quarantinedUntil <= now
             && this.slowUntil <= now;
     }
--- a/packages/cell/src/worker-directory/index.ts
+++ b/packages/cell/src/worker-directory/index.ts
@@ -1,6 +1,7 @@
 /** Workers as they record themselves in the platform's store. */
 import type { Milliseconds, ServiceName, WorkerId } from "@pebbledale/core";
 import type { TaskSize } from "../scheduler/index.js";
+import type { VmId } from "../upkeep/index.js";
 
 /** One life of a worker, as it last described itself. */
 export interface WorkerEntry {
@@ -11,7 +12,7 @@
     readonly service: ServiceName;
     readonly dataHall: string;
     /** The VM that it lives on; its rack and room are the VM's. Empty when it names none. */
-    readonly vm: string;
+    readonly vm: VmId;
     readonly capacity: TaskSize;
     /** Its kind and its rack. */
     readonly labels: readonly string[];
--- a/packages/cell/test/support/builders.ts
+++ b/packages/cell/test/support/builders.ts
@@ -1,11 +1,12 @@
 /** Makes what tests of the cell hand in. */
 import { jobId, queueName, serviceName, type WorkerId, workerId } from "@pebbledale/core";
-import type {
-    CellConfiguration,
-    JobDefinition,
-    QueueConfiguration,
-    StepDefinition,
-    WorkerEntry,
+import {
+    type CellConfiguration,
+    type JobDefinition,
+    type QueueConfiguration,
+    type StepDefinition,
+    vmId,
+    type WorkerEntry,
 } from "../../src/index.js";
 
 /** The one service of most tests. */
@@ -75,7 +76,7 @@
     address: `10.0.0.1:${1_000 + id.length}`,
     service,
     dataHall: "hall-a",
-    vm: `vm-of-${id}`,
+    vm: vmId(`vm-of-${id}`),
     capacity: { processorThousandths: 8_000, memoryMebibytes: 32_768, accelerators: 0 },
     labels: ["a", "r1"],
     isDraining: false,
--- a/packages/entry/src/configuration/watch.ts
+++ b/packages/entry/src/configuration/watch.ts
@@ -1,5 +1,5 @@
 /** The newest configuration that this VM knows, from the store, the owner or other VMs. Never goes back. */
-import { type CellConfiguration, type ConfigurationFeed, QueueDirectory } from "@pebbledale/cell";
+import { type CellConfiguration, type ConfigurationFeed, QueueDirectory, type UpkeepWave } from "@pebbledale/cell";
 import { type Clock, logEvents, type Milliseconds } from "@pebbledale/core";
 import type { EventLogger } from "@pebbledale/runtime";
 
@@ -15,11 +15,14 @@
     readonly logger: EventLogger;
     /** Told of each newer version. */
     readonly onChange: (configuration: CellConfiguration) => void;
+    /** Told of waves of upkeep. */
+    readonly onWaves: (waves: readonly UpkeepWave[]) => void;
 }
 
 /** See the module's comment. */
 export class ConfigurationWatch {
     #queues: QueueDirectory | undefined;
+    readonly #waves = new Map<number, UpkeepWave>();
     #isReachable = true;
 
     constructor(private readonly options: ConfigurationWatchOptions) {}
@@ -34,6 +37,11 @@
         return this.#queues?.configuration;
     }
 
+    /** All waves of upkeep that are known. */
+    get waves(): readonly UpkeepWave[] {
+        return [...this.#waves.values()];
+    }
+
     /** Whether the store answered the last call. */
     get isStoreReachable(): boolean {
         return this.#isReachable;
@@ -78,6 +86,10 @@
         if (news?.configuration !== undefined) {
             this.take(news.configuration, "store");
         }
+        if (news !== undefined && news.waves.length > 0) {
+            news.waves.forEach(wave => this.#waves.set(wave.wave, wave));
+            this.options.onWaves(news.waves);
+        }
         return news?.cursor;
     }
 
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -19,7 +19,7 @@
 import { JobService } from "./front/index.js";
 import { clockDrift, ownerHorizon, VmSession } from "./links/index.js";
 import { cellPrefix, CellView, type EntryVm, followKeys, Registration, vmKey } from "./membership/index.js";
-import type { OwnerSession } from "./owner/index.js";
+import type { OwnerSession, OwnerUpkeep } from "./owner/index.js";
 import { Candidate, ownerLease, vmLease } from "./ownership/index.js";
 import { isRefused, listenForOwners } from "./peers/index.js";
 import { createMemoryChannel, type OwnerMessage, type VmMessage } from "./protocol/index.js";
@@ -44,6 +44,8 @@
     readonly configuration: ConfigurationFeed;
     readonly clients: TaskWorkerClients;
     readonly advice: AdviceClient | undefined;
+    /** The platform's service of VMs and the board of waves, over this way to the store; undefined without one. */
+    readonly upkeep: ((store: PlatformStore & ChangeFeed) => OwnerUpkeep) | undefined;
 }
 
 /** See the module's comment. */
@@ -85,6 +87,7 @@
                 this.#session.tellConfiguration(configuration);
                 this.#candidate.session?.configure(configuration);
             },
+            onWaves: waves => this.#candidate.session?.addWaves(waves),
         });
         this.#session = new VmSession({
             clients: options.clients,
@@ -120,6 +123,8 @@
                 deadOwner: this.#deadOwner,
                 isAsked: this.#isAsked,
             }),
+            waves: () => this.#configuration.waves,
+            upkeep: options.upkeep?.(this.#store),
             connectOwn: session => this.#connectOwn(session),
         });
         this.jobs = new JobService({
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -7,11 +7,15 @@
     type JobDefinition,
     type StartCommand,
     type Turn,
+    type UpkeepWave,
+    type VmService,
+    type WaveBoard,
     type WorkerCommand,
     type WorkerDirectory,
 } from "@pebbledale/cell";
 import {
     type Clock,
+    fencingToken,
     type JobId,
     type Journal,
     type JournalContents,
@@ -35,6 +39,7 @@
     tickInterval,
     vmSilence,
 } from "./constants.js";
+import { UpkeepKeeper } from "./upkeep-keeper.js";
 import { VmLink } from "./vm-link.js";
 
 /** What an owner needs. */
@@ -52,6 +57,16 @@
     readonly lost: AbortController;
     /** Told of a configuration that a VM saw. */
     readonly onConfiguration: (configuration: CellConfiguration) => void;
+    /** The platform's service of VMs; undefined where there is none. */
+    readonly upkeep: OwnerUpkeep | undefined;
+}
+
+/** What an owner needs for waves of upkeep. */
+export interface OwnerUpkeep {
+    readonly vms: VmService;
+    readonly board: WaveBoard;
+    readonly upkeepTime: Milliseconds;
+    readonly turnLength: Milliseconds;
 }
 
 /** Messages that concern one worker's link. */
@@ -69,6 +84,7 @@
     readonly #assignments: Assignments;
     readonly #advice: AdviceDispatcher;
     readonly #openedAt: Milliseconds;
+    readonly #upkeep: UpkeepKeeper | undefined;
     #configuration: CellConfiguration | undefined;
     #isTurnDue = false;
     #isHandingOver = false;
@@ -87,6 +103,15 @@
         this.#openedAt = clock.monotonic();
         this.#assignments = new Assignments(journal.epoch, name, () => clock.monotonic());
         this.#advice = new AdviceDispatcher(() => clock.monotonic());
+        this.#upkeep = options.upkeep && new UpkeepKeeper({
+            ...options.upkeep,
+            clock,
+            logger,
+            orderer: { holder: name, token: fencingToken(journal.epoch) },
+            workerOf: worker => this.cell.plannedWorkerOf(worker),
+            closeWorkers: closed => this.cell.closeWorkers(closed),
+            signal: options.lost.signal,
+        });
         if (options.configuration !== undefined) {
             this.configure(options.configuration);
         }
@@ -133,6 +158,11 @@
         this.#requestTurn();
     }
 
+    /** Takes waves of upkeep in. */
+    addWaves(waves: readonly UpkeepWave[]): void {
+        this.#upkeep?.add(waves);
+    }
+
     /** Whether a VM is connected. */
     isConnected(name: string): boolean {
         return this.#vms.has(name);
--- /dev/null
+++ b/packages/entry/src/owner/upkeep-keeper.ts
@@ -0,0 +1,117 @@
+/** Has VMs take their upkeep as operators ask in waves, while this VM is the owner. */
+import {
+    type PlannedWorker,
+    type UpkeepWave,
+    type VmId,
+    type VmOrderAnswer,
+    type VmOrderer,
+    type VmService,
+    type WaveBoard,
+    WavePlanner,
+    WaveState,
+} from "@pebbledale/cell";
+import { type Clock, logEvents, type Milliseconds, type WorkerId } from "@pebbledale/core";
+import type { EventLogger } from "@pebbledale/runtime";
+
+/** What a keeper needs. */
+export interface UpkeepKeeperOptions {
+    readonly vms: VmService;
+    readonly board: WaveBoard;
+    readonly clock: Clock;
+    readonly logger: EventLogger;
+    readonly orderer: VmOrderer;
+    /** How long a VM is down. */
+    readonly upkeepTime: Milliseconds;
+    /** How long after a take-over the former owner's orders count as its turn. */
+    readonly turnLength: Milliseconds;
+    readonly workerOf: (worker: WorkerId) => PlannedWorker;
+    readonly closeWorkers: (closed: ReadonlySet<WorkerId>) => void;
+    readonly signal: AbortSignal;
+}
+
+/** Time between two looks at the VMs while a wave runs, in milliseconds: two readings a second of the sixty allowed. */
+const lookInterval: Milliseconds = 500;
+
+/** See the module's comment. */
+export class UpkeepKeeper {
+    readonly #planner: WavePlanner;
+    readonly #told = new Map<number, WaveState>();
+    #isRunning = false;
+
+    constructor(private readonly options: UpkeepKeeperOptions) {
+        const { clock, workerOf, upkeepTime } = options;
+        this.#planner = new WavePlanner({ now: () => clock.monotonic(), workerOf, upkeepTime });
+    }
+
+    /** Takes waves in. */
+    add(waves: readonly UpkeepWave[]): void {
+        waves.forEach(wave => this.#planner.add(wave));
+        if (this.#planner.isBusy && !this.#isRunning) {
+            this.#isRunning = true;
+            void this.#run();
+        }
+    }
+
+    async #run(): Promise<void> {
+        const { clock, signal, turnLength, logger, closeWorkers } = this.options;
+        await clock.sleep(turnLength, signal);
+        let hasRead = false;
+        while (this.#planner.isBusy && !signal.aborted) {
+            try {
+                hasRead ||= await this.#readCompleted();
+                await this.#round();
+            }
+            catch (cause) {
+                logger.log(logEvents.upkeepFailed, { cause: String(cause) });
+            }
+            await clock.sleep(lookInterval, signal);
+        }
+        closeWorkers(new Set());
+        this.#isRunning = false;
+    }
+
+    async #readCompleted(): Promise<true> {
+        (await this.options.board.completed(this.options.signal)).forEach(wave => this.#planner.noteCompleted(wave));
+        return true;
+    }
+
+    async #round(): Promise<void> {
+        const { vms, signal, closeWorkers } = this.options;
+        this.#planner.takeList(await vms.list(signal));
+        const { closed, begin, states } = this.#planner.plan();
+        closeWorkers(closed);
+        await Promise.all(begin.map(({ wave, vm }) => this.#begin(wave, vm)));
+        for (const [wave, state] of states) {
+            await this.#tell(wave, state);
+        }
+    }
+
+    async #begin(wave: number, vm: VmId): Promise<void> {
+        const { vms, orderer, signal, logger } = this.options;
+        this.#planner.noteOrdered(wave, vm);
+        const answer = await vms.beginUpkeep(vm, wave, orderer, signal).catch((): undefined => undefined);
+        logger.log(logEvents.upkeepOrdered, { wave, vm, answer: answer?.kind ?? "none" });
+        this.#takeAnswer(wave, vm, answer);
+    }
+
+    #takeAnswer(wave: number, vm: VmId, answer: VmOrderAnswer | undefined): void {
+        if (answer?.kind === "done") {
+            this.#planner.noteConfirmed(wave, vm);
+        }
+        else if (answer !== undefined) {
+            this.#planner.noteRefused(wave, vm);
+        }
+    }
+
+    async #tell(wave: number, state: WaveState): Promise<void> {
+        if (this.#told.get(wave) === state) {
+            return;
+        }
+        await this.options.board.tell(wave, state);
+        this.#told.set(wave, state);
+        if (state === WaveState.Completed) {
+            this.#planner.noteCompleted(wave);
+        }
+        this.options.logger.log(logEvents.waveTold, { wave, state });
+    }
+}
--- a/packages/entry/src/ownership/candidate.ts
+++ b/packages/entry/src/ownership/candidate.ts
@@ -1,5 +1,5 @@
 /** Campaigns for the cell, and serves as its owner while this VM has it. */
-import type { CellConfiguration, WorkerDirectory } from "@pebbledale/cell";
+import type { CellConfiguration, UpkeepWave, WorkerDirectory } from "@pebbledale/cell";
 import {
     absentVersion,
     type Clock,
@@ -21,7 +21,7 @@
     journalRingSize,
     journalSnapshotEvery,
 } from "../owner/constants.js";
-import { OwnerSession } from "../owner/index.js";
+import { OwnerSession, type OwnerUpkeep } from "../owner/index.js";
 import { VmDialer } from "../peers/index.js";
 import { type CampaignInput, claimDelay, reasonToClaim } from "./campaign.js";
 import { campaignInterval, claimRetryDelay, handOverWait } from "./constants.js";
@@ -41,6 +41,9 @@
     readonly configuration: () => CellConfiguration | undefined;
     readonly onConfiguration: (configuration: CellConfiguration) => void;
     readonly formerLeases: Milliseconds;
+    /** Waves of upkeep that are known. */
+    readonly waves: () => readonly UpkeepWave[];
+    readonly upkeep: OwnerUpkeep | undefined;
     /** What is known of the present owner. */
     readonly knownOwner: () => Pick<CampaignInput, "ownerSilence" | "deadOwner" | "isAsked">;
     /** Connects this VM itself to its own work as owner. */
@@ -155,8 +158,10 @@
                 formerLeases: this.options.formerLeases,
                 lost,
                 onConfiguration: this.options.onConfiguration,
+                upkeep: this.options.upkeep,
             });
             this.#session = session;
+            session.addWaves(this.options.waves());
             this.options.connectOwn(session);
             dialer.use(session);
             await session.run();
--- a/packages/entry/src/settings/types.ts
+++ b/packages/entry/src/settings/types.ts
@@ -9,6 +9,10 @@
     readonly stopWithin: Milliseconds;
     /** Members of a gang wait this long for the others. */
     readonly gangWait: Milliseconds;
+    /** How long a VM is down for its upkeep. */
+    readonly upkeepTime: Milliseconds;
+    /** Two holders that both order a VM may not take turns within this time. */
+    readonly orderTurn: Milliseconds;
 }
 
 /** The platform's store and what it allows. */
@@ -37,5 +41,7 @@
     readonly store: StoreSettings;
     /** IP number and port of the advice service; undefined where there is none. */
     readonly adviceAddress: string | undefined;
+    /** IP number and port of the platform's service of VMs; undefined where there is none. */
+    readonly vmServiceAddress: string | undefined;
     readonly bounds: EntryBounds;
 }
