--- a/packages/entry/src/configuration/watch.ts
+++ b/packages/entry/src/configuration/watch.ts
@@ -8,6 +8,12 @@
 /** Wait before the store is asked again after a failure, in milliseconds. */
 const retryDelay: Milliseconds = 150;
 
+/**
+ * A VM that hears of a newer configuration waits this long for the store to show it before it asks for it, in
+ * milliseconds: all VMs see it there within a few, and it may be half a megabyte.
+ */
+export const configurationGrace: Milliseconds = 100;
+
 /** What a watch needs. */
 export interface ConfigurationWatchOptions {
     readonly feed: ConfigurationFeed;
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -84,7 +84,7 @@
             clock,
             logger,
             onChange: configuration => {
-                this.#session.tellConfiguration(configuration);
+                this.#session.tellConfiguration(configuration.version);
                 this.#candidate.session?.configure(configuration);
             },
             onWaves: waves => this.#candidate.session?.addWaves(waves),
@@ -96,6 +96,7 @@
             leaseLength: settings.bounds.longestLease,
             store,
             onHandOver: () => this.#isAsked = true,
+            configuration: () => this.#configuration.configuration,
             onConfiguration: configuration => this.#configuration.take(configuration, "owner"),
             onOwner: hasOwner => this.#noteOwner(hasOwner),
         });
--- a/packages/entry/src/links/vm-session.ts
+++ b/packages/entry/src/links/vm-session.ts
@@ -2,6 +2,7 @@
 import type { AdviceClient, CellConfiguration, TaskWorkerClients } from "@pebbledale/cell";
 import type { ChangeFeed, Clock, Epoch, Milliseconds, PlatformStore } from "@pebbledale/core";
 import { createAbortController } from "@pebbledale/runtime";
+import { configurationGrace } from "../configuration/index.js";
 import type { AskMessage, Channel, OwnerMessage, OwnerReply, OwnerRequest, VmMessage } from "../protocol/index.js";
 import { performOperation, type StoreOperation } from "../store-relay/index.js";
 import { Links } from "./links.js";
@@ -21,6 +22,8 @@
     readonly store: PlatformStore & ChangeFeed;
     /** The owner stops and asks this VM to take over. */
     readonly onHandOver: () => void;
+    /** The newest configuration that this VM knows. */
+    readonly configuration: () => CellConfiguration | undefined;
     readonly onConfiguration: (configuration: CellConfiguration) => void;
     /** Told when there is a new owner, or none. */
     readonly onOwner: (hasOwner: boolean) => void;
@@ -90,9 +93,9 @@
         });
     }
 
-    /** Tells the owner of a configuration that this VM saw. */
-    tellConfiguration(configuration: CellConfiguration): void {
-        this.#channel?.send({ kind: "configuration", configuration });
+    /** Tells the owner that this VM knows a configuration of this version. */
+    tellConfiguration(version: number): void {
+        this.#channel?.send({ kind: "configuration-version", version });
     }
 
     /** Tells the owner, and each that follows, that this VM is about to stop. */
@@ -157,6 +160,12 @@
             case "configuration":
                 this.options.onConfiguration(message.configuration);
                 break;
+            case "configuration-version":
+                void this.#wantConfiguration(message.version);
+                break;
+            case "want-configuration":
+                this.#sendConfiguration();
+                break;
             case "store-call":
                 void this.#callStore(message.call, message.operation);
                 break;
@@ -174,6 +183,21 @@
         this.#links.noteOwner();
     }
 
+    /** The owner knows a newer configuration: it is asked for it, unless the store shows it meanwhile. */
+    async #wantConfiguration(version: number): Promise<void> {
+        await this.options.clock.sleep(configurationGrace);
+        if (version > (this.options.configuration()?.version ?? 0)) {
+            this.#channel?.send({ kind: "want-configuration" });
+        }
+    }
+
+    #sendConfiguration(): void {
+        const configuration = this.options.configuration();
+        if (configuration !== undefined) {
+            this.#channel?.send({ kind: "configuration", configuration });
+        }
+    }
+
     async #callStore(call: number, operation: StoreOperation): Promise<void> {
         const channel = this.#channel;
         try {
--- a/packages/entry/src/owner/constants.ts
+++ b/packages/entry/src/owner/constants.ts
@@ -15,10 +15,10 @@
 export const rememberVm: Milliseconds = 30_000;
 /** Least time between two writes of the journal: bounds the writes of the cell. */
 export const commitInterval: Milliseconds = 20;
-/** Keys of the journal's ring. */
-export const journalRingSize = 4_096;
+/** Keys of the journal's ring: a new owner reads them all, so there are few. */
+export const journalRingSize = 1_024;
 /** Segments after which a snapshot may replace them. */
-export const journalSnapshotEvery = 512;
+export const journalSnapshotEvery = 400;
 /** Largest value that the journal writes, in bytes, well below the store's limit with its encoding. */
 export const journalLargestBytes = 500_000;
 /** Wait before a write without an answer is settled. */
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -26,6 +26,7 @@
 } from "@pebbledale/core";
 import type { EventLogger } from "@pebbledale/runtime";
 import { AdviceDispatcher } from "../advice/index.js";
+import { configurationGrace } from "../configuration/index.js";
 import type { EntryVm } from "../membership/index.js";
 import type { Channel, OwnerMessage, OwnerReply, OwnerRequest, VmMessage } from "../protocol/index.js";
 import type { StoreRelay } from "../store-relay/index.js";
@@ -55,6 +56,10 @@
     readonly formerLeases: Milliseconds;
     /** Fires when the cell is lost to another owner. */
     readonly lost: AbortController;
+    /** Told of a VM that gave no sign of life for too long. */
+    readonly onSilentVm: (name: string) => void;
+    /** Whether this VM has been cut off from most of the others. */
+    readonly isCutOff: () => boolean;
     /** Told of a configuration that a VM saw. */
     readonly onConfiguration: (configuration: CellConfiguration) => void;
     /** The platform's service of VMs; undefined where there is none. */
@@ -154,7 +159,7 @@
         }
         this.#configuration = configuration;
         this.cell.configure(configuration);
-        this.#vms.forEach(vm => vm.channel.send({ kind: "configuration", configuration }));
+        this.#vms.forEach(vm => vm.channel.send({ kind: "configuration-version", version: configuration.version }));
         this.#requestTurn();
     }
 
@@ -178,7 +183,7 @@
         channel.onClose = () => this.#drop(link);
         channel.send({ kind: "welcome", epoch: journal.epoch, owner: name });
         if (this.#configuration !== undefined) {
-            channel.send({ kind: "configuration", configuration: this.#configuration });
+            channel.send({ kind: "configuration-version", version: this.#configuration.version });
         }
         this.#advice.join(
             vm.name,
@@ -188,14 +193,14 @@
         this.#assignments.even(this.cell.workers, link, [...this.#vms.values()]);
     }
 
-    /** VMs that can make calls of the store for this one. */
+    /** VMs that can make calls of the store for this one, those first whose last call was answered. */
     storeRelays(): StoreRelay[] {
         const others = [...this.#vms.values()].filter(link => link.vm.name !== this.options.name);
         const first = this.#nextRelay++;
-        return others.map((_, index) => {
-            const link = others[(first + index) % others.length];
-            return operation => link.callStore(operation);
-        });
+        const inTurn = others.map((_, index) => others[(first + index) % others.length]);
+        const trusted = inTurn.filter(link => !link.isStoreDoubtful);
+        const doubtful = inTurn.filter(link => link.isStoreDoubtful);
+        return [...trusted, ...doubtful].map(link => operation => link.callStore(operation));
     }
 
     /** Gives the cell to another VM once all that was accepted is kept; false when there is none. */
@@ -213,6 +218,20 @@
         return successor !== undefined;
     }
 
+    /** A VM knows a newer configuration: it is asked for it, unless the store shows it meanwhile. */
+    async #wantConfiguration(link: VmLink, version: number): Promise<void> {
+        await this.options.clock.sleep(configurationGrace, this.options.lost.signal);
+        if (version > (this.#configuration?.version ?? 0)) {
+            link.channel.send({ kind: "want-configuration" });
+        }
+    }
+
+    #sendConfiguration(link: VmLink): void {
+        if (this.#configuration !== undefined) {
+            link.channel.send({ kind: "configuration", configuration: this.#configuration });
+        }
+    }
+
     /** A VM is about to stop: its links and questions go to others. */
     #takeLeave(link: VmLink): void {
         link.isLeaving = true;
@@ -247,9 +266,14 @@
         const now = this.options.clock.monotonic();
         for (const link of [...this.#vms.values()]) {
             if (now - link.heardAt > vmSilence) {
+                this.options.onSilentVm(link.vm.name);
                 this.#drop(link);
             }
         }
+        if (this.options.isCutOff()) {
+            // Others that reach each other serve better; without a claim of theirs this VM comes back.
+            this.stepDown("this VM is cut off from most of the others");
+        }
     }
 
     #take(link: VmLink, message: VmMessage): void {
@@ -262,6 +286,12 @@
             case "configuration":
                 this.options.onConfiguration(message.configuration);
                 break;
+            case "configuration-version":
+                void this.#wantConfiguration(link, message.version);
+                return;
+            case "want-configuration":
+                this.#sendConfiguration(link);
+                return;
             case "advised": {
                 const command = this.#advice.answered(message.question);
                 if (command !== undefined) {
@@ -500,8 +530,8 @@
     }
 }
 
-/** A VM that started later has been stopped already, where all are stopped in turn; then the larger one. */
-const isBetterSuccessor = (left: VmLink, right: VmLink): boolean =>
-    left.vm.startedAt !== right.vm.startedAt
-        ? left.vm.startedAt > right.vm.startedAt
-        : left.vm.processorShare > right.vm.processorShare;
+/** The larger VM; among equals the one that started last, as it has been stopped already where all are in turn. */
+const isBetterSuccessor = ({ vm: left }: VmLink, { vm: right }: VmLink): boolean =>
+    left.processorShare !== right.processorShare
+        ? left.processorShare > right.processorShare
+        : left.startedAt > right.startedAt;
--- a/packages/entry/src/owner/vm-link.ts
+++ b/packages/entry/src/owner/vm-link.ts
@@ -19,6 +19,8 @@
     heardAt: Milliseconds;
     /** Whether it is about to stop: it gets no links and no questions. */
     isLeaving = false;
+    /** Whether its last call of the store for the owner had no answer. */
+    isStoreDoubtful = false;
     readonly #calls = new Map<number, StoreCall>();
     #nextCall = 1;
 
@@ -54,6 +56,7 @@
         }
         this.#calls.delete(number);
         clearTimeout(call.timer);
+        this.isStoreDoubtful = !isAnswered;
         if (isAnswered) {
             call.resolve(answer);
         }
--- a/packages/entry/src/ownership/candidate.ts
+++ b/packages/entry/src/ownership/candidate.ts
@@ -24,7 +24,7 @@
 import { OwnerSession, type OwnerUpkeep } from "../owner/index.js";
 import { VmDialer } from "../peers/index.js";
 import { type CampaignInput, claimDelay, reasonToClaim } from "./campaign.js";
-import { campaignInterval, claimRetryDelay, handOverWait } from "./constants.js";
+import { campaignInterval, claimRetryDelay, handOverWait, isolationLimit, reachLimit } from "./constants.js";
 import { OwnerKey } from "./owner-key.js";
 
 /** What a candidate needs. */
@@ -57,6 +57,8 @@
 export class Candidate {
     #session: OwnerSession | undefined;
     #wantsSince: Milliseconds | undefined;
+    /** Since when this VM wants the cell and reaches too few of the others. */
+    #isolatedSince: Milliseconds | undefined;
 
     constructor(private readonly options: CandidateOptions) {}
 
@@ -108,26 +110,45 @@
         const { store, clock, view, self, leaseLength, logger } = this.options;
         const value = JSON.stringify({ name: self.name, address: self.address, process: self.process });
         const key = new OwnerKey({ store, clock, value, leaseLength });
-        if (!await key.claim(view.ownerVersion ?? absentVersion)) {
-            return;
-        }
-        logger.log(logEvents.ownershipClaimed, { reason });
         const released = createAbortController();
-        const keeping = key.keep(released.signal);
+        const dialer = new VmDialer(view, self, clock);
+        const dialing = dialer.run(released.signal);
+        let keeping: Promise<void> | undefined;
         try {
-            await this.#serve(stop);
+            if (!await this.#reachesOthers(dialer) || !await key.claim(view.ownerVersion ?? absentVersion)) {
+                return;
+            }
+            logger.log(logEvents.ownershipClaimed, { reason });
+            keeping = key.keep(released.signal);
+            await this.#serve(dialer, stop);
         }
         finally {
             released.abort();
-            await keeping;
+            await Promise.all([dialing, keeping]);
+        }
+    }
+
+    /** Whether this VM reaches others, or nobody has claimed the cell for so long that it does not matter. */
+    async #reachesOthers(dialer: VmDialer): Promise<boolean> {
+        const { clock, logger } = this.options;
+        await dialer.untilReached(reachLimit);
+        if (!dialer.isIsolated) {
+            this.#isolatedSince = undefined;
+            return true;
+        }
+        const now = clock.monotonic();
+        this.#isolatedSince ??= now;
+        if (now - this.#isolatedSince > isolationLimit) {
+            return true;
         }
+        logger.log(logEvents.claimAbandoned, { isolatedFor: now - this.#isolatedSince });
+        await clock.sleep(claimRetryDelay);
+        return false;
     }
 
-    async #serve(stop: AbortSignal): Promise<void> {
+    async #serve(dialer: VmDialer, stop: AbortSignal): Promise<void> {
         const { store, clock, random, logger, self, directory } = this.options;
         const lost = createAbortController();
-        const dialer = new VmDialer(this.options.view, self, clock);
-        const dialing = dialer.run(lost.signal);
         const onStop = () => void this.#handOver(lost);
         stop.addEventListener("abort", onStop);
         try {
@@ -157,6 +178,8 @@
                 configuration: this.options.configuration(),
                 formerLeases: this.options.formerLeases,
                 lost,
+                onSilentVm: name => dialer.noteSilence(name),
+                isCutOff: () => dialer.hasBeenCutOff,
                 onConfiguration: this.options.onConfiguration,
                 upkeep: this.options.upkeep,
             });
@@ -170,7 +193,6 @@
             this.#session = undefined;
             const cause: unknown = lost.signal.reason;
             lost.abort();
-            await dialing;
             stop.removeEventListener("abort", onStop);
             logger.log(logEvents.ownershipEnded, {
                 cause: cause instanceof JournalFencedError ? cause.message : String(cause),
--- a/packages/entry/src/ownership/constants.ts
+++ b/packages/entry/src/ownership/constants.ts
@@ -17,3 +17,7 @@
 export const handOverWait: Milliseconds = 1_500;
 /** The owner's lease is renewed this many times in its length. */
 export const renewalsPerLease = 3;
+/** How long a candidate waits for its dials before it takes itself for cut off. */
+export const reachLimit: Milliseconds = 300;
+/** A candidate that is cut off claims all the same once nobody else has for this long. */
+export const isolationLimit: Milliseconds = 5_000;
--- a/packages/entry/src/peers/server.ts
+++ b/packages/entry/src/peers/server.ts
@@ -31,23 +31,33 @@
     });
 };
 
-/** Dials a VM; undefined when it does not answer in time. */
-export const dialVm = async (
-    address: string,
-    limit: Milliseconds,
-): Promise<Channel<OwnerMessage, VmMessage> | undefined> => {
+/** What came of dialling a VM. */
+export type DialOutcome =
+    | { readonly kind: "open"; readonly channel: Channel<OwnerMessage, VmMessage>; }
+    /** The VM lives and nothing listens there: its process is gone, the way to it is not. */
+    | { readonly kind: "refused"; }
+    /** No answer in time: the VM has no power, or the way to it is cut. */
+    | { readonly kind: "silent"; };
+
+/** Dials a VM. */
+export const dialVm = async (address: string, limit: Milliseconds): Promise<DialOutcome> => {
     const socket = new WebSocket(`ws://${address}`, { ...common, handshakeTimeout: limit });
     try {
         await once(socket, "open");
-        return new SocketChannel(socket);
+        return { kind: "open", channel: new SocketChannel(socket) };
     }
-    catch {
+    catch (cause) {
         socket.on("error", () => undefined);
         socket.terminate();
-        return undefined;
+        return { kind: isRefusal(cause) ? "refused" : "silent" };
     }
 };
 
+const isRefusal = (cause: unknown): boolean => {
+    const { code } = cause as { code?: string; };
+    return code === "ECONNREFUSED" || code === "ECONNRESET";
+};
+
 /** Whether nothing listens at an address: its VM lives and refuses. Silence is no such sign. */
 export const isRefused = (address: string, limit: Milliseconds): Promise<boolean> =>
     new Promise(resolve => {
@@ -59,5 +69,5 @@
         };
         const timer = setTimeout(() => finish(false), limit);
         socket.on("connect", () => finish(false));
-        socket.on("error", cause => finish((cause as { code?: string; }).code === "ECONNREFUSED"));
+        socket.on("error", cause => finish(isRefusal(cause)));
     });
--- a/packages/entry/src/peers/vm-dialer.ts
+++ b/packages/entry/src/peers/vm-dialer.ts
@@ -21,10 +21,16 @@
     vm: EntryVm;
     seenAt: Milliseconds;
     triedAt: Milliseconds;
+    /** Whether the way to it is open: it answered, or refused. Undefined before the first dial ended. */
+    isReachable: boolean | undefined;
 }
 
 /** Time between two looks at which VMs are to be dialled, in milliseconds. */
 const lookInterval: Milliseconds = 50;
+/** Time between two looks at whether enough VMs were reached, in milliseconds. */
+const reachInterval: Milliseconds = 10;
+/** A VM that reaches fewer of the others than this share is cut off: others serve better as owner. */
+const leastReachable = 0.25;
 
 /** See the module's comment. */
 export class VmDialer {
@@ -32,6 +38,7 @@
     /** Connections that opened before there was anyone to use them. */
     readonly #open = new Map<string, { readonly vm: EntryVm; readonly channel: Channel<OwnerMessage, VmMessage>; }>();
     #connections: VmConnections | undefined;
+    #hasReached = false;
 
     constructor(
         private readonly view: CellView,
@@ -46,6 +53,35 @@
         this.#open.clear();
     }
 
+    /** Whether this VM reaches so few of the VMs that the store shows that it is the one cut off. */
+    get isIsolated(): boolean {
+        const others = [...this.view.vms.values()].filter(vm => vm.name !== this.self.name);
+        const reachable = others.filter(vm => this.#isReachable(vm.name)).length;
+        return reachable < others.length * leastReachable;
+    }
+
+    /** Whether this VM reached others and no longer does. One that never did may own the cell for want of another. */
+    get hasBeenCutOff(): boolean {
+        this.#hasReached ||= !this.isIsolated;
+        return this.#hasReached && this.isIsolated;
+    }
+
+    /** A connection ended for want of a sign of life. */
+    noteSilence(name: string): void {
+        const known = this.#known.get(name);
+        if (known !== undefined) {
+            known.isReachable = false;
+        }
+    }
+
+    /** Resolves once enough VMs were reached for this one not to be cut off, or after `limit`. */
+    async untilReached(limit: Milliseconds): Promise<void> {
+        const until = this.clock.monotonic() + limit;
+        while (this.isIsolated && this.clock.monotonic() < until) {
+            await this.clock.sleep(reachInterval);
+        }
+    }
+
     /** Dials until `signal` fires. */
     async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
@@ -58,8 +94,14 @@
     #dialDue(signal: AbortSignal): void {
         const now = this.clock.monotonic();
         for (const vm of this.view.vms.values()) {
-            const triedAt = this.#known.get(vm.name)?.triedAt ?? -Infinity;
-            this.#known.set(vm.name, { vm, seenAt: now, triedAt });
+            const former = this.#known.get(vm.name);
+            const isSame = former?.vm.process === vm.process;
+            this.#known.set(vm.name, {
+                vm,
+                seenAt: now,
+                triedAt: former?.triedAt ?? -Infinity,
+                isReachable: isSame ? former.isReachable : undefined,
+            });
         }
         for (const [name, known] of this.#known) {
             if (now - known.seenAt > rememberVm) {
@@ -76,15 +118,24 @@
         return vm.name !== this.self.name && now - triedAt >= dialDelay && !this.#isConnected(vm.name);
     }
 
+    #isReachable(name: string): boolean {
+        return this.#isConnected(name) || this.#known.get(name)?.isReachable === true;
+    }
+
     #isConnected(name: string): boolean {
         return this.#open.get(name)?.channel.isOpen === true || this.#connections?.isConnected(name) === true;
     }
 
     async #dial(vm: EntryVm, signal: AbortSignal): Promise<void> {
-        const channel = await dialVm(vm.address, dialLimit);
-        if (channel === undefined) {
+        const outcome = await dialVm(vm.address, dialLimit);
+        const known = this.#known.get(vm.name);
+        if (known !== undefined) {
+            known.isReachable = outcome.kind !== "silent";
+        }
+        if (outcome.kind !== "open") {
             return;
         }
+        const { channel } = outcome;
         if (signal.aborted || this.#isConnected(vm.name)) {
             channel.close();
         }
--- a/packages/entry/src/protocol/messages.ts
+++ b/packages/entry/src/protocol/messages.ts
@@ -65,7 +65,18 @@
     readonly reply: OwnerReply;
 }
 
-/** The newest configuration that the owner knows. */
+/** Tells that there is a configuration of this version. */
+export interface ConfigurationVersionMessage {
+    readonly kind: "configuration-version";
+    readonly version: number;
+}
+
+/** Asks for the newest configuration. */
+export interface WantConfigurationMessage {
+    readonly kind: "want-configuration";
+}
+
+/** The newest configuration. */
 export interface ConfigurationMessage {
     readonly kind: "configuration";
     readonly configuration: CellConfiguration;
@@ -97,6 +108,8 @@
     | AcknowledgeMessage
     | AskMessage
     | ReplyMessage
+    | ConfigurationVersionMessage
+    | WantConfigurationMessage
     | ConfigurationMessage
     | StoreCallMessage
     | HandOverMessage
@@ -187,6 +200,8 @@
     | RequestMessage
     | StoreAnswerMessage
     | LeavingMessage
+    | ConfigurationVersionMessage
+    | WantConfigurationMessage
     | ConfigurationMessage
     | BeatMessage;
 
--- a/packages/entry/src/settings/types.ts
+++ b/packages/entry/src/settings/types.ts
@@ -27,7 +27,7 @@
 export interface EntrySettings {
     readonly vm: string;
     readonly dataHall: string;
-    /** Share of a core that the VM has. */
+    /** How much processor the VM has, in shares of one core. */
     readonly processorShare: number;
     readonly memoryMebibytes: number;
     /** IP number and port where callers are served. */
--- a/packages/entry/src/store-relay/relayed-store.ts
+++ b/packages/entry/src/store-relay/relayed-store.ts
@@ -39,6 +39,10 @@
 /** After a call that only another VM could make, direct ones are not tried for this long; twice as long each time. */
 const avoidDirectFor: Milliseconds = 1_000;
 const avoidDirectAtMost: Milliseconds = 4_000;
+/** Another VM is asked too when the one before has no answer for this long: it may be turned away as well. */
+const nextRelayAfter: Milliseconds = 80;
+/** Most VMs that are asked for one call. */
+const mostRelays = 3;
 /** Longest wait in one watch that another VM makes. */
 const relayedWatch: Milliseconds = 2_000;
 
@@ -76,6 +80,7 @@
         const relay = this.#avoidsDirect() ? this.options.relays()[0] : undefined;
         if (relay !== undefined) {
             const wait = Math.min(duration, relayedWatch);
+            // One VM alone: a watch waits, so that another's turn would always come.
             return await relay({ kind: "changes", prefix, cursor, duration: wait }) as KeyChanges | undefined;
         }
         const sources = [signal, this.#wayChanged.signal];
@@ -162,21 +167,25 @@
         });
     }
 
-    /** Tries two VMs, then fails. */
-    async #throughOthers(operation: StoreOperation): Promise<unknown> {
-        const [first, second] = this.options.relays();
-        if (first === undefined) {
-            throw new PlatformUnavailableError("no other VM is connected");
+    /** Asks VMs one after the other, each a little later than the one before; the first answer counts. */
+    #throughOthers(operation: StoreOperation): Promise<unknown> {
+        const relays = this.options.relays().slice(0, mostRelays);
+        if (relays.length === 0) {
+            return Promise.reject(new PlatformUnavailableError("no other VM is connected"));
         }
-        try {
-            return await first(operation);
-        }
-        catch (cause) {
-            if (second === undefined) {
-                throw cause;
+        const answered = createAbortController();
+        const asked = relays.map(async (relay, index) => {
+            await this.options.clock.sleep(index * nextRelayAfter, answered.signal);
+            if (answered.signal.aborted) {
+                throw new PlatformUnavailableError("another VM answered");
             }
-            return second(operation);
-        }
+            return relay(operation);
+        });
+        return Promise.any(asked)
+            .catch((cause: AggregateError) => {
+                throw new PlatformUnavailableError(`no VM had an answer: ${String(cause.errors[0])}`);
+            })
+            .finally(() => answered.abort());
     }
 
     #avoidDirect(): void {
