A job carries what its queue asks for

The test of an owner without a configuration failed first. Change: the record of a job's acceptance holds the terms of its queue; a newer configuration replaces them. A job whose queue the owner does not know yet is refused with a time to come back.

--- a/packages/cell/src/scheduler/advice-desk.ts
+++ b/packages/cell/src/scheduler/advice-desk.ts
@@ -3,7 +3,8 @@
 import { type AdviceAnswer, type AdvicePolicy, mostAdviceWorkers } from "../advice/index.js";
 import type { CellContext } from "./cell-context.js";
 import { adviceBreadth, adviceInterval } from "./constants.js";
-import type { JobTerms, Step } from "./entities.js";
+import type { JobTerms } from "./definition.js";
+import type { Step } from "./entities.js";
 import { StepPermits } from "./step-permits.js";
 import { isEligible } from "./worker-choice.js";
 import type { WorkerState } from "./worker-state.js";
@@ -31,9 +32,9 @@
     /** A step found no room for `count` tasks: fresh tickets are asked for where there is room, or more workers. */
     wantRoom(step: Step, count: number): void {
         const { permits } = step;
-        const terms = this.context.termsOf(step.job);
+        const { terms } = step.job;
         const now = this.context.now();
-        if (permits === undefined || permits.isAsking || terms?.advice === undefined) {
+        if (permits === undefined || permits.isAsking || terms.advice === undefined) {
             return;
         }
         if (now - permits.askedAt < adviceInterval) {
--- a/packages/cell/src/scheduler/cell-context.ts
+++ b/packages/cell/src/scheduler/cell-context.ts
@@ -2,7 +2,7 @@
 import type { Clock, LogEvent, Milliseconds, QueueName, WorkerId } from "@pebbledale/core";
 import type { CellConfiguration } from "../configuration/index.js";
 import { QueueDirectory } from "../configuration/index.js";
-import type { Job, JobTerms } from "./entities.js";
+import type { JobTerms } from "./definition.js";
 import { JobTable } from "./job-table.js";
 import { Outbox } from "./outbox.js";
 import type { CellRecord } from "./records.js";
@@ -20,15 +20,6 @@
     readonly log: DecisionLog;
 }
 
-/** Used for a queue that the configuration has never named: one try, least urgent. */
-const unknownTerms: Omit<JobTerms, "service"> = {
-    priority: 9,
-    attempts: 1,
-    extension: 1,
-    latencyTarget: 0,
-    advice: undefined,
-};
-
 /** See the module's comment. */
 export class CellContext {
     readonly table: JobTable;
@@ -54,24 +45,21 @@
     configure(configuration: CellConfiguration): void {
         this.queues = new QueueDirectory(configuration);
         for (const job of this.table.jobs.values()) {
-            job.terms = this.#termsOf(job.queue) ?? job.terms;
+            job.terms = this.termsOf(job.queue) ?? job.terms;
         }
     }
 
-    /** The terms of a job: its queue's newest ones. Undefined while its queue was never seen. */
-    termsOf(job: Job): JobTerms | undefined {
-        job.terms ??= this.#termsOf(job.queue);
-        return job.terms;
-    }
-
-    /** The priority of a job; least urgent while its queue was never seen. */
-    priorityOf(job: Job): number {
-        return this.termsOf(job)?.priority ?? unknownTerms.priority;
-    }
-
-    /** Failed runs after which a job's task is not tried again. */
-    attemptsOf(job: Job): number {
-        return this.termsOf(job)?.attempts ?? unknownTerms.attempts;
+    /** What a queue asks for; undefined when the configuration does not name it. */
+    termsOf(queue: QueueName): JobTerms | undefined {
+        const configured = this.queues?.named(queue);
+        return configured && {
+            service: configured.service,
+            priority: configured.priority,
+            attempts: configured.attempts,
+            extension: configured.extension,
+            latencyTarget: configured.latencyTarget,
+            advice: configured.advice,
+        };
     }
 
     /** Applies a record and keeps it. */
@@ -79,8 +67,4 @@
         this.table.apply(record);
         this.outbox.record(record);
     }
-
-    #termsOf(queue: QueueName): JobTerms | undefined {
-        return this.queues?.named(queue);
-    }
 }
--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -109,15 +109,22 @@
         this.#wantsPass = true;
     }
 
-    /** Takes a job, which is known from then on; its caller is told once the record is kept. */
-    submit(definition: JobDefinition): Job {
+    /**
+     * Takes a job, which is known from then on; its caller is told once the record is kept. Undefined when the
+     * configuration that this owner knows does not name its queue.
+     */
+    submit(definition: JobDefinition): Job | undefined {
         const { table, outbox, options } = this.#context;
         const known = table.jobs.get(definition.job);
         if (known !== undefined) {
             options.log.log(logEvents.jobRepeated, { job: known.id, state: known.state });
             return known;
         }
-        this.#context.record({ kind: "accepted", at: this.#context.wallClock(), definition });
+        const terms = this.#context.termsOf(definition.queue);
+        if (terms === undefined) {
+            return undefined;
+        }
+        this.#context.record({ kind: "accepted", at: this.#context.wallClock(), definition, terms });
         const job = table.jobs.get(definition.job)!;
         options.log.log(logEvents.jobAccepted, {
             job: job.id,
--- a/packages/cell/src/scheduler/definition.ts
+++ b/packages/cell/src/scheduler/definition.ts
@@ -4,9 +4,11 @@
     type Milliseconds,
     type QueueName,
     type RunNumber,
+    type ServiceName,
     type TaskAddress,
     taskAddress,
 } from "@pebbledale/core";
+import type { AdvicePolicy } from "../advice/index.js";
 
 /** What one task takes of a worker, and what a worker has. */
 export interface TaskSize {
@@ -66,6 +68,16 @@
     readonly timetable: Timetable | undefined;
 }
 
+/** What a job's queue asks for. Kept with the job, as a queue may be dropped while its jobs run. */
+export interface JobTerms {
+    readonly service: ServiceName;
+    readonly priority: number;
+    readonly attempts: number;
+    readonly extension: number;
+    readonly latencyTarget: Milliseconds;
+    readonly advice: AdvicePolicy | undefined;
+}
+
 /** State of a job as callers are told it. */
 export enum CellJobState {
     Queued = "queued",
--- a/packages/cell/src/scheduler/entities.ts
+++ b/packages/cell/src/scheduler/entities.ts
@@ -1,11 +1,11 @@
 /** The owner's view of jobs, their steps and tasks, and the runs of these. */
-import type { JobId, Milliseconds, QueueName, RunNumber, ServiceName, TaskAddress, WorkerId } from "@pebbledale/core";
-import type { AdvicePolicy } from "../advice/index.js";
+import type { JobId, Milliseconds, QueueName, RunNumber, TaskAddress, WorkerId } from "@pebbledale/core";
 import {
     addressOf,
     CellJobState,
     isEndState,
     type JobDefinition,
+    type JobTerms,
     stepAddress,
     type StepDefinition,
 } from "./definition.js";
@@ -164,16 +164,6 @@
     }
 }
 
-/** What the owner needs of a job's queue. Kept with the job, as a queue may be dropped while its jobs run. */
-export interface JobTerms {
-    readonly service: ServiceName;
-    readonly priority: number;
-    readonly attempts: number;
-    readonly extension: number;
-    readonly latencyTarget: Milliseconds;
-    readonly advice: AdvicePolicy | undefined;
-}
-
 /** One job. */
 export class Job {
     readonly occurrences = new Map<number, Occurrence>();
@@ -188,7 +178,6 @@
     nextOccurrence = 0;
     /** When it ended, in milliseconds since 1970. */
     endedAt: number | undefined;
-    terms: JobTerms | undefined;
     #definition: JobDefinition | undefined;
 
     constructor(
@@ -197,6 +186,8 @@
         /** Milliseconds since 1970. */
         readonly acceptedAt: number,
         definition: JobDefinition | undefined,
+        /** What its queue asks for, as last known. */
+        public terms: JobTerms,
         /** By the owner's monotonic clock; of a job of an earlier owner the time at which it was read. */
         readonly acceptedSteady: Milliseconds,
     ) {
--- a/packages/cell/src/scheduler/job-table.ts
+++ b/packages/cell/src/scheduler/job-table.ts
@@ -1,7 +1,7 @@
 /** All jobs of a cell, changed only by records, so that a replay of the journal gives the same. */
 import type { JobId, Milliseconds, RunNumber, WorkerId } from "@pebbledale/core";
 import { RunEnd } from "../task-worker/index.js";
-import { CellJobState, type JobDefinition, placeOf } from "./definition.js";
+import { CellJobState, type JobDefinition, type JobTerms, placeOf } from "./definition.js";
 import { Job, Occurrence, type Step, type Task, TaskPhase } from "./entities.js";
 import type { AcceptedRecord, CellRecord, EndedRecord, StartedRecord } from "./records.js";
 
@@ -29,6 +29,7 @@
     readonly state: CellJobState;
     readonly doneOccurrences: readonly number[];
     readonly definition: JobDefinition | undefined;
+    readonly terms: JobTerms;
     readonly occurrences: readonly OccurrenceSnapshot[];
 }
 
@@ -109,8 +110,8 @@
         snapshot.jobs.forEach(saved => this.#restoreJob(saved));
     }
 
-    #accept({ at, definition }: AcceptedRecord): void {
-        const job = new Job(definition.job, definition.queue, at, definition, this.now());
+    #accept({ at, definition, terms }: AcceptedRecord): void {
+        const job = new Job(definition.job, definition.queue, at, definition, terms, this.now());
         this.jobs.set(job.id, job);
         if (definition.timetable === undefined) {
             this.occurrenceOf(job, 0);
@@ -195,7 +196,7 @@
     }
 
     #restoreJob(saved: JobSnapshot): void {
-        const job = new Job(saved.id, saved.queue, saved.acceptedAt, saved.definition, this.now());
+        const job = new Job(saved.id, saved.queue, saved.acceptedAt, saved.definition, saved.terms, this.now());
         job.state = saved.state;
         job.endedAt = saved.endedAt;
         saved.doneOccurrences.forEach(number => job.doneOccurrences.add(number));
@@ -221,6 +222,7 @@
     state: job.state,
     doneOccurrences: [...job.doneOccurrences],
     definition: job.isOver ? undefined : job.definition,
+    terms: job.terms,
     occurrences: job.isOver ? [] : [...job.occurrences.values()].map(snapshotOfOccurrence),
 });
 
--- a/packages/cell/src/scheduler/mover.ts
+++ b/packages/cell/src/scheduler/mover.ts
@@ -82,10 +82,7 @@
     /** Whether another worker could take the task now. */
     #hasPlace(run: TaskRun, now: Milliseconds): boolean {
         const { step } = run.task;
-        const terms = this.context.termsOf(step.job);
-        if (terms === undefined) {
-            return false;
-        }
+        const { terms } = step.job;
         for (const worker of this.context.workers.values()) {
             const isPermitted = step.permits === undefined || step.permits.isPermitted(worker.id);
             const isOther = worker !== run.worker && isEligible(worker, step, terms.service, now);
--- a/packages/cell/src/scheduler/placer.ts
+++ b/packages/cell/src/scheduler/placer.ts
@@ -55,8 +55,8 @@
 
     #placeStep(step: Step, now: Milliseconds): void {
         const waiting = [...step.waitingTasks(), ...this.mover.tasksToCopy(step, now)];
-        const terms = this.context.termsOf(step.job);
-        if (waiting.length === 0 || terms === undefined) {
+        const { terms } = step.job;
+        if (waiting.length === 0) {
             return;
         }
         this.advice.prepare(step, terms);
@@ -120,10 +120,7 @@
 
     /** Keeps workers for tasks that do not fit yet, those with the most room first, until it would fit. */
     #keepRoom(step: Step, count: number, now: Milliseconds): void {
-        const terms = this.context.termsOf(step.job);
-        if (terms === undefined) {
-            return;
-        }
+        const { terms } = step.job;
         const possible = [...this.context.workers.values()]
             .filter(worker => isEligible(worker, step, terms.service, now) && !this.#kept.has(worker))
             .filter(worker => step.permits === undefined || step.permits.isPermitted(worker.id))
--- a/packages/cell/src/scheduler/records.ts
+++ b/packages/cell/src/scheduler/records.ts
@@ -1,7 +1,7 @@
 /** What the journal of a cell holds. */
 import type { JobId, RunNumber, TaskAddress, WorkerId } from "@pebbledale/core";
 import type { RunEnd } from "../task-worker/index.js";
-import type { JobDefinition } from "./definition.js";
+import type { JobDefinition, JobTerms } from "./definition.js";
 
 /** A job was accepted. Kept before its caller hears of it. */
 export interface AcceptedRecord {
@@ -9,6 +9,8 @@
     /** Milliseconds since 1970. */
     readonly at: number;
     readonly definition: JobDefinition;
+    /** What its queue asks for. A later owner may not know the queue yet, or no longer. */
+    readonly terms: JobTerms;
 }
 
 /** A job was cancelled by its caller. Kept before the caller hears of it. */
--- a/packages/cell/src/scheduler/run-book.ts
+++ b/packages/cell/src/scheduler/run-book.ts
@@ -160,7 +160,7 @@
         const isFinal = end === RunEnd.Failed
             && !step.definition.isLasting
             && task.phase !== TaskPhase.Done
-            && failures >= this.context.attemptsOf(step.job);
+            && failures >= step.job.terms.attempts;
         this.context.record({
             kind: "ended",
             at: this.context.wallClock(),
--- a/packages/cell/src/scheduler/urgency.ts
+++ b/packages/cell/src/scheduler/urgency.ts
@@ -36,12 +36,11 @@
 /** Ranks one step. */
 export const rank = (context: CellContext, step: Step, now: Milliseconds): RankedStep => {
     const { job, occurrence, definition } = step;
-    const terms = context.termsOf(job);
+    const { extension, latencyTarget, priority } = job.terms;
     const began = beganAt(context, job, occurrence);
-    const objective = (terms?.extension ?? 1) * occurrence.longestChain + (terms?.latencyTarget ?? 0);
+    const objective = extension * occurrence.longestChain + latencyTarget;
     const remaining = occurrence.chains[step.index];
     const latestStart = began + objective - remaining;
-    const priority = context.priorityOf(job);
     if (definition.isLasting) {
         return { step, prospect: Prospect.Lasting, priority, latestStart };
     }
--- a/packages/cell/test/scheduler/gangs.test.ts
+++ b/packages/cell/test/scheduler/gangs.test.ts
@@ -51,7 +51,7 @@
 
     it("count one failure a run, whichever members fail", () => {
         const driver = withWorkers("w1", "w2");
-        const job = driver.cell.submit(makeJob("g", [gangOf(2)]));
+        const job = driver.cell.submit(makeJob("g", [gangOf(2)]))!;
         for (let run = 1; run <= 3; run++) {
             driver.clock.advance(1_000);
             const { starts } = driver.run();
@@ -64,7 +64,7 @@
 
     it("are done when one member is", () => {
         const driver = withWorkers("w1", "w2");
-        const job = driver.cell.submit(makeJob("g", [gangOf(3)]));
+        const job = driver.cell.submit(makeJob("g", [gangOf(3)]))!;
         const { starts } = driver.run();
         driver.confirm(...starts);
         driver.end(starts[0], RunEnd.Done);
--- a/packages/cell/test/scheduler/jobs.test.ts
+++ b/packages/cell/test/scheduler/jobs.test.ts
@@ -12,7 +12,7 @@
 describe("a job", () => {
     it("is not known to its caller before its record is kept", () => {
         const driver = ready();
-        const { id } = driver.cell.submit(makeJob("j", [makeStep()]));
+        const { id } = driver.cell.submit(makeJob("j", [makeStep()]))!;
         driver.decide();
         expect(driver.cell.stateOf(id)).toEqual(undefined);
         driver.keep();
@@ -29,7 +29,7 @@
 
     it("is shown as completed only once the last end is kept", () => {
         const driver = ready();
-        const { id } = driver.cell.submit(makeJob("j", [makeStep()]));
+        const { id } = driver.cell.submit(makeJob("j", [makeStep()]))!;
         const [start] = driver.run().starts;
         driver.confirm(start);
         driver.end(start);
@@ -60,7 +60,7 @@
 
     it("fails after as many failed runs of a task as its queue allows, and stops the rest", () => {
         const driver = ready();
-        const { id } = driver.cell.submit(makeJob("j", [makeStep({ taskCount: 2 })]));
+        const { id } = driver.cell.submit(makeJob("j", [makeStep({ taskCount: 2 })]))!;
         const [failing, other] = driver.run().starts;
         driver.confirm(failing, other);
         driver.end(failing, RunEnd.Failed);
@@ -76,7 +76,7 @@
 
     it("does not count runs that were stopped or lapsed as failed", () => {
         const driver = ready();
-        const { id } = driver.cell.submit(makeJob("j", [makeStep()]));
+        const { id } = driver.cell.submit(makeJob("j", [makeStep()]))!;
         for (let run = 1; run <= 6; run++) {
             driver.clock.advance(1_000);
             const [start] = driver.run().starts;
@@ -90,7 +90,7 @@
 describe("a cancelled job", () => {
     it("stops what runs and starts nothing more", () => {
         const driver = ready();
-        const { id } = driver.cell.submit(makeJob("j", [makeStep({ taskCount: 12 })]));
+        const { id } = driver.cell.submit(makeJob("j", [makeStep({ taskCount: 12 })]))!;
         const { starts } = driver.run();
         driver.confirm(...starts);
         expect(driver.cell.cancel(id)).toEqual(true);
@@ -103,7 +103,7 @@
 
     it("does not send a start whose record was still being written", () => {
         const driver = ready();
-        const { id } = driver.cell.submit(makeJob("j", [makeStep()]));
+        const { id } = driver.cell.submit(makeJob("j", [makeStep()]))!;
         driver.decide();
         driver.cell.cancel(id);
         expect(driver.run().starts).toEqual([]);
@@ -111,7 +111,7 @@
 
     it("is stopped again as long as a look shows it at work", () => {
         const driver = ready();
-        const { id } = driver.cell.submit(makeJob("j", [makeStep()]));
+        const { id } = driver.cell.submit(makeJob("j", [makeStep()]))!;
         const [start] = driver.run().starts;
         driver.confirm(start);
         driver.cell.cancel(id);
@@ -130,7 +130,7 @@
     it("is never given more than it has, also while a run is being stopped", () => {
         const driver = ready();
         const big = makeStep({ size: { processorThousandths: 8_000, memoryMebibytes: 1, accelerators: 0 } });
-        const { id } = driver.cell.submit(makeJob("j", [big]));
+        const { id } = driver.cell.submit(makeJob("j", [big]))!;
         const [start] = driver.run().starts;
         driver.confirm(start);
         driver.cell.cancel(id);
--- a/packages/cell/test/scheduler/lasting.test.ts
+++ b/packages/cell/test/scheduler/lasting.test.ts
@@ -14,7 +14,7 @@
 describe("a task that lasts", () => {
     it("starts again however it ends, and fails no job", () => {
         const driver = ready();
-        const { id } = driver.cell.submit(makeJob("j", [makeStep({ isLasting: true })]));
+        const { id } = driver.cell.submit(makeJob("j", [makeStep({ isLasting: true })]))!;
         const ends = [RunEnd.Failed, RunEnd.Done, RunEnd.Failed, RunEnd.Failed, RunEnd.Lapsed];
         ends.forEach((end, index) => {
             driver.clock.advance(1_000);
@@ -99,7 +99,7 @@
         const driver = ready();
         const firstAt = driver.clock.now().getTime() + interval;
         const timetable = { occurrences, firstAt, interval };
-        const { id } = driver.cell.submit(makeJob("t", [makeStep()], { timetable }));
+        const { id } = driver.cell.submit(makeJob("t", [makeStep()], { timetable }))!;
         const at = (time: number): readonly StartCommand[] => {
             driver.clock.advance(time);
             driver.cell.tick();
--- a/packages/cell/test/scheduler/take-over.test.ts
+++ b/packages/cell/test/scheduler/take-over.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { RunEnd } from "../../src/index.js";
+import { CellJobState, RunEnd } from "../../src/index.js";
 import { CellDriver, idOf, makeJob, makeStep, makeWorker, running } from "../support/index.js";
 
 /** Any time after the former owner's leases. */
@@ -9,7 +9,7 @@
 const started = () => {
     const driver = new CellDriver();
     driver.addWorkers(makeWorker("w1"), makeWorker("w2"));
-    const job = driver.cell.submit(makeJob("j", [makeStep({ taskCount: 12 })]));
+    const job = driver.cell.submit(makeJob("j", [makeStep({ taskCount: 12 })]))!;
     const { starts } = driver.run();
     driver.confirm(...starts);
     return { driver, job, starts };
@@ -43,7 +43,7 @@
 
     it("holds only the tasks of a worker that is silent, until its leases are over", () => {
         const { driver, starts } = started();
-        const waiting = driver.cell.submit(makeJob("k", [makeStep({ taskCount: 2 })]));
+        const waiting = driver.cell.submit(makeJob("k", [makeStep({ taskCount: 2 })]))!;
         driver.run();
         driver.takeOver();
         driver.cell.changeWorkers([makeWorker("w1")], []);
@@ -87,6 +87,25 @@
     });
 });
 
+describe("an owner without a configuration", () => {
+    it("knows of each job how often its tasks may fail, and where they may run", () => {
+        const { driver, job, starts } = started();
+        driver.takeOver(undefined, false);
+        driver.cell.changeWorkers([makeWorker("w1"), makeWorker("w2")], []);
+        for (const name of ["w1", "w2"]) {
+            const ends = starts
+                .filter(start => start.worker === idOf(name))
+                .map(start => driver.ended(name, start.task, start.run, RunEnd.Failed));
+            driver.look(name, [], ends);
+        }
+        driver.run();
+        expect(driver.cell.stateOf(job.id)).toEqual(CellJobState.Running);
+        driver.clock.advance(10_000);
+        driver.cell.tick();
+        expect(driver.run().starts.length > 0).toEqual(true);
+    });
+});
+
 describe("a link that is given to another VM", () => {
     it("does not settle orders that were decided but not handed to a link yet", () => {
         const driver = new CellDriver();
--- a/packages/cell/test/support/cell-driver.ts
+++ b/packages/cell/test/support/cell-driver.ts
@@ -101,18 +101,24 @@
         return { number, task, run, end, checkpoint };
     }
 
-    /** Another owner takes over with what is kept. */
-    takeOver(snapshot?: CellSnapshot): void {
+    /** Another owner takes over with what is kept, and with the configuration or without one. */
+    takeOver(snapshot?: CellSnapshot, isConfigured = true): void {
         this.#unkept = [];
         const records = snapshot === undefined ? [...this.records] : [];
-        this.cell = this.#makeCell(snapshot, records);
+        this.cell = this.#makeCell(snapshot, records, isConfigured);
     }
 
-    #makeCell(snapshot?: CellSnapshot, records: readonly CellRecord[] = []): CellScheduler {
+    #makeCell(
+        snapshot?: CellSnapshot,
+        records: readonly CellRecord[] = [],
+        isConfigured = true,
+    ): CellScheduler {
         const log = (event: LogEvent, fields: Readonly<Record<string, unknown>> = {}) =>
             void this.logged.push({ event, fields });
         const cell = new CellScheduler({ clock: this.clock, log: { log } });
-        cell.configure(this.configuration);
+        if (isConfigured) {
+            cell.configure(this.configuration);
+        }
         cell.recover(snapshot, records);
         return cell;
     }
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -405,7 +405,10 @@
         if (known === undefined && this.options.journal.waitingFor() > stalledAfter) {
             return { kind: "not-now", retryAfter: stalledRetryAfter };
         }
-        this.cell.submit(definition);
+        if (this.cell.submit(definition) === undefined) {
+            // The VM that asks knows a newer configuration; this owner will in a moment.
+            return { kind: "not-now", retryAfter: stalledRetryAfter };
+        }
         return await this.#untilKept() ? { kind: "accepted" } : { kind: "uncertain" };
     }
 
