A silent worker is given no lease until the owner has taken it in again; tests of the entry VM's parts

A cut worker's looks, sent while it was silent, renewed its leases when the cut healed, after the owner had taken them for over and started its tasks elsewhere; then the ends there were noted. Ruled out: the bound of the leases itself (the worker's clock was on time). Change: a look without an answer makes the link give no lease, in looks or starts, until the owner says that it has taken the worker in; leases are given for one second after a beat of an owner whose cell the store confirmed within three.

--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -19,7 +19,7 @@
 import { JobService } from "./front/index.js";
 import { clockDrift, ownerHorizon, VmSession } from "./links/index.js";
 import { cellPrefix, CellView, type EntryVm, followKeys, Registration, vmKey } from "./membership/index.js";
-import type { OwnerSession, OwnerUpkeep } from "./owner/index.js";
+import { confirmationHorizon, type OwnerSession, type OwnerUpkeep } from "./owner/index.js";
 import { Candidate, ownerLease, vmLease } from "./ownership/index.js";
 import { isRefused, listenForOwners } from "./peers/index.js";
 import { createMemoryChannel, type OwnerMessage, type VmMessage } from "./protocol/index.js";
@@ -118,7 +118,8 @@
             leaseLength: Math.max(ownerLease, settings.store.shortestLease),
             configuration: () => this.#configuration.configuration,
             onConfiguration: configuration => this.#configuration.take(configuration, "vm"),
-            formerLeases: ownerHorizon + settings.bounds.longestLease / (1 - clockDrift) + formerLeaseMargin,
+            formerLeases: confirmationHorizon + ownerHorizon + settings.bounds.longestLease / (1 - clockDrift)
+                + formerLeaseMargin,
             knownOwner: () => ({
                 ownerSilence: this.#session.hasOwner ? this.#session.ownerSilence : Infinity,
                 deadOwner: this.#deadOwner,
--- a/packages/entry/src/links/links.ts
+++ b/packages/entry/src/links/links.ts
@@ -21,7 +21,7 @@
 
     constructor(private readonly options: LinksOptions) {}
 
-    /** The owner was heard. */
+    /** The owner, which owns the cell as far as it knows, was heard. */
     noteOwner(): void {
         this.#heardAt = this.options.clock.monotonic();
     }
@@ -57,6 +57,11 @@
         this.#links.get(command.worker)?.order(command);
     }
 
+    /** The owner knows that a worker answers again. */
+    resume(worker: WorkerId): void {
+        this.#links.get(worker)?.resume();
+    }
+
     /** Ends up to `through` are kept. */
     acknowledge(worker: WorkerId, through: number): void {
         this.#links.get(worker)?.acknowledge(through);
--- a/packages/entry/src/links/vm-session.ts
+++ b/packages/entry/src/links/vm-session.ts
@@ -125,6 +125,7 @@
         this.#epoch = epoch;
         this.#channel = channel;
         this.#noteHeard();
+        this.#links.noteOwner();
         if (former !== undefined && former !== channel) {
             former.close();
         }
@@ -147,6 +148,9 @@
             case "command":
                 this.#links.command(message);
                 break;
+            case "resume":
+                this.#links.resume(message.worker);
+                break;
             case "acknowledge":
                 this.#links.acknowledge(message.worker, message.through);
                 break;
@@ -172,15 +176,18 @@
             case "hand-over":
                 this.options.onHandOver();
                 break;
-            case "welcome":
             case "beat":
+                if (message.mayLease) {
+                    this.#links.noteOwner();
+                }
+                break;
+            case "welcome":
                 break;
         }
     }
 
     #noteHeard(): void {
         this.#lastHeard = this.options.clock.monotonic();
-        this.#links.noteOwner();
     }
 
     /** The owner knows a newer configuration: it is asked for it, unless the store shows it meanwhile. */
--- a/packages/entry/src/links/worker-link.ts
+++ b/packages/entry/src/links/worker-link.ts
@@ -21,6 +21,7 @@
 import {
     acknowledgeWait,
     clockDrift,
+    lookGap,
     lookLimit,
     lookWait,
     orderLimit,
@@ -59,6 +60,8 @@
     #reportedThrough = 0;
     #progressAt = -Infinity;
     #isSilent = false;
+    /** After a silence the owner may take the leases for over: none is given until it says so. */
+    #mayLease = true;
     #acknowledged: (() => void) | undefined;
     #waitingStarts: StartCommand[] = [];
     #settling: Promise<void> | undefined;
@@ -77,6 +80,11 @@
         this.#acknowledged?.();
     }
 
+    /** The owner knows that the worker answers again: leases may be given. */
+    resume(): void {
+        this.#mayLease = true;
+    }
+
     /** Passes an order on. */
     order(command: WorkerCommand): void {
         if (command.kind === "stop") {
@@ -105,7 +113,12 @@
                 await this.options.clock.sleep(retryDelay, this.#ended.signal);
                 continue;
             }
+            const startedAt = this.options.clock.monotonic();
             const isAnswered = await this.#lookOnce(this.#isSilent || this.#reading === undefined ? 0 : lookWait);
+            const gap = lookGap - (this.options.clock.monotonic() - startedAt);
+            if (gap > 0) {
+                await this.options.clock.sleep(gap, this.#ended.signal);
+            }
             if (!isAnswered) {
                 await this.options.clock.sleep(retryDelay, this.#ended.signal);
             }
@@ -139,7 +152,8 @@
     }
 
     #lookRequest(wait: Milliseconds): LookRequest {
-        const leaseUntil = this.#nextLease();
+        // What has no answer may still arrive later, so a silent worker is given no lease either.
+        const leaseUntil = this.#mayLease ? this.#nextLease() : undefined;
         return {
             token: this.#token,
             forgetThrough: this.#forgetThrough,
@@ -216,6 +230,7 @@
         }
         if (!this.#isSilent) {
             this.#isSilent = true;
+            this.#mayLease = false;
             this.options.send({ kind: "silent", worker: this.worker, lapsesIn: this.#lapsesIn() });
         }
     }
@@ -224,7 +239,11 @@
         const { client, send } = this.options;
         const { worker, task, run } = command;
         const token = this.#token;
-        const leaseUntil = this.#nextLease()!;
+        const leaseUntil = this.#mayLease ? this.#nextLease() : undefined;
+        if (leaseUntil === undefined) {
+            send({ kind: "started", worker, task, run, refusal: "not-delivered" });
+            return;
+        }
         try {
             const answer = await client.start({ ...command, token, leaseUntil }, orderLimit, this.#ended.signal);
             if (answer.kind === "taken") {
--- a/packages/entry/src/owner/constants.ts
+++ b/packages/entry/src/owner/constants.ts
@@ -35,3 +35,8 @@
 export const assignmentsPerEpoch = 10_000;
 /** Taken off a look's time: messages between two VMs may be delayed by as much. */
 export const lookAgeMargin: Milliseconds = 1_000;
+/**
+ * Without a confirmation by the store for this long an owner has no more leases given: another may own the cell. With
+ * the leases that run by then, work goes on through an outage of the store of about nine seconds.
+ */
+export const confirmationHorizon: Milliseconds = 3_000;
--- a/packages/entry/src/owner/index.ts
+++ b/packages/entry/src/owner/index.ts
@@ -1,2 +1,5 @@
 /** The owner of a cell. */
+export * from "./assignments.js";
+export * from "./constants.js";
 export * from "./owner-session.js";
+export * from "./vm-link.js";
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -32,6 +32,7 @@
 import type { StoreRelay } from "../store-relay/index.js";
 import { Assignments } from "./assignments.js";
 import {
+    confirmationHorizon,
     lookAgeMargin,
     ownerBeatInterval,
     recordLimit,
@@ -54,6 +55,8 @@
     readonly configuration: CellConfiguration | undefined;
     /** How long after a take-over an earlier owner's leases may run at a worker that nobody reaches. */
     readonly formerLeases: Milliseconds;
+    /** When the store last confirmed that this VM owns the cell, by the monotonic clock. */
+    readonly confirmedAt: () => Milliseconds;
     /** Fires when the cell is lost to another owner. */
     readonly lost: AbortController;
     /** Told of a VM that gave no sign of life for too long. */
@@ -142,7 +145,8 @@
             this.#dropSilentVms();
             if (clock.monotonic() - beatAt >= ownerBeatInterval) {
                 beatAt = clock.monotonic();
-                this.#vms.forEach(vm => vm.channel.send({ kind: "beat" }));
+                const mayLease = beatAt - this.options.confirmedAt() < confirmationHorizon;
+                this.#vms.forEach(vm => vm.channel.send({ kind: "beat", mayLease }));
             }
             this.#requestTurn();
             await clock.sleep(tickInterval, lost.signal);
@@ -327,6 +331,7 @@
             case "looked": {
                 const settledBefore = assignment.hasLooked ? -Infinity : assignment.since;
                 assignment.hasLooked = true;
+                this.#resumeIfSilent(link, message.worker);
                 this.cell.takeLook(message.worker, message.look, now - message.age - lookAgeMargin, settledBefore);
                 break;
             }
@@ -349,6 +354,13 @@
         }
     }
 
+    /** A worker that answers again may be given leases from now on: what lapsed meanwhile was taken in. */
+    #resumeIfSilent(link: VmLink, worker: WorkerId): void {
+        if (this.cell.workers.get(worker)?.silentSince !== undefined) {
+            link.channel.send({ kind: "resume", worker });
+        }
+    }
+
     #takeStarted({ worker, task, run, refusal }: VmMessage & { kind: "started"; }): void {
         if (refusal === undefined) {
             this.cell.startTaken(worker, task, run);
--- a/packages/entry/src/ownership/candidate.ts
+++ b/packages/entry/src/ownership/candidate.ts
@@ -120,7 +120,7 @@
             }
             logger.log(logEvents.ownershipClaimed, { reason });
             keeping = key.keep(released.signal);
-            await this.#serve(dialer, stop);
+            await this.#serve(dialer, key, stop);
         }
         finally {
             released.abort();
@@ -146,7 +146,7 @@
         return false;
     }
 
-    async #serve(dialer: VmDialer, stop: AbortSignal): Promise<void> {
+    async #serve(dialer: VmDialer, key: OwnerKey, stop: AbortSignal): Promise<void> {
         const { store, clock, random, logger, self, directory } = this.options;
         const lost = createAbortController();
         const onStop = () => void this.#handOver(lost);
@@ -178,6 +178,7 @@
                 configuration: this.options.configuration(),
                 formerLeases: this.options.formerLeases,
                 lost,
+                confirmedAt: () => Math.max(journal.lastContact, key.confirmedAt),
                 onSilentVm: name => dialer.noteSilence(name),
                 isCutOff: () => dialer.hasBeenCutOff,
                 onConfiguration: this.options.onConfiguration,
--- a/packages/entry/src/ownership/owner-key.ts
+++ b/packages/entry/src/ownership/owner-key.ts
@@ -22,9 +22,15 @@
 /** See the module's comment. */
 export class OwnerKey {
     #lease: PlatformLeaseId | undefined;
+    #confirmedAt = -Infinity;
 
     constructor(private readonly options: OwnerKeyOptions) {}
 
+    /** When the store last confirmed the key, by the monotonic clock: when the call that did was sent. */
+    get confirmedAt(): Milliseconds {
+        return this.#confirmedAt;
+    }
+
     /** Claims the key if its version is still `expected`; false when another process was faster. */
     async claim(expected: KeyVersion): Promise<boolean> {
         const { store, value, leaseLength } = this.options;
@@ -52,7 +58,9 @@
 
     /** Renews the lease. One that ended is replaced, unless another process has the key: the journal then decides. */
     async #renew(): Promise<void> {
+        const sentAt = this.options.clock.monotonic();
         if (this.#lease !== undefined && await this.options.store.renewLease(this.#lease)) {
+            this.#confirmedAt = sentAt;
             return;
         }
         this.#lease = undefined;
--- a/packages/entry/src/protocol/messages.ts
+++ b/packages/entry/src/protocol/messages.ts
@@ -94,7 +94,20 @@
     readonly kind: "hand-over";
 }
 
-/** Says that the owner lives; sent when nothing else was. */
+/** A worker that was silent answers again, and the owner knows: leases may be given there. */
+export interface ResumeMessage {
+    readonly kind: "resume";
+    readonly worker: WorkerId;
+}
+
+/** Says that the owner lives. */
+export interface OwnerBeatMessage {
+    readonly kind: "beat";
+    /** Whether leases may be given in its name: the store confirmed lately that it owns the cell. */
+    readonly mayLease: boolean;
+}
+
+/** Says that the VM lives. */
 export interface BeatMessage {
     readonly kind: "beat";
 }
@@ -113,7 +126,8 @@
     | ConfigurationMessage
     | StoreCallMessage
     | HandOverMessage
-    | BeatMessage;
+    | ResumeMessage
+    | OwnerBeatMessage;
 
 /** A whole look at a worker. */
 export interface LookedMessage {
--- a/packages/entry/src/store-relay/relayed-store.ts
+++ b/packages/entry/src/store-relay/relayed-store.ts
@@ -175,7 +175,9 @@
         }
         const answered = createAbortController();
         const asked = relays.map(async (relay, index) => {
-            await this.options.clock.sleep(index * nextRelayAfter, answered.signal);
+            if (index > 0) {
+                await this.options.clock.sleep(index * nextRelayAfter, answered.signal);
+            }
             if (answered.signal.aborted) {
                 throw new PlatformUnavailableError("another VM answered");
             }
--- /dev/null
+++ b/packages/entry/test/advice/dispatcher.test.ts
@@ -0,0 +1,52 @@
+import { workerId } from "@pebbledale/core";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { AdviceDispatcher } from "../../src/index.js";
+
+const make = (...names: string[]) => {
+    const asked: { vm: string; question: number; step: string; }[] = [];
+    const dispatcher = new AdviceDispatcher(() => 0);
+    names.forEach(vm => dispatcher.join(vm, (question, { step }) => asked.push({ vm, question, step })));
+    const ask = (step: string, duration: number, priority = 1) =>
+        dispatcher.ask({ step, workers: [workerId("w")], priority, duration });
+    return { dispatcher, asked, ask };
+};
+
+describe("questions to the advice service", () => {
+    it("are spread: a quick one never waits behind a slow one while there are other VMs", () => {
+        const { asked, ask } = make("a", "b", "c");
+        ["s1", "s2", "s3", "s4"].forEach(step => ask(step, 800));
+        ask("quick", 10, 0);
+        const vmOfQuick = asked.find(entry => entry.step === "quick")?.vm;
+        const slow = asked.filter(entry => entry.step !== "quick");
+        expect(slow.length).toEqual(2);
+        expect(slow.some(entry => entry.vm === vmOfQuick)).toEqual(false);
+    });
+
+    it("go on with one VM alone", () => {
+        const { dispatcher, asked, ask } = make("a");
+        ask("slow", 800);
+        ask("next", 800);
+        expect(asked.map(entry => entry.step)).toEqual(["slow"]);
+        dispatcher.answered(asked[0].question);
+        expect(asked.map(entry => entry.step)).toEqual(["slow", "next"]);
+    });
+
+    it("of a VM that is gone are asked by another", () => {
+        const { dispatcher, asked, ask } = make("a", "b");
+        ask("step", 10);
+        dispatcher.leave(asked[0].vm);
+        expect(asked.length).toEqual(2);
+        expect(asked[1].vm === asked[0].vm).toEqual(false);
+        expect(dispatcher.answered(asked[1].question)?.step).toEqual("step");
+    });
+
+    it("wait in the order of their urgency", () => {
+        const { dispatcher, asked, ask } = make("a");
+        ask("first", 800, 2);
+        ask("patient", 800, 2);
+        ask("urgent", 800, 0);
+        dispatcher.answered(asked[0].question);
+        expect(asked[1].step).toEqual("urgent");
+    });
+});
--- /dev/null
+++ b/packages/entry/test/front/job-service.test.ts
@@ -0,0 +1,68 @@
+import { CellJobState } from "@pebbledale/cell";
+import { jobId, ManualClock, queueName } from "@pebbledale/core";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { JobService, type OwnerAccess, type OwnerReply, type OwnerRequest } from "../../src/index.js";
+
+const definition = {
+    job: jobId("j"),
+    queue: queueName("q"),
+    payload: "",
+    steps: [],
+    timetable: undefined,
+};
+
+/** An owner that gives these answers in turn; undefined is a connection that ends. */
+const accessOf = (...replies: (OwnerReply | undefined)[]) => {
+    const asked: OwnerRequest[] = [];
+    const access: OwnerAccess = {
+        hasOwner: () => replies.length > asked.length,
+        ask: body => {
+            asked.push(body);
+            return Promise.resolve(replies[asked.length - 1]);
+        },
+        untilOwner: () => Promise.resolve(),
+    };
+    return { asked, service: new JobService(access, new ManualClock()) };
+};
+
+describe("a front", () => {
+    it("refuses a job, with a time to come back, when it was never sent to an owner", async () => {
+        const answer = await accessOf().service.submit(definition, 3_000);
+        expect(answer.kind).toEqual("refused");
+    });
+
+    it("says that it does not know when a job was sent and had no answer", async () => {
+        const answer = await accessOf(undefined).service.submit(definition, 3_000);
+        expect(answer.kind).toEqual("uncertain");
+    });
+
+    it("asks the next owner again", async () => {
+        const { service, asked } = accessOf(undefined, { kind: "accepted" });
+        expect((await service.submit(definition, 3_000)).kind).toEqual("accepted");
+        expect(asked.length).toEqual(2);
+    });
+
+    it("refuses a question without an answer, as it changed nothing", async () => {
+        const answer = await accessOf(undefined).service.state(jobId("j"), 3_000);
+        expect(answer.kind).toEqual("refused");
+    });
+
+    it("says that there is no such job only on the owner's word", async () => {
+        expect((await accessOf({ kind: "unknown-job" }).service.state(jobId("j"), 3_000)).kind).toEqual("unknown-job");
+        expect((await accessOf().service.state(jobId("j"), 3_000)).kind).toEqual("refused");
+    });
+
+    it("passes a state on", async () => {
+        const answer = await accessOf({ kind: "state", state: CellJobState.Running }).service.state(jobId("j"), 3_000);
+        expect(answer).toEqual({ kind: "state", state: CellJobState.Running });
+    });
+
+    it("answers a queue's count again for a while without asking", async () => {
+        const { service, asked } = accessOf({ kind: "pending", count: 3 }, { kind: "pending", count: 4 });
+        const queue = queueName("q");
+        expect(await service.pending(queue, 3_000)).toEqual({ kind: "pending", count: 3 });
+        expect(await service.pending(queue, 3_000)).toEqual({ kind: "pending", count: 3 });
+        expect(asked.length).toEqual(1);
+    });
+});
--- /dev/null
+++ b/packages/entry/test/links/worker-link.test.ts
@@ -0,0 +1,209 @@
+import {
+    type Look,
+    type LookAnswer,
+    type LookRequest,
+    type OrderAnswer,
+    OrderRefusal,
+    RunEnd,
+    type StartCommand,
+    type StartOrder,
+    type TaskWorkerClient,
+} from "@pebbledale/cell";
+import { fencingToken, ManualClock, runNumber, taskAddress, workerId, WorkerUnreachableError } from "@pebbledale/core";
+import { expect } from "earl";
+import { afterEach, describe, it } from "node:test";
+import { type VmMessage, WorkerLink } from "../../src/index.js";
+import { pass, settle } from "../support/index.js";
+
+const worker = workerId("w");
+const leaseLength = 6_000;
+const emptyLook: Look = { clock: 1_000, running: [], ended: [] };
+
+const command: StartCommand = {
+    kind: "start",
+    worker,
+    task: taskAddress("j/0/0/0"),
+    run: runNumber(1),
+    payload: "",
+    checkpoint: "",
+};
+
+/** A worker whose answers the test gives. */
+class FakeClient implements TaskWorkerClient {
+    readonly looks: LookRequest[] = [];
+    readonly starts: StartOrder[] = [];
+    answerLook: (request: LookRequest) => Promise<LookAnswer> = () => seen(emptyLook);
+    answerStart: () => Promise<OrderAnswer> = () => Promise.resolve({ kind: "taken", clock: 1_000 });
+
+    look(request: LookRequest): Promise<LookAnswer> {
+        this.looks.push(request);
+        return this.answerLook(request);
+    }
+
+    start(order: StartOrder): Promise<OrderAnswer> {
+        this.starts.push(order);
+        return this.answerStart();
+    }
+
+    async stop(): Promise<OrderAnswer> {
+        return { kind: "taken", clock: 1_000 };
+    }
+
+    async pace(): Promise<OrderAnswer> {
+        return { kind: "taken", clock: 1_000 };
+    }
+
+    async close(): Promise<void> {}
+}
+
+const seen = (look: Look): Promise<LookAnswer> => Promise.resolve({ kind: "seen", look });
+const noAnswer = <Answer>(): Promise<Answer> => Promise.reject(new WorkerUnreachableError("no answer"));
+const untilEnded = <Answer>(): Promise<Answer> => new Promise(() => undefined);
+
+const links: WorkerLink[] = [];
+const make = (client: FakeClient, mayRenew = () => true) => {
+    const clock = new ManualClock();
+    const sent: VmMessage[] = [];
+    const link = new WorkerLink({
+        assignment: { kind: "assign", worker, address: "127.0.0.1:1", token: fencingToken(100) },
+        client,
+        clock,
+        leaseLength,
+        mayRenew,
+        send: message => sent.push(message),
+    });
+    links.push(link);
+    return { clock, sent, link };
+};
+
+/** The first look is answered at once, later ones wait. */
+const firstThenWaiting = (): FakeClient => {
+    const client = new FakeClient();
+    client.answerLook = () => client.looks.length === 1 ? seen(emptyLook) : untilEnded();
+    return client;
+};
+
+describe("a link to a worker", () => {
+    afterEach(() => links.splice(0).forEach(link => link.end()));
+
+    it("looks before it starts anything, and then leases by the worker's clock", async () => {
+        const client = firstThenWaiting();
+        const { link, sent } = make(client);
+        link.order(command);
+        await settle();
+        expect(client.looks[0].leaseUntil).toEqual(undefined);
+        expect(sent[0].kind).toEqual("looked");
+        expect(client.starts.map(start => start.leaseUntil)).toEqual([1_000 + leaseLength]);
+    });
+
+    it("raises its token and looks when a start has no answer; what that look shows is final", async () => {
+        const client = firstThenWaiting();
+        client.answerStart = noAnswer;
+        const { link, sent } = make(client);
+        await settle();
+        client.answerLook = ({ token }) => token > 100 ? seen(emptyLook) : untilEnded();
+        link.order(command);
+        await settle();
+        expect(client.looks.some(look => look.token === fencingToken(101))).toEqual(true);
+        const kinds = sent.map(message => message.kind);
+        expect(kinds.slice(-2)).toEqual(["looked", "started"]);
+        expect(sent.at(-1)).toEqual({
+            kind: "started",
+            worker,
+            task: command.task,
+            run: command.run,
+            refusal: "not-delivered",
+        });
+    });
+
+    it("tells nothing of a start without an answer while the worker is silent", async () => {
+        const client = firstThenWaiting();
+        client.answerStart = noAnswer;
+        const { clock, link, sent } = make(client);
+        await settle();
+        client.answerLook = noAnswer;
+        link.order(command);
+        await pass(clock, 2_000);
+        expect(sent.some(message => message.kind === "started")).toEqual(false);
+        expect(sent.some(message => message.kind === "silent")).toEqual(true);
+    });
+
+    it("gives no lease once the owner has not been heard for long", async () => {
+        const client = new FakeClient();
+        let isHeard = true;
+        const { clock } = make(client, () => isHeard);
+        client.answerLook = () => seen(emptyLook);
+        await pass(clock, 200);
+        isHeard = false;
+        await settle();
+        const looks = client.looks.length;
+        await pass(clock, 1_000);
+        expect(client.looks.length <= looks + 1).toEqual(true);
+    });
+
+    it("reports an end once, and lets the worker forget it only when it is kept", async () => {
+        const client = new FakeClient();
+        const end = { number: 1, task: command.task, run: command.run, end: RunEnd.Done, checkpoint: "" };
+        client.answerLook = request => request.forgetThrough >= 1 ? untilEnded() : seen({ ...emptyLook, ended: [end] });
+        const { clock, link, sent } = make(client);
+        await pass(clock, 600);
+        const reported = sent.flatMap(message =>
+            message.kind === "ends" ? message.ended : message.kind === "looked" ? message.look.ended : []
+        );
+        expect(reported.length).toEqual(1);
+        expect(client.looks.every(look => look.forgetThrough === 0)).toEqual(true);
+        link.acknowledge(1);
+        await pass(clock, 300);
+        expect(client.looks.at(-1)?.forgetThrough).toEqual(1);
+    });
+
+    it("ends when another life of the worker answers", async () => {
+        const client = new FakeClient();
+        client.answerLook = () => Promise.resolve({ kind: "refused", refusal: OrderRefusal.OtherLife });
+        const { clock, sent } = make(client);
+        await pass(clock, 500);
+        expect(sent.map(message => message.kind)).toEqual(["other-life"]);
+    });
+
+    it("gives a silent worker no lease, not even in looks that may arrive late, until the owner says so", async () => {
+        const client = new FakeClient();
+        const { clock, link } = make(client);
+        await settle();
+        client.answerLook = noAnswer;
+        await pass(clock, 100);
+        const before = client.looks.length;
+        await pass(clock, 1_000);
+        const whileSilent = client.looks.slice(before);
+        expect(whileSilent.length > 0 && whileSilent.every(look => look.leaseUntil === undefined)).toEqual(true);
+        client.answerLook = request => request.leaseUntil === undefined ? seen(emptyLook) : untilEnded();
+        await pass(clock, 300);
+        expect(client.looks.at(-1)?.leaseUntil).toEqual(undefined);
+        link.resume();
+        await pass(clock, 300);
+        expect(client.looks.at(-1)?.leaseUntil === undefined).toEqual(false);
+    });
+
+    it("does not send a start to a silent worker: it was surely not carried out", async () => {
+        const client = new FakeClient();
+        const { clock, link, sent } = make(client);
+        await settle();
+        client.answerLook = noAnswer;
+        await pass(clock, 300);
+        link.order(command);
+        await settle();
+        expect(client.starts.length).toEqual(0);
+        const last = sent.at(-1);
+        expect(last?.kind === "started" && last.refusal).toEqual("not-delivered");
+    });
+
+    it("says until when a silent worker's leases run", async () => {
+        const client = new FakeClient();
+        const { clock, sent } = make(client);
+        await settle();
+        client.answerLook = noAnswer;
+        await pass(clock, 300);
+        const silent = sent.find(message => message.kind === "silent");
+        expect(silent !== undefined && silent.lapsesIn > leaseLength * 0.9).toEqual(true);
+        expect(silent !== undefined && silent.lapsesIn <= leaseLength / 0.98).toEqual(true);
+    });
+});
--- /dev/null
+++ b/packages/entry/test/membership/registration.test.ts
@@ -0,0 +1,108 @@
+import {
+    absentVersion,
+    type KeyValue,
+    type KeyVersion,
+    ManualClock,
+    type PlatformLeaseId,
+    type PlatformStore,
+    PlatformUnavailableError,
+} from "@pebbledale/core";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { OwnerKey, Registration } from "../../src/index.js";
+import { pass, settle } from "../support/index.js";
+
+/** A store of one key, whose answers can be lost. */
+class OneKeyStore {
+    entry: KeyValue | undefined;
+    lease = "lease-1" as PlatformLeaseId;
+    isLeaseOver = false;
+    losesNextAnswer = false;
+
+    loseLease(): void {
+        this.entry = undefined;
+        this.isLeaseOver = true;
+    }
+
+    async grantLease(): Promise<PlatformLeaseId> {
+        this.isLeaseOver = false;
+        return this.lease;
+    }
+
+    async renewLease(): Promise<boolean> {
+        return !this.isLeaseOver;
+    }
+
+    async revokeLease(): Promise<void> {
+        this.entry = undefined;
+    }
+
+    async compareAndSwap(key: string, expected: KeyVersion, value: string) {
+        if ((this.entry?.version ?? absentVersion) !== expected) {
+            return { kind: "conflict", current: this.entry } as const;
+        }
+        const version = (expected + 1) as KeyVersion;
+        this.entry = { key, value, version };
+        if (this.losesNextAnswer) {
+            this.losesNextAnswer = false;
+            throw new PlatformUnavailableError("the answer was lost");
+        }
+        return { kind: "swapped", version } as const;
+    }
+}
+
+const asStore = (store: OneKeyStore): PlatformStore => store as Partial<PlatformStore> as PlatformStore;
+
+describe("a VM's key", () => {
+    it("is put back when its lease has ended", async () => {
+        const store = new OneKeyStore();
+        const clock = new ManualClock();
+        const stop = new AbortController();
+        const options = { store: asStore(store), clock, key: "cell/nodes/a", value: "a", leaseLength: 3_000 };
+        const running = new Registration(options).run(stop.signal);
+        await settle();
+        expect(store.entry?.value).toEqual("a");
+        store.loseLease();
+        await pass(clock, 1_100);
+        expect(store.entry?.value).toEqual("a");
+        stop.abort();
+        await running;
+        expect(store.entry).toEqual(undefined);
+    });
+
+    it("replaces the one of an earlier life", async () => {
+        const store = new OneKeyStore();
+        store.entry = { key: "cell/nodes/a", value: "old", version: 4 as KeyVersion };
+        const stop = new AbortController();
+        const options = {
+            store: asStore(store),
+            clock: new ManualClock(),
+            key: "cell/nodes/a",
+            value: "new",
+            leaseLength: 3_000,
+        };
+        const running = new Registration(options).run(stop.signal);
+        await settle();
+        expect(store.entry?.value).toEqual("new");
+        stop.abort();
+        await running;
+    });
+});
+
+describe("the owner's key", () => {
+    const make = (store: OneKeyStore) =>
+        new OwnerKey({ store: asStore(store), clock: new ManualClock(), value: "me", leaseLength: 1_000 });
+
+    it("is won when the first answer was lost and the second finds our own value", async () => {
+        const store = new OneKeyStore();
+        store.losesNextAnswer = true;
+        await expect(make(store).claim(absentVersion)).toBeRejected();
+        expect(await make(store).claim(absentVersion)).toEqual(true);
+    });
+
+    it("is lost to another process", async () => {
+        const store = new OneKeyStore();
+        store.entry = { key: "cell/owner", value: "other", version: 3 as KeyVersion };
+        expect(await make(store).claim(absentVersion)).toEqual(false);
+    });
+});
--- /dev/null
+++ b/packages/entry/test/owner/assignments.test.ts
@@ -0,0 +1,83 @@
+import { type CellScheduler, vmId, WorkerState } from "@pebbledale/cell";
+import { epoch, serviceName, type WorkerId, workerId } from "@pebbledale/core";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import {
+    Assignments,
+    type AssignMessage,
+    createMemoryChannel,
+    type OwnerMessage,
+    VmLink,
+    type VmMessage,
+} from "../../src/index.js";
+import { makeVm, settle } from "../support/index.js";
+
+const makeWorkers = (dataHall: string, count: number): CellScheduler["workers"] => {
+    const workers = new Map<WorkerId, WorkerState>();
+    for (let index = 0; index < count; index++) {
+        const worker = workerId(`${dataHall}-${index}`);
+        const state = new WorkerState(worker, "127.0.0.1:1");
+        state.describe({
+            worker,
+            address: "127.0.0.1:1",
+            service: serviceName("pool"),
+            dataHall,
+            vm: vmId("vm"),
+            capacity: { processorThousandths: 1, memoryMebibytes: 1, accelerators: 0 },
+            labels: [],
+            isDraining: false,
+            leavesIn: undefined,
+        });
+        workers.set(worker, state);
+    }
+    return workers;
+};
+
+const makeLink = (name: string, dataHall: string) => {
+    const [ownerEnd, vmEnd] = createMemoryChannel<OwnerMessage, VmMessage>();
+    const assigned: AssignMessage[] = [];
+    vmEnd.onMessage = message => message.kind === "assign" && assigned.push(message);
+    return { link: new VmLink(makeVm(name, { dataHall }), ownerEnd, 0), assigned };
+};
+
+describe("links to workers", () => {
+    it("go to VMs of the worker's data hall, evenly", () => {
+        const [a, b, far] = [makeLink("a", "hall-a"), makeLink("b", "hall-a"), makeLink("far", "hall-b")];
+        const assignments = new Assignments(epoch(1), "nobody", () => 0);
+        assignments.balance(makeWorkers("hall-a", 6).values(), [a.link, b.link, far.link]);
+        expect([a.link.workers.size, b.link.workers.size, far.link.workers.size]).toEqual([3, 3, 0]);
+    });
+
+    it("go elsewhere when there is no VM in the worker's data hall", () => {
+        const far = makeLink("far", "hall-b");
+        const assignments = new Assignments(epoch(1), "nobody", () => 0);
+        assignments.balance(makeWorkers("hall-a", 2).values(), [far.link]);
+        expect(far.link.workers.size).toEqual(2);
+    });
+
+    it("are moved to a VM that joins while others have many more", () => {
+        const a = makeLink("a", "hall-a");
+        const workers = makeWorkers("hall-a", 8);
+        const assignments = new Assignments(epoch(1), "nobody", () => 0);
+        assignments.balance(workers.values(), [a.link]);
+        const b = makeLink("b", "hall-a");
+        assignments.even(workers, b.link, [a.link, b.link]);
+        expect(a.link.workers.size - b.link.workers.size <= 2).toEqual(true);
+        expect(a.link.workers.size + b.link.workers.size).toEqual(8);
+    });
+
+    it("carry a higher token with each assignment, and with each owner", async () => {
+        const a = makeLink("a", "hall-a");
+        const workers = makeWorkers("hall-a", 1);
+        const first = new Assignments(epoch(1), "nobody", () => 0);
+        first.balance(workers.values(), [a.link]);
+        first.removeAll(a.link);
+        first.balance(workers.values(), [a.link]);
+        const second = new Assignments(epoch(2), "nobody", () => 0);
+        second.balance(workers.values(), [a.link]);
+        await settle();
+        const tokens = a.assigned.map(message => Number(message.token));
+        expect(tokens.length).toEqual(3);
+        expect(tokens[0] < tokens[1] && tokens[1] < tokens[2]).toEqual(true);
+    });
+});
--- /dev/null
+++ b/packages/entry/test/ownership/campaign.test.ts
@@ -0,0 +1,68 @@
+import type { KeyVersion } from "@pebbledale/core";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { type CampaignInput, CellView, claimDelay, ownerKey, reasonToClaim, vmKey } from "../../src/index.js";
+import { makeVm } from "../support/index.js";
+
+const self = makeVm("b");
+
+const viewOf = (owner: object | undefined, ...names: string[]): CellView => {
+    const view = new CellView();
+    const version = 1 as KeyVersion;
+    const entries = names.map(name => ({ key: vmKey(name), value: JSON.stringify(makeVm(name)), version }));
+    const ownerEntry = owner === undefined ? [] : [{ key: ownerKey, value: JSON.stringify(owner), version }];
+    view.replace({ entries: [...entries, ...ownerEntry], cursor: "1" });
+    return view;
+};
+
+const input = (changes: Partial<CampaignInput>): CampaignInput => ({
+    view: viewOf(undefined, "a", "b"),
+    self,
+    ownerSilence: Infinity,
+    deadOwner: undefined,
+    isAsked: false,
+    ...changes,
+});
+
+const owner = { name: "a", address: "127.0.0.1:1", process: "process-of-a" };
+
+describe("a VM claims the cell", () => {
+    it("when there is no owner", () => {
+        expect(reasonToClaim(input({}))).toEqual("there is no owner");
+    });
+
+    it("not while an owner speaks whose key is missing: it will put it back", () => {
+        expect(reasonToClaim(input({ ownerSilence: 100 }))).toEqual(undefined);
+    });
+
+    it("not while another has it, however silent that one is to this VM", () => {
+        expect(reasonToClaim(input({ view: viewOf(owner, "a", "b") }))).toEqual(undefined);
+    });
+
+    it("at once when the owner's process is known to be gone", () => {
+        const found = reasonToClaim(input({ view: viewOf(owner, "a", "b"), deadOwner: owner.process }));
+        expect(found).toEqual("the owner's process is gone");
+    });
+
+    it("when its own earlier life, or an unanswered claim of this one, has the key", () => {
+        const earlier = reasonToClaim(input({ view: viewOf({ ...owner, name: "b", process: "old" }, "b") }));
+        const lost = reasonToClaim(input({ view: viewOf({ ...owner, name: "b", process: self.process }, "b") }));
+        expect(earlier).toEqual("an earlier life of this VM is the owner");
+        expect(lost).toEqual("an earlier claim of this process had no answer");
+    });
+
+    it("when the owner asks it to, without delay", () => {
+        const asked = input({ view: viewOf(owner, "a", "b"), isAsked: true });
+        expect(reasonToClaim(asked)).toEqual("the owner hands over");
+        expect(claimDelay(asked)).toEqual(0);
+    });
+});
+
+describe("candidates", () => {
+    it("leave the claim to larger VMs, then by name", () => {
+        const view = viewOf(undefined, "a", "b", "c");
+        expect(claimDelay(input({ view })) > 0).toEqual(true);
+        expect(claimDelay(input({ view, self: makeVm("a") }))).toEqual(0);
+        expect(claimDelay(input({ view, self: makeVm("c", { processorShare: 2 }) }))).toEqual(0);
+    });
+});
