Room for gangs is kept by when the runs there are expected to end; a much larger VM is offered the cell

Cause: workers that a gang waited for took nothing else, however long the gang's turn was away, and tickets of the gang ran out just as its room came free. On grown sites a VM of 0.324 core kept the cell when larger ones started later. Found on the way by the test of the task that lasts, which failed first: the expected end of a run that its worker had not confirmed yet slid with the clock, and a run taken over from an earlier owner was taken for done at once, as its progress was divided by the time since the take-over. Ruled out: keeping workers whole only for the first gang (others starved). Change: a plan of the earliest time at which the gang fits; until then its workers take what will have ended; tickets are asked for in time; an owner that is heard and does not put its key back is replaced after 1.5 s; candidates wait 0.2 s while VMs show up for the first time; a line a second says how the cell stands.

--- a/packages/cell/src/scheduler/advice-desk.ts
+++ b/packages/cell/src/scheduler/advice-desk.ts
@@ -2,9 +2,10 @@
 import { logEvents, type Milliseconds, type WorkerId } from "@pebbledale/core";
 import { type AdviceAnswer, type AdvicePolicy, mostAdviceWorkers } from "../advice/index.js";
 import type { CellContext } from "./cell-context.js";
-import { adviceBreadth, adviceInterval } from "./constants.js";
+import { adviceBreadth, adviceInterval, ticketLead } from "./constants.js";
 import type { JobTerms } from "./definition.js";
 import type { Step } from "./entities.js";
+import type { RoomPlan } from "./reservations.js";
 import { StepPermits } from "./step-permits.js";
 import { isEligible } from "./worker-choice.js";
 import type { WorkerState } from "./worker-state.js";
@@ -53,6 +54,23 @@
         }
     }
 
+    /** Room for a step is expected: tickets that will have run out by then are asked for, so that they come in time. */
+    wantTickets(step: Step, plan: RoomPlan): void {
+        const { permits } = step;
+        const { terms } = step.job;
+        const now = this.context.now();
+        if (permits === undefined || permits.isAsking || terms.advice === undefined) {
+            return;
+        }
+        const { decision, eachWorker } = terms.advice;
+        const lead = decision + eachWorker * plan.workers.length + ticketLead;
+        const stale = plan.workers.filter(worker => permits.ticketOf(worker.id, plan.from) === undefined);
+        const isTime = now >= plan.from - lead && now - permits.askedAt >= adviceInterval;
+        if (isTime && stale.length > 0) {
+            this.#ask(step, terms, terms.advice, stale.slice(0, mostAdviceWorkers));
+        }
+    }
+
     /** Takes an answer in. `answeredAt`: when it arrived, by the owner's monotonic clock. */
     take(address: string, asked: readonly WorkerId[], answer: AdviceAnswer | undefined): void {
         const step = this.#asked.get(address);
--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -20,6 +20,7 @@
 import type { WorkerEntry } from "../worker-directory/index.js";
 import { AdviceDesk } from "./advice-desk.js";
 import { CellContext, type CellOptions } from "./cell-context.js";
+import { type CellSummary, summarize } from "./cell-summary.js";
 import { failedRunPause } from "./constants.js";
 import { CellJobState, isEndState, type JobDefinition } from "./definition.js";
 import { type Job, type Occurrence, RunPhase, type Step, type TaskRun } from "./entities.js";
@@ -313,6 +314,11 @@
         this.#placer.place();
     }
 
+    /** How the cell stands, in figures. */
+    summary(): CellSummary {
+        return summarize(this.#context, this.#placer.readySteps);
+    }
+
     /** Takes out what the inputs so far led to. */
     drain(): Turn {
         return this.#context.outbox.drain();
--- /dev/null
+++ b/packages/cell/src/scheduler/cell-summary.ts
@@ -0,0 +1,49 @@
+/** How a cell stands, in a few figures, for logs and metrics. */
+import type { CellContext } from "./cell-context.js";
+import { type Step, TaskPhase } from "./entities.js";
+
+/** See the module's comment. */
+export interface CellSummary {
+    readonly workers: number;
+    /** Workers that may be ordered. */
+    readonly openWorkers: number;
+    /** Workers that do not answer. */
+    readonly silentWorkers: number;
+    /** Thousandths of processors that all workers have, and that are free on open ones. */
+    readonly processor: number;
+    readonly freeProcessor: number;
+    readonly runs: number;
+    /** Jobs that are not over. */
+    readonly openJobs: number;
+    /** Tasks that wait, by the priority of their queue, and the processor that they ask for, in thousandths. */
+    readonly waiting: Readonly<Record<string, { readonly tasks: number; readonly processor: number; }>>;
+}
+
+/** Works the figures out. */
+export const summarize = (context: CellContext, ready: ReadonlySet<Step>): CellSummary => {
+    const now = context.now();
+    const workers = [...context.workers.values()];
+    const open = workers.filter(worker => worker.isOpen(now));
+    const sum = (values: readonly number[]): number => values.reduce((total, value) => total + value, 0);
+    return {
+        workers: workers.length,
+        openWorkers: open.length,
+        silentWorkers: workers.filter(worker => worker.silentSince !== undefined).length,
+        processor: sum(workers.map(worker => worker.entry?.capacity.processorThousandths ?? 0)),
+        freeProcessor: sum(open.map(worker => worker.freeProcessor)),
+        runs: sum(workers.map(worker => worker.runs.size)),
+        openJobs: [...context.table.jobs.values()].filter(job => !job.isOver).length,
+        waiting: waitingByPriority(ready),
+    };
+};
+
+const waitingByPriority = (ready: ReadonlySet<Step>): CellSummary["waiting"] => {
+    const waiting: Record<string, { tasks: number; processor: number; }> = {};
+    for (const { tasks, job, definition } of ready) {
+        const count = tasks.filter(task => task.phase === TaskPhase.Waiting).length;
+        const entry = waiting[job.terms.priority] ??= { tasks: 0, processor: 0 };
+        entry.tasks += count;
+        entry.processor += count * definition.size.processorThousandths;
+    }
+    return waiting;
+};
--- a/packages/cell/src/scheduler/constants.ts
+++ b/packages/cell/src/scheduler/constants.ts
@@ -12,6 +12,8 @@
 export const adviceBreadth = 60;
 /** A step that found no room is asked about again for fresh tickets at most this often. */
 export const adviceInterval = 100;
+/** Tickets for room that is expected are asked for this much earlier than the question takes. */
+export const ticketLead = 80;
 /** A task whose run failed waits this long before the next, so that a worker at fault is found out first. */
 export const failedRunPause = 50;
 /**
--- a/packages/cell/src/scheduler/entities.ts
+++ b/packages/cell/src/scheduler/entities.ts
@@ -42,9 +42,11 @@
     sentAt: Milliseconds | undefined;
     /** When the worker confirmed it. */
     confirmedAt: Milliseconds | undefined;
-    /** Progress as last seen, 0 to 100, and when it last changed. */
+    /** Progress as last seen, 0 to 100, and when it last changed; before the first change when the run was ordered. */
     percent: number;
     progressedAt: Milliseconds;
+    /** Progress when this owner first saw some, and when that was. */
+    firstSeen: { readonly percent: number; readonly at: Milliseconds; } | undefined;
     /** Progress when it was last sampled for its worker's speed, and when that was. */
     sampledPercent: number;
     sampledAt: Milliseconds;
--- a/packages/cell/src/scheduler/mover.ts
+++ b/packages/cell/src/scheduler/mover.ts
@@ -3,6 +3,7 @@
 import type { CellContext } from "./cell-context.js";
 import { leastLeftToMove } from "./constants.js";
 import { RunPhase, type Step, type Task, type TaskRun } from "./entities.js";
+import { expectedEnd } from "./expected-end.js";
 import type { ProgressWatch } from "./progress-watch.js";
 import type { RunBook } from "./run-book.js";
 import { isEligible } from "./worker-choice.js";
@@ -96,19 +97,6 @@
 
 const isMovable = (run: TaskRun): boolean => run.phase === RunPhase.AtWork && run.stopReason === undefined;
 
-/** When a run will end at the speed it had so far; without progress so far, by its estimate. */
-const expectedEnd = (run: TaskRun, now: Milliseconds): Milliseconds => {
-    const { definition } = run.task.step;
-    if (definition.isLasting) {
-        return Infinity;
-    }
-    const began = run.confirmedAt ?? now;
-    if (run.percent <= 0) {
-        return Math.max(now, began) + definition.estimate;
-    }
-    return now + (now - began) / run.percent * (100 - run.percent);
-};
-
 /** Whether one more task of a step that lasts may be away through our doing. */
 export const mayLoseOne = ({ definition, tasks }: Step): boolean => {
     const { mayBeAway } = definition;
--- a/packages/cell/src/scheduler/placer.ts
+++ b/packages/cell/src/scheduler/placer.ts
@@ -6,16 +6,17 @@
 import type { Step, Task } from "./entities.js";
 import type { HealthWatch } from "./health-watch.js";
 import type { Mover } from "./mover.js";
+import { Reservations } from "./reservations.js";
 import type { RunBook } from "./run-book.js";
 import { compareRanks, rank } from "./urgency.js";
-import { candidatesFor, dealAll, isEligible, type Share } from "./worker-choice.js";
+import { candidatesFor, dealAll, type Share } from "./worker-choice.js";
 import type { WorkerState } from "./worker-state.js";
 
 /** See the module's comment. */
 export class Placer {
     readonly #ready = new Set<Step>();
-    /** Workers whose room a gang further ahead in this pass waits for. */
-    readonly #kept = new Set<WorkerState>();
+    /** Room that steps further ahead in this pass wait for. */
+    readonly #reservations: Reservations;
 
     constructor(
         private readonly context: CellContext,
@@ -23,7 +24,9 @@
         private readonly advice: AdviceDesk,
         private readonly health: HealthWatch,
         private readonly mover: Mover,
-    ) {}
+    ) {
+        this.#reservations = new Reservations(context);
+    }
 
     /** Steps that have tasks to place. */
     get readySteps(): ReadonlySet<Step> {
@@ -43,7 +46,7 @@
     /** One pass. */
     place(): void {
         const now = this.context.now();
-        this.#kept.clear();
+        this.#reservations.clear();
         const ranked = [...this.#ready]
             .filter(step => step.hasWaitingTask || step.definition.allowsCopies)
             .map(step => rank(this.context, step, now))
@@ -68,7 +71,7 @@
             service: terms.service,
             workers: this.context.workers.values(),
             now,
-            isKept: (worker: WorkerState) => this.#kept.has(worker),
+            limit: (worker: WorkerState) => this.#reservations.limitFor(worker, step, now),
             doubt: (worker: WorkerState) => this.health.costOf(worker, step),
         };
         const candidates = candidatesFor(input, waiting.length);
@@ -118,20 +121,11 @@
         }
     }
 
-    /** Keeps workers for tasks that do not fit yet, those with the most room first, until it would fit. */
+    /** Keeps room for tasks that do not fit yet, and has their tickets renewed in time. */
     #keepRoom(step: Step, count: number, now: Milliseconds): void {
-        const { terms } = step.job;
-        const possible = [...this.context.workers.values()]
-            .filter(worker => isEligible(worker, step, terms.service, now) && !this.#kept.has(worker))
-            .filter(worker => step.permits === undefined || step.permits.isPermitted(worker.id))
-            .sort((left, right) => right.freeProcessor - left.freeProcessor);
-        let left = count;
-        for (const worker of possible) {
-            if (left <= 0) {
-                return;
-            }
-            this.#kept.add(worker);
-            left -= countInWhole(worker, step);
+        const plan = this.#reservations.keep(step, count, now);
+        if (plan !== undefined) {
+            this.advice.wantTickets(step, plan);
         }
     }
 
@@ -139,6 +133,7 @@
     #order(tasks: readonly Task[], worker: WorkerState, ticket: string | undefined, run?: RunNumber): void {
         const now = this.context.now();
         const { step } = tasks[0];
+        this.#reservations.take(worker, step, tasks.length, now);
         for (const task of tasks) {
             this.runs.order(task, run ?? this.runs.nextRunOf(step, task), worker, ticket);
         }
@@ -158,16 +153,3 @@
         });
     }
 }
-
-/** How many tasks of a step a worker could hold were it empty. */
-const countInWhole = (worker: WorkerState, step: Step): number => {
-    const { size } = step.definition;
-    const capacity = worker.entry?.capacity;
-    if (capacity === undefined) {
-        return 0;
-    }
-    return Math.min(
-        Math.floor(capacity.processorThousandths / Math.max(1, size.processorThousandths)),
-        Math.floor(capacity.memoryMebibytes / Math.max(1, size.memoryMebibytes)),
-    );
-};
--- a/packages/cell/src/scheduler/run-book.ts
+++ b/packages/cell/src/scheduler/run-book.ts
@@ -73,6 +73,7 @@
         if (seen.percent !== run.percent) {
             run.percent = seen.percent;
             run.progressedAt = this.context.now();
+            run.firstSeen ??= { percent: run.percent, at: run.progressedAt };
         }
         if (seen.checkpoint !== "") {
             run.checkpoint = seen.checkpoint;
@@ -199,6 +200,7 @@
             confirmedAt: undefined,
             percent: 0,
             progressedAt: now,
+            firstSeen: undefined,
             sampledPercent: 0,
             sampledAt: now,
             checkpoint: "",
--- a/packages/cell/src/scheduler/worker-choice.ts
+++ b/packages/cell/src/scheduler/worker-choice.ts
@@ -23,8 +23,8 @@
     readonly service: ServiceName;
     readonly workers: Iterable<WorkerState>;
     readonly now: Milliseconds;
-    /** Whether a worker's room is kept for something else. */
-    readonly isKept: (worker: WorkerState) => boolean;
+    /** How many tasks a worker takes at most, so that room that is kept for others stays kept. */
+    readonly limit: (worker: WorkerState) => number;
     /** What speaks against a worker, added to its cost. */
     readonly doubt: (worker: WorkerState) => number;
 }
@@ -41,17 +41,17 @@
 };
 
 /** Workers that can take tasks of a step now, best first. */
-export const candidatesFor = ({ step, service, workers, now, isKept, doubt }: ChoiceInput, most: number): Share[] => {
+export const candidatesFor = ({ step, service, workers, now, limit, doubt }: ChoiceInput, most: number): Share[] => {
     const candidates: Candidate[] = [];
     for (const worker of workers) {
-        if (!isEligible(worker, step, service, now) || isKept(worker)) {
+        if (!isEligible(worker, step, service, now)) {
             continue;
         }
         const ticket = step.permits?.ticketOf(worker.id, now);
         if (step.permits !== undefined && ticket === undefined) {
             continue;
         }
-        const count = worker.countFitting(step, most);
+        const count = worker.countFitting(step, Math.min(most, limit(worker)));
         if (count > 0) {
             candidates.push({ worker, count, ticket, cost: costOf(worker, step, count) + doubt(worker) });
         }
--- /dev/null
+++ b/packages/cell/test/scheduler/reservations.test.ts
@@ -0,0 +1,63 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import type { StartCommand } from "../../src/index.js";
+import { CellDriver, makeJob, makeStep, makeWorker, running } from "../support/index.js";
+
+const sizeOf = (processorThousandths: number) => ({ processorThousandths, memoryMebibytes: 1, accelerators: 0 });
+/** A gang that needs all of a worker's eight cores. */
+const wideGang = makeStep({ taskCount: 2, isGang: true, size: sizeOf(4_000) });
+
+/** One worker with half of its room taken for a while longer. */
+const halfFull = (estimate = 2_000): { driver: CellDriver; holder: StartCommand; } => {
+    const driver = new CellDriver();
+    driver.addWorkers(makeWorker("w1"));
+    driver.cell.submit(makeJob("holder", [makeStep({ size: sizeOf(4_000), estimate })]));
+    const [holder] = driver.run().starts;
+    driver.confirm(holder);
+    driver.cell.submit(makeJob("gang", [wideGang]));
+    driver.run();
+    return { driver, holder };
+};
+
+const startedJobs = (driver: CellDriver): string[] => driver.run().starts.map(start => start.task.split("/")[0]);
+
+describe("room that a gang waits for", () => {
+    it("is used meanwhile by what will have ended by then", () => {
+        const { driver } = halfFull();
+        driver.cell.submit(makeJob("short", [makeStep({ size: sizeOf(4_000), estimate: 1_000 })]));
+        expect(startedJobs(driver)).toEqual(["short"]);
+    });
+
+    it("is not given to what would still run by then", () => {
+        const { driver, holder } = halfFull();
+        driver.cell.submit(makeJob("long", [makeStep({ size: sizeOf(4_000), estimate: 3_000 })]));
+        expect(startedJobs(driver)).toEqual([]);
+        driver.end(holder);
+        expect(startedJobs(driver)).toEqual(["gang", "gang"]);
+    });
+
+    it("is worked out anew from how fast the runs there turn out to be", () => {
+        const { driver, holder } = halfFull();
+        // It takes ten times as long as its caller said: what is long has ended well before.
+        [500, 1_500].forEach((at, index) => {
+            driver.clock.advance(at - index * 500);
+            driver.look("w1", [running(holder, 2 + index * 10)], [], false);
+        });
+        driver.cell.submit(makeJob("long", [makeStep({ size: sizeOf(4_000), estimate: 3_000 })]));
+        expect(startedJobs(driver)).toEqual(["long"]);
+    });
+
+    it("takes progress from before this owner for no sign of speed", () => {
+        const { driver, holder } = halfFull(10_000);
+        driver.takeOver();
+        driver.cell.changeWorkers([makeWorker("w1")], []);
+        driver.run();
+        driver.look("w1", [running(holder, 50)]);
+        driver.run();
+        driver.clock.advance(10);
+        driver.look("w1", [running(holder, 50)], [], false);
+        // Half of its ten seconds are left: three seconds fit before the gang's turn.
+        driver.cell.submit(makeJob("short", [makeStep({ size: sizeOf(4_000), estimate: 3_000 })]));
+        expect(startedJobs(driver)).toEqual(["short"]);
+    });
+});
--- a/packages/core/src/log-events/index.ts
+++ b/packages/core/src/log-events/index.ts
@@ -106,6 +106,7 @@
     upkeepOrdered: define(4701, "info", "a VM's upkeep is ordered", nothing),
     upkeepFailed: define(4702, "warn", "the platform's service of VMs did not answer", "Look at it if it lasts."),
     waveTold: define(4703, "info", "the state of a wave of upkeep is told", nothing),
+    cellSummary: define(4401, "info", "how the cell stands", nothing),
     ownershipClaimed: define(4501, "info", "this VM claims the cell", nothing),
     ownershipBegun: define(4502, "info", "this VM owns the cell", nothing),
     ownershipEnded: define(4503, "info", "this VM no longer owns the cell", nothing),
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -52,7 +52,7 @@
 export class EntryProcess {
     readonly jobs: JobService;
     readonly #self: EntryVm;
-    readonly #view = new CellView();
+    readonly #view: CellView;
     readonly #configuration: ConfigurationWatch;
     readonly #session: VmSession;
     readonly #registration: Registration;
@@ -65,6 +65,7 @@
 
     constructor(private readonly options: EntryOptions) {
         const { settings, clock, random, logger, store } = options;
+        this.#view = new CellView(clock);
         this.#self = {
             name: settings.vm,
             address: settings.peerAddress,
--- a/packages/entry/src/membership/view.ts
+++ b/packages/entry/src/membership/view.ts
@@ -1,5 +1,5 @@
 /** Entry VMs and the owner as the store shows them. */
-import type { KeyChanges, KeysAtCursor, KeyValue, KeyVersion } from "@pebbledale/core";
+import type { Clock, KeyChanges, KeysAtCursor, KeyValue, KeyVersion, Milliseconds } from "@pebbledale/core";
 
 /** Keys of the cell's entry VMs and owner. */
 export const cellPrefix = "cell/";
@@ -37,12 +37,20 @@
     owner: OwnerEntry | undefined;
     /** Version of the owner's key as last seen; undefined while it is not there. */
     ownerVersion: KeyVersion | undefined;
+    /** Since when the owner's key is missing, by the monotonic clock; undefined while it is there or nothing was read. */
+    ownerMissingSince: Milliseconds | undefined;
+    /** When a VM was last seen for the first time, by the monotonic clock. */
+    grownAt: Milliseconds = -Infinity;
+
+    constructor(private readonly clock: Clock) {}
 
     /** Takes in all keys. */
     replace({ entries }: KeysAtCursor): void {
-        this.vms.clear();
-        this.owner = undefined;
-        this.ownerVersion = undefined;
+        const keys = new Set(entries.map(entry => entry.key));
+        [...this.vms.keys()].filter(name => !keys.has(vmKey(name))).forEach(name => this.vms.delete(name));
+        if (!keys.has(ownerKey)) {
+            this.#removeOwner();
+        }
         entries.forEach(entry => this.#put(entry));
     }
 
@@ -51,8 +59,7 @@
         changed.forEach(entry => this.#put(entry));
         for (const key of removed) {
             if (key === ownerKey) {
-                this.owner = undefined;
-                this.ownerVersion = undefined;
+                this.#removeOwner();
             }
             else {
                 this.vms.delete(key.slice(vmPrefix.length));
@@ -60,13 +67,22 @@
         }
     }
 
+    #removeOwner(): void {
+        this.owner = undefined;
+        this.ownerVersion = undefined;
+        this.ownerMissingSince ??= this.clock.monotonic();
+    }
+
     #put({ key, value, version }: KeyValue): void {
         if (key === ownerKey) {
             this.owner = JSON.parse(value) as OwnerEntry;
             this.ownerVersion = version;
+            this.ownerMissingSince = undefined;
         }
         else if (key.startsWith(vmPrefix)) {
-            this.vms.set(key.slice(vmPrefix.length), JSON.parse(value) as EntryVm);
+            const name = key.slice(vmPrefix.length);
+            this.grownAt = this.vms.has(name) ? this.grownAt : this.clock.monotonic();
+            this.vms.set(name, JSON.parse(value) as EntryVm);
         }
     }
 }
--- a/packages/entry/src/owner/constants.ts
+++ b/packages/entry/src/owner/constants.ts
@@ -40,3 +40,9 @@
  * the leases that run by then, work goes on through an outage of the store of about nine seconds.
  */
 export const confirmationHorizon: Milliseconds = 3_000;
+/** A VM with this many times the owner's processor is offered the cell once it has been connected for a while. */
+export const muchLarger = 1.5;
+/** How long a much larger VM is connected before it is offered the cell. */
+export const offerAfter: Milliseconds = 3_000;
+/** How often the state of the cell is logged, in milliseconds. */
+export const summaryInterval: Milliseconds = 1_000;
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -34,10 +34,13 @@
 import {
     confirmationHorizon,
     lookAgeMargin,
+    muchLarger,
+    offerAfter,
     ownerBeatInterval,
     recordLimit,
     stalledAfter,
     stalledRetryAfter,
+    summaryInterval,
     tickInterval,
     vmSilence,
 } from "./constants.js";
@@ -61,6 +64,8 @@
     readonly lost: AbortController;
     /** Told of a VM that gave no sign of life for too long. */
     readonly onSilentVm: (name: string) => void;
+    /** Told once when a much larger VM has been connected for a while. */
+    readonly onLargerVm: () => void;
     /** Whether this VM has been cut off from most of the others. */
     readonly isCutOff: () => boolean;
     /** Told of a configuration that a VM saw. */
@@ -137,17 +142,23 @@
 
     /** Serves until `lost` fires. */
     async run(): Promise<void> {
-        const { lost, clock } = this.options;
+        const { lost, clock, logger, journal } = this.options;
         const following = this.#followWorkers(lost.signal);
         let beatAt = clock.monotonic();
+        let summaryAt = clock.monotonic();
         while (!lost.signal.aborted) {
             this.cell.tick();
             this.#dropSilentVms();
+            this.#lookForLarger();
             if (clock.monotonic() - beatAt >= ownerBeatInterval) {
                 beatAt = clock.monotonic();
                 const mayLease = beatAt - this.options.confirmedAt() < confirmationHorizon;
                 this.#vms.forEach(vm => vm.channel.send({ kind: "beat", mayLease }));
             }
+            if (clock.monotonic() - summaryAt >= summaryInterval) {
+                summaryAt = clock.monotonic();
+                logger.log(logEvents.cellSummary, { ...this.cell.summary(), journalWait: journal.waitingFor() });
+            }
             this.#requestTurn();
             await clock.sleep(tickInterval, lost.signal);
         }
@@ -266,6 +277,17 @@
         this.#balance();
     }
 
+    /** Offers the cell to a VM that can do much more of its work. */
+    #lookForLarger(): void {
+        const now = this.options.clock.monotonic();
+        const own = this.#vms.get(this.options.name)?.vm.processorShare ?? Infinity;
+        const isLarger = (link: VmLink) =>
+            !link.isLeaving && link.vm.processorShare >= own * muchLarger && now - link.connectedAt > offerAfter;
+        if (!this.#isHandingOver && [...this.#vms.values()].some(isLarger)) {
+            this.options.onLargerVm();
+        }
+    }
+
     #dropSilentVms(): void {
         const now = this.options.clock.monotonic();
         for (const link of [...this.#vms.values()]) {
--- a/packages/entry/src/owner/vm-link.ts
+++ b/packages/entry/src/owner/vm-link.ts
@@ -27,9 +27,10 @@
     constructor(
         readonly vm: EntryVm,
         readonly channel: Channel<OwnerMessage, VmMessage>,
-        now: Milliseconds,
+        /** When it was connected, by the owner's monotonic clock. */
+        readonly connectedAt: Milliseconds,
     ) {
-        this.heardAt = now;
+        this.heardAt = connectedAt;
     }
 
     /** Links for each share of a core, were one more added: VMs with less take fewer. */
--- a/packages/entry/src/ownership/campaign.ts
+++ b/packages/entry/src/ownership/campaign.ts
@@ -1,12 +1,14 @@
 /** Decides when this VM claims the cell: pure, from what is known at the moment. */
 import type { Milliseconds } from "@pebbledale/core";
 import type { CellView, EntryVm } from "../membership/index.js";
-import { candidateDelay, ownerHeardLately } from "./constants.js";
+import { candidateDelay, gatheringPause, ownerHeardLately, ownerKeyBack } from "./constants.js";
 
 /** What is known at a moment. */
 export interface CampaignInput {
     readonly view: CellView;
     readonly self: EntryVm;
+    /** Now, by the monotonic clock. */
+    readonly now: Milliseconds;
     /** How long ago an owner was heard. */
     readonly ownerSilence: Milliseconds;
     /** Process of an owner that is known to be gone. */
@@ -17,13 +19,13 @@
 
 /** Why a VM may claim; undefined when it may not. */
 export const reasonToClaim = (input: CampaignInput): string | undefined => {
-    const { view, self, ownerSilence, deadOwner, isAsked } = input;
+    const { view, self, deadOwner, isAsked } = input;
     const { owner } = view;
     if (isAsked) {
         return "the owner hands over";
     }
     if (owner === undefined) {
-        return ownerSilence > ownerHeardLately ? "there is no owner" : undefined;
+        return reasonWithoutOwner(input);
     }
     if (owner.name === self.name) {
         return owner.process === self.process
@@ -33,6 +35,19 @@
     return owner.process === deadOwner ? "the owner's process is gone" : undefined;
 };
 
+const reasonWithoutOwner = ({ view, ownerSilence, now }: CampaignInput): string | undefined => {
+    if (view.ownerMissingSince === undefined) {
+        return undefined;
+    }
+    if (ownerSilence > ownerHeardLately) {
+        return "there is no owner";
+    }
+    return now - view.ownerMissingSince > ownerKeyBack ? "the owner does not put its key back" : undefined;
+};
+
+/** Whether VMs have just begun to show up, as in a start of all: larger ones may follow. */
+export const isGathering = ({ view, now }: CampaignInput): boolean => now - view.grownAt < gatheringPause;
+
 /** How long a VM leaves the claim to those before it: larger ones first, then by name. */
 export const claimDelay = ({ view, self, isAsked }: CampaignInput): Milliseconds => {
     if (isAsked) {
--- a/packages/entry/src/ownership/candidate.ts
+++ b/packages/entry/src/ownership/candidate.ts
@@ -23,7 +23,7 @@
 } from "../owner/constants.js";
 import { OwnerSession, type OwnerUpkeep } from "../owner/index.js";
 import { VmDialer } from "../peers/index.js";
-import { type CampaignInput, claimDelay, reasonToClaim } from "./campaign.js";
+import { type CampaignInput, claimDelay, isGathering, reasonToClaim } from "./campaign.js";
 import { campaignInterval, claimRetryDelay, handOverWait, isolationLimit, reachLimit } from "./constants.js";
 import { OwnerKey } from "./owner-key.js";
 
@@ -80,7 +80,7 @@
         while (!stop.aborted) {
             const input = this.#input();
             const reason = reasonToClaim(input);
-            if (reason === undefined || !this.#hasWaited(input)) {
+            if (reason === undefined || !this.#hasWaited(input) || isGathering(input)) {
                 this.#wantsSince = reason === undefined ? undefined : this.#wantsSince;
                 await clock.sleep(campaignInterval, stop);
                 continue;
@@ -97,7 +97,8 @@
     }
 
     #input(): CampaignInput {
-        return { view: this.options.view, self: this.options.self, ...this.options.knownOwner() };
+        const { view, self, clock, knownOwner } = this.options;
+        return { view, self, now: clock.monotonic(), ...knownOwner() };
     }
 
     #hasWaited(input: CampaignInput): boolean {
@@ -149,7 +150,7 @@
     async #serve(dialer: VmDialer, key: OwnerKey, stop: AbortSignal): Promise<void> {
         const { store, clock, random, logger, self, directory } = this.options;
         const lost = createAbortController();
-        const onStop = () => void this.#handOver(lost);
+        const onStop = () => void this.#handOver(lost, "the process stops");
         stop.addEventListener("abort", onStop);
         try {
             const { journal, contents } = await openJournal({
@@ -183,6 +184,7 @@
                 isCutOff: () => dialer.hasBeenCutOff,
                 onConfiguration: this.options.onConfiguration,
                 upkeep: this.options.upkeep,
+                onLargerVm: () => void this.#handOver(lost, "a much larger VM is connected"),
             });
             this.#session = session;
             session.addWaves(this.options.waves());
@@ -202,11 +204,11 @@
     }
 
     /** Gives the cell to another VM, and goes on until that VM has it or the wait is over. */
-    async #handOver(lost: AbortController): Promise<void> {
+    async #handOver(lost: AbortController, reason: string): Promise<void> {
         const { clock, logger } = this.options;
         const isOffered = await this.#session?.handOver() ?? false;
-        logger.log(logEvents.ownershipOffered, { isOffered });
+        logger.log(logEvents.ownershipOffered, { isOffered, reason });
         await clock.sleep(isOffered ? handOverWait : 0, lost.signal);
-        lost.abort(new Error("the process stops"));
+        lost.abort(new Error(reason));
     }
 }
--- a/packages/entry/src/ownership/constants.ts
+++ b/packages/entry/src/ownership/constants.ts
@@ -21,3 +21,7 @@
 export const reachLimit: Milliseconds = 300;
 /** A candidate that is cut off claims all the same once nobody else has for this long. */
 export const isolationLimit: Milliseconds = 5_000;
+/** An owner that is heard and has not put its missing key back by then cannot do its work: it does so in 0.4 s. */
+export const ownerKeyBack: Milliseconds = 1_500;
+/** Candidates wait until no VM has shown up for the first time for this long: in a start of all, larger ones follow. */
+export const gatheringPause: Milliseconds = 200;
