--- a/packages/cell/src/scheduler/advice-desk.ts
+++ b/packages/cell/src/scheduler/advice-desk.ts
@@ -72,7 +72,7 @@
     }
 
     /** Takes an answer in. `answeredAt`: when it arrived, by the owner's monotonic clock. */
-    take(address: string, asked: readonly WorkerId[], answer: AdviceAnswer | undefined): void {
+    take(address: string, asked: readonly WorkerId[], answer: AdviceAnswer | undefined, cause: string): void {
         const step = this.#asked.get(address);
         this.#asked.delete(address);
         if (step?.permits === undefined) {
@@ -80,7 +80,7 @@
         }
         step.permits.isAsking = false;
         if (answer?.kind !== "advised") {
-            this.context.options.log.log(logEvents.adviceFailed, { step: address, answer: answer?.kind ?? "none" });
+            this.context.options.log.log(logEvents.adviceFailed, { step: address, cause: answer?.kind ?? cause });
             return;
         }
         step.permits.take(asked, answer.permits, this.context.now() + answer.validity);
--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -194,8 +194,8 @@
     }
 
     /** A worker does not answer. `lapsesAt`: when every lease there is over, if that is known. */
-    takeSilence(worker: WorkerId, lapsesAt: Milliseconds | undefined): void {
-        this.#pool.takeSilence(worker, lapsesAt);
+    takeSilence(worker: WorkerId, lapsesAt: Milliseconds | undefined, cause = "no answer"): void {
+        this.#pool.takeSilence(worker, lapsesAt, cause);
     }
 
     /** Another life of the worker answers at its address. */
@@ -230,8 +230,13 @@
     }
 
     /** Takes in an answer of the advice service; undefined when there was none. */
-    takeAdvice(step: string, asked: readonly WorkerId[], answer: AdviceAnswer | undefined): void {
-        this.#advice.take(step, asked, answer);
+    takeAdvice(
+        step: string,
+        asked: readonly WorkerId[],
+        answer: AdviceAnswer | undefined,
+        cause = "no answer",
+    ): void {
+        this.#advice.take(step, asked, answer, cause);
         this.#wantsPass = true;
     }
 
@@ -414,7 +419,12 @@
         this.#context.outbox.changed(job.id);
         this.#wantsPass = true;
         if ([...job.occurrences.values()].every(occurrence => occurrence.steps.every(hasNoRuns))) {
-            this.#context.options.log.log(logEvents.jobEnded, { job: job.id, state: job.state });
+            this.#context.options.log.log(logEvents.jobEnded, {
+                job: job.id,
+                queue: job.queue,
+                state: job.state,
+                took: Math.round(this.#context.now() - job.acceptedSteady),
+            });
             this.#health.forgetJob(job);
             job.shrink();
         }
--- a/packages/cell/src/scheduler/worker-pool.ts
+++ b/packages/cell/src/scheduler/worker-pool.ts
@@ -133,14 +133,19 @@
     }
 
     /** A worker does not answer. `lapsesAt`: when every lease there is over, if that is known. */
-    takeSilence(id: WorkerId, lapsesAt: Milliseconds | undefined): void {
+    takeSilence(id: WorkerId, lapsesAt: Milliseconds | undefined, cause: string): void {
         const worker = this.context.workers.get(id);
         if (worker === undefined) {
             return;
         }
         if (worker.silentSince === undefined) {
             worker.silentSince = this.context.now();
-            this.context.options.log.log(logEvents.workerSilent, { worker: id, lapsesAt, runs: worker.runs.size });
+            this.context.options.log.log(logEvents.workerSilent, {
+                worker: id,
+                cause,
+                lapsesAt,
+                runs: worker.runs.size,
+            });
         }
         worker.lapsesAt = lapsesAt ?? worker.lapsesAt;
     }
--- a/packages/entry/src/configuration/watch.ts
+++ b/packages/entry/src/configuration/watch.ts
@@ -2,6 +2,7 @@
 import { type CellConfiguration, type ConfigurationFeed, QueueDirectory, type UpkeepWave } from "@pebbledale/cell";
 import { type Clock, logEvents, type Milliseconds } from "@pebbledale/core";
 import type { EventLogger } from "@pebbledale/runtime";
+import { DependencyWatch } from "../observation/index.js";
 
 /** Longest wait in one call, in milliseconds. */
 const watchDuration: Milliseconds = 20_000;
@@ -29,9 +30,13 @@
 export class ConfigurationWatch {
     #queues: QueueDirectory | undefined;
     readonly #waves = new Map<number, UpkeepWave>();
-    #isReachable = true;
+    readonly #store: DependencyWatch;
 
-    constructor(private readonly options: ConfigurationWatchOptions) {}
+    constructor(private readonly options: ConfigurationWatchOptions) {
+        const { logger, clock } = options;
+        const { storeUnreachable: lost, storeReachable: regained } = logEvents;
+        this.#store = new DependencyWatch({ logger, clock, lost, regained });
+    }
 
     /** The queues in force; undefined while no configuration is known. */
     get queues(): QueueDirectory | undefined {
@@ -50,7 +55,7 @@
 
     /** Whether the store answered the last call. */
     get isStoreReachable(): boolean {
-        return this.#isReachable;
+        return this.#store.isAnswering;
     }
 
     /** Takes a configuration that may be newer. `source`: where it was seen. */
@@ -73,11 +78,11 @@
         while (!signal.aborted) {
             try {
                 cursor = await this.#follow(cursor, signal);
-                this.#noteReachable(true);
+                this.#store.noteAnswer();
             }
-            catch {
+            catch (cause) {
                 if (!signal.aborted) {
-                    this.#noteReachable(false);
+                    this.#store.noteFailure(cause);
                     await this.options.clock.sleep(retryDelay, signal);
                 }
             }
@@ -98,11 +103,4 @@
         }
         return news?.cursor;
     }
-
-    #noteReachable(isReachable: boolean): void {
-        if (isReachable !== this.#isReachable) {
-            this.options.logger.log(isReachable ? logEvents.storeReachable : logEvents.storeUnreachable);
-        }
-        this.#isReachable = isReachable;
-    }
 }
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -16,9 +16,10 @@
 } from "@pebbledale/core";
 import { createAbortController, type EventLogger } from "@pebbledale/runtime";
 import { ConfigurationWatch } from "./configuration/index.js";
-import { JobService } from "./front/index.js";
+import { JobService, RequestLog } from "./front/index.js";
 import { clockDrift, ownerHorizon, VmSession } from "./links/index.js";
 import { cellPrefix, CellView, type EntryVm, followKeys, Registration, vmKey } from "./membership/index.js";
+import { DependencyWatch, type EntryMetrics, MeasuredLogger, MeasuredWorkers } from "./observation/index.js";
 import { confirmationHorizon, type OwnerSession, type OwnerUpkeep } from "./owner/index.js";
 import { Candidate, ownerLease, vmLease } from "./ownership/index.js";
 import { isRefused, listenForOwners } from "./peers/index.js";
@@ -38,6 +39,7 @@
     readonly clock: Clock;
     readonly random: Random;
     readonly logger: EventLogger;
+    readonly metrics: EntryMetrics;
     readonly store: PlatformStore & ChangeFeed;
     /** The workers' entries, read through this way to the store. */
     readonly directory: (feed: ChangeFeed) => WorkerDirectory;
@@ -51,6 +53,8 @@
 /** See the module's comment. */
 export class EntryProcess {
     readonly jobs: JobService;
+    readonly requestLog: RequestLog;
+    readonly #logger: EventLogger;
     readonly #self: EntryVm;
     readonly #view: CellView;
     readonly #configuration: ConfigurationWatch;
@@ -64,7 +68,9 @@
     #ownerWaiters: (() => void)[] = [];
 
     constructor(private readonly options: EntryOptions) {
-        const { settings, clock, random, logger, store } = options;
+        const { settings, clock, random, store, metrics } = options;
+        const logger = new MeasuredLogger(options.logger, metrics);
+        this.#logger = logger;
         this.#view = new CellView(clock);
         this.#self = {
             name: settings.vm,
@@ -91,9 +97,10 @@
             onWaves: waves => this.#candidate.session?.addWaves(waves),
         });
         this.#session = new VmSession({
-            clients: options.clients,
+            clients: new MeasuredWorkers(options.clients, metrics, clock),
             advice: options.advice,
             clock,
+            logger,
             leaseLength: settings.bounds.longestLease,
             store,
             onHandOver: () => this.#isAsked = true,
@@ -104,6 +111,7 @@
         this.#registration = new Registration({
             store: this.#store,
             clock,
+            logger,
             key: vmKey(settings.vm),
             value: JSON.stringify(this.#self),
             leaseLength: Math.max(vmLease, settings.store.shortestLease),
@@ -114,6 +122,7 @@
             clock,
             random,
             logger,
+            metrics,
             self: this.#self,
             view: this.#view,
             leaseLength: Math.max(ownerLease, settings.store.shortestLease),
@@ -130,11 +139,21 @@
             upkeep: options.upkeep?.(this.#store),
             connectOwn: session => this.#connectOwn(session),
         });
-        this.jobs = new JobService({
-            hasOwner: () => this.#session.hasOwner,
-            ask: body => this.#session.ask(body),
-            untilOwner: wait => this.#untilOwner(wait),
-        }, clock);
+        this.requestLog = new RequestLog({
+            logger,
+            metrics,
+            clock,
+            owner: () => ({ epoch: this.#session.epoch, silence: this.#session.ownerSilence }),
+        });
+        this.jobs = new JobService(
+            {
+                hasOwner: () => this.#session.hasOwner,
+                ask: body => this.#session.ask(body),
+                untilOwner: wait => this.#untilOwner(wait),
+            },
+            clock,
+            this.requestLog,
+        );
     }
 
     /** The queues in force; undefined while there is no configuration. */
@@ -150,6 +169,8 @@
     /** Serves until `stop` fires, then hands over and goes on until callers are `drained`. */
     async run(stop: AbortSignal, drained: () => Promise<void>): Promise<void> {
         const { settings, store, clock } = this.options;
+        const { membersUnavailable: lost, membersAvailable: regained } = logEvents;
+        const members = new DependencyWatch({ logger: this.#logger, clock, lost, regained });
         const background = createAbortController();
         await listenForOwners(settings.peerAddress, channel => this.#session.attach(channel), background.signal);
         const follower = {
@@ -159,7 +180,7 @@
         const running = [
             this.#configuration.run(background.signal),
             this.#registration.run(background.signal),
-            followKeys(store, clock, cellPrefix, follower, background.signal),
+            followKeys(store, clock, cellPrefix, follower, members, background.signal),
             this.#session.run(background.signal),
         ];
         stop.addEventListener("abort", () => this.#session.leave());
@@ -170,9 +191,8 @@
     }
 
     #noteOwner(hasOwner: boolean): void {
-        const { logger } = this.options;
         if (hasOwner) {
-            logger.log(logEvents.ownerConnected, { epoch: this.#session.epoch });
+            this.#logger.log(logEvents.ownerConnected, { epoch: this.#session.epoch });
             this.#isAsked = false;
             this.#candidate.noteOwner(this.#session.epoch);
             const waiters = this.#ownerWaiters;
@@ -180,7 +200,7 @@
             waiters.forEach(wake => wake());
             return;
         }
-        logger.log(logEvents.ownerLost, { epoch: this.#session.epoch });
+        this.#logger.log(logEvents.ownerLost, { epoch: this.#session.epoch });
         void this.#checkOwner();
     }
 
--- a/packages/entry/src/front/index.ts
+++ b/packages/entry/src/front/index.ts
@@ -1,2 +1,3 @@
 /** What a front does for callers. */
 export * from "./job-service.js";
+export * from "./request-log.js";
--- a/packages/entry/src/front/job-service.ts
+++ b/packages/entry/src/front/job-service.ts
@@ -1,8 +1,9 @@
 /** What a front does for callers: passes requests to the owner and answers each as truly as it can. */
 import type { CellJobState, JobDefinition } from "@pebbledale/cell";
 import type { Clock, JobId, Milliseconds, QueueName } from "@pebbledale/core";
-import type { OwnerReply, OwnerRequest } from "../protocol/index.js";
+import { NotNowReason, type OwnerReply, type OwnerRequest } from "../protocol/index.js";
 import { answerMargin, noOwnerRetryAfter, ownerWait, pendingAge } from "./constants.js";
+import type { RequestLog } from "./request-log.js";
 
 /** Answer to a caller. */
 export type JobAnswer =
@@ -29,7 +30,11 @@
 export class JobService {
     readonly #pending = new Map<QueueName, { readonly at: Milliseconds; readonly count: number; }>();
 
-    constructor(private readonly owner: OwnerAccess, private readonly clock: Clock) {}
+    constructor(
+        private readonly owner: OwnerAccess,
+        private readonly clock: Clock,
+        private readonly log: RequestLog,
+    ) {}
 
     /** Hands a job in. `within`: how long the caller waits. */
     submit(definition: JobDefinition, within: Milliseconds): Promise<JobAnswer> {
@@ -51,7 +56,9 @@
         const now = this.clock.monotonic();
         const known = this.#pending.get(queue);
         if (known !== undefined && now - known.at < pendingAge) {
-            return { kind: "pending", count: known.count };
+            const remembered: JobAnswer = { kind: "pending", count: known.count };
+            this.log.answered({ kind: "pending", queue }, remembered, now);
+            return remembered;
         }
         const answer = await this.#ask({ kind: "pending", queue }, within);
         if (answer.kind === "pending") {
@@ -60,8 +67,15 @@
         return answer;
     }
 
-    /** Asks until there is an answer: each request may be sent to the owner again without harm. */
     async #ask(body: OwnerRequest, within: Milliseconds): Promise<JobAnswer> {
+        const since = this.log.now();
+        const answer = await this.#askOwner(body, within);
+        this.log.answered(body, answer, since);
+        return answer;
+    }
+
+    /** Asks until there is an answer: each request may be sent to the owner again without harm. */
+    async #askOwner(body: OwnerRequest, within: Milliseconds): Promise<JobAnswer> {
         const deadline = this.clock.monotonic() + within - answerMargin;
         let wasSent = false;
         for (;;) {
@@ -106,10 +120,16 @@
         : { kind: "refused", retryAfter: noOwnerRetryAfter, reason };
 };
 
+const notNowReasons: Readonly<Record<NotNowReason, string>> = {
+    [NotNowReason.JournalStalled]: "the store keeps no records now",
+    [NotNowReason.QueueUnknown]: "the owner does not know the queue yet",
+    [NotNowReason.NotKeptYet]: "the job's acceptance is not kept yet",
+};
+
 const answerOf = (reply: OwnerReply): JobAnswer => {
     switch (reply.kind) {
         case "not-now":
-            return { kind: "refused", retryAfter: reply.retryAfter, reason: "the owner cannot keep records now" };
+            return { kind: "refused", retryAfter: reply.retryAfter, reason: notNowReasons[reply.reason] };
         case "uncertain":
             return { kind: "uncertain", reason: "the record was not confirmed in time" };
         default:
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -5,6 +5,7 @@
 export * from "./front/index.js";
 export * from "./links/index.js";
 export * from "./membership/index.js";
+export * from "./observation/index.js";
 export * from "./owner/index.js";
 export * from "./ownership/index.js";
 export * from "./peers/index.js";
--- a/packages/entry/src/links/links.ts
+++ b/packages/entry/src/links/links.ts
@@ -1,6 +1,7 @@
 /** All links of this VM to workers, for the owner that speaks at the moment. */
 import type { TaskWorkerClient, TaskWorkerClients } from "@pebbledale/cell";
 import type { Clock, Milliseconds, WorkerId } from "@pebbledale/core";
+import type { EventLogger } from "@pebbledale/runtime";
 import type { AssignMessage, CommandMessage, VmMessage } from "../protocol/index.js";
 import { ownerHorizon } from "./constants.js";
 import { WorkerLink } from "./worker-link.js";
@@ -9,6 +10,7 @@
 export interface LinksOptions {
     readonly clients: TaskWorkerClients;
     readonly clock: Clock;
+    readonly logger: EventLogger;
     readonly leaseLength: Milliseconds;
     readonly send: (message: VmMessage) => void;
 }
@@ -36,6 +38,7 @@
             assignment,
             client,
             clock: this.options.clock,
+            logger: this.options.logger,
             leaseLength: this.options.leaseLength,
             mayRenew: () => this.options.clock.monotonic() - this.#heardAt < ownerHorizon,
             send: message => this.options.send(message),
--- a/packages/entry/src/links/vm-session.ts
+++ b/packages/entry/src/links/vm-session.ts
@@ -1,7 +1,7 @@
 /** What this VM does for the owner: links to workers, questions to the advice service, replies to callers. */
 import type { AdviceClient, CellConfiguration, TaskWorkerClients } from "@pebbledale/cell";
 import type { ChangeFeed, Clock, Epoch, Milliseconds, PlatformStore } from "@pebbledale/core";
-import { createAbortController } from "@pebbledale/runtime";
+import { createAbortController, type EventLogger } from "@pebbledale/runtime";
 import { configurationGrace } from "../configuration/index.js";
 import type { AskMessage, Channel, OwnerMessage, OwnerReply, OwnerRequest, VmMessage } from "../protocol/index.js";
 import { performOperation, type StoreOperation } from "../store-relay/index.js";
@@ -17,6 +17,7 @@
     readonly clients: TaskWorkerClients;
     readonly advice: AdviceClient | undefined;
     readonly clock: Clock;
+    readonly logger: EventLogger;
     readonly leaseLength: Milliseconds;
     /** The store as this VM reaches it by itself. */
     readonly store: PlatformStore & ChangeFeed;
@@ -47,6 +48,7 @@
         this.#links = new Links({
             clients: options.clients,
             clock: options.clock,
+            logger: options.logger,
             leaseLength: options.leaseLength,
             send: message => this.#channel?.send(message),
         });
@@ -211,8 +213,8 @@
             const answer = await performOperation(this.options.store, operation, createAbortController().signal);
             channel?.send({ kind: "store-answer", call, isAnswered: true, answer });
         }
-        catch {
-            channel?.send({ kind: "store-answer", call, isAnswered: false });
+        catch (cause) {
+            channel?.send({ kind: "store-answer", call, isAnswered: false, cause: String(cause) });
         }
     }
 
@@ -223,8 +225,8 @@
             const answer = await this.options.advice?.ask({ step, workers }, duration + adviceSlack, signal);
             channel?.send({ kind: "advised", question, answer });
         }
-        catch {
-            channel?.send({ kind: "advised", question });
+        catch (cause) {
+            channel?.send({ kind: "advised", question, cause: String(cause) });
         }
     }
 
--- a/packages/entry/src/links/worker-link.ts
+++ b/packages/entry/src/links/worker-link.ts
@@ -15,8 +15,15 @@
     type WorkerCommand,
     type WorkerTime,
 } from "@pebbledale/cell";
-import { type Clock, type FencingToken, fencingToken, type Milliseconds, type WorkerId } from "@pebbledale/core";
-import { createAbortController } from "@pebbledale/runtime";
+import {
+    type Clock,
+    type FencingToken,
+    fencingToken,
+    logEvents,
+    type Milliseconds,
+    type WorkerId,
+} from "@pebbledale/core";
+import { createAbortController, type EventLogger } from "@pebbledale/runtime";
 import type { AssignMessage, VmMessage } from "../protocol/index.js";
 import {
     acknowledgeWait,
@@ -35,6 +42,7 @@
     readonly assignment: AssignMessage;
     readonly client: TaskWorkerClient;
     readonly clock: Clock;
+    readonly logger: EventLogger;
     /** How long a lease runs. */
     readonly leaseLength: Milliseconds;
     /** Whether the owner was heard lately enough to give leases in its name. */
@@ -145,8 +153,8 @@
             this.#takeLook(answer.look, sentAt, isWhole);
             return true;
         }
-        catch {
-            this.#noteSilence();
+        catch (cause) {
+            this.#noteSilence(String(cause));
             return false;
         }
     }
@@ -220,18 +228,18 @@
             }
             return false;
         }
-        this.#noteSilence();
+        this.#noteSilence(refusal);
         return false;
     }
 
-    #noteSilence(): void {
+    #noteSilence(cause: string): void {
         if (this.#ended.signal.aborted) {
             return;
         }
         if (!this.#isSilent) {
             this.#isSilent = true;
             this.#mayLease = false;
-            this.options.send({ kind: "silent", worker: this.worker, lapsesIn: this.#lapsesIn() });
+            this.options.send({ kind: "silent", worker: this.worker, lapsesIn: this.#lapsesIn(), cause });
         }
     }
 
@@ -259,8 +267,9 @@
             }
             send({ kind: "started", worker, task, run, refusal: answer.refusal });
         }
-        catch {
+        catch (cause) {
             if (!this.#ended.signal.aborted) {
+                this.#noteUnanswered(command, cause);
                 this.#uncertain.push(command);
                 this.#settle();
             }
@@ -301,26 +310,42 @@
             const order = { task: command.task, run: command.run, token: this.#token };
             await this.options.client.stop(order, orderLimit, this.#ended.signal);
         }
-        catch {
+        catch (cause) {
+            this.#noteUnanswered(command, cause);
             // The owner sends it again as long as a look shows the run.
             this.#progressAt = -Infinity;
         }
     }
 
     /** An order that got no answer is given again, a few times: the full pace is not told a second time. */
-    async #pace({ task, run, percent }: PaceCommand): Promise<void> {
+    async #pace(command: PaceCommand): Promise<void> {
+        const { task, run, percent } = command;
         for (let attempt = 0; attempt < paceAttempts && !this.#ended.signal.aborted; attempt++) {
             try {
                 const order = { task, run, percent, token: this.#token };
                 await this.options.client.pace(order, orderLimit, this.#ended.signal);
                 return;
             }
-            catch {
+            catch (cause) {
+                this.#noteUnanswered(command, cause);
                 await this.options.clock.sleep(retryDelay, this.#ended.signal);
             }
         }
     }
 
+    /** An order had no answer; one that was given up with the link is settled by the next link. */
+    #noteUnanswered({ kind, worker, task, run }: WorkerCommand, cause: unknown): void {
+        if (!this.#ended.signal.aborted) {
+            this.options.logger.log(logEvents.orderUnanswered, {
+                order: kind,
+                worker,
+                task,
+                run,
+                cause: String(cause),
+            });
+        }
+    }
+
     #untilAcknowledged(): Promise<void> {
         return new Promise(resolve => {
             const timer = setTimeout(() => this.#acknowledged?.(), acknowledgeWait);
--- a/packages/entry/src/membership/follow.ts
+++ b/packages/entry/src/membership/follow.ts
@@ -1,5 +1,6 @@
 /** Follows keys of the store: reads all, then takes changes in; reads all again when the history is gone. */
 import { type ChangeFeed, type Clock, type KeyChanges, type KeysAtCursor, type Milliseconds } from "@pebbledale/core";
+import type { DependencyWatch } from "../observation/index.js";
 
 /** Longest wait in one call, in milliseconds: the platform's store allows 30 s. */
 const watchDuration: Milliseconds = 20_000;
@@ -12,8 +13,6 @@
     all(keys: KeysAtCursor): void;
     /** Changes since. */
     changes(changes: KeyChanges): void;
-    /** A call had no answer, or has one again. */
-    reachable?(isReachable: boolean): void;
 }
 
 /** Follows a prefix until `signal` fires. */
@@ -22,17 +21,18 @@
     clock: Clock,
     prefix: string,
     follower: Follower,
+    watch: DependencyWatch,
     signal: AbortSignal,
 ): Promise<void> => {
     let cursor: string | undefined;
     while (!signal.aborted) {
         try {
             cursor = await followOnce(feed, prefix, cursor, follower, signal);
-            follower.reachable?.(true);
+            watch.noteAnswer();
         }
-        catch {
+        catch (cause) {
             if (!signal.aborted) {
-                follower.reachable?.(false);
+                watch.noteFailure(cause);
                 await clock.sleep(retryDelay, signal);
             }
         }
--- a/packages/entry/src/membership/registration.ts
+++ b/packages/entry/src/membership/registration.ts
@@ -3,13 +3,17 @@
     absentVersion,
     type Clock,
     type KeyVersion,
+    logEvents,
     type Milliseconds,
     type PlatformLeaseId,
     type PlatformStore,
 } from "@pebbledale/core";
+import type { EventLogger } from "@pebbledale/runtime";
+import { DependencyWatch } from "../observation/index.js";
 
 /** What a registration needs. */
 export interface RegistrationOptions {
+    readonly logger: EventLogger;
     readonly store: PlatformStore;
     readonly clock: Clock;
     readonly key: string;
@@ -23,9 +27,14 @@
 
 /** See the module's comment. */
 export class Registration {
+    readonly #watch: DependencyWatch;
     #lease: PlatformLeaseId | undefined;
 
-    constructor(private readonly options: RegistrationOptions) {}
+    constructor(private readonly options: RegistrationOptions) {
+        const { logger, clock } = options;
+        const { registrationFailed: lost, registrationRestored: regained } = logEvents;
+        this.#watch = new DependencyWatch({ logger, clock, lost, regained });
+    }
 
     /** The lease, while it is thought to stand. */
     get lease(): PlatformLeaseId | undefined {
@@ -36,11 +45,12 @@
     async run(signal: AbortSignal): Promise<void> {
         const { store, clock, leaseLength } = this.options;
         while (!signal.aborted) {
-            await this.#keep().catch(() => undefined);
+            await this.#keep().then(() => this.#watch.noteAnswer(), cause => this.#watch.noteFailure(cause));
             await clock.sleep(leaseLength / renewalsPerLease, signal);
         }
         if (this.#lease !== undefined) {
-            await store.revokeLease(this.#lease).catch(() => undefined);
+            // Without an answer the lease runs out by itself.
+            await store.revokeLease(this.#lease).catch((cause: unknown) => this.#watch.noteFailure(cause));
         }
     }
 
--- /dev/null
+++ b/packages/entry/src/observation/dependency-watch.ts
@@ -0,0 +1,44 @@
+/** Logs when something this VM needs stops answering and when it answers again: a line each, however many calls fail. */
+import type { Clock, LogEvent, Milliseconds } from "@pebbledale/core";
+import type { EventLogger } from "@pebbledale/runtime";
+
+/** What a watch needs. */
+export interface DependencyWatchOptions {
+    readonly logger: EventLogger;
+    readonly clock: Clock;
+    readonly lost: LogEvent;
+    readonly regained: LogEvent;
+}
+
+/** See the module's comment. */
+export class DependencyWatch {
+    #lostAt: Milliseconds | undefined;
+    #failures = 0;
+
+    constructor(private readonly options: DependencyWatchOptions) {}
+
+    /** Whether the last call was answered. */
+    get isAnswering(): boolean {
+        return this.#lostAt === undefined;
+    }
+
+    /** A call was answered. */
+    noteAnswer(): void {
+        const { logger, clock, regained } = this.options;
+        if (this.#lostAt !== undefined) {
+            const lasted = Math.round(clock.monotonic() - this.#lostAt);
+            logger.log(regained, { lasted, failures: this.#failures });
+        }
+        this.#lostAt = undefined;
+        this.#failures = 0;
+    }
+
+    /** A call failed. */
+    noteFailure(cause: unknown): void {
+        this.#failures++;
+        if (this.#lostAt === undefined) {
+            this.#lostAt = this.options.clock.monotonic();
+            this.options.logger.log(this.options.lost, { cause: String(cause) });
+        }
+    }
+}
--- /dev/null
+++ b/packages/entry/src/observation/measured-workers.ts
@@ -0,0 +1,70 @@
+/** Measures calls of workers. */
+import type {
+    LookAnswer,
+    LookRequest,
+    OrderAnswer,
+    PaceOrder,
+    StartOrder,
+    StopOrder,
+    TaskWorkerClient,
+    TaskWorkerClients,
+} from "@pebbledale/cell";
+import type { Clock, Milliseconds, WorkerId } from "@pebbledale/core";
+import type { EntryMetrics } from "./entry-metrics.js";
+
+/** See the module's comment. */
+export class MeasuredWorkers implements TaskWorkerClients {
+    constructor(
+        private readonly clients: TaskWorkerClients,
+        private readonly metrics: EntryMetrics,
+        private readonly clock: Clock,
+    ) {}
+
+    /** See {@link TaskWorkerClients.clientOf}. */
+    clientOf(worker: WorkerId, address: string): TaskWorkerClient {
+        return new MeasuredWorker(this.clients.clientOf(worker, address), this.metrics, this.clock);
+    }
+}
+
+class MeasuredWorker implements TaskWorkerClient {
+    constructor(
+        private readonly client: TaskWorkerClient,
+        private readonly metrics: EntryMetrics,
+        private readonly clock: Clock,
+    ) {}
+
+    look(request: LookRequest, limit: Milliseconds, signal: AbortSignal): Promise<LookAnswer> {
+        const call = request.wait === undefined ? "look" : "waiting-look";
+        return this.#measure(call, this.client.look(request, limit, signal));
+    }
+
+    start(order: StartOrder, limit: Milliseconds, signal: AbortSignal): Promise<OrderAnswer> {
+        return this.#measure("start", this.client.start(order, limit, signal));
+    }
+
+    stop(order: StopOrder, limit: Milliseconds, signal: AbortSignal): Promise<OrderAnswer> {
+        return this.#measure("stop", this.client.stop(order, limit, signal));
+    }
+
+    pace(order: PaceOrder, limit: Milliseconds, signal: AbortSignal): Promise<OrderAnswer> {
+        return this.#measure("pace", this.client.pace(order, limit, signal));
+    }
+
+    close(): Promise<void> {
+        return this.client.close();
+    }
+
+    async #measure<Answer extends LookAnswer | OrderAnswer>(call: string, answer: Promise<Answer>): Promise<Answer> {
+        const begunAt = this.clock.monotonic();
+        const note = (outcome: string) => this.metrics.noteWorkerCall(call, outcome, this.clock.monotonic() - begunAt);
+        try {
+            const given = await answer;
+            note(given.kind === "refused" ? given.refusal : given.kind);
+            return given;
+        }
+        catch (cause) {
+            note("unanswered");
+            throw cause;
+        }
+    }
+}
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -28,7 +28,15 @@
 import { AdviceDispatcher } from "../advice/index.js";
 import { configurationGrace } from "../configuration/index.js";
 import type { EntryVm } from "../membership/index.js";
-import type { Channel, OwnerMessage, OwnerReply, OwnerRequest, VmMessage } from "../protocol/index.js";
+import type { EntryMetrics } from "../observation/index.js";
+import {
+    type Channel,
+    NotNowReason,
+    type OwnerMessage,
+    type OwnerReply,
+    type OwnerRequest,
+    type VmMessage,
+} from "../protocol/index.js";
 import type { StoreRelay } from "../store-relay/index.js";
 import { Assignments } from "./assignments.js";
 import {
@@ -54,6 +62,7 @@
     readonly directory: WorkerDirectory;
     readonly clock: Clock;
     readonly logger: EventLogger;
+    readonly metrics: EntryMetrics;
     readonly name: string;
     readonly configuration: CellConfiguration | undefined;
     /** How long after a take-over an earlier owner's leases may run at a worker that nobody reaches. */
@@ -142,7 +151,7 @@
 
     /** Serves until `lost` fires. */
     async run(): Promise<void> {
-        const { lost, clock, logger, journal } = this.options;
+        const { lost, clock, logger, journal, metrics } = this.options;
         const following = this.#followWorkers(lost.signal);
         let beatAt = clock.monotonic();
         let summaryAt = clock.monotonic();
@@ -157,11 +166,15 @@
             }
             if (clock.monotonic() - summaryAt >= summaryInterval) {
                 summaryAt = clock.monotonic();
-                logger.log(logEvents.cellSummary, { ...this.cell.summary(), journalWait: journal.waitingFor() });
+                const summary = this.cell.summary();
+                const journalWait = Math.round(journal.waitingFor());
+                logger.log(logEvents.cellSummary, { ...summary, journalWait });
+                metrics.noteCell(summary, journalWait);
             }
             this.#requestTurn();
             await clock.sleep(tickInterval, lost.signal);
         }
+        metrics.noteCell(undefined, 0);
         await following;
         this.#vms.forEach(vm => vm.channel.close());
         this.#vms.clear();
@@ -321,12 +334,12 @@
             case "advised": {
                 const command = this.#advice.answered(message.question);
                 if (command !== undefined) {
-                    this.cell.takeAdvice(command.step, command.workers, message.answer);
+                    this.cell.takeAdvice(command.step, command.workers, message.answer, message.cause);
                 }
                 break;
             }
             case "store-answer":
-                link.takeStoreAnswer(message.call, message.isAnswered, message.answer);
+                link.takeStoreAnswer(message.call, message.isAnswered, message.answer, message.cause);
                 return;
             case "leaving":
                 this.#takeLeave(link);
@@ -364,7 +377,11 @@
                 this.#takeStarted(message);
                 break;
             case "silent":
-                this.cell.takeSilence(message.worker, this.#lapsesAt(message.worker, message.lapsesIn, now));
+                this.cell.takeSilence(
+                    message.worker,
+                    this.#lapsesAt(message.worker, message.lapsesIn, now),
+                    message.cause,
+                );
                 break;
             case "other-life":
                 this.cell.takeOtherLife(message.worker);
@@ -426,7 +443,7 @@
     /** A job whose acceptance is not kept yet is neither known nor unknown. */
     #unknown(job: JobId): OwnerReply {
         return this.cell.jobs.has(job)
-            ? { kind: "not-now", retryAfter: stalledRetryAfter }
+            ? notNow(NotNowReason.NotKeptYet)
             : { kind: "unknown-job" };
     }
 
@@ -437,11 +454,11 @@
             return { kind: "accepted" };
         }
         if (known === undefined && this.options.journal.waitingFor() > stalledAfter) {
-            return { kind: "not-now", retryAfter: stalledRetryAfter };
+            return notNow(NotNowReason.JournalStalled);
         }
         if (this.cell.submit(definition) === undefined) {
             // The VM that asks knows a newer configuration; this owner will in a moment.
-            return { kind: "not-now", retryAfter: stalledRetryAfter };
+            return notNow(NotNowReason.QueueUnknown);
         }
         return await this.#untilKept() ? { kind: "accepted" } : { kind: "uncertain" };
     }
@@ -567,6 +584,8 @@
     }
 }
 
+const notNow = (reason: NotNowReason): OwnerReply => ({ kind: "not-now", retryAfter: stalledRetryAfter, reason });
+
 /** The larger VM; among equals the one that started last, as it has been stopped already where all are in turn. */
 const isBetterSuccessor = ({ vm: left }: VmLink, { vm: right }: VmLink): boolean =>
     left.processorShare !== right.processorShare
--- a/packages/entry/src/owner/vm-link.ts
+++ b/packages/entry/src/owner/vm-link.ts
@@ -50,7 +50,7 @@
     }
 
     /** Takes the answer to a call of the store. */
-    takeStoreAnswer(number: number, isAnswered: boolean, answer: unknown): void {
+    takeStoreAnswer(number: number, isAnswered: boolean, answer: unknown, cause = "no answer"): void {
         const call = this.#calls.get(number);
         if (call === undefined) {
             return;
@@ -62,7 +62,7 @@
             call.resolve(answer);
         }
         else {
-            call.reject(new PlatformUnavailableError(`no answer through ${this.vm.name}`));
+            call.reject(new PlatformUnavailableError(`through ${this.vm.name}: ${cause}`));
         }
     }
 
--- a/packages/entry/src/ownership/campaign.ts
+++ b/packages/entry/src/ownership/campaign.ts
@@ -46,7 +46,8 @@
 };
 
 /** Whether VMs have just begun to show up, as in a start of all: larger ones may follow. */
-export const isGathering = ({ view, now }: CampaignInput): boolean => now - view.grownAt < gatheringPause;
+export const isGathering = ({ view, now, isAsked }: CampaignInput): boolean =>
+    !isAsked && now - view.grownAt < gatheringPause;
 
 /** How long a VM leaves the claim to those before it: larger ones first, then by name. */
 export const claimDelay = ({ view, self, isAsked }: CampaignInput): Milliseconds => {
--- a/packages/entry/src/ownership/candidate.ts
+++ b/packages/entry/src/ownership/candidate.ts
@@ -14,6 +14,7 @@
 } from "@pebbledale/core";
 import { createAbortController, type EventLogger } from "@pebbledale/runtime";
 import { type CellView, type EntryVm } from "../membership/index.js";
+import type { EntryMetrics } from "../observation/index.js";
 import {
     commitInterval,
     journalLargestBytes,
@@ -34,6 +35,7 @@
     readonly clock: Clock;
     readonly random: Random;
     readonly logger: EventLogger;
+    readonly metrics: EntryMetrics;
     readonly self: EntryVm;
     readonly view: CellView;
     /** How long the owner's key outlives its last renewal. */
@@ -110,7 +112,7 @@
     async #claimAndServe(reason: string, stop: AbortSignal): Promise<void> {
         const { store, clock, view, self, leaseLength, logger } = this.options;
         const value = JSON.stringify({ name: self.name, address: self.address, process: self.process });
-        const key = new OwnerKey({ store, clock, value, leaseLength });
+        const key = new OwnerKey({ store, clock, logger, value, leaseLength });
         const released = createAbortController();
         const dialer = new VmDialer(view, self, clock);
         const dialing = dialer.run(released.signal);
@@ -175,6 +177,7 @@
                 directory,
                 clock,
                 logger,
+                metrics: this.options.metrics,
                 name: self.name,
                 configuration: this.options.configuration(),
                 formerLeases: this.options.formerLeases,
--- a/packages/entry/src/ownership/owner-key.ts
+++ b/packages/entry/src/ownership/owner-key.ts
@@ -3,15 +3,19 @@
     absentVersion,
     type Clock,
     type KeyVersion,
+    logEvents,
     type Milliseconds,
     type PlatformLeaseId,
     type PlatformStore,
 } from "@pebbledale/core";
+import type { EventLogger } from "@pebbledale/runtime";
 import { ownerKey } from "../membership/index.js";
+import { DependencyWatch } from "../observation/index.js";
 import { renewalsPerLease } from "./constants.js";
 
 /** What an owner's key needs. */
 export interface OwnerKeyOptions {
+    readonly logger: EventLogger;
     readonly store: PlatformStore;
     readonly clock: Clock;
     /** Names this process; no other has the same value. */
@@ -21,10 +25,15 @@
 
 /** See the module's comment. */
 export class OwnerKey {
+    readonly #watch: DependencyWatch;
     #lease: PlatformLeaseId | undefined;
     #confirmedAt = -Infinity;
 
-    constructor(private readonly options: OwnerKeyOptions) {}
+    constructor(private readonly options: OwnerKeyOptions) {
+        const { logger, clock } = options;
+        const { ownerKeyFailed: lost, ownerKeyRestored: regained } = logEvents;
+        this.#watch = new DependencyWatch({ logger, clock, lost, regained });
+    }
 
     /** When the store last confirmed the key, by the monotonic clock: when the call that did was sent. */
     get confirmedAt(): Milliseconds {
@@ -48,11 +57,12 @@
         while (!signal.aborted) {
             await clock.sleep(leaseLength / renewalsPerLease, signal);
             if (!signal.aborted) {
-                await this.#renew().catch(() => undefined);
+                await this.#renew().then(() => this.#watch.noteAnswer(), cause => this.#watch.noteFailure(cause));
             }
         }
         if (this.#lease !== undefined) {
-            await store.revokeLease(this.#lease).catch(() => undefined);
+            // Without an answer the lease runs out by itself.
+            await store.revokeLease(this.#lease).catch((cause: unknown) => this.#watch.noteFailure(cause));
         }
     }
 
--- a/packages/entry/src/protocol/messages.ts
+++ b/packages/entry/src/protocol/messages.ts
@@ -161,6 +161,7 @@
     readonly worker: WorkerId;
     /** Time until every lease given on this link is over. */
     readonly lapsesIn: Milliseconds;
+    readonly cause: string;
 }
 
 /** Another life of the worker answers at its address. */
@@ -180,6 +181,8 @@
     readonly kind: "advised";
     readonly question: number;
     readonly answer?: AdviceAnswer;
+    /** Why there was none. */
+    readonly cause?: string;
 }
 
 /** Answer to a call of the store; `isAnswered` is false when the store gave none. */
@@ -188,6 +191,8 @@
     readonly call: number;
     readonly isAnswered: boolean;
     readonly answer?: unknown;
+    /** Why there was none. */
+    readonly cause?: string;
 }
 
 /** The VM is about to stop: its links and questions go to others. */
@@ -226,6 +231,16 @@
     | { readonly kind: "cancel"; readonly job: JobId; }
     | { readonly kind: "pending"; readonly queue: QueueName; };
 
+/** Why an owner does nothing for a request now. */
+export enum NotNowReason {
+    /** The store has not confirmed the journal's last write for too long. */
+    JournalStalled = "journal-stalled",
+    /** The front knows a newer configuration than the owner. */
+    QueueUnknown = "queue-unknown",
+    /** The job was handed in and its record is on its way. */
+    NotKeptYet = "not-kept-yet",
+}
+
 /** What the owner answers to a front. */
 export type OwnerReply =
     | { readonly kind: "accepted"; }
@@ -234,6 +249,6 @@
     | { readonly kind: "pending"; readonly count: number; }
     | { readonly kind: "unknown-job"; }
     /** Nothing was done; come back after a while. */
-    | { readonly kind: "not-now"; readonly retryAfter: Milliseconds; }
+    | { readonly kind: "not-now"; readonly retryAfter: Milliseconds; readonly reason: NotNowReason; }
     /** Whether it was done is not known. */
     | { readonly kind: "uncertain"; };
--- a/packages/entry/test/front/job-service.test.ts
+++ b/packages/entry/test/front/job-service.test.ts
@@ -1,8 +1,9 @@
 import { CellJobState } from "@pebbledale/cell";
-import { jobId, ManualClock, queueName } from "@pebbledale/core";
+import { jobId, logEvents, ManualClock, queueName } from "@pebbledale/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { JobService, type OwnerAccess, type OwnerReply, type OwnerRequest } from "../../src/index.js";
+import { JobService, NotNowReason, type OwnerAccess, type OwnerReply, type OwnerRequest } from "../../src/index.js";
+import { makeRequestLog } from "../support/index.js";
 
 const definition = {
     job: jobId("j"),
@@ -23,7 +24,9 @@
         },
         untilOwner: () => Promise.resolve(),
     };
-    return { asked, service: new JobService(access, new ManualClock()) };
+    const clock = new ManualClock();
+    const { log, kept, metrics } = makeRequestLog(clock);
+    return { asked, service: new JobService(access, clock, log), logged: kept.logged, metrics };
 };
 
 describe("a front", () => {
@@ -65,4 +68,22 @@
         expect(await service.pending(queue, 3_000)).toEqual({ kind: "pending", count: 3 });
         expect(asked.length).toEqual(1);
     });
+
+    it("logs each refusal with the job, the reason and what it believed of the owner", async () => {
+        const stalled = { kind: "not-now", retryAfter: 1_000, reason: NotNowReason.JournalStalled } as const;
+        const { service, logged, metrics } = accessOf(stalled);
+        await service.submit(definition, 3_000);
+        const { event, fields } = logged[0];
+        expect(event).toEqual(logEvents.callerRefused);
+        expect([fields["job"], fields["epoch"], fields["ownerSilence"], fields["retryAfter"]])
+            .toEqual(["j", 7, 120, 1_000]);
+        const text = await metrics.metrics.registry.metrics();
+        expect(text.includes("pebbledale_requests_total{request=\"submit\",outcome=\"refused\"} 1")).toEqual(true);
+    });
+
+    it("logs each answer that leaves open whether a request was done", async () => {
+        const { service, logged } = accessOf(undefined);
+        await service.cancel(jobId("j"), 3_000);
+        expect(logged.map(({ event }) => event)).toEqual([logEvents.callerUncertain]);
+    });
 });
--- a/packages/entry/test/links/worker-link.test.ts
+++ b/packages/entry/test/links/worker-link.test.ts
@@ -13,7 +13,7 @@
 import { expect } from "earl";
 import { afterEach, describe, it } from "node:test";
 import { type VmMessage, WorkerLink } from "../../src/index.js";
-import { pass, settle } from "../support/index.js";
+import { KeptLog, pass, settle } from "../support/index.js";
 
 const worker = workerId("w");
 const leaseLength = 6_000;
@@ -68,6 +68,7 @@
         assignment: { kind: "assign", worker, address: "127.0.0.1:1", token: fencingToken(100) },
         client,
         clock,
+        logger: new KeptLog(),
         leaseLength,
         mayRenew,
         send: message => sent.push(message),
--- a/packages/entry/test/membership/registration.test.ts
+++ b/packages/entry/test/membership/registration.test.ts
@@ -10,7 +10,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { OwnerKey, Registration } from "../../src/index.js";
-import { pass, settle } from "../support/index.js";
+import { KeptLog, pass, settle } from "../support/index.js";
 
 /** A store of one key, whose answers can be lost. */
 class OneKeyStore {
@@ -58,7 +58,8 @@
         const store = new OneKeyStore();
         const clock = new ManualClock();
         const stop = new AbortController();
-        const options = { store: asStore(store), clock, key: "cell/nodes/a", value: "a", leaseLength: 3_000 };
+        const logger = new KeptLog();
+        const options = { store: asStore(store), clock, logger, key: "cell/nodes/a", value: "a", leaseLength: 3_000 };
         const running = new Registration(options).run(stop.signal);
         await settle();
         expect(store.entry?.value).toEqual("a");
@@ -77,6 +78,7 @@
         const options = {
             store: asStore(store),
             clock: new ManualClock(),
+            logger: new KeptLog(),
             key: "cell/nodes/a",
             value: "new",
             leaseLength: 3_000,
@@ -91,7 +93,13 @@
 
 describe("the owner's key", () => {
     const make = (store: OneKeyStore) =>
-        new OwnerKey({ store: asStore(store), clock: new ManualClock(), value: "me", leaseLength: 1_000 });
+        new OwnerKey({
+            store: asStore(store),
+            clock: new ManualClock(),
+            logger: new KeptLog(),
+            value: "me",
+            leaseLength: 1_000,
+        });
 
     it("is won when the first answer was lost and the second finds our own value", async () => {
         const store = new OneKeyStore();
--- a/packages/entry/test/support/index.ts
+++ b/packages/entry/test/support/index.ts
@@ -28,3 +28,4 @@
     startedAt: 1,
     ...changes,
 });
+export * from "./observation.js";
--- a/packages/evidence/src/cell/child.ts
+++ b/packages/evidence/src/cell/child.ts
@@ -1,6 +1,6 @@
 /** A process that the evidence started and ends again. */
 import { type ChildProcess, spawn } from "node:child_process";
-import { openSync } from "node:fs";
+import { openSync, writeSync } from "node:fs";
 
 /** How long a process may take to leave after SIGTERM before it is killed, in milliseconds. */
 const leaveWithin = 30_000;
@@ -32,6 +32,7 @@
         this.#firstLine = new Promise(resolve => {
             let text = "";
             this.#process.stdout!.on("data", (chunk: Buffer) => {
+                writeSync(log, chunk);
                 text += chunk.toString();
                 if (text.includes("\n")) {
                     resolve(text.slice(0, text.indexOf("\n")));
--- a/packages/evidence/src/docs/index.ts
+++ b/packages/evidence/src/docs/index.ts
@@ -73,7 +73,7 @@
         .map(({ number, level, message, action }) => `| ${number} | ${level} | ${cell(message)} | ${cell(action)} |`);
     return `# Log events
 
-This page is made from the catalogue by \`npm run docs\`. Logs are JSON lines on standard error; \`event\` is the number.
+This page is made from the catalogue by \`npm run docs\`. Logs are JSON lines on standard output; \`event\` is the number.
 1xxx come from every program, 2xxx from gateways, 3xxx from schedulers. A number is never used twice.
 
 | event | level | message | what an operator does |
--- a/packages/runtime/src/logging/index.ts
+++ b/packages/runtime/src/logging/index.ts
@@ -1,6 +1,9 @@
-/** Logs of numbered events through pino. */
-import type { LogEvent } from "@pebbledale/core";
-import { destination, pino } from "pino";
+/** Logs of numbered events through pino: JSON lines on standard output, bounded, never waited for. */
+import { type Clock, type LogEvent, logEvents, type Milliseconds } from "@pebbledale/core";
+import { destination, type DestinationStream, pino } from "pino";
+import { LineBudget } from "./line-budget.js";
+
+export * from "./line-budget.js";
 
 /** Writes events of the catalogue. */
 export interface EventLogger {
@@ -8,10 +11,52 @@
     log(event: LogEvent, fields?: Readonly<Record<string, unknown>>): void;
 }
 
-/** Makes a logger that writes JSON lines to standard error. */
-export const createLogger = (program: string, name: string, level: string): EventLogger => {
-    const logger = pino({ level, base: { program, name } }, destination({ dest: 2, sync: true }));
+/** What a logger is made from. */
+export interface LoggerOptions {
+    readonly program: string;
+    /** Name of the process in its cell. */
+    readonly name: string;
+    /** Least level that is written. */
+    readonly level: string;
+    readonly clock: Clock;
+    /** Where lines go; standard output when it is left out. */
+    readonly target?: DestinationStream;
+}
+
+const standardOutput = 1;
+/** Lines are gathered up to this many bytes before they are written: one write a line costs more than the line. */
+const gatheredBytes = 4_096;
+/** Gathered lines are written after this time at the latest. A process that is killed loses at most these. */
+const flushInterval: Milliseconds = 250;
+/** Most bytes that wait for a reader that does not read; lines beyond are dropped and counted. */
+const waitingBytes = 1_048_576;
+
+/** Makes a logger that writes JSON lines. */
+export const createLogger = ({ program, name, level, clock, target }: LoggerOptions): EventLogger => {
+    const budget = new LineBudget(clock);
+    const logger = pino({ level, base: { program, name } }, target ?? openStandardOutput(budget));
+    const write = (event: LogEvent, fields: Readonly<Record<string, unknown>>) =>
+        logger[event.level]({ event: event.number, ...fields }, event.message);
     return {
-        log: (event, fields = {}) => logger[event.level]({ event: event.number, ...fields }, event.message),
+        log: (event, fields = {}) => {
+            if (budget.hasNews) {
+                write(logEvents.linesLeftOut, { count: budget.takeLeftOut() });
+            }
+            if (logger.isLevelEnabled(event.level) && budget.allows(event.level)) {
+                write(event, fields);
+            }
+        },
     };
 };
+
+const openStandardOutput = (budget: LineBudget): DestinationStream => {
+    const stream = destination({
+        dest: standardOutput,
+        sync: false,
+        minLength: gatheredBytes,
+        maxLength: waitingBytes,
+        periodicFlush: flushInterval,
+    });
+    stream.on("drop", () => budget.noteLeftOut());
+    return stream;
+};
--- a/packages/runtime/src/metrics/index.ts
+++ b/packages/runtime/src/metrics/index.ts
@@ -5,13 +5,21 @@
 /** Bounds of waiting times in seconds. */
 const waitingBuckets = [0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
 
+/** What metrics are made from. */
+export interface MetricsOptions {
+    /** Whether memory, processor and the event loop's delay of the process are among them. */
+    readonly hasProcessMetrics: boolean;
+}
+
 /** Makes and holds the metrics of one process. */
 export class Metrics implements PlatformCallObserver {
     readonly registry = new Registry();
     readonly #platformCalls: Counter<"call" | "answered">;
 
-    constructor() {
-        collectDefaultMetrics({ register: this.registry });
+    constructor({ hasProcessMetrics }: MetricsOptions = { hasProcessMetrics: true }) {
+        if (hasProcessMetrics) {
+            collectDefaultMetrics({ register: this.registry });
+        }
         this.#platformCalls = this.counter("pebbledale_platform_calls_total", "Calls of the platform's service", [
             "call",
             "answered",
--- a/packages/runtime/src/process/index.ts
+++ b/packages/runtime/src/process/index.ts
@@ -1,5 +1,5 @@
 /** A program's life: its settings file, signals as an abort signal, a failure as an exit code. */
-import { formatFinding, logEvents } from "@pebbledale/core";
+import { formatFinding, logEvents, SystemClock } from "@pebbledale/core";
 import { createAbortController } from "../abort/index.js";
 import { createLogger, type EventLogger } from "../logging/index.js";
 import {
@@ -66,7 +66,7 @@
     }
     const values = settings.value;
     const { "process.name": name, "process.log_level": level } = values as ProgramValues<typeof commonSchema>;
-    const logger = createLogger(program.name, name, level);
+    const logger = createLogger({ program: program.name, name, level, clock: new SystemClock() });
     try {
         await program.serve(values, logger, print);
         logger.log(logEvents.processStopped);
