--- a/packages/cell/src/scheduler/placer.ts
+++ b/packages/cell/src/scheduler/placer.ts
@@ -17,6 +17,8 @@
     readonly #ready = new Set<Step>();
     /** Room that steps further ahead in this pass wait for. */
     readonly #reservations: Reservations;
+    /** Workers that may be ordered in this pass. */
+    #open: readonly WorkerState[] = [];
 
     constructor(
         private readonly context: CellContext,
@@ -47,6 +49,7 @@
     place(): void {
         const now = this.context.now();
         this.#reservations.clear();
+        this.#open = [...this.context.workers.values()].filter(worker => worker.isOpen(now));
         const ranked = [...this.#ready]
             .filter(step => step.hasWaitingTask || step.definition.allowsCopies)
             .map(step => rank(this.context, step, now))
@@ -69,7 +72,7 @@
         const input = {
             step,
             service: terms.service,
-            workers: this.context.workers.values(),
+            workers: this.#open,
             now,
             limit: (worker: WorkerState) => this.#reservations.limitFor(worker, step, now),
             doubt: (worker: WorkerState) => this.health.costOf(worker, step),
--- a/packages/cell/src/scheduler/reservations.ts
+++ b/packages/cell/src/scheduler/reservations.ts
@@ -7,7 +7,7 @@
  */
 import type { Milliseconds } from "@pebbledale/core";
 import type { CellContext } from "./cell-context.js";
-import type { Step } from "./entities.js";
+import type { Step, TaskRun } from "./entities.js";
 import { backfillMargin, expectedEnd } from "./expected-end.js";
 import { isEligible } from "./worker-choice.js";
 import type { WorkerState } from "./worker-state.js";
@@ -34,30 +34,45 @@
     readonly worker: WorkerState;
 }
 
+/** What a worker has free again when a run there ends. */
+interface Ending {
+    readonly at: Milliseconds;
+    readonly processor: number;
+    readonly memory: number;
+}
+
 /** Most steps that room is kept for at once, for each this many workers one. */
 const workersPerReservation = 12;
 /** Fewest steps that room may be kept for at once. */
 const fewestReservations = 2;
+/** Most steps for which room is looked for in a pass, for each that room is kept for: looking costs the most of a pass. */
+const attemptsPerReservation = 2;
 
 /** See the module's comment. */
 export class Reservations {
     readonly #kept = new Map<WorkerState, Reservation>();
+    /** By worker, the room that its runs give back, the first to end first; as of this pass. */
+    readonly #endings = new Map<WorkerState, readonly Ending[]>();
     #steps = 0;
+    #attempts = 0;
 
     constructor(private readonly context: CellContext) {}
 
     /** Begins a pass: nothing is kept. */
     clear(): void {
         this.#kept.clear();
+        this.#endings.clear();
         this.#steps = 0;
+        this.#attempts = 0;
     }
 
     /** Keeps room for `count` tasks of a step where they will fit first; undefined when they nowhere will. */
     keep(step: Step, count: number, now: Milliseconds): RoomPlan | undefined {
         const most = Math.max(fewestReservations, Math.floor(this.context.workers.size / workersPerReservation));
-        if (this.#steps >= most) {
+        if (this.#steps >= most || this.#attempts >= most * attemptsPerReservation) {
             return undefined;
         }
+        this.#attempts++;
         const openings = this.#openings(step, count, now);
         if (openings.length < count) {
             return undefined;
@@ -87,6 +102,7 @@
 
     /** Tasks of a step were placed at a worker. */
     take(worker: WorkerState, step: Step, count: number, now: Milliseconds): void {
+        this.#endings.delete(worker);
         const kept = this.#kept.get(worker);
         if (kept === undefined || kept.step === step || endsBefore(step, kept, now)) {
             return;
@@ -102,9 +118,7 @@
         const openings: Opening[] = [];
         for (const worker of this.context.workers.values()) {
             const isPermitted = step.permits === undefined || step.permits.isPermitted(worker.id);
-            const isPossible = isPermitted && !this.#kept.has(worker)
-                && isEligible(worker, step, terms.service, now);
-            if (isPossible) {
+            if (isPermitted && !this.#kept.has(worker) && isEligible(worker, step, terms.service, now)) {
                 this.#addOpenings(worker, step, count, now, openings);
             }
         }
@@ -127,34 +141,50 @@
             }
         };
         add(now);
-        const ends = [...worker.runs.values()]
-            .map(run => ({ at: expectedEnd(run, now), definition: run.task.step.definition }))
-            .sort((left, right) => left.at - right.at);
-        for (const { at, definition } of ends) {
-            if (at === Infinity || fitting >= count) {
+        for (const ending of this.#endingsOf(worker, now)) {
+            if (ending.at === Infinity || fitting >= count) {
                 return;
             }
-            processor += definition.fills ? 0 : definition.size.processorThousandths;
-            memory += definition.size.memoryMebibytes;
-            add(at);
+            processor += ending.processor;
+            memory += ending.memory;
+            add(ending.at);
         }
     }
 
+    #endingsOf(worker: WorkerState, now: Milliseconds): readonly Ending[] {
+        let endings = this.#endings.get(worker);
+        if (endings === undefined) {
+            endings = [...worker.runs.values()]
+                .map(run => endingOf(run, now))
+                .sort((left, right) => left.at - right.at);
+            this.#endings.set(worker, endings);
+        }
+        return endings;
+    }
+
     #reserve(worker: WorkerState, step: Step, tasks: number, from: Milliseconds, now: Milliseconds): void {
         const { size } = step.definition;
         let processor = worker.freeProcessor - tasks * size.processorThousandths;
         let memory = worker.freeMemory - tasks * size.memoryMebibytes;
-        for (const run of worker.runs.values()) {
-            if (expectedEnd(run, now) <= from) {
-                const { definition } = run.task.step;
-                processor += definition.fills ? 0 : definition.size.processorThousandths;
-                memory += definition.size.memoryMebibytes;
+        for (const ending of this.#endingsOf(worker, now)) {
+            if (ending.at <= from) {
+                processor += ending.processor;
+                memory += ending.memory;
             }
         }
         this.#kept.set(worker, { step, from, spareProcessor: processor, spareMemory: memory });
     }
 }
 
+const endingOf = (run: TaskRun, now: Milliseconds): Ending => {
+    const { size, fills } = run.task.step.definition;
+    return {
+        at: expectedEnd(run, now),
+        processor: fills ? 0 : size.processorThousandths,
+        memory: size.memoryMebibytes,
+    };
+};
+
 /** Whether tasks of a step that start now will have ended when the kept room is needed. */
 const endsBefore = ({ definition }: Step, { from }: Reservation, now: Milliseconds): boolean =>
     !definition.isLasting && now + definition.estimate * backfillMargin <= from;
--- a/packages/cell/src/scheduler/worker-choice.ts
+++ b/packages/cell/src/scheduler/worker-choice.ts
@@ -44,14 +44,16 @@
 export const candidatesFor = ({ step, service, workers, now, limit, doubt }: ChoiceInput, most: number): Share[] => {
     const candidates: Candidate[] = [];
     for (const worker of workers) {
-        if (!isEligible(worker, step, service, now)) {
+        // Room first: of the checks it is the cheapest, and under load the one that most workers fail.
+        const fitting = worker.countFitting(step, most);
+        if (fitting === 0 || !isEligible(worker, step, service, now)) {
             continue;
         }
         const ticket = step.permits?.ticketOf(worker.id, now);
         if (step.permits !== undefined && ticket === undefined) {
             continue;
         }
-        const count = worker.countFitting(step, Math.min(most, limit(worker)));
+        const count = Math.min(fitting, limit(worker));
         if (count > 0) {
             candidates.push({ worker, count, ticket, cost: costOf(worker, step, count) + doubt(worker) });
         }
--- a/packages/entry/src/owner/constants.ts
+++ b/packages/entry/src/owner/constants.ts
@@ -46,3 +46,5 @@
 export const offerAfter: Milliseconds = 3_000;
 /** How often the state of the cell is logged, in milliseconds. */
 export const summaryInterval: Milliseconds = 1_000;
+/** Passes over what waits take at most this share of the owner's time: the rest is for messages and calls. */
+export const passShare = 0.25;
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -52,6 +52,7 @@
     tickInterval,
     vmSilence,
 } from "./constants.js";
+import { PassPacer } from "./pass-pacer.js";
 import { UpkeepKeeper } from "./upkeep-keeper.js";
 import { VmLink } from "./vm-link.js";
 
@@ -108,7 +109,10 @@
     readonly #openedAt: Milliseconds;
     readonly #upkeep: UpkeepKeeper | undefined;
     #configuration: CellConfiguration | undefined;
+    readonly #pacer: PassPacer;
     #isTurnDue = false;
+    /** Whether a turn is planned for when the next pass may be made. */
+    #isPassPlanned = false;
     #isHandingOver = false;
     #nextRelay = 0;
     /** Resolves once all records so far are kept. */
@@ -124,6 +128,7 @@
         journal.setSnapshotSource(() => this.cell.snapshot());
         this.#openedAt = clock.monotonic();
         this.#assignments = new Assignments(journal.epoch, name, () => clock.monotonic());
+        this.#pacer = new PassPacer(clock);
         this.#advice = new AdviceDispatcher(() => clock.monotonic());
         this.#upkeep = options.upkeep && new UpkeepKeeper({
             ...options.upkeep,
@@ -485,12 +490,27 @@
         setImmediate(() => {
             this.#isTurnDue = false;
             if (this.cell.wantsPass && !this.#isHandingOver) {
-                this.cell.place();
+                this.#pass();
             }
             void this.#turn();
         });
     }
 
+    /** A pass now, or a turn when the next one may be made. */
+    #pass(): void {
+        const { wait } = this.#pacer;
+        if (wait === 0) {
+            this.#pacer.run(() => this.cell.place());
+        }
+        else if (!this.#isPassPlanned) {
+            this.#isPassPlanned = true;
+            void this.options.clock.sleep(wait, this.options.lost.signal).then(() => {
+                this.#isPassPlanned = false;
+                this.#requestTurn();
+            });
+        }
+    }
+
     /** Carries out what the inputs so far led to; resolves once the records are kept. */
     async #turn(): Promise<void> {
         const turn = this.cell.drain();
@@ -513,7 +533,7 @@
         for (const [worker, through] of turn.acknowledgements) {
             this.#assignments.vmOf(worker)?.channel.send({ kind: "acknowledge", worker, through });
         }
-        if (this.cell.wantsPass) {
+        if (this.cell.wantsPass && !this.#isPassPlanned) {
             this.#requestTurn();
         }
     }
--- a/packages/entry/src/peers/vm-dialer.ts
+++ b/packages/entry/src/peers/vm-dialer.ts
@@ -55,15 +55,16 @@
 
     /** Whether this VM reaches so few of the VMs that the store shows that it is the one cut off. */
     get isIsolated(): boolean {
-        const others = [...this.view.vms.values()].filter(vm => vm.name !== this.self.name);
-        const reachable = others.filter(vm => this.#isReachable(vm.name)).length;
-        return reachable < others.length * leastReachable;
+        return !this.#reachesEnoughOf(this.#others());
     }
 
     /** Whether this VM reached others and no longer does. One that never did may own the cell for want of another. */
     get hasBeenCutOff(): boolean {
-        this.#hasReached ||= !this.isIsolated;
-        return this.#hasReached && this.isIsolated;
+        // VMs that have just shown up and were not dialled yet say nothing: in a start of all they are most of them.
+        const dialled = this.#others().filter(vm => this.#known.get(vm.name)?.isReachable !== undefined);
+        const reachesEnough = this.#reachesEnoughOf(dialled);
+        this.#hasReached ||= reachesEnough;
+        return this.#hasReached && !reachesEnough;
     }
 
     /** A connection ended for want of a sign of life. */
@@ -118,6 +119,14 @@
         return vm.name !== this.self.name && now - triedAt >= dialDelay && !this.#isConnected(vm.name);
     }
 
+    #others(): EntryVm[] {
+        return [...this.view.vms.values()].filter(vm => vm.name !== this.self.name);
+    }
+
+    #reachesEnoughOf(vms: readonly EntryVm[]): boolean {
+        return vms.filter(vm => this.#isReachable(vm.name)).length >= vms.length * leastReachable;
+    }
+
     #isReachable(name: string): boolean {
         return this.#isConnected(name) || this.#known.get(name)?.isReachable === true;
     }
--- /dev/null
+++ b/packages/entry/test/owner/pass-pacer.test.ts
@@ -0,0 +1,28 @@
+import { ManualClock } from "@pebbledale/core";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { PassPacer, passShare } from "../../src/index.js";
+
+describe("passes over what waits", () => {
+    it("take no more than their share of the time, however long each is", () => {
+        const clock = new ManualClock();
+        const pacer = new PassPacer(clock);
+        let spent = 0;
+        while (clock.monotonic() < 10_000) {
+            if (pacer.wait === 0) {
+                pacer.run(() => clock.advance(20));
+                spent += 20;
+            }
+            else {
+                clock.advance(1);
+            }
+        }
+        expect(spent / clock.monotonic() <= passShare + 0.01).toEqual(true);
+    });
+
+    it("that cost nothing are not held back", () => {
+        const pacer = new PassPacer(new ManualClock());
+        pacer.run(() => undefined);
+        expect(pacer.wait).toEqual(0);
+    });
+});
