--- a/packages/core/src/journal/journal.ts
+++ b/packages/core/src/journal/journal.ts
@@ -341,22 +341,35 @@
     return JSON.parse(text);
 };
 
+/** All segments of a journal, as they were read. */
+interface ReadSegments {
+    /** In their order. */
+    readonly segments: Segment[];
+    /** Versions of the ring's keys, by slot. */
+    readonly versions: Map<number, KeyVersion>;
+}
+
+const readSegments = async (store: PlatformStore, shard: ShardId): Promise<ReadSegments> => {
+    const entries = await store.list(journalPrefix(shard));
+    return {
+        segments: entries.map(parseSegment).sort((left, right) => left.sequence - right.sequence),
+        versions: new Map(entries.map(entry => [Number(entry.key.slice(-5)), entry.version])),
+    };
+};
+
 /**
- * Claims a shard's journal: seals it against the former owner and reads all it holds.
- * Rejects with {@link PlatformUnavailableError} when the platform does not answer; then nothing may be assumed.
+ * Seals what was read with a claim; undefined when all must be read again.
+ *
+ * An owner that hands over goes on writing meanwhile. What it wrote since is taken in segment by segment, from the
+ * conflicts: reading all again takes longer than its next write.
  */
-export const openJournal = async (
-    dependencies: JournalDependencies,
-): Promise<{ journal: Journal; contents: JournalContents; }> => {
-    const { store, clock, random, shard, writer, options } = dependencies;
+const seal = async (
+    { store, clock, random, shard, writer, options }: JournalDependencies,
+    { segments, versions }: ReadSegments,
+): Promise<{ readonly claim: Segment; readonly contact: Milliseconds; } | undefined> => {
+    const pointer = segments.at(-1)?.snapshot;
     while (true) {
-        dependencies.signal.throwIfAborted();
-        const entries = await store.list(journalPrefix(shard));
-        const segments = entries.map(parseSegment).sort((left, right) => left.sequence - right.sequence);
-        const versions = new Map(entries.map(entry => [Number(entry.key.slice(-5)), entry.version]));
         const last = segments.at(-1);
-        const pointer = last?.snapshot;
-        const snapshot = pointer === undefined ? undefined : await readSnapshot(store, shard, pointer);
         const claim: Segment = {
             sequence: (last?.sequence ?? 0) + 1,
             epoch: ((last?.epoch ?? 0) + 1) as Epoch,
@@ -367,23 +380,47 @@
         };
         const slot = claim.sequence % options.ringSize;
         const contact = clock.monotonic();
-        const outcome = await store.compareAndSwap(
-            ringKey(shard, slot),
-            versions.get(slot) ?? absentVersion,
-            JSON.stringify(claim),
-        );
-        if (outcome.kind === "conflict") {
+        const expected = versions.get(slot) ?? absentVersion;
+        const outcome = await store.compareAndSwap(ringKey(shard, slot), expected, JSON.stringify(claim));
+        if (outcome.kind === "swapped") {
+            versions.set(slot, outcome.version);
+            return { claim, contact };
+        }
+        const next = outcome.current === undefined ? undefined : parseSegment(outcome.current);
+        if (next?.sequence !== claim.sequence || next.snapshot?.name !== pointer?.name) {
+            return undefined;
+        }
+        segments.push(next);
+        versions.set(slot, outcome.current!.version);
+    }
+};
+
+/**
+ * Claims a shard's journal: seals it against the former owner and reads all it holds.
+ * Rejects with {@link PlatformUnavailableError} when the platform does not answer; then nothing may be assumed.
+ */
+export const openJournal = async (
+    dependencies: JournalDependencies,
+): Promise<{ journal: Journal; contents: JournalContents; }> => {
+    const { store, shard } = dependencies;
+    while (true) {
+        dependencies.signal.throwIfAborted();
+        const read = await readSegments(store, shard);
+        const pointer = read.segments.at(-1)?.snapshot;
+        const snapshot = pointer === undefined ? undefined : await readSnapshot(store, shard, pointer);
+        const sealed = await seal(dependencies, read);
+        if (sealed === undefined) {
             continue;
         }
         if (pointer !== undefined && snapshot === undefined) {
             throw new JournalDamagedError(`snapshot ${pointer.name} of shard ${shard} is not complete`);
         }
-        versions.set(slot, outcome.version);
-        const records = segments
+        const { claim, contact } = sealed;
+        const records = read.segments
             .filter(segment => segment.sequence > (pointer?.through ?? 0))
             .flatMap(segment => segment.records);
         const journal = new Journal(dependencies, claim.epoch, {
-            versions,
+            versions: read.versions,
             sequence: claim.sequence,
             snapshot: pointer,
             contact,
--- a/packages/evidence/test/journal/flaky-store.ts
+++ b/packages/evidence/test/journal/flaky-store.ts
@@ -18,6 +18,8 @@
     readonly memory = new MemoryStore();
     /** Fates of the next writes; later ones are answered. */
     readonly fates: Fate[] = [];
+    /** How often a prefix was read. */
+    listings = 0;
     /** Called before each write takes effect. */
     beforeSwap: ((key: string) => void | Promise<void>) | undefined;
 
@@ -26,6 +28,7 @@
     }
 
     async list(prefix: string): Promise<readonly KeyValue[]> {
+        this.listings++;
         return this.memory.list(prefix);
     }
 
--- a/packages/evidence/test/journal/journal.test.ts
+++ b/packages/evidence/test/journal/journal.test.ts
@@ -164,4 +164,21 @@
         }
         expect(new Set(pointersSeen.map(pointer => pointer?.name)).size).toBeGreaterThan(3);
     });
+
+    it("is claimed from an owner that goes on writing, without reading all of it again", async () => {
+        const store = new FlakyStore();
+        const { journal } = await open(store, "first");
+        await journal.append(["a"]);
+        let left = 3;
+        const write = async () => {
+            store.beforeSwap = undefined;
+            await journal.append([`late ${left--}`]);
+            store.beforeSwap = left > 0 ? write : undefined;
+        };
+        store.beforeSwap = write;
+        const { contents } = await open(store, "second");
+        expect(contents.records).toEqual(["a", "late 3", "late 2", "late 1"]);
+        expect(store.listings).toEqual(2);
+        await expect(journal.append(["later"])).toBeRejected();
+    });
 });
