Gangs that wait choose from more workers; room kept for others is no room; ended gangs are not stopped

(2) Gangs of 17 to 28 waited 8 to 30 s with 12 to 20 permitted workers known, while 9,000 cores were free. (3) A gang that was done had its members stopped, twelve calls for nothing: they end by themselves. Change: what is kept for others is no room for a question either; tickets that hold are not asked for again; a gang's first question names 40 workers or more, and later ones more the longer it has waited.

--- a/packages/cell/src/scheduler/advice-desk.ts
+++ b/packages/cell/src/scheduler/advice-desk.ts
@@ -6,6 +6,7 @@
     adviceInterval,
     choiceMargin,
     fewestAdviceWorkers,
+    fewestForGang,
     firstPermittedShare,
     leastPermittedShare,
     roomMargin,
@@ -20,6 +21,11 @@
 import { isEligible } from "./worker-choice.js";
 import type { WorkerState } from "./worker-state.js";
 
+/** How many tasks of a step a worker takes. */
+export type RoomOf = (worker: WorkerState) => number;
+
+const millisecondsPerSecond = 1_000;
+
 /** See the module's comment. */
 export class AdviceDesk {
     /** Steps that a question is on its way for. */
@@ -42,8 +48,11 @@
         }
     }
 
-    /** A step found no room for `count` tasks: fresh tickets are asked for where there is room, or more workers. */
-    wantRoom(step: Step, count: number): void {
+    /**
+     * A step found no place for `count` tasks: fresh tickets are asked for where there is room, or more workers.
+     * `roomOf`: how many tasks of the step a worker takes now, were they ticketed.
+     */
+    wantRoom(step: Step, count: number, roomOf: RoomOf): void {
         const { permits } = step;
         const { advice } = step.job.terms;
         const now = this.context.now();
@@ -54,8 +63,8 @@
             return;
         }
         const workers = step.definition.isGang
-            ? this.#wantedForGang(step, permits, count)
-            : this.#wantedForTasks(step, permits, count);
+            ? this.#wantedForGang(step, permits, count, roomOf)
+            : this.#wantedForTasks(step, permits, count, roomOf);
         this.#ask(step, advice, workers);
     }
 
@@ -75,12 +84,10 @@
     }
 
     /** Permitted workers with room whose tickets ran out; where there are none, workers that were not asked about. */
-    #wantedForTasks(step: Step, permits: StepPermits, count: number): WorkerState[] {
+    #wantedForTasks(step: Step, permits: StepPermits, count: number, roomOf: RoomOf): WorkerState[] {
         const now = this.context.now();
-        const stale = this.#eligible(step).filter(worker =>
-            worker.countFitting(step, count) > 0
-            && permits.isPermitted(worker.id)
-            && permits.ticketOf(worker.id, now) === undefined
+        const stale = this.#permitted(step, permits).filter(worker =>
+            permits.ticketOf(worker.id, now) === undefined && roomOf(worker) > 0
         );
         return stale.length > 0 ? stale.slice(0, mostAdviceWorkers) : this.#notAsked(step, count);
     }
@@ -89,27 +96,33 @@
      * Tickets of a gang run out while it waits for room, so they are asked for only once there is enough of it; before
      * that, more workers only while too few may run it. Tickets for room that is kept come with its plan.
      */
-    #wantedForGang(step: Step, permits: StepPermits, count: number): WorkerState[] {
-        const roomy = this.#roomyOf(step, permits, count);
-        if (roomIn(roomy, step, count) >= count) {
+    #wantedForGang(step: Step, permits: StepPermits, count: number, roomOf: RoomOf): WorkerState[] {
+        const now = this.context.now();
+        const roomy = this.#roomyOf(step, permits, count, roomOf);
+        const hasRoom = sumOf(roomy, roomOf) >= count;
+        const isStale = roomy.some(worker => permits.ticketOf(worker.id, now) === undefined);
+        if (hasRoom && isStale) {
             return roomy.slice(0, mostAdviceWorkers);
         }
-        const whole = this.#permitted(step, permits)
-            .reduce((sum, worker) => sum + worker.countWhenEmpty(step), 0);
-        return whole < count * choiceMargin ? this.#notAsked(step, count) : [];
+        // The longer it has waited, the more workers it may choose from.
+        const wanted = count * (1 + (now - (step.readyAt ?? now)) / millisecondsPerSecond);
+        const whole = sumOf(this.#permitted(step, permits), worker => worker.countWhenEmpty(step));
+        return !hasRoom && whole < wanted * choiceMargin ? this.#notAsked(step, wanted) : [];
     }
 
     /**
      * Permitted workers with the most room, with some to choose from: all members' tickets have to hold at one moment, a
      * call takes most of its time whatever it names, and some of the room is gone by the time of the answer.
      */
-    #roomyOf(step: Step, permits: StepPermits, count: number): WorkerState[] {
+    #roomyOf(step: Step, permits: StepPermits, count: number, roomOf: RoomOf): WorkerState[] {
         const chosen: WorkerState[] = [];
         for (const worker of this.#permitted(step, permits).sort(byRoom)) {
-            if (worker.countFitting(step, count) === 0 || roomIn(chosen, step, count) >= count * roomMargin) {
+            if (sumOf(chosen, roomOf) >= count * roomMargin) {
                 break;
             }
-            chosen.push(worker);
+            if (roomOf(worker) > 0) {
+                chosen.push(worker);
+            }
         }
         return chosen;
     }
@@ -119,7 +132,7 @@
     }
 
     /** Room for a step is expected: tickets that will have run out by then are asked for, so that they come in time. */
-    wantTickets(step: Step, plan: RoomPlan): void {
+    wantTickets(step: Step, plan: RoomPlan, roomOf: RoomOf): void {
         const { permits } = step;
         const { terms } = step.job;
         const now = this.context.now();
@@ -131,9 +144,8 @@
         const isTime = now >= plan.from - lead && now - permits.askedAt >= adviceInterval;
         const isMissing = plan.workers.some(worker => permits.ticketOf(worker.id, plan.from) === undefined);
         if (isTime && isMissing) {
-            const others = this.#roomyOf(step, permits, step.tasks.length).filter(other =>
-                !plan.workers.includes(other)
-            );
+            const others = this.#roomyOf(step, permits, step.tasks.length, roomOf)
+                .filter(other => !plan.workers.includes(other));
             this.#ask(step, terms.advice, [...plan.workers, ...others].slice(0, mostAdviceWorkers));
         }
     }
@@ -169,12 +181,13 @@
     /** Workers that were not asked about yet, those with the most room first: as many as are likely to be enough. */
     #notAsked(step: Step, count: number): WorkerState[] {
         const share = this.#permittedShares.get(step.job.queue) ?? firstPermittedShare;
+        const fewest = step.definition.isGang ? fewestForGang : fewestAdviceWorkers;
         const chosen: WorkerState[] = [];
         let room = 0;
         let whole = 0;
         for (const worker of this.#eligible(step).sort(byRoom)) {
             const isEnough = room * share >= count * roomMargin || whole * share >= count * choiceMargin;
-            if (chosen.length >= mostAdviceWorkers || isEnough && chosen.length >= fewestAdviceWorkers) {
+            if (chosen.length >= mostAdviceWorkers || isEnough && chosen.length >= fewest) {
                 break;
             }
             if (step.permits?.wasAsked(worker.id) !== true) {
@@ -215,5 +228,5 @@
 /** Workers with more room first. */
 const byRoom = (left: WorkerState, right: WorkerState): number => right.freeProcessor - left.freeProcessor;
 
-const roomIn = (workers: readonly WorkerState[], step: Step, count: number): number =>
-    workers.reduce((sum, worker) => sum + worker.countFitting(step, count), 0);
+const sumOf = (workers: readonly WorkerState[], roomOf: RoomOf): number =>
+    workers.reduce((sum, worker) => sum + roomOf(worker), 0);
--- a/packages/cell/src/scheduler/constants.ts
+++ b/packages/cell/src/scheduler/constants.ts
@@ -10,6 +10,11 @@
 export const unlistedGrace = 2_500;
 /** Fewest workers that a first question names: the room of a few is gone by the time of the answer. */
 export const fewestAdviceWorkers = 12;
+/**
+ * The same for a gang, whose members need room at one moment: naming a worker adds little to the time of its questions,
+ * and a second one takes most of a second more.
+ */
+export const fewestForGang = 40;
 /** A first question names workers whose free room is this many times what the permitted ones of them need to have. */
 export const roomMargin = 1.5;
 /** A step has enough permitted workers once these, were they empty, hold it this many times: it can wait for some. */
--- a/packages/cell/src/scheduler/placer.ts
+++ b/packages/cell/src/scheduler/placer.ts
@@ -1,6 +1,6 @@
 /** Places what waits: goes through the ready steps in the order of their urgency and orders what fits. */
 import { logEvents, type Milliseconds, type RunNumber } from "@pebbledale/core";
-import type { AdviceDesk } from "./advice-desk.js";
+import type { AdviceDesk, RoomOf } from "./advice-desk.js";
 import type { CellContext } from "./cell-context.js";
 import { rackPatience } from "./constants.js";
 import { addressOf } from "./definition.js";
@@ -100,11 +100,12 @@
         if (next === waiting.length) {
             return;
         }
-        this.advice.wantRoom(step, waiting.length - next);
+        const left = waiting.length - next;
         if (step.definition.isLasting) {
             // However full the service is, tasks that last are owed a place.
-            this.#keepRoom(step, waiting.length - next, now);
+            this.#keepRoom(step, left, now);
         }
+        this.advice.wantRoom(step, left, this.#roomOf(step, left, now));
     }
 
     #placeGang(step: Step, waiting: readonly Task[], candidates: readonly Share[], now: Milliseconds): void {
@@ -113,8 +114,8 @@
         }
         const shares = this.#deal(step, candidates, waiting.length, now);
         if (shares === undefined) {
-            this.advice.wantRoom(step, waiting.length);
             this.#keepRoom(step, waiting.length, now);
+            this.advice.wantRoom(step, waiting.length, this.#roomOf(step, waiting.length, now));
             return;
         }
         const run = this.runs.nextRunOf(step, waiting[0]);
@@ -139,10 +140,15 @@
     #keepRoom(step: Step, count: number, now: Milliseconds): void {
         const plan = this.#reservations.plan(step, count, now);
         if (plan !== undefined) {
-            this.advice.wantTickets(step, plan);
+            this.advice.wantTickets(step, plan, this.#roomOf(step, count, now));
         }
     }
 
+    /** Room of a worker for a step, without what is kept there for others. */
+    #roomOf(step: Step, count: number, now: Milliseconds): RoomOf {
+        return worker => Math.min(worker.countFitting(step, count), this.#reservations.limitFor(worker, step, now));
+    }
+
     /** Orders tasks of one step at one worker. `run`: their common number, if they are of a gang. */
     #order(tasks: readonly Task[], worker: WorkerState, ticket: string | undefined, run?: RunNumber): void {
         const now = this.context.now();
--- a/packages/cell/src/scheduler/run-book.ts
+++ b/packages/cell/src/scheduler/run-book.ts
@@ -232,6 +232,12 @@
         }
     }
 
+    /** Stops what is left of a job that is over. The members of a gang end together, so those of one that is done end. */
+    #stopRest(job: Job): void {
+        const isEnding = ({ task: { step } }: TaskRun) => step.definition.isGang && step.isDone;
+        runsOf(job).filter(run => !isEnding(run)).forEach(run => this.stop(run, "its job is over"));
+    }
+
     /** What follows for a task of which a run is over. */
     #afterRun(task: Task): void {
         const { step } = task;
@@ -240,11 +246,11 @@
             task.phase = TaskPhase.Waiting;
         }
         if (job.isOver) {
-            this.stopJob(job, "its job is over");
+            this.#stopRest(job);
             this.listener.jobEnded(job);
             return;
         }
-        if (task.phase === TaskPhase.Done) {
+        if (task.phase === TaskPhase.Done && !step.definition.isGang) {
             task.runs.forEach(copy => this.stop(copy, "another copy is done"));
         }
         this.listener.stepChanged(step);
