--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -4,7 +4,6 @@
     type CellRecord,
     CellScheduler,
     type CellSnapshot,
-    type JobDefinition,
     type StartCommand,
     type Turn,
     type UpkeepWave,
@@ -16,7 +15,6 @@
 import {
     type Clock,
     fencingToken,
-    type JobId,
     type Journal,
     type JournalContents,
     JournalFencedError,
@@ -29,14 +27,7 @@
 import { configurationGrace } from "../configuration/index.js";
 import type { EntryVm } from "../membership/index.js";
 import type { EntryMetrics } from "../observation/index.js";
-import {
-    type Channel,
-    NotNowReason,
-    type OwnerMessage,
-    type OwnerReply,
-    type OwnerRequest,
-    type VmMessage,
-} from "../protocol/index.js";
+import { type Channel, type OwnerMessage, type OwnerRequest, type VmMessage } from "../protocol/index.js";
 import type { StoreRelay } from "../store-relay/index.js";
 import { Assignments } from "./assignments.js";
 import {
@@ -45,14 +36,14 @@
     muchLarger,
     offerAfter,
     ownerBeatInterval,
-    recordLimit,
-    stalledAfter,
-    stalledRetryAfter,
     summaryInterval,
     tickInterval,
     vmSilence,
 } from "./constants.js";
+import { followDirectory } from "./directory-follower.js";
+import { Interval } from "./interval.js";
 import { PassPacer } from "./pass-pacer.js";
+import { RequestDesk } from "./request-desk.js";
 import { UpkeepKeeper } from "./upkeep-keeper.js";
 import { VmLink } from "./vm-link.js";
 
@@ -95,11 +86,6 @@
 /** Messages that concern one worker's link. */
 type WorkerMessage = Extract<VmMessage, { worker: WorkerId; }>;
 
-/** Longest wait in one call that follows the workers' entries, in milliseconds. */
-const followWait: Milliseconds = 20_000;
-/** Wait before the workers' entries are read again after a failure, in milliseconds. */
-const directoryRetry: Milliseconds = 150;
-
 /** See the module's comment. */
 export class OwnerSession {
     readonly cell: CellScheduler;
@@ -107,9 +93,12 @@
     readonly #assignments: Assignments;
     readonly #advice: AdviceDispatcher;
     readonly #openedAt: Milliseconds;
+    readonly #requests: RequestDesk;
     readonly #upkeep: UpkeepKeeper | undefined;
     #configuration: CellConfiguration | undefined;
     readonly #pacer: PassPacer;
+    readonly #beat: Interval;
+    readonly #summary: Interval;
     #isTurnDue = false;
     /** Whether a turn is planned for when the next pass may be made. */
     #isPassPlanned = false;
@@ -129,7 +118,16 @@
         this.#openedAt = clock.monotonic();
         this.#assignments = new Assignments(journal.epoch, name, () => clock.monotonic());
         this.#pacer = new PassPacer(clock);
+        this.#beat = new Interval(clock, ownerBeatInterval);
+        this.#summary = new Interval(clock, summaryInterval);
         this.#advice = new AdviceDispatcher(() => clock.monotonic(), this.cell);
+        this.#requests = new RequestDesk({
+            cell: this.cell,
+            journal,
+            clock,
+            lost: options.lost.signal,
+            turn: () => this.#turn(),
+        });
         this.#upkeep = options.upkeep && new UpkeepKeeper({
             ...options.upkeep,
             clock,
@@ -156,26 +154,20 @@
 
     /** Serves until `lost` fires. */
     async run(): Promise<void> {
-        const { lost, clock, logger, journal, metrics } = this.options;
-        const following = this.#followWorkers(lost.signal);
-        let beatAt = clock.monotonic();
-        let summaryAt = clock.monotonic();
+        const { lost, clock, logger, metrics, directory } = this.options;
+        const following = followDirectory({
+            cell: this.cell,
+            directory,
+            clock,
+            logger,
+            onNews: () => this.#requestTurn(),
+        }, lost.signal);
         while (!lost.signal.aborted) {
             this.cell.tick();
             this.#dropSilentVms();
             this.#lookForLarger();
-            if (clock.monotonic() - beatAt >= ownerBeatInterval) {
-                beatAt = clock.monotonic();
-                const mayLease = beatAt - this.options.confirmedAt() < confirmationHorizon;
-                this.#vms.forEach(vm => vm.channel.send({ kind: "beat", mayLease }));
-            }
-            if (clock.monotonic() - summaryAt >= summaryInterval) {
-                summaryAt = clock.monotonic();
-                const summary = this.cell.summary();
-                const journalWait = Math.round(journal.waitingFor());
-                logger.log(logEvents.cellSummary, { ...summary, journalWait });
-                metrics.noteCell(summary, journalWait);
-            }
+            this.#beat.runIfDue(() => this.#sendBeats());
+            this.#summary.runIfDue(() => this.#tellSummary());
             this.#requestTurn();
             await clock.sleep(tickInterval, lost.signal);
         }
@@ -185,6 +177,19 @@
         this.#vms.clear();
     }
 
+    #sendBeats(): void {
+        const mayLease = this.options.clock.monotonic() - this.options.confirmedAt() < confirmationHorizon;
+        this.#vms.forEach(vm => vm.channel.send({ kind: "beat", mayLease }));
+    }
+
+    #tellSummary(): void {
+        const { logger, journal, metrics } = this.options;
+        const summary = this.cell.summary();
+        const journalWait = Math.round(journal.waitingFor());
+        logger.log(logEvents.cellSummary, { ...summary, journalWait });
+        metrics.noteCell(summary, journalWait);
+    }
+
     /** Takes a newer configuration and passes it on. */
     configure(configuration: CellConfiguration): void {
         if (configuration.version <= (this.#configuration?.version ?? 0)) {
@@ -420,68 +425,13 @@
     }
 
     async #answer(link: VmLink, request: number, body: OwnerRequest): Promise<void> {
-        const reply = await this.#replyTo(body);
+        // While the cell is handed over the next owner is asked again by the front.
+        const reply = this.#isHandingOver ? undefined : await this.#requests.reply(body);
         if (reply !== undefined) {
             link.channel.send({ kind: "reply", request, reply });
         }
     }
 
-    async #replyTo(body: OwnerRequest): Promise<OwnerReply | undefined> {
-        if (this.#isHandingOver) {
-            // The next owner is asked again by the front.
-            return undefined;
-        }
-        switch (body.kind) {
-            case "pending":
-                return { kind: "pending", count: this.cell.pendingOf(body.queue) };
-            case "state": {
-                const state = this.cell.stateOf(body.job);
-                return state === undefined ? this.#unknown(body.job) : { kind: "state", state };
-            }
-            case "submit":
-                return this.#submit(body.definition);
-            case "cancel":
-                return this.#cancel(body.job);
-        }
-    }
-
-    /** A job whose acceptance is not kept yet is neither known nor unknown. */
-    #unknown(job: JobId): OwnerReply {
-        return this.cell.jobs.has(job)
-            ? notNow(NotNowReason.NotKeptYet)
-            : { kind: "unknown-job" };
-    }
-
-    async #submit(definition: JobDefinition): Promise<OwnerReply> {
-        const known = this.cell.jobs.get(definition.job);
-        if (known?.isKept === true) {
-            this.cell.submit(definition);
-            return { kind: "accepted" };
-        }
-        if (known === undefined && this.options.journal.waitingFor() > stalledAfter) {
-            return notNow(NotNowReason.JournalStalled);
-        }
-        if (this.cell.submit(definition) === undefined) {
-            // The VM that asks knows a newer configuration; this owner will in a moment.
-            return notNow(NotNowReason.QueueUnknown);
-        }
-        return await this.#untilKept() ? { kind: "accepted" } : { kind: "uncertain" };
-    }
-
-    async #cancel(job: JobId): Promise<OwnerReply> {
-        if (!this.cell.cancel(job)) {
-            return { kind: "unknown-job" };
-        }
-        return await this.#untilKept() ? { kind: "cancelled" } : { kind: "uncertain" };
-    }
-
-    /** Whether all that was recorded so far is kept, waited for up to the limit. */
-    async #untilKept(): Promise<boolean> {
-        const { clock, lost } = this.options;
-        const kept = this.#turn().then(() => !lost.signal.aborted);
-        return Promise.race([kept, clock.sleep(recordLimit).then(() => false)]);
-    }
-
     #requestTurn(): void {
         if (this.#isTurnDue) {
             return;
@@ -568,44 +518,8 @@
             this.#balance();
         }
     }
-
-    async #followWorkers(signal: AbortSignal): Promise<void> {
-        const { directory, clock, logger } = this.options;
-        let cursor: string | undefined;
-        while (!signal.aborted) {
-            try {
-                cursor = await this.#followOnce(cursor, directory, signal);
-            }
-            catch (cause) {
-                if (!signal.aborted) {
-                    logger.log(logEvents.workerListUnavailable, { cause: String(cause) });
-                    await clock.sleep(directoryRetry, signal);
-                }
-            }
-            this.#requestTurn();
-        }
-    }
-
-    async #followOnce(
-        cursor: string | undefined,
-        directory: WorkerDirectory,
-        signal: AbortSignal,
-    ): Promise<string | undefined> {
-        if (cursor === undefined) {
-            const listing = await directory.list(signal);
-            this.cell.listWorkers(listing.workers);
-            return listing.cursor;
-        }
-        const changes = await directory.follow(cursor, followWait, signal);
-        if (changes !== undefined) {
-            this.cell.changeWorkers(changes.changed, changes.gone);
-        }
-        return changes?.cursor;
-    }
 }
 
-const notNow = (reason: NotNowReason): OwnerReply => ({ kind: "not-now", retryAfter: stalledRetryAfter, reason });
-
 /** The larger VM; among equals the one that started last, as it has been stopped already where all are in turn. */
 const isBetterSuccessor = ({ vm: left }: VmLink, { vm: right }: VmLink): boolean =>
     left.processorShare !== right.processorShare
--- /dev/null
+++ b/packages/entry/src/owner/request-desk.ts
@@ -0,0 +1,76 @@
+/** Answers what fronts ask for their callers, each as truly as the owner knows at the moment. */
+import type { CellScheduler, JobDefinition } from "@pebbledale/cell";
+import type { Clock, JobId, Journal } from "@pebbledale/core";
+import { NotNowReason, type OwnerReply, type OwnerRequest } from "../protocol/index.js";
+import { recordLimit, stalledAfter, stalledRetryAfter } from "./constants.js";
+
+/** What a desk needs. */
+export interface RequestDeskOptions {
+    readonly cell: CellScheduler;
+    readonly journal: Journal;
+    readonly clock: Clock;
+    /** Fires when the cell is lost to another owner. */
+    readonly lost: AbortSignal;
+    /** Carries out what the inputs so far led to; resolves once the records are kept. */
+    readonly turn: () => Promise<void>;
+}
+
+/** See the module's comment. */
+export class RequestDesk {
+    constructor(private readonly options: RequestDeskOptions) {}
+
+    /** Answers one request. */
+    async reply(request: OwnerRequest): Promise<OwnerReply> {
+        const { cell } = this.options;
+        switch (request.kind) {
+            case "pending":
+                return { kind: "pending", count: cell.pendingOf(request.queue) };
+            case "state": {
+                const state = cell.stateOf(request.job);
+                return state === undefined ? this.#unknown(request.job) : { kind: "state", state };
+            }
+            case "submit":
+                return this.#submit(request.definition);
+            case "cancel":
+                return this.#cancel(request.job);
+        }
+    }
+
+    /** A job whose acceptance is not kept yet is neither known nor unknown. */
+    #unknown(job: JobId): OwnerReply {
+        return this.options.cell.jobs.has(job) ? notNow(NotNowReason.NotKeptYet) : { kind: "unknown-job" };
+    }
+
+    async #submit(definition: JobDefinition): Promise<OwnerReply> {
+        const { cell, journal } = this.options;
+        const known = cell.jobs.get(definition.job);
+        if (known?.isKept === true) {
+            cell.submit(definition);
+            return { kind: "accepted" };
+        }
+        if (known === undefined && journal.waitingFor() > stalledAfter) {
+            return notNow(NotNowReason.JournalStalled);
+        }
+        if (cell.submit(definition) === undefined) {
+            // The VM that asks knows a newer configuration; this owner will in a moment.
+            return notNow(NotNowReason.QueueUnknown);
+        }
+        return await this.#untilKept() ? { kind: "accepted" } : { kind: "uncertain" };
+    }
+
+    async #cancel(job: JobId): Promise<OwnerReply> {
+        if (!this.options.cell.cancel(job)) {
+            return { kind: "unknown-job" };
+        }
+        return await this.#untilKept() ? { kind: "cancelled" } : { kind: "uncertain" };
+    }
+
+    /** Whether all that was recorded so far is kept, waited for up to the limit. */
+    async #untilKept(): Promise<boolean> {
+        const { clock, lost, turn } = this.options;
+        const kept = turn().then(() => !lost.aborted);
+        return Promise.race([kept, clock.sleep(recordLimit).then(() => false)]);
+    }
+}
+
+const notNow = (reason: NotNowReason): OwnerReply => ({ kind: "not-now", retryAfter: stalledRetryAfter, reason });
