The share of permitted workers is learned from first questions alone

Cause: read through the change: tickets that are renewed name workers known to be permitted, so the share drifted to one and first questions named too few workers. Change: only workers that were asked about for the first time count. The file's public part stands first.

--- a/packages/cell/src/scheduler/advice-desk.ts
+++ b/packages/cell/src/scheduler/advice-desk.ts
@@ -1,6 +1,6 @@
 /** Decides which steps are asked about, of which workers, and when tickets are asked for again. */
 import { logEvents, type Milliseconds, type QueueName, type WorkerId } from "@pebbledale/core";
-import { type AdviceAnswer, type AdvicePolicy, mostAdviceWorkers } from "../advice/index.js";
+import { type AdviceAnswer, type AdvicePolicy, mostAdviceWorkers, type Permit } from "../advice/index.js";
 import type { CellContext } from "./cell-context.js";
 import {
     adviceInterval,
@@ -83,6 +83,47 @@
         }
     }
 
+    /** Room for a step is expected: tickets that will have run out by then are asked for, so that they come in time. */
+    wantTickets(step: Step, plan: RoomPlan, roomOf: RoomOf): void {
+        const { permits } = step;
+        const { terms } = step.job;
+        const now = this.context.now();
+        if (permits === undefined || permits.isAsking || terms.advice === undefined) {
+            return;
+        }
+        const { decision, eachWorker } = terms.advice;
+        const lead = decision + eachWorker * plan.workers.length + ticketLead;
+        const isTime = now >= plan.from - lead && now - permits.askedAt >= adviceInterval;
+        const isMissing = plan.workers.some(worker => permits.ticketOf(worker.id, plan.from) === undefined);
+        if (isTime && isMissing) {
+            const others = this.#roomyOf(step, permits, step.tasks.length, roomOf)
+                .filter(other => !plan.workers.includes(other));
+            this.#ask(step, terms.advice, [...plan.workers, ...others].slice(0, mostAdviceWorkers));
+        }
+    }
+
+    /** Takes an answer in. `cause`: why there was none, for the log. */
+    take(address: string, asked: readonly WorkerId[], answer: AdviceAnswer | undefined, cause: string): void {
+        const step = this.#asked.get(address);
+        this.#asked.delete(address);
+        if (step?.permits === undefined) {
+            return;
+        }
+        step.permits.isAsking = false;
+        if (answer?.kind !== "advised") {
+            this.context.options.log.log(logEvents.adviceFailed, { step: address, cause: answer?.kind ?? cause });
+            return;
+        }
+        this.#noteShare(step, asked, answer.permits);
+        step.permits.take(asked, answer.permits, this.context.now() + answer.validity);
+        this.context.options.log.log(logEvents.stepAdvised, {
+            step: address,
+            asked: asked.length,
+            permitted: answer.permits.length,
+            took: Math.round(this.context.now() - step.permits.askedAt),
+        });
+    }
+
     /** Permitted workers with room whose tickets ran out; where there are none, workers that were not asked about. */
     #wantedForTasks(step: Step, permits: StepPermits, count: number, roomOf: RoomOf): WorkerState[] {
         const now = this.context.now();
@@ -131,47 +172,6 @@
         return this.#eligible(step).filter(worker => permits.isPermitted(worker.id));
     }
 
-    /** Room for a step is expected: tickets that will have run out by then are asked for, so that they come in time. */
-    wantTickets(step: Step, plan: RoomPlan, roomOf: RoomOf): void {
-        const { permits } = step;
-        const { terms } = step.job;
-        const now = this.context.now();
-        if (permits === undefined || permits.isAsking || terms.advice === undefined) {
-            return;
-        }
-        const { decision, eachWorker } = terms.advice;
-        const lead = decision + eachWorker * plan.workers.length + ticketLead;
-        const isTime = now >= plan.from - lead && now - permits.askedAt >= adviceInterval;
-        const isMissing = plan.workers.some(worker => permits.ticketOf(worker.id, plan.from) === undefined);
-        if (isTime && isMissing) {
-            const others = this.#roomyOf(step, permits, step.tasks.length, roomOf)
-                .filter(other => !plan.workers.includes(other));
-            this.#ask(step, terms.advice, [...plan.workers, ...others].slice(0, mostAdviceWorkers));
-        }
-    }
-
-    /** Takes an answer in. `answeredAt`: when it arrived, by the owner's monotonic clock. */
-    take(address: string, asked: readonly WorkerId[], answer: AdviceAnswer | undefined, cause: string): void {
-        const step = this.#asked.get(address);
-        this.#asked.delete(address);
-        if (step?.permits === undefined) {
-            return;
-        }
-        step.permits.isAsking = false;
-        if (answer?.kind !== "advised") {
-            this.context.options.log.log(logEvents.adviceFailed, { step: address, cause: answer?.kind ?? cause });
-            return;
-        }
-        this.#noteShare(step.job.queue, answer.permits.length / Math.max(1, asked.length));
-        step.permits.take(asked, answer.permits, this.context.now() + answer.validity);
-        this.context.options.log.log(logEvents.stepAdvised, {
-            step: address,
-            asked: asked.length,
-            permitted: answer.permits.length,
-            took: Math.round(this.context.now() - step.permits.askedAt),
-        });
-    }
-
     #eligible(step: Step): WorkerState[] {
         const now = this.context.now();
         return [...this.context.workers.values()]
@@ -199,11 +199,16 @@
         return chosen;
     }
 
-    /** Learns what share of the workers that are asked about may run steps of a queue. */
-    #noteShare(queue: QueueName, share: number): void {
-        const known = this.#permittedShares.get(queue) ?? firstPermittedShare;
+    /** Learns what share of the workers may run steps of a queue, from those that were asked about for the first time. */
+    #noteShare({ job, permits }: Step, asked: readonly WorkerId[], permitted: readonly Permit[]): void {
+        const fresh = new Set(asked.filter(worker => permits?.wasAsked(worker) !== true));
+        if (fresh.size === 0) {
+            return;
+        }
+        const share = permitted.filter(({ worker }) => fresh.has(worker)).length / fresh.size;
+        const known = this.#permittedShares.get(job.queue) ?? firstPermittedShare;
         const learned = known + (share - known) * shareWeight;
-        this.#permittedShares.set(queue, Math.max(leastPermittedShare, learned));
+        this.#permittedShares.set(job.queue, Math.max(leastPermittedShare, learned));
     }
 
     #ask(step: Step, policy: AdvicePolicy, workers: readonly WorkerState[]): void {
--- a/packages/cell/test/scheduler/advice.test.ts
+++ b/packages/cell/test/scheduler/advice.test.ts
@@ -92,3 +92,28 @@
         expect(driver.run().questions.map(({ step, workers }) => [step, workers.length])).toEqual([["gang/0/0", 2]]);
     });
 });
+
+describe("the share of workers that may run a queue's steps", () => {
+    it("is not learned from workers that were known to be permitted", () => {
+        const driver = new CellDriver(undefined, makeConfiguration(1, [makeQueue("work", { advice: policy })]));
+        const names = Array.from({ length: 100 }, (_, index) => `w${index}`);
+        driver.addWorkers(...names.map(name => makeWorker(name)));
+        const whole = { processorThousandths: 8_000, memoryMebibytes: 1, accelerators: 0 };
+        const firstQuestion = (job: string): number => {
+            driver.cell.submit(makeJob(job, [makeStep({ taskCount: 8, size: whole })]));
+            return driver.run().questions[0].workers.length;
+        };
+        const before = firstQuestion("before");
+        // Tickets of one and the same permitted worker are renewed time and again.
+        for (let round = 0; round < 20; round++) {
+            driver.cell.takeAdvice("before/0/0", [idOf("w0")], {
+                kind: "advised",
+                permits: [permit("w0", `t${round}`)],
+                validity: 1,
+            });
+            driver.clock.advance(200);
+            driver.run();
+        }
+        expect(firstQuestion("after") >= before / 2).toEqual(true);
+    });
+});
