Of tasks that last and do not all fit, those that will are owed their places

Cause: read through the reservations: a step with more lasting tasks than workers hold got no room kept at all. The test of two such tasks on one worker failed first. Change: only a gang needs room for all of it; other steps keep what there will be.

--- a/packages/cell/src/scheduler/reservations.ts
+++ b/packages/cell/src/scheduler/reservations.ts
@@ -115,13 +115,15 @@
             return undefined;
         }
         this.#attempts++;
-        const openings = this.#openings(step, count, now);
-        if (openings.length < count) {
+        const openings = this.#openings(step, count, now).slice(0, count);
+        const last = openings.at(-1);
+        // A gang starts whole; of other tasks those that will fit are served.
+        if (last === undefined || step.definition.isGang && openings.length < count) {
             return undefined;
         }
         const shares = new Map<WorkerState, number>();
-        openings.slice(0, count).forEach(({ worker }) => shares.set(worker, (shares.get(worker) ?? 0) + 1));
-        const plan = { madeAt: now, from: openings[count - 1].at, shares };
+        openings.forEach(({ worker }) => shares.set(worker, (shares.get(worker) ?? 0) + 1));
+        const plan = { madeAt: now, from: last.at, shares };
         this.#keep(step, plan, now);
         return plan;
     }
@@ -152,8 +154,9 @@
     /** Whether a plan of an earlier pass can still be kept. */
     #stands(step: Step, { madeAt, shares }: StandingPlan, now: Milliseconds): boolean {
         const planned = [...shares.values()].reduce((sum, tasks) => sum + tasks, 0);
+        const waiting = step.waitingTasks().length;
         return now - madeAt < planLife
-            && planned === step.waitingTasks().length
+            && (step.definition.isGang ? planned === waiting : planned <= waiting)
             && [...shares.keys()].every(worker => this.#isPossible(worker, step, now));
     }
 
--- a/packages/cell/test/scheduler/lasting.test.ts
+++ b/packages/cell/test/scheduler/lasting.test.ts
@@ -46,6 +46,23 @@
     });
 });
 
+describe("tasks that last and do not all fit", () => {
+    it("are owed as many places as there can be", () => {
+        const driver = ready();
+        driver.cell.submit(makeJob("j", [makeStep({ taskCount: 30 })]));
+        const { starts } = driver.run();
+        const big = { processorThousandths: 6_000, memoryMebibytes: 1, accelerators: 0 };
+        driver.cell.submit(makeJob("l", [makeStep({ taskCount: 2, isLasting: true, size: big })]));
+        let started: readonly StartCommand[] = [];
+        for (const start of starts) {
+            driver.clock.advance(100);
+            driver.end(start);
+            started = [...started, ...driver.run().starts];
+        }
+        expect(started.filter(start => start.task.startsWith("l/")).length).toEqual(1);
+    });
+});
+
 describe("tasks that fill", () => {
     const target = 100;
     const fillerAndServer = () => {
