A pause of the owner's process during a pass does not hold the next passes up

Cause: read through the change: the wait between passes is three times the last one's length, whatever made it long; a process that was paused for 4 s, or had used its quota up, within a pass would have placed nothing for up to 12 s. Change: the wait is 30 ms at most, twenty times what the longest measured pass asks for.

--- a/packages/entry/src/owner/constants.ts
+++ b/packages/entry/src/owner/constants.ts
@@ -46,5 +46,10 @@
 export const offerAfter: Milliseconds = 3_000;
 /** How often the state of the cell is logged, in milliseconds. */
 export const summaryInterval: Milliseconds = 1_000;
+/**
+ * Longest wait between two passes: one that took longer than a third of this was held up, by a pause of the process or by
+ * its quota of the processor, and says nothing of what passes cost. The longest that was measured took 1.5 ms.
+ */
+export const longestPassPause: Milliseconds = 30;
 /** Passes over what waits take at most this share of the owner's time: the rest is for messages and calls. */
 export const passShare = 0.25;
--- a/packages/entry/src/owner/pass-pacer.ts
+++ b/packages/entry/src/owner/pass-pacer.ts
@@ -1,6 +1,6 @@
 /** Spaces the passes over what waits, so that a long backlog leaves the owner's VM time for everything else. */
 import type { Clock, Milliseconds } from "@pebbledale/core";
-import { passShare } from "./constants.js";
+import { longestPassPause, passShare } from "./constants.js";
 
 /** See the module's comment. */
 export class PassPacer {
@@ -18,6 +18,7 @@
         const begunAt = this.clock.monotonic();
         pass();
         const endedAt = this.clock.monotonic();
-        this.#dueAt = endedAt + (endedAt - begunAt) * (1 / passShare - 1);
+        const pause = (endedAt - begunAt) * (1 / passShare - 1);
+        this.#dueAt = endedAt + Math.min(pause, longestPassPause);
     }
 }
