Fuzz with the advice service: answers that come late or never, tickets that run out

Change: a fake of the service that knows which tickets hold; starts without one are refused; three kinds of worlds more.

--- a/packages/cell/test/scheduler/fuzz.test.ts
+++ b/packages/cell/test/scheduler/fuzz.test.ts
@@ -32,7 +32,18 @@
     "cut workers": { ...noFaults, cut: 0.01 },
     "owners that die": { ...noFaults, takeOver: 0.03 },
     "cancelled jobs": { ...noFaults, cancel: 0.03 },
-    "all at once": { crash: 0.002, cut: 0.005, takeOver: 0.01, cancel: 0.01, start: 0.1, fail: 0.1 },
+    "advice": { ...noFaults, advice: 0 },
+    "questions that are lost": { ...noFaults, advice: 0.3 },
+    "all at once, advised": {
+        crash: 0.002,
+        cut: 0.005,
+        takeOver: 0.01,
+        cancel: 0.01,
+        start: 0.1,
+        fail: 0.1,
+        advice: 0.1,
+    },
+    "all at once": { ...noFaults, crash: 0.002, cut: 0.005, takeOver: 0.01, cancel: 0.01, start: 0.1, fail: 0.1 },
 };
 
 describe("a cell under random faults keeps what must hold, and every job reaches its end", () => {
--- /dev/null
+++ b/packages/cell/test/support/fake-advice.ts
@@ -0,0 +1,66 @@
+/** The advice service in the tests' time: answers after a while, or never, and knows which tickets hold. */
+import type { Milliseconds, SeededRandom, WorkerId } from "@pebbledale/core";
+import type { AdviceCommand, CellScheduler, StartCommand } from "../../src/index.js";
+
+/** Policy of the queue that is advised on. */
+export const fakePolicy = { decision: 150, eachWorker: 10, validity: 600 };
+
+interface Question {
+    readonly command: AdviceCommand;
+    /** When the answer comes. */
+    readonly at: Milliseconds;
+}
+
+/** See the module's comment. */
+export class FakeAdvice {
+    #questions: Question[] = [];
+    /** By step and worker, until when the newest ticket holds. */
+    readonly #tickets = new Map<string, Milliseconds>();
+
+    /** `loss`: share of the questions that get no answer. */
+    constructor(private readonly random: SeededRandom, private readonly loss: number) {}
+
+    /** Takes questions in. */
+    ask(commands: readonly AdviceCommand[], now: Milliseconds): void {
+        commands.forEach(command => this.#questions.push({ command, at: now + command.duration }));
+    }
+
+    /** The owner that asked is gone. */
+    forget(): void {
+        this.#questions = [];
+    }
+
+    /** Gives the answers that are due. */
+    answer(cell: CellScheduler, now: Milliseconds): void {
+        const due = this.#questions.filter(question => question.at <= now);
+        this.#questions = this.#questions.filter(question => question.at > now);
+        for (const { command: { step, workers } } of due) {
+            if (!cell.isAdviceWanted(step)) {
+                cell.dropAdvice(step);
+                continue;
+            }
+            if (this.random.next() < this.loss) {
+                cell.takeAdvice(step, workers, undefined);
+                continue;
+            }
+            const permits = workers.filter(worker => isGood(step, worker)).map(worker => ({
+                worker,
+                ticket: "ticket",
+            }));
+            permits.forEach(({ worker }) => this.#tickets.set(`${step} ${worker}`, now + fakePolicy.validity));
+            cell.takeAdvice(step, workers, { kind: "advised", permits, validity: fakePolicy.validity });
+        }
+    }
+
+    /** Whether the ticket of a start holds. */
+    holds({ task, worker, ticket }: StartCommand, now: Milliseconds): boolean {
+        const step = task.slice(0, task.lastIndexOf("/"));
+        return ticket !== undefined && (this.#tickets.get(`${step} ${worker}`) ?? -Infinity) >= now;
+    }
+}
+
+/** Six of seven workers may run a step; which, does not change. */
+const isGood = (step: string, worker: WorkerId): boolean => {
+    const numbers = `${step}${worker}`.match(/\d+/g)?.map(Number) ?? [];
+    return numbers.reduce((sum, number) => sum + number, 0) % 7 !== 0;
+};
--- a/packages/cell/test/support/world.ts
+++ b/packages/cell/test/support/world.ts
@@ -7,14 +7,16 @@
     type EndedRun,
     isEndState,
     type JobDefinition,
+    OrderRefusal,
     placeOf,
     RunEnd,
     type StartCommand,
     type StepDefinition,
     type StopCommand,
 } from "../../src/index.js";
-import { makeJob, makeStep, makeWorker } from "./builders.js";
+import { makeConfiguration, makeJob, makeQueue, makeStep, makeWorker } from "./builders.js";
 import { CellDriver } from "./cell-driver.js";
+import { FakeAdvice, fakePolicy } from "./fake-advice.js";
 import { type FakeTask, FakeWorker } from "./fake-worker.js";
 
 const lease: Milliseconds = 2_000;
@@ -31,10 +33,12 @@
     readonly start: number;
     /** Of each run: its task fails. */
     readonly fail: number;
+    /** Of each question to the advice service: it gets no answer. Undefined where nothing is advised on. */
+    readonly advice: number | undefined;
 }
 
 /** No faults. */
-export const noFaults: Faults = { crash: 0, cut: 0, takeOver: 0, cancel: 0, start: 0, fail: 0 };
+export const noFaults: Faults = { crash: 0, cut: 0, takeOver: 0, cancel: 0, start: 0, fail: 0, advice: undefined };
 
 interface Link {
     worker: FakeWorker;
@@ -57,10 +61,11 @@
 /** See the module's comment. */
 export class World {
     readonly clock = new ManualClock();
-    readonly driver = new CellDriver(this.clock);
+    readonly driver: CellDriver;
     /** What was broken, in words. */
     readonly broken: string[] = [];
     readonly #random: SeededRandom;
+    readonly #advice: FakeAdvice | undefined;
     readonly #links = new Map<string, Link>();
     readonly #jobs = new Map<string, JobDefinition>();
     readonly #done = new Set<TaskAddress>();
@@ -74,6 +79,11 @@
 
     constructor(seed: number, private readonly faults: Faults, workers: number) {
         this.#random = new SeededRandom(seed);
+        this.#advice = faults.advice === undefined
+            ? undefined
+            : new FakeAdvice(new SeededRandom(seed + 1), faults.advice);
+        const advice = this.#advice && fakePolicy;
+        this.driver = new CellDriver(this.clock, makeConfiguration(1, [makeQueue("work", { advice })]));
         for (let index = 0; index < workers; index++) {
             this.#addWorker();
         }
@@ -112,8 +122,10 @@
             this.#strike(now);
         }
         this.#links.forEach(link => this.#look(link, now));
+        this.#advice?.answer(this.driver.cell, now);
         this.driver.cell.tick();
-        const { starts, stops, acknowledged } = this.driver.run();
+        const { starts, stops, acknowledged, questions } = this.driver.run();
+        this.#advice?.ask(questions, now);
         for (const [worker, through] of Object.entries(acknowledged)) {
             const link = this.#links.get(worker);
             if (link !== undefined) {
@@ -177,6 +189,7 @@
 
     #takeOver(): void {
         this.#epoch++;
+        this.#advice?.forget();
         this.driver.takeOver();
         for (const link of this.#links.values()) {
             link.token = this.#tokenBase();
@@ -262,6 +275,10 @@
         if (!worker.isUp) {
             return;
         }
+        if (this.#advice?.holds(command, this.clock.monotonic()) === false) {
+            this.#refuseTicket(link, command, isAnswered);
+            return;
+        }
         const definition = this.#stepOf(command.task);
         const before = worker.runs.length;
         const refusal = worker.start(command, fencingToken(token), this.#taskOf(definition), this.clock.monotonic());
@@ -276,6 +293,12 @@
         }
     }
 
+    #refuseTicket(link: Link, { task, run }: StartCommand, isAnswered: boolean): void {
+        if (isAnswered) {
+            this.driver.cell.startRefused(link.worker.id, task, run, OrderRefusal.Ticket);
+        }
+    }
+
     #stop({ worker, task, run }: StopCommand, now: Milliseconds): void {
         const link = this.#links.get(worker);
         if (link !== undefined && now >= link.cutUntil) {
