--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -303,6 +303,7 @@
     /** Looks at what time has brought. */
     tick(): void {
         this.#pool.tick();
+        this.#health.tick();
         this.#timetables.tick();
         this.#mover.tick();
         this.#wantsPass = true;
--- a/packages/cell/src/scheduler/constants.ts
+++ b/packages/cell/src/scheduler/constants.ts
@@ -38,6 +38,11 @@
 export const workerLimits: HealthLimits = { rememberedOutcomes: 6, fewestFailures: 2, failingShare: 0.5 };
 /** First time that a worker at fault takes nothing new; twice as long each further time in a row. */
 export const firstQuarantine = 1_500;
+/**
+ * A worker that takes one run at a time after its quarantine takes more once it had nothing for this long: a gang that
+ * needs it would wait for ever where no other work comes. Half of the three seconds in which work that fits has to start.
+ */
+export const probationLimit = 1_500;
 /** Most doublings of a quarantine. */
 export const quarantineDoublings = 3;
 /** Most workers that are in quarantine at once, as a share of all. */
--- a/packages/cell/src/scheduler/entities.ts
+++ b/packages/cell/src/scheduler/entities.ts
@@ -97,10 +97,8 @@
     doneCount = 0;
     /** Failed runs of all its tasks. */
     failedRuns = 0;
-    /** Failed runs of the whole gang. */
-    gangFailures = 0;
-    /** The highest run of the gang in which a member failed. */
-    lastFailedRun = 0;
+    /** Runs of the whole gang in which a member failed: each counts once, in whatever order their ends are seen. */
+    readonly failedGangRuns = new Set<number>();
     /** When all it waits for was done, by the owner's monotonic clock. */
     readyAt: Milliseconds | undefined;
     /** Which workers may run it; undefined when all of the service may. */
--- a/packages/cell/src/scheduler/health-watch.ts
+++ b/packages/cell/src/scheduler/health-watch.ts
@@ -2,7 +2,7 @@
 import { logEvents, WorkerHealth } from "@pebbledale/core";
 import { RunEnd } from "../task-worker/index.js";
 import type { CellContext } from "./cell-context.js";
-import { firstQuarantine, quarantineDoublings, quarantineShare, workerLimits } from "./constants.js";
+import { firstQuarantine, probationLimit, quarantineDoublings, quarantineShare, workerLimits } from "./constants.js";
 import type { Job, Step, TaskRun } from "./entities.js";
 import type { WorkerState } from "./worker-state.js";
 
@@ -33,6 +33,18 @@
         }
     }
 
+    /** Lets workers that nothing was tried on take more. */
+    tick(): void {
+        const now = this.context.now();
+        for (const worker of this.context.workers.values()) {
+            const isUntried = worker.runs.size === 0 && now > worker.quarantinedUntil + probationLimit;
+            if (worker.isOnProbation && isUntried) {
+                worker.isOnProbation = false;
+                this.context.options.log.log(logEvents.workerTrusted, { worker: worker.id });
+            }
+        }
+    }
+
     /** What is added to the cost of a worker for a step; 0 when nothing speaks against it. */
     costOf(worker: WorkerState, step: Step): number {
         const isSuspect = this.#health.isSuspect(worker.id);
--- a/packages/cell/src/scheduler/job-table.ts
+++ b/packages/cell/src/scheduler/job-table.ts
@@ -17,8 +17,8 @@
     readonly (readonly [RunNumber, WorkerId])[],
 ];
 
-/** An occurrence as snapshots hold it: number, failures and last failed run of each step's gang, changed tasks. */
-type OccurrenceSnapshot = readonly [number, readonly (readonly [number, number])[], readonly TaskSnapshot[]];
+/** An occurrence as snapshots hold it: number, failed runs of each step's gang, changed tasks. */
+type OccurrenceSnapshot = readonly [number, readonly (readonly number[])[], readonly TaskSnapshot[]];
 
 /** A job as snapshots hold it. */
 export interface JobSnapshot {
@@ -185,9 +185,8 @@
         const { step } = task;
         task.failures++;
         step.failedRuns++;
-        if (step.definition.isGang && step.lastFailedRun < run) {
-            step.lastFailedRun = run;
-            step.gangFailures++;
+        if (step.definition.isGang) {
+            step.failedGangRuns.add(run);
         }
         if (isFinal) {
             task.phase = TaskPhase.Failed;
@@ -204,10 +203,9 @@
         for (const [number, gangs, tasks] of saved.occurrences) {
             const occurrence = this.occurrenceOf(job, number);
             if (occurrence !== undefined) {
-                gangs.forEach(([failures, lastFailed], index) => {
-                    occurrence.steps[index].gangFailures = failures;
-                    occurrence.steps[index].lastFailedRun = lastFailed;
-                });
+                gangs.forEach((failedRuns, index) =>
+                    failedRuns.forEach(run => occurrence.steps[index].failedGangRuns.add(run))
+                );
                 tasks.forEach(task => restoreTask(occurrence, task));
             }
         }
@@ -228,7 +226,7 @@
 
 const snapshotOfOccurrence = (occurrence: Occurrence): OccurrenceSnapshot => [
     occurrence.number,
-    occurrence.steps.map(step => [step.gangFailures, step.lastFailedRun] as const),
+    occurrence.steps.map(step => [...step.failedGangRuns]),
     occurrence.steps.flatMap(step => step.tasks.filter(isChanged).map(task => snapshotOfTask(step, task))),
 ];
 
--- a/packages/cell/src/scheduler/run-book.ts
+++ b/packages/cell/src/scheduler/run-book.ts
@@ -156,7 +156,7 @@
     #recordEnd(task: Task, { task: address, run, end, checkpoint }: EndedRun): void {
         const { step } = task;
         const failures = step.definition.isGang
-            ? step.gangFailures + (step.lastFailedRun < run ? 1 : 0)
+            ? new Set(step.failedGangRuns).add(run).size
             : task.failures + 1;
         const isFinal = end === RunEnd.Failed
             && !step.definition.isLasting
--- a/packages/cell/test/scheduler/gangs.test.ts
+++ b/packages/cell/test/scheduler/gangs.test.ts
@@ -102,4 +102,23 @@
         driver.clock.advance(2_000);
         expect(driver.run().starts.length).toEqual(3);
     });
+
+    it("count a failed run whose end is seen after that of a later one", () => {
+        const driver = withWorkers("w1", "w2");
+        const job = driver.cell.submit(makeJob("g", [gangOf(1)]))!;
+        const [first] = driver.run().starts;
+        driver.confirm(first);
+        driver.cell.takeSilence(first.worker, driver.clock.monotonic() + 500);
+        driver.clock.advance(1_000);
+        driver.cell.tick();
+        const [second] = driver.run().starts;
+        expect<number>(second.run).toEqual(2);
+        driver.end(second, RunEnd.Failed);
+        driver.end(first, RunEnd.Failed);
+        driver.clock.advance(1_000);
+        const [third] = driver.run().starts;
+        driver.end(third, RunEnd.Failed);
+        driver.run();
+        expect(driver.cell.stateOf(job.id)).toEqual("failed" as never);
+    });
 });
--- a/packages/cell/test/scheduler/health.test.ts
+++ b/packages/cell/test/scheduler/health.test.ts
@@ -1,3 +1,4 @@
+import { jobId } from "@pebbledale/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { RunEnd } from "../../src/index.js";
@@ -44,4 +45,23 @@
         const [second] = driver.run().starts;
         expect(second.worker === first.worker).toEqual(false);
     });
+
+    it("takes a gang that needs it, where nothing else comes to try it", () => {
+        const driver = new CellDriver();
+        driver.addWorkers(makeWorker("bad"), makeWorker("w1"), makeWorker("w2"));
+        for (const id of ["j", "k"]) {
+            driver.cell.submit(makeJob(id, [makeStep()]));
+        }
+        driver.run().starts.forEach(start => driver.end(start, RunEnd.Failed));
+        ["j", "k"].forEach(id => driver.cell.cancel(jobId(id)));
+        // Its members need all of three workers.
+        driver.cell.submit(makeJob("gang", [makeStep({ taskCount: 24, isGang: true })]));
+        let started = 0;
+        for (let waited = 0; started === 0 && waited < 20_000; waited += 100) {
+            driver.clock.advance(100);
+            driver.cell.tick();
+            started = driver.run().starts.length;
+        }
+        expect(started).toEqual(24);
+    });
 });
--- a/packages/core/src/log-events/index.ts
+++ b/packages/core/src/log-events/index.ts
@@ -139,6 +139,7 @@
     workerLapsed: define(4307, "warn", "every lease at a silent worker is over", "Look at the VM."),
     workerGone: define(4308, "info", "a worker is gone", nothing),
     workerQuarantined: define(4309, "warn", "a worker takes no new work for a while", "Look at the VM if it recurs."),
+    workerTrusted: define(4313, "info", "a worker takes more than one run again, as nothing was tried on it", nothing),
     workerSlow: define(4310, "warn", "a worker's tasks make little progress", "Look at the VM if it lasts."),
     workerFast: define(4311, "info", "a worker's tasks make progress again", nothing),
     upkeepOrdered: define(4701, "info", "a VM's upkeep is ordered", nothing),
