--- a/packages/core/src/journal/journal.ts
+++ b/packages/core/src/journal/journal.ts
@@ -357,6 +357,36 @@
     };
 };
 
+/**
+ * Reads the segments that a listing in pages passed by: an owner that goes on writing may write one key on a page that was
+ * read already and the next on one that is still to come. False when all must be read again.
+ */
+const fillGaps = async (
+    store: PlatformStore,
+    shard: ShardId,
+    ringSize: number,
+    { segments, versions }: ReadSegments,
+): Promise<boolean> => {
+    const last = segments.at(-1);
+    const present = new Set(segments.map(segment => segment.sequence));
+    const first = (last?.snapshot?.through ?? 0) + 1;
+    for (let sequence = first; sequence < (last?.sequence ?? 0); sequence++) {
+        if (present.has(sequence)) {
+            continue;
+        }
+        const slot = sequence % ringSize;
+        const entry = await store.get(ringKey(shard, slot));
+        const segment = entry === undefined ? undefined : parseSegment(entry);
+        if (segment?.sequence !== sequence) {
+            return false;
+        }
+        segments.push(segment);
+        versions.set(slot, entry!.version);
+    }
+    segments.sort((left, right) => left.sequence - right.sequence);
+    return true;
+};
+
 /**
  * Seals what was read with a claim; undefined when all must be read again.
  *
@@ -406,6 +436,9 @@
     while (true) {
         dependencies.signal.throwIfAborted();
         const read = await readSegments(store, shard);
+        if (!await fillGaps(store, shard, dependencies.options.ringSize, read)) {
+            continue;
+        }
         const pointer = read.segments.at(-1)?.snapshot;
         const snapshot = pointer === undefined ? undefined : await readSnapshot(store, shard, pointer);
         const sealed = await seal(dependencies, read);
--- a/packages/evidence/test/journal/journal.test.ts
+++ b/packages/evidence/test/journal/journal.test.ts
@@ -181,4 +181,25 @@
         expect(store.listings).toEqual(2);
         await expect(journal.append(["later"])).toBeRejected();
     });
+
+    it("is read whole though an owner writes on while it is listed in pages", async () => {
+        const store = new FlakyStore();
+        const { journal } = await open(store, "first", { snapshotEvery: 100 });
+        for (const record of ["a", "b", "c", "d", "e"]) {
+            await journal.append([record]);
+        }
+        const list = store.list.bind(store);
+        // The first page ends between the keys of the next two segments, which are written before the second is read.
+        const isOnFirst = (key: string): boolean => Number(key.slice(-5)) < 8;
+        store.list = async prefix => {
+            const firstPage = (await list(prefix)).filter(({ key }) => isOnFirst(key));
+            store.list = list;
+            await journal.append(["f"]);
+            await journal.append(["g"]);
+            const secondPage = (await list(prefix)).filter(({ key }) => !isOnFirst(key));
+            return [...firstPage, ...secondPage];
+        };
+        const { contents } = await open(store, "second", { snapshotEvery: 100 });
+        expect(contents.records).toEqual(["a", "b", "c", "d", "e", "f", "g"]);
+    });
 });
