Accelerators count in the forecast of room and in best fit, and wide single tasks get room kept

Change: accelerators are a dimension of the forecast, of what is kept and of best fit; tasks of which no worker holds more than four get room kept (and tickets in time) once they wait 100 ms.

Both tests failed before.

--- a/packages/cell/src/scheduler/constants.ts
+++ b/packages/cell/src/scheduler/constants.ts
@@ -81,6 +81,10 @@
  * as long, about what a mean gang of some seconds loses by waiting longer.
  */
 export const rackPatience = 1_500;
+/** A task is wide when no worker of its service holds more than this many of them. */
+export const wideTasksPerWorker = 4;
+/** Room is kept for wide tasks that wait for longer than this, in milliseconds: others find theirs in the same turn. */
+export const wideTaskPatience = 100;
 /** Most steps that room is kept for at once: one for each this many workers. */
 export const workersPerReservation = 12;
 /** Fewest steps that room may be kept for at once. */
--- a/packages/cell/src/scheduler/placer.ts
+++ b/packages/cell/src/scheduler/placer.ts
@@ -2,7 +2,7 @@
 import { logEvents, type Milliseconds, type RunNumber } from "@pebbledale/core";
 import type { AdviceDesk, RoomOf } from "./advice-desk.js";
 import type { CellContext } from "./cell-context.js";
-import { rackPatience } from "./constants.js";
+import { rackPatience, wideTaskPatience, wideTasksPerWorker } from "./constants.js";
 import { addressOf } from "./definition.js";
 import type { Step, Task } from "./entities.js";
 import type { HealthWatch } from "./health-watch.js";
@@ -101,8 +101,8 @@
             return;
         }
         const left = waiting.length - next;
-        if (step.definition.isLasting) {
-            // However full the service is, tasks that last are owed a place.
+        // However full the service is, tasks that last are owed a place; wide ones find none by chance.
+        if (step.definition.isLasting || this.#isStarving(step, now)) {
             this.#keepRoom(step, left, now);
         }
         this.advice.wantRoom(step, left, this.#roomOf(step, left, now));
@@ -126,6 +126,17 @@
         }
     }
 
+    /** Whether a step waits whose tasks are so wide that room for one seldom opens by itself. */
+    #isStarving(step: Step, now: Milliseconds): boolean {
+        if (now - (step.readyAt ?? now) < wideTaskPatience) {
+            return false;
+        }
+        const { service } = step.job.terms;
+        return this.#open.every(worker =>
+            worker.entry?.service !== service || worker.countWhenEmpty(step) <= wideTasksPerWorker
+        );
+    }
+
     /** Places for all members, in one rack where the step wants that and one has room soon enough. */
     #deal(step: Step, candidates: readonly Share[], count: number, now: Milliseconds): Share[] | undefined {
         if (!step.definition.wantsOneRack) {
--- a/packages/cell/src/scheduler/reservations.ts
+++ b/packages/cell/src/scheduler/reservations.ts
@@ -11,7 +11,7 @@
 import { attemptsPerReservation, fewestReservations, keptShare, planLife, workersPerReservation } from "./constants.js";
 import type { Step } from "./entities.js";
 import { backfillMargin } from "./expected-end.js";
-import { countIn, type Opening, type Room, RoomForecast } from "./room-forecast.js";
+import { countIn, type Opening, type Room, RoomForecast, roomWithout } from "./room-forecast.js";
 import { isEligible } from "./worker-choice.js";
 import type { WorkerState } from "./worker-state.js";
 
@@ -92,11 +92,7 @@
         this.#forecast.forget(worker);
         const kept = this.#keptAgainst(worker, step, now);
         if (kept !== undefined) {
-            const { size, fills } = step.definition;
-            kept.spare = {
-                processor: kept.spare.processor - (fills ? 0 : count * size.processorThousandths),
-                memory: kept.spare.memory - count * size.memoryMebibytes,
-            };
+            kept.spare = roomWithout(kept.spare, step, count);
         }
     }
 
@@ -171,14 +167,9 @@
     }
 
     #keep(step: Step, plan: StandingPlan, now: Milliseconds): void {
-        const { size } = step.definition;
         this.#plans.set(step, plan);
         for (const [worker, tasks] of plan.shares) {
-            const { processor, memory } = this.#forecast.roomAt(worker, plan.from, now);
-            const spare = {
-                processor: processor - tasks * size.processorThousandths,
-                memory: memory - tasks * size.memoryMebibytes,
-            };
+            const spare = roomWithout(this.#forecast.roomAt(worker, plan.from, now), step, tasks);
             this.#kept.set(worker, { step, from: plan.from, spare });
         }
     }
--- a/packages/cell/src/scheduler/room-forecast.ts
+++ b/packages/cell/src/scheduler/room-forecast.ts
@@ -14,6 +14,7 @@
 export interface Room {
     readonly processor: number;
     readonly memory: number;
+    readonly accelerators: number;
 }
 
 /** What a worker has free again when a run there ends. */
@@ -39,9 +40,9 @@
     /** Times from which up to `count` tasks of a step fit a worker, one after the other. */
     openingsOf(worker: WorkerState, step: Step, count: number, now: Milliseconds): Opening[] {
         const openings: Opening[] = [];
-        let { freeProcessor: processor, freeMemory: memory } = worker;
+        let room = roomNow(worker);
         const add = (at: Milliseconds) => {
-            const fitting = Math.min(count, countIn({ processor, memory }, step));
+            const fitting = Math.min(count, countIn(room, step));
             while (openings.length < fitting) {
                 openings.push({ at, worker });
             }
@@ -51,8 +52,7 @@
             if (ending.at === Infinity || openings.length >= count) {
                 break;
             }
-            processor += ending.processor;
-            memory += ending.memory;
+            room = sumOf(room, ending);
             add(ending.at);
         }
         return openings;
@@ -60,14 +60,9 @@
 
     /** What a worker is expected to have free at a time, were nothing started there until then. */
     roomAt(worker: WorkerState, at: Milliseconds, now: Milliseconds): Room {
-        let { freeProcessor: processor, freeMemory: memory } = worker;
-        for (const ending of this.#endingsOf(worker, now)) {
-            if (ending.at <= at) {
-                processor += ending.processor;
-                memory += ending.memory;
-            }
-        }
-        return { processor, memory };
+        return this.#endingsOf(worker, now)
+            .filter(ending => ending.at <= at)
+            .reduce<Room>(sumOf, roomNow(worker));
     }
 
     #endingsOf(worker: WorkerState, now: Milliseconds): readonly Ending[] {
@@ -88,14 +83,38 @@
         at: expectedEnd(run, now),
         processor: fills ? 0 : size.processorThousandths,
         memory: size.memoryMebibytes,
+        accelerators: size.accelerators,
     };
 };
 
+const roomNow = ({ freeProcessor, freeMemory, freeAccelerators }: WorkerState): Room => ({
+    processor: freeProcessor,
+    memory: freeMemory,
+    accelerators: freeAccelerators,
+});
+
+const sumOf = (left: Room, right: Room): Room => ({
+    processor: left.processor + right.processor,
+    memory: left.memory + right.memory,
+    accelerators: left.accelerators + right.accelerators,
+});
+
+/** What is left of some room once `count` tasks of a step have theirs. */
+export const roomWithout = (room: Room, { definition: { size, fills } }: Step, count: number): Room => ({
+    processor: room.processor - (fills ? 0 : count * size.processorThousandths),
+    memory: room.memory - count * size.memoryMebibytes,
+    accelerators: room.accelerators - count * size.accelerators,
+});
+
 /** How many tasks of a step some room holds. */
-export const countIn = ({ processor, memory }: Room, { definition: { size, fills } }: Step): number => {
-    const byProcessor = fills || size.processorThousandths === 0
-        ? Infinity
-        : Math.floor(processor / size.processorThousandths);
-    const byMemory = size.memoryMebibytes === 0 ? Infinity : Math.floor(memory / size.memoryMebibytes);
-    return Math.max(0, Math.min(byProcessor, byMemory));
-};
+export const countIn = ({ processor, memory, accelerators }: Room, { definition: { size, fills } }: Step): number =>
+    Math.max(
+        0,
+        Math.min(
+            fills ? Infinity : countOf(processor, size.processorThousandths),
+            countOf(memory, size.memoryMebibytes),
+            countOf(accelerators, size.accelerators),
+        ),
+    );
+
+const countOf = (free: number, wanted: number): number => wanted === 0 ? Infinity : Math.floor(free / wanted);
--- a/packages/cell/src/scheduler/worker-choice.ts
+++ b/packages/cell/src/scheduler/worker-choice.ts
@@ -32,6 +32,12 @@
 /** Added for a worker on another rack than the step's data: that takes longer, so it comes after all near ones. */
 const farCost = 1_000;
 
+/**
+ * Cost of an accelerator that stays free, as processors: a worker has few of them, and those of one worker have to be free
+ * together for the tasks that need all.
+ */
+const acceleratorCost = 10;
+
 /** Whether a worker may run a step, whatever its room and tickets. */
 export const isEligible = (worker: WorkerState, step: Step, service: ServiceName, now: Milliseconds): boolean => {
     const { requiredLabel } = step.definition;
@@ -69,8 +75,9 @@
         // They get what the others leave unused: the emptiest worker without tasks that serve is best.
         return (isFar ? farCost : 0) + (worker.hasServingRun ? servingCost : 0) - worker.freeProcessor / 1_000;
     }
-    const left = worker.freeProcessor - count * size.processorThousandths;
-    return (isFar ? farCost : 0) + left / 1_000;
+    const processorsLeft = (worker.freeProcessor - count * size.processorThousandths) / 1_000;
+    const acceleratorsLeft = size.accelerators === 0 ? 0 : worker.freeAccelerators - count * size.accelerators;
+    return (isFar ? farCost : 0) + processorsLeft + acceleratorsLeft * acceleratorCost;
 };
 
 /** Deals `count` tasks to candidates in their order; undefined when they do not all fit. */
--- a/packages/cell/test/scheduler/reservations.test.ts
+++ b/packages/cell/test/scheduler/reservations.test.ts
@@ -61,3 +61,44 @@
         expect(startedJobs(driver)).toEqual(["short"]);
     });
 });
+
+/** A worker of 8 cores with 8 accelerators. */
+const acceleratedWorker = (id: string) =>
+    makeWorker(id, { capacity: { processorThousandths: 8_000, memoryMebibytes: 32_768, accelerators: 8 } });
+const acceleratedStep = (accelerators: number, estimate = 1_000) =>
+    makeStep({ size: { processorThousandths: 100, memoryMebibytes: 1, accelerators }, estimate });
+
+describe("a task that needs all accelerators of a worker", () => {
+    it("gets its room kept, and small ones wait that would still hold some by then", () => {
+        const driver = new CellDriver();
+        driver.addWorkers(acceleratedWorker("w1"));
+        driver.cell.submit(makeJob("holder", [acceleratedStep(4, 2_000)]));
+        const [holder] = driver.run().starts;
+        driver.confirm(holder);
+        driver.cell.submit(makeJob("wide", [acceleratedStep(8)]));
+        driver.run();
+        driver.clock.advance(200);
+        driver.run();
+        driver.cell.submit(makeJob("small", [acceleratedStep(4, 5_000)]));
+        expect(startedJobs(driver)).toEqual([]);
+        driver.end(holder);
+        expect(startedJobs(driver)).toEqual(["wide"]);
+    });
+
+    it("finds a worker that is free of small ones, as these share one", () => {
+        const driver = new CellDriver();
+        driver.addWorkers(acceleratedWorker("w1"), acceleratedWorker("w2"));
+        const sizeWith = (processorThousandths: number, accelerators: number) =>
+            makeStep({ size: { processorThousandths, memoryMebibytes: 1, accelerators }, estimate: 5_000 });
+        driver.cell.submit(makeJob("one", [sizeWith(1_000, 4)]));
+        const [first] = driver.run().starts;
+        // Fits the other worker alone, and leaves it fewer processors than the first has.
+        driver.cell.submit(makeJob("processors", [sizeWith(7_500, 0)]));
+        driver.run();
+        driver.cell.submit(makeJob("two", [sizeWith(100, 4)]));
+        const [second] = driver.run().starts;
+        expect(second.worker).toEqual(first.worker);
+        driver.cell.submit(makeJob("wide", [acceleratedStep(8)]));
+        expect(startedJobs(driver)).toEqual(["wide"]);
+    });
+});
