Wide tasks and gangs get the room of less urgent runs whose progress is saved

Hypothesis: tasks of eight accelerators wait for seconds behind tasks that save their progress and have 14 s to spare; a stop costs those the restore alone.

Change: a plan for room may count runs that give way (a less urgent queue, progress saved, at most three times, 2.5 s to spare) where that gives the step its room 0.6 s earlier; they are stopped once tickets are in hand and all else is free.

--- a/packages/cell/src/scheduler/advice-desk.ts
+++ b/packages/cell/src/scheduler/advice-desk.ts
@@ -92,13 +92,14 @@
             return;
         }
         const { decision, eachWorker } = terms.advice;
-        const lead = decision + eachWorker * plan.workers.length + ticketLead;
+        const planned = [...plan.shares.keys()];
+        const lead = decision + eachWorker * planned.length + ticketLead;
         const isTime = now >= plan.from - lead && now - permits.askedAt >= adviceInterval;
-        const isMissing = plan.workers.some(worker => permits.ticketOf(worker.id, plan.from) === undefined);
+        const isMissing = planned.some(worker => permits.ticketOf(worker.id, plan.from) === undefined);
         if (isTime && isMissing) {
             const others = this.#roomyOf(step, permits, step.tasks.length, roomOf)
-                .filter(other => !plan.workers.includes(other));
-            this.#ask(step, terms.advice, [...plan.workers, ...others].slice(0, mostAdviceWorkers));
+                .filter(other => !plan.shares.has(other));
+            this.#ask(step, terms.advice, [...planned, ...others].slice(0, mostAdviceWorkers));
         }
     }
 
--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -36,6 +36,7 @@
 import { TimetableWatch } from "./timetable-watch.js";
 import { WorkerPool } from "./worker-pool.js";
 import type { WorkerState } from "./worker-state.js";
+import { SavedProgressYields } from "./yield-policy.js";
 
 /** See the module's comment. */
 export class CellScheduler {
@@ -66,7 +67,8 @@
             workerGone: worker => this.#health.forgetWorker(worker),
         });
         this.#timetables = new TimetableWatch(this.#context, occurrence => this.#openOccurrence(occurrence));
-        this.#placer = new Placer(this.#context, this.#runs, this.#advice, this.#health, this.#mover);
+        const yields = new SavedProgressYields(this.#context);
+        this.#placer = new Placer(this.#context, this.#runs, this.#advice, this.#health, this.#mover, yields);
     }
 
     /** All workers that are to be asked. */
--- a/packages/cell/src/scheduler/constants.ts
+++ b/packages/cell/src/scheduler/constants.ts
@@ -64,6 +64,19 @@
 export const slowShare = 0.4;
 /** A run at a hindered worker is moved only if more than this share of it, in percent, is left. */
 export const leastLeftToMove = 15;
+/**
+ * What a stop takes, in milliseconds, from the decision to the end that is listed: workers may take 200 to 900 ms by the
+ * users' bounds, and take less.
+ */
+export const stopTime = 400;
+/** A run is stopped for others only if more than this share of it, in percent, is left: else it is about to end. */
+export const fewestPercentLeft = 15;
+/** A run gives way only if its job has this much time to spare, in milliseconds: to be stopped, placed again, restored. */
+export const preemptedSlack = 2_500;
+/** A task gives way at most this often. */
+export const mostPreemptions = 3;
+/** Runs are stopped for a step only if that gives it its room this much earlier, in milliseconds. */
+export const leastPreemptionGain = 600;
 /** Pace of a run that is not slowed down, in percent. */
 export const fullPace = 100;
 /** A filler's pace grows by this much, in percent, each time all tails are well below their targets. */
--- a/packages/cell/src/scheduler/entities.ts
+++ b/packages/cell/src/scheduler/entities.ts
@@ -66,6 +66,8 @@
     /** The newest progress that is known of; empty when there is none. */
     checkpoint = "";
     readonly runs: TaskRun[] = [];
+    /** How often a run of it was stopped for more urgent work, under this owner. */
+    preemptions = 0;
     /** Runs whose ends were taken in. */
     readonly endedRuns = new Set<number>();
     /** Workers at which runs were recorded that are not over, by run. */
--- a/packages/cell/src/scheduler/expected-end.ts
+++ b/packages/cell/src/scheduler/expected-end.ts
@@ -1,17 +1,20 @@
 /** When runs are expected to end. */
 import type { Milliseconds } from "@pebbledale/core";
-import type { TaskRun } from "./entities.js";
+import { RunPhase, type TaskRun } from "./entities.js";
 
 /** Estimates of callers are taken for this much longer where others would have to wait: they are rough. */
 export const backfillMargin = 1.25;
 /** From this much progress under this owner on, in percent, a run's own speed says more than its caller's estimate. */
 const enoughProgress = 8;
-/** A run that has taken longer than expected is expected to end within this time, in milliseconds. */
+/** A run that has taken longer than expected, or was told to stop, is expected to end within this time, in milliseconds. */
 const soon: Milliseconds = 150;
 
 /** When a run will end, by its progress so far, or by its caller's estimate; never, if it lasts. */
 export const expectedEnd = (run: TaskRun, now: Milliseconds): Milliseconds => {
     const { definition } = run.task.step;
+    if (run.phase === RunPhase.Stopping) {
+        return now + soon;
+    }
     if (definition.isLasting) {
         return Infinity;
     }
--- a/packages/cell/src/scheduler/placer.ts
+++ b/packages/cell/src/scheduler/placer.ts
@@ -7,17 +7,20 @@
 import type { Step, Task } from "./entities.js";
 import type { HealthWatch } from "./health-watch.js";
 import type { Mover } from "./mover.js";
+import { Preemption } from "./preemption.js";
 import { Reservations } from "./reservations.js";
 import type { RunBook } from "./run-book.js";
 import { compareRanks, rank } from "./urgency.js";
 import { candidatesFor, dealAll, dealInOneRack, type Share } from "./worker-choice.js";
 import type { WorkerState } from "./worker-state.js";
+import type { YieldPolicy } from "./yield-policy.js";
 
 /** See the module's comment. */
 export class Placer {
     readonly #ready = new Set<Step>();
     /** Room that steps further ahead in this pass wait for. */
     readonly #reservations: Reservations;
+    readonly #preemption: Preemption;
     /** Workers that may be ordered in this pass. */
     #open: readonly WorkerState[] = [];
 
@@ -27,8 +30,10 @@
         private readonly advice: AdviceDesk,
         private readonly health: HealthWatch,
         private readonly mover: Mover,
+        yields: YieldPolicy,
     ) {
-        this.#reservations = new Reservations(context);
+        this.#reservations = new Reservations(context, yields);
+        this.#preemption = new Preemption(context, runs, yields);
     }
 
     /** Steps that have tasks to place. */
@@ -152,6 +157,9 @@
         const plan = this.#reservations.plan(step, count, now);
         if (plan !== undefined) {
             this.advice.wantTickets(step, plan, this.#roomOf(step, count, now));
+            if (plan.preempts) {
+                this.#preemption.makeRoom(step, plan, now);
+            }
         }
     }
 
--- /dev/null
+++ b/packages/cell/src/scheduler/preemption.ts
@@ -0,0 +1,70 @@
+/**
+ * Lets more urgent work have the room of runs that lose nothing by being stopped: their progress is saved at the stop, and
+ * their jobs have the time to go on elsewhere or later.
+ */
+import { logEvents, type Milliseconds } from "@pebbledale/core";
+import type { CellContext } from "./cell-context.js";
+import { stopTime } from "./constants.js";
+import { RunPhase, type Step, type TaskRun } from "./entities.js";
+import type { RoomPlan } from "./reservations.js";
+import { countIn, type Room, roomOf, roomOfRun, sumOf } from "./room-forecast.js";
+import type { RunBook } from "./run-book.js";
+import type { WorkerState } from "./worker-state.js";
+import type { YieldPolicy } from "./yield-policy.js";
+
+/** See the module's comment. */
+export class Preemption {
+    constructor(
+        private readonly context: CellContext,
+        private readonly runs: RunBook,
+        private readonly policy: YieldPolicy,
+    ) {}
+
+    /** Stops what stands in the way of a plan, once all that is to end by itself has ended and tickets are there. */
+    makeRoom(step: Step, plan: RoomPlan, now: Milliseconds): void {
+        if (plan.from > now + stopTime || !this.#hasTickets(step, plan, now)) {
+            return;
+        }
+        for (const [worker, tasks] of plan.shares) {
+            this.#makeRoomAt(worker, step, tasks, now);
+        }
+    }
+
+    #hasTickets({ permits }: Step, { shares }: RoomPlan, now: Milliseconds): boolean {
+        return permits === undefined
+            || [...shares.keys()].every(worker => permits.ticketOf(worker.id, now + stopTime) !== undefined);
+    }
+
+    #makeRoomAt(worker: WorkerState, step: Step, tasks: number, now: Milliseconds): void {
+        const runs = [...worker.runs.values()];
+        let room = runs
+            .filter(run => run.phase === RunPhase.Stopping)
+            .reduce<Room>((sum, run) => sumOf(sum, roomOfRun(run)), roomOf(worker));
+        const victims: TaskRun[] = [];
+        for (const run of runs.filter(other => this.policy.yieldsTo(other, step, now)).sort(byProgress)) {
+            if (countIn(room, step) >= tasks) {
+                break;
+            }
+            victims.push(run);
+            room = sumOf(room, roomOfRun(run));
+        }
+        if (countIn(room, step) >= tasks) {
+            victims.forEach(victim => this.#stop(victim, step));
+        }
+    }
+
+    #stop(run: TaskRun, step: Step): void {
+        run.task.preemptions++;
+        this.runs.stop(run, "more urgent work needs its room");
+        this.context.options.log.log(logEvents.runPreempted, {
+            task: run.task.address,
+            run: run.run,
+            worker: run.worker.id,
+            percent: run.percent,
+            by: step.address,
+        });
+    }
+}
+
+/** Runs that have the most left go first: the others are about to end by themselves. */
+const byProgress = (left: TaskRun, right: TaskRun): number => left.percent - right.percent;
--- a/packages/cell/src/scheduler/reservations.ts
+++ b/packages/cell/src/scheduler/reservations.ts
@@ -8,12 +8,20 @@
  */
 import type { Milliseconds } from "@pebbledale/core";
 import type { CellContext } from "./cell-context.js";
-import { attemptsPerReservation, fewestReservations, keptShare, planLife, workersPerReservation } from "./constants.js";
+import {
+    attemptsPerReservation,
+    fewestReservations,
+    keptShare,
+    leastPreemptionGain,
+    planLife,
+    workersPerReservation,
+} from "./constants.js";
 import type { Step } from "./entities.js";
 import { backfillMargin } from "./expected-end.js";
-import { countIn, type Opening, type Room, RoomForecast, roomWithout } from "./room-forecast.js";
+import { countIn, type IsStopped, type Opening, type Room, RoomForecast, roomWithout } from "./room-forecast.js";
 import { isEligible } from "./worker-choice.js";
 import type { WorkerState } from "./worker-state.js";
+import type { YieldPolicy } from "./yield-policy.js";
 
 /** Room of one worker that is kept. */
 interface Reservation {
@@ -27,15 +35,15 @@
 /** Where and when a step is expected to fit. */
 export interface RoomPlan {
     readonly from: Milliseconds;
-    readonly workers: readonly WorkerState[];
+    /** How many of the step's tasks each worker is to take. */
+    readonly shares: ReadonlyMap<WorkerState, number>;
+    /** Whether runs that give way are to be stopped for it. */
+    readonly preempts: boolean;
 }
 
 /** A plan as it stands from pass to pass. */
-interface StandingPlan {
+interface StandingPlan extends RoomPlan {
     readonly madeAt: Milliseconds;
-    readonly from: Milliseconds;
-    /** How many of the step's tasks each worker is to take. */
-    readonly shares: ReadonlyMap<WorkerState, number>;
 }
 
 /** Added to the cost of a worker whose room is kept for a step further behind. */
@@ -50,7 +58,7 @@
     #plans = new Map<Step, StandingPlan>();
     #attempts = 0;
 
-    constructor(private readonly context: CellContext) {}
+    constructor(private readonly context: CellContext, private readonly policy: YieldPolicy) {}
 
     /** Begins a pass over steps in their order: plans that can still be kept stand. */
     begin(steps: readonly Step[], now: Milliseconds): void {
@@ -71,8 +79,7 @@
 
     /** Keeps room for `count` tasks of a step where they will fit first; undefined when they nowhere will. */
     plan(step: Step, count: number, now: Milliseconds): RoomPlan | undefined {
-        const plan = this.#plans.get(step) ?? this.#make(step, count, now);
-        return plan && { from: plan.from, workers: [...plan.shares.keys()] };
+        return this.#plans.get(step) ?? this.#make(step, count, now);
     }
 
     /** How many tasks of a step a worker takes at most, so that what is kept there stays kept. */
@@ -111,7 +118,19 @@
             return undefined;
         }
         this.#attempts++;
-        const openings = this.#openings(step, count, now).slice(0, count);
+        const waiting = this.#draft(step, count, now, false);
+        const stopping = this.#draft(step, count, now, true);
+        const isWorthStops = (stopping?.from ?? Infinity) + leastPreemptionGain < (waiting?.from ?? Infinity);
+        const plan = isWorthStops ? stopping : waiting;
+        if (plan !== undefined) {
+            this.#keep(step, plan, now);
+        }
+        return plan;
+    }
+
+    /** Where and when tasks of a step will fit, with or without stops of what gives way; undefined when they will not. */
+    #draft(step: Step, count: number, now: Milliseconds, preempts: boolean): StandingPlan | undefined {
+        const openings = this.#openings(step, count, now, preempts).slice(0, count);
         const last = openings.at(-1);
         // A gang starts whole; of other tasks those that will fit are served.
         if (last === undefined || step.definition.isGang && openings.length < count) {
@@ -119,9 +138,7 @@
         }
         const shares = new Map<WorkerState, number>();
         openings.forEach(({ worker }) => shares.set(worker, (shares.get(worker) ?? 0) + 1));
-        const plan = { madeAt: now, from: last.at, shares };
-        this.#keep(step, plan, now);
-        return plan;
+        return { madeAt: now, from: last.at, shares, preempts };
     }
 
     #mayKeepMore(): boolean {
@@ -132,16 +149,21 @@
     }
 
     /** Times at which single tasks of a step will fit, the earliest first. */
-    #openings(step: Step, count: number, now: Milliseconds): Opening[] {
+    #openings(step: Step, count: number, now: Milliseconds, preempts: boolean): Opening[] {
         const openings: Opening[] = [];
+        const isStopped = this.#stopsOf(step, preempts, now);
         for (const worker of this.context.workers.values()) {
             if (this.#isPossible(worker, step, now)) {
-                openings.push(...this.#forecast.openingsOf(worker, step, count, now));
+                openings.push(...this.#forecast.openingsOf(worker, step, count, now, isStopped));
             }
         }
         return openings.sort((left, right) => left.at - right.at);
     }
 
+    #stopsOf(step: Step, preempts: boolean, now: Milliseconds): IsStopped | undefined {
+        return preempts ? run => this.policy.yieldsTo(run, step, now) : undefined;
+    }
+
     #isPossible(worker: WorkerState, step: Step, now: Milliseconds): boolean {
         const isPermitted = step.permits === undefined || step.permits.isPermitted(worker.id);
         return isPermitted && !this.#kept.has(worker) && isEligible(worker, step, step.job.terms.service, now);
@@ -157,10 +179,11 @@
     }
 
     /** When the workers of a plan will have its room, as of now. */
-    #timeOf(step: Step, { shares }: StandingPlan, now: Milliseconds): Milliseconds {
+    #timeOf(step: Step, { shares, preempts }: StandingPlan, now: Milliseconds): Milliseconds {
+        const isStopped = this.#stopsOf(step, preempts, now);
         let from = now;
         for (const [worker, tasks] of shares) {
-            const opening = this.#forecast.openingsOf(worker, step, tasks, now)[tasks - 1];
+            const opening = this.#forecast.openingsOf(worker, step, tasks, now, isStopped)[tasks - 1];
             from = Math.max(from, opening?.at ?? Infinity);
         }
         return from;
--- a/packages/cell/src/scheduler/room-forecast.ts
+++ b/packages/cell/src/scheduler/room-forecast.ts
@@ -1,5 +1,6 @@
 /** When workers will have room, from when the runs there are expected to end. Worked out once a pass for each worker. */
 import type { Milliseconds } from "@pebbledale/core";
+import { stopTime } from "./constants.js";
 import type { Step, TaskRun } from "./entities.js";
 import { expectedEnd } from "./expected-end.js";
 import type { WorkerState } from "./worker-state.js";
@@ -18,10 +19,14 @@
 }
 
 /** What a worker has free again when a run there ends. */
-interface Ending extends Room {
+interface Ending {
     readonly at: Milliseconds;
+    readonly run: TaskRun;
 }
 
+/** Whether a run is to be stopped in time rather than waited for. */
+export type IsStopped = (run: TaskRun) => boolean;
+
 /** See the module's comment. */
 export class RoomForecast {
     /** By worker, the first to end first. */
@@ -37,10 +42,10 @@
         this.#endings.delete(worker);
     }
 
-    /** Times from which up to `count` tasks of a step fit a worker, one after the other. */
-    openingsOf(worker: WorkerState, step: Step, count: number, now: Milliseconds): Opening[] {
+    /** Times from which up to `count` tasks of a step fit a worker, one after the other; runs that are stopped end soon. */
+    openingsOf(worker: WorkerState, step: Step, count: number, now: Milliseconds, isStopped?: IsStopped): Opening[] {
         const openings: Opening[] = [];
-        let room = roomNow(worker);
+        let room = roomOf(worker);
         const add = (at: Milliseconds) => {
             const fitting = Math.min(count, countIn(room, step));
             while (openings.length < fitting) {
@@ -48,12 +53,13 @@
             }
         };
         add(now);
-        for (const ending of this.#endingsOf(worker, now)) {
-            if (ending.at === Infinity || openings.length >= count) {
+        const endings = this.#endingsOf(worker, now);
+        for (const { run, at } of isStopped === undefined ? endings : withStops(endings, isStopped, now)) {
+            if (at === Infinity || openings.length >= count) {
                 break;
             }
-            room = sumOf(room, ending);
-            add(ending.at);
+            room = sumOf(room, roomOfRun(run));
+            add(at);
         }
         return openings;
     }
@@ -62,38 +68,44 @@
     roomAt(worker: WorkerState, at: Milliseconds, now: Milliseconds): Room {
         return this.#endingsOf(worker, now)
             .filter(ending => ending.at <= at)
-            .reduce<Room>(sumOf, roomNow(worker));
+            .reduce<Room>((sum, { run }) => sumOf(sum, roomOfRun(run)), roomOf(worker));
     }
 
     #endingsOf(worker: WorkerState, now: Milliseconds): readonly Ending[] {
         let endings = this.#endings.get(worker);
         if (endings === undefined) {
             endings = [...worker.runs.values()]
-                .map(run => endingOf(run, now))
-                .sort((left, right) => left.at - right.at);
+                .map(run => ({ run, at: expectedEnd(run, now) }))
+                .sort(byTime);
             this.#endings.set(worker, endings);
         }
         return endings;
     }
 }
 
-const endingOf = (run: TaskRun, now: Milliseconds): Ending => {
-    const { size, fills } = run.task.step.definition;
-    return {
-        at: expectedEnd(run, now),
-        processor: fills ? 0 : size.processorThousandths,
-        memory: size.memoryMebibytes,
-        accelerators: size.accelerators,
-    };
-};
-
-const roomNow = ({ freeProcessor, freeMemory, freeAccelerators }: WorkerState): Room => ({
+const byTime = (left: Ending, right: Ending): number => left.at - right.at;
+
+const withStops = (endings: readonly Ending[], isStopped: IsStopped, now: Milliseconds): readonly Ending[] =>
+    endings
+        .map(({ run, at }) => ({ run, at: at > now + stopTime && isStopped(run) ? now + stopTime : at }))
+        .sort(byTime);
+
+/** What a run holds of its worker. */
+export const roomOfRun = ({ task: { step: { definition: { size, fills } } } }: TaskRun): Room => ({
+    processor: fills ? 0 : size.processorThousandths,
+    memory: size.memoryMebibytes,
+    accelerators: size.accelerators,
+});
+
+/** What a worker has free now. */
+export const roomOf = ({ freeProcessor, freeMemory, freeAccelerators }: WorkerState): Room => ({
     processor: freeProcessor,
     memory: freeMemory,
     accelerators: freeAccelerators,
 });
 
-const sumOf = (left: Room, right: Room): Room => ({
+/** Two rooms together. */
+export const sumOf = (left: Room, right: Room): Room => ({
     processor: left.processor + right.processor,
     memory: left.memory + right.memory,
     accelerators: left.accelerators + right.accelerators,
--- a/packages/core/src/log-events/index.ts
+++ b/packages/core/src/log-events/index.ts
@@ -110,6 +110,7 @@
         "a worker gave no answer to an order; a look settles what became of it",
         "Look at the worker it names.",
     ),
+    runPreempted: define(4209, "info", "a run is stopped so that more urgent work has its room", nothing),
     answersLost: define(
         4208,
         "warn",
