Tickets of wide tasks are kept in hand, and plans at one worker are limited by the share of kept workers alone

Change: steps of wide tasks that can still be on time keep fresh tickets while they wait; the number of plans is limited only where they take several workers. Gangs ask as before (the test that they are not asked for again and again stands).

--- a/packages/cell/src/scheduler/advice-desk.ts
+++ b/packages/cell/src/scheduler/advice-desk.ts
@@ -17,8 +17,8 @@
 import type { Step } from "./entities.js";
 import type { RoomPlan } from "./reservations.js";
 import { StepPermits } from "./step-permits.js";
-import { rank, urgencyOf } from "./urgency.js";
-import { isEligible } from "./worker-choice.js";
+import { isWorthFreshTickets, rank, urgencyOf } from "./urgency.js";
+import { isEligible, isWide } from "./worker-choice.js";
 import type { WorkerState } from "./worker-state.js";
 
 /** How many tasks of a step a worker takes. */
@@ -65,7 +65,24 @@
         const workers = step.definition.isGang
             ? this.#wantedForGang(step, permits, count, roomOf)
             : this.#wantedForTasks(step, permits, count, roomOf);
-        this.#ask(step, advice, workers);
+        this.#ask(step, advice, workers.length > 0 ? workers : this.#runningOut(step, permits, advice, now));
+    }
+
+    /**
+     * Permitted workers of a wide step whose tickets are about to run out. A fresh ticket takes half a second, in which
+     * others take the room that was seen: such steps keep tickets in hand while they wait, as long as that is of use.
+     */
+    #runningOut(step: Step, permits: StepPermits, policy: AdvicePolicy, now: Milliseconds): WorkerState[] {
+        if (
+            step.definition.isGang || !isWide(step, this.context.workers.values())
+            || !isWorthFreshTickets(rank(this.context, step, now))
+        ) {
+            return [];
+        }
+        const permitted = this.#permitted(step, permits).slice(0, mostAdviceWorkers);
+        const needed = now + policy.decision + policy.eachWorker * permitted.length + ticketLead;
+        const isRunningOut = permitted.some(worker => permits.ticketOf(worker.id, needed) === undefined);
+        return isRunningOut ? permitted : [];
     }
 
     /** Whether the answer to a question that waits to be asked is still of use. */
--- a/packages/cell/src/scheduler/constants.ts
+++ b/packages/cell/src/scheduler/constants.ts
@@ -98,13 +98,13 @@
 export const wideTasksPerWorker = 4;
 /** Room is kept for wide tasks that wait for longer than this, in milliseconds: others find theirs in the same turn. */
 export const wideTaskPatience = 100;
-/** Most steps that room is kept for at once: one for each this many workers. */
+/** Most steps that room of several workers is kept for at once: one for each this many workers. */
 export const workersPerReservation = 12;
 /** Fewest steps that room may be kept for at once. */
 export const fewestReservations = 2;
 /** Once room is kept on this share of the workers, no more is: what waits behind would leave the cell idle. */
 export const keptShare = 0.3;
 /** Most steps for which room is looked for in a pass, for each that room is kept for: looking costs the most of a pass. */
-export const attemptsPerReservation = 2;
+export const attemptsPerReservation = 4;
 /** A plan for room stands this long, then it is made anew: runs there have taken longer than expected. */
 export const planLife = 3_000;
--- a/packages/cell/src/scheduler/placer.ts
+++ b/packages/cell/src/scheduler/placer.ts
@@ -2,7 +2,7 @@
 import { logEvents, type Milliseconds, type RunNumber } from "@pebbledale/core";
 import type { AdviceDesk, RoomOf } from "./advice-desk.js";
 import type { CellContext } from "./cell-context.js";
-import { rackPatience, wideTaskPatience, wideTasksPerWorker } from "./constants.js";
+import { rackPatience, wideTaskPatience } from "./constants.js";
 import { addressOf } from "./definition.js";
 import type { Step, Task } from "./entities.js";
 import type { HealthWatch } from "./health-watch.js";
@@ -11,7 +11,7 @@
 import { Reservations } from "./reservations.js";
 import type { RunBook } from "./run-book.js";
 import { compareRanks, rank } from "./urgency.js";
-import { candidatesFor, dealAll, dealInOneRack, type Share } from "./worker-choice.js";
+import { candidatesFor, dealAll, dealInOneRack, isWide, type Share } from "./worker-choice.js";
 import type { WorkerState } from "./worker-state.js";
 import type { YieldPolicy } from "./yield-policy.js";
 
@@ -131,15 +131,9 @@
         }
     }
 
-    /** Whether a step waits whose tasks are so wide that room for one seldom opens by itself. */
+    /** Whether a step waits whose tasks seldom find room by chance. */
     #isStarving(step: Step, now: Milliseconds): boolean {
-        if (now - (step.readyAt ?? now) < wideTaskPatience) {
-            return false;
-        }
-        const { service } = step.job.terms;
-        return this.#open.every(worker =>
-            worker.entry?.service !== service || worker.countWhenEmpty(step) <= wideTasksPerWorker
-        );
+        return now - (step.readyAt ?? now) >= wideTaskPatience && isWide(step, this.#open);
     }
 
     /** Places for all members, in one rack where the step wants that and one has room soon enough. */
--- a/packages/cell/src/scheduler/reservations.ts
+++ b/packages/cell/src/scheduler/reservations.ts
@@ -141,11 +141,16 @@
         return { madeAt: now, from: last.at, shares, preempts };
     }
 
+    /**
+     * Whether room may be kept for one more step: beyond these limits the cell would idle. A plan at one worker is limited
+     * by the share of kept workers alone.
+     */
     #mayKeepMore(): boolean {
         const { size } = this.context.workers;
         const most = Math.max(fewestReservations, Math.floor(size / workersPerReservation));
         const isShareKept = this.#kept.size > size * keptShare;
-        return !isShareKept && this.#plans.size < most && this.#attempts < most * attemptsPerReservation;
+        const wide = [...this.#plans.values()].filter(plan => plan.shares.size > 1).length;
+        return !isShareKept && wide < most && this.#attempts < most * attemptsPerReservation;
     }
 
     /** Times at which single tasks of a step will fit, the earliest first. */
--- a/packages/cell/src/scheduler/urgency.ts
+++ b/packages/cell/src/scheduler/urgency.ts
@@ -59,3 +59,6 @@
 
 /** One figure for the order in which steps' questions are asked: lower goes first. */
 export const urgencyOf = ({ prospect, priority }: RankedStep): number => prospect * prioritiesPerProspect + priority;
+
+/** Whether a step can still earn all its job's worth, so that its tickets are to be at hand whenever room opens. */
+export const isWorthFreshTickets = ({ prospect }: RankedStep): boolean => prospect <= Prospect.OnTime;
--- a/packages/cell/src/scheduler/worker-choice.ts
+++ b/packages/cell/src/scheduler/worker-choice.ts
@@ -1,6 +1,6 @@
 /** Chooses workers for the tasks of one step. */
 import type { Milliseconds, ServiceName } from "@pebbledale/core";
-import { servingCost } from "./constants.js";
+import { servingCost, wideTasksPerWorker } from "./constants.js";
 import type { Step } from "./entities.js";
 import type { WorkerState } from "./worker-state.js";
 
@@ -46,6 +46,17 @@
         && (requiredLabel === undefined || worker.labels.includes(requiredLabel));
 };
 
+/** Whether a step's tasks are so wide that room for one seldom opens by itself. */
+export const isWide = (step: Step, workers: Iterable<WorkerState>): boolean => {
+    const { service } = step.job.terms;
+    for (const worker of workers) {
+        if (worker.entry?.service === service && worker.countWhenEmpty(step) > wideTasksPerWorker) {
+            return false;
+        }
+    }
+    return true;
+};
+
 /** Workers that can take tasks of a step now, best first. */
 export const candidatesFor = ({ step, service, workers, now, limit, doubt }: ChoiceInput, most: number): Share[] => {
     const candidates: Candidate[] = [];
