--- a/packages/core/src/journal/open.ts
+++ b/packages/core/src/journal/open.ts
@@ -8,9 +8,12 @@
 /**
  * Claims a shard's journal: seals it against the former owner and reads all it holds.
  * Rejects with `PlatformUnavailableError` when the platform does not answer; then nothing may be assumed.
+ *
+ * `maySeal`: awaited between the reading and the claim, so that the journal is read while the right to claim it is sought.
  */
 export const openJournal = async (
     dependencies: JournalDependencies,
+    maySeal: Promise<void> = Promise.resolve(),
 ): Promise<{ journal: Journal; contents: JournalContents; }> => {
     const { store, shard, signal, options: { ringSize } } = dependencies;
     while (true) {
@@ -21,6 +24,7 @@
         }
         const { pointer, segments, versions } = chain;
         const snapshot = pointer === undefined ? undefined : await readSnapshot(store, shard, pointer);
+        await maySeal;
         const seal = await chain.seal();
         if (seal === undefined) {
             continue;
--- a/packages/entry/src/ownership/campaign.ts
+++ b/packages/entry/src/ownership/campaign.ts
@@ -1,7 +1,13 @@
 /** Decides when this VM claims the cell: pure, from what is known at the moment. */
 import type { Milliseconds } from "@pebbledale/core";
 import type { CellView, EntryVm } from "../membership/index.js";
-import { candidateDelay, gatheringPause, ownerHeardLately, ownerKeyBack } from "./constants.js";
+import {
+    equalCandidateDelay,
+    gatheringPause,
+    largerCandidateDelay,
+    ownerHeardLately,
+    ownerKeyBack,
+} from "./constants.js";
 
 /** What is known at a moment. */
 export interface CampaignInput {
@@ -54,11 +60,14 @@
     if (isAsked) {
         return 0;
     }
-    const before = [...view.vms.values()].filter(vm => vm.name !== view.owner?.name && isBefore(vm, self));
-    return before.length * candidateDelay;
+    return [...view.vms.values()]
+        .filter(vm => vm.name !== view.owner?.name)
+        .reduce((sum, vm) => sum + delayBehind(vm, self), 0);
 };
 
-const isBefore = (left: EntryVm, right: EntryVm): boolean =>
-    left.processorShare !== right.processorShare
-        ? left.processorShare > right.processorShare
-        : left.name < right.name;
+const delayBehind = (other: EntryVm, self: EntryVm): Milliseconds => {
+    if (other.processorShare !== self.processorShare) {
+        return other.processorShare > self.processorShare ? largerCandidateDelay : 0;
+    }
+    return other.name < self.name ? equalCandidateDelay : 0;
+};
--- a/packages/entry/src/ownership/candidate.ts
+++ b/packages/entry/src/ownership/candidate.ts
@@ -27,7 +27,15 @@
 import { OwnerSession, type OwnerUpkeep } from "../owner/index.js";
 import { VmDialer } from "../peers/index.js";
 import { type CampaignInput, claimDelay, isGathering, reasonToClaim } from "./campaign.js";
-import { campaignInterval, claimRetryDelay, handOverWait, isolationLimit, reachLimit } from "./constants.js";
+import {
+    campaignInterval,
+    claimRetryDelay,
+    firstMessagesTime,
+    handOverWait,
+    isolationLimit,
+    reachLimit,
+} from "./constants.js";
+import { ClaimAbandonedError } from "./errors.js";
 import { OwnerKey } from "./owner-key.js";
 
 /** What a candidate needs. */
@@ -54,6 +62,14 @@
     readonly connectOwn: (session: OwnerSession) => void;
 }
 
+/** A claim that is on its way. */
+interface Claim {
+    readonly dialer: VmDialer;
+    readonly key: OwnerKey;
+    /** Resolves once the cell is this VM's; rejects with {@link ClaimAbandonedError} when it is not to be. */
+    readonly claimed: Promise<void>;
+}
+
 /** The one journal of a cell. */
 const cellShard = shardId("cell");
 
@@ -94,8 +110,10 @@
                 await this.#claimAndServe(reason, stop);
             }
             catch (cause) {
-                logger.log(logEvents.claimFailed, { cause: String(cause) });
-                await clock.sleep(claimRetryDelay, stop);
+                if (!(cause instanceof ClaimAbandonedError)) {
+                    logger.log(logEvents.claimFailed, { cause: String(cause) });
+                    await clock.sleep(claimRetryDelay, stop);
+                }
             }
         }
     }
@@ -119,20 +137,31 @@
         const dialer = new VmDialer(view, self, clock);
         const dialing = dialer.run(released.signal);
         let keeping: Promise<void> | undefined;
-        try {
-            if (!await this.#reachesOthers(dialer) || !await key.claim(view.ownerVersion ?? absentVersion)) {
-                return;
-            }
+        const claimed = this.#claim(dialer, key).then(() => {
             logger.log(logEvents.ownershipClaimed, { reason });
             keeping = key.keep(released.signal);
-            await this.#serve(dialer, key, stop);
+        });
+        try {
+            await this.#serve({ dialer, key, claimed }, stop);
         }
         finally {
+            await claimed.catch(() => undefined);
             released.abort();
             await Promise.all([dialing, keeping]);
         }
     }
 
+    /** Claims the owner's key; rejects when this VM is not to have it. */
+    async #claim(dialer: VmDialer, key: OwnerKey): Promise<void> {
+        const expected = this.options.view.ownerVersion ?? absentVersion;
+        if (!await this.#reachesOthers(dialer)) {
+            throw new ClaimAbandonedError("too few of the others are reached");
+        }
+        if (!await key.claim(expected)) {
+            throw new ClaimAbandonedError("another VM was faster");
+        }
+    }
+
     /** Whether this VM reaches others, or nobody has claimed the cell for so long that it does not matter. */
     async #reachesOthers(dialer: VmDialer): Promise<boolean> {
         const { clock, logger } = this.options;
@@ -151,11 +180,13 @@
         return false;
     }
 
-    async #serve(dialer: VmDialer, key: OwnerKey, stop: AbortSignal): Promise<void> {
+    /** Serves once the cell is claimed; the journal is read meanwhile and sealed only then. */
+    async #serve({ dialer, key, claimed }: Claim, stop: AbortSignal): Promise<void> {
         const { store, clock, random, logger, self, directory } = this.options;
         const lost = createAbortController();
         const onStop = () => void this.#handOver(lost, "the process stops");
         stop.addEventListener("abort", onStop);
+        claimed.catch((cause: unknown) => lost.abort(cause));
         try {
             const { journal, contents } = await openJournal({
                 store,
@@ -173,7 +204,7 @@
                     mostOnTheirWay: journalMostOnTheirWay,
                     largestBytes: journalLargestBytes,
                 },
-            });
+            }, claimed);
             logger.log(logEvents.ownershipBegun, { epoch: journal.epoch, records: contents.records.length });
             const session = new OwnerSession({
                 journal,
@@ -193,20 +224,24 @@
                 upkeep: this.options.upkeep,
                 onLargerVm: () => void this.#handOver(lost, "a much larger VM is connected"),
             });
-            this.#session = session;
             session.addWaves(this.options.waves());
-            this.options.connectOwn(session);
             dialer.use(session);
+            await clock.sleep(firstMessagesTime, lost.signal);
+            this.#session = session;
+            this.options.connectOwn(session);
             await session.run();
         }
         finally {
+            const hadCell = this.#session !== undefined;
             this.#session = undefined;
             const cause: unknown = lost.signal.reason;
             lost.abort();
             stop.removeEventListener("abort", onStop);
-            logger.log(logEvents.ownershipEnded, {
-                cause: cause instanceof JournalFencedError ? cause.message : String(cause),
-            });
+            if (hadCell) {
+                logger.log(logEvents.ownershipEnded, {
+                    cause: cause instanceof JournalFencedError ? cause.message : String(cause),
+                });
+            }
         }
     }
 
--- a/packages/entry/src/ownership/constants.ts
+++ b/packages/entry/src/ownership/constants.ts
@@ -3,8 +3,13 @@
 
 /** Time between two looks at whether this VM is to claim the cell. */
 export const campaignInterval: Milliseconds = 50;
-/** Each VM that stands before this one in the order of candidates makes it wait this long more. */
-export const candidateDelay: Milliseconds = 120;
+/** Each larger VM makes a candidate wait this long more: a larger one serves the cell better. */
+export const largerCandidateDelay: Milliseconds = 120;
+/**
+ * Each VM of the same size that goes first by its name makes a candidate wait this long more, in which a claim is seen by
+ * the others: it takes 30 to 50 ms.
+ */
+export const equalCandidateDelay: Milliseconds = 50;
 /** While an owner was heard this lately, a missing key is its own to renew. */
 export const ownerHeardLately: Milliseconds = 600;
 /** Wait after a failed claim. */
@@ -23,5 +28,10 @@
 export const isolationLimit: Milliseconds = 5_000;
 /** An owner that is heard and has not put its missing key back by then cannot do its work: it does so in 0.4 s. */
 export const ownerKeyBack: Milliseconds = 1_500;
-/** Candidates wait until no VM has shown up for the first time for this long: in a start of all, larger ones follow. */
-export const gatheringPause: Milliseconds = 200;
+/**
+ * Candidates wait until no VM has shown up for the first time for this long: in a start of all, larger ones follow. VMs that
+ * start together show up within 20 to 50 ms of each other.
+ */
+export const gatheringPause: Milliseconds = 60;
+/** A new owner's first messages to the VMs leave before it takes its own VM's requests in: these keep it busy for 0.1 s. */
+export const firstMessagesTime: Milliseconds = 4;
