--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -132,6 +132,7 @@
                 + formerLeaseMargin,
             knownOwner: () => ({
                 ownerSilence: this.#session.hasOwner ? this.#session.ownerSilence : Infinity,
+                heardSilence: this.#session.epoch > 0 ? this.#session.ownerSilence : undefined,
                 deadOwner: this.#deadOwner,
                 isAsked: this.#isAsked,
             }),
--- a/packages/entry/src/links/vm-session.ts
+++ b/packages/entry/src/links/vm-session.ts
@@ -12,6 +12,9 @@
 /** Time between two beats to the owner when nothing else is sent, in milliseconds. */
 const beatInterval: Milliseconds = 250;
 
+/** A longer silence of the owner, also one since ever, is told as this, in milliseconds. */
+const longestTold: Milliseconds = 60_000;
+
 /** What a session needs. */
 export interface VmSessionOptions {
     readonly clients: TaskWorkerClients;
@@ -80,6 +83,8 @@
             }
         };
         channel.onClose = () => this.#lose(channel);
+        const silence = Math.min(this.ownerSilence, longestTold);
+        channel.send({ kind: "owner-heard", epoch: this.#epoch, silence });
     }
 
     /** Asks the owner; resolves to undefined when the connection ends before there is an answer. */
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -355,6 +355,7 @@
                 this.#takeLeave(link);
                 break;
             case "beat":
+            case "owner-heard":
                 return;
             default:
                 this.#takeOfWorker(link, message, now);
--- a/packages/entry/src/ownership/campaign.ts
+++ b/packages/entry/src/ownership/campaign.ts
@@ -7,6 +7,7 @@
     largerCandidateDelay,
     ownerHeardLately,
     ownerKeyBack,
+    ownerSuspectedAfter,
 } from "./constants.js";
 
 /** What is known at a moment. */
@@ -15,8 +16,10 @@
     readonly self: EntryVm;
     /** Now, by the monotonic clock. */
     readonly now: Milliseconds;
-    /** How long ago an owner was heard. */
+    /** How long ago an owner was heard; without end when none is connected. */
     readonly ownerSilence: Milliseconds;
+    /** How long an owner that was heard in this life of the VM has been silent; undefined when none was. */
+    readonly heardSilence: Milliseconds | undefined;
     /** Process of an owner that is known to be gone. */
     readonly deadOwner: string | undefined;
     /** Whether the owner asked this VM to take over. */
@@ -38,9 +41,15 @@
             ? "an earlier claim of this process had no answer"
             : "an earlier life of this VM is the owner";
     }
-    return owner.process === deadOwner ? "the owner's process is gone" : undefined;
+    return owner.process === deadOwner ? "the owner's process is gone" : reasonToSuspect(input);
 };
 
+/** The reason of a claim that holds only if the other VMs do not hear the owner either. */
+export const ownerIsSilent = "the owner is silent";
+
+const reasonToSuspect = ({ heardSilence }: CampaignInput): string | undefined =>
+    heardSilence !== undefined && heardSilence > ownerSuspectedAfter ? ownerIsSilent : undefined;
+
 const reasonWithoutOwner = ({ view, ownerSilence, now }: CampaignInput): string | undefined => {
     if (view.ownerMissingSince === undefined) {
         return undefined;
--- a/packages/entry/src/ownership/candidate.ts
+++ b/packages/entry/src/ownership/candidate.ts
@@ -26,14 +26,16 @@
 } from "../owner/constants.js";
 import { OwnerSession, type OwnerUpkeep } from "../owner/index.js";
 import { VmDialer } from "../peers/index.js";
-import { type CampaignInput, claimDelay, isGathering, reasonToClaim } from "./campaign.js";
+import { type CampaignInput, claimDelay, isGathering, ownerIsSilent, reasonToClaim } from "./campaign.js";
 import {
+    agreedSilence,
     campaignInterval,
     claimRetryDelay,
     firstMessagesTime,
     handOverWait,
     isolationLimit,
     reachLimit,
+    suspicionPause,
 } from "./constants.js";
 import { ClaimAbandonedError } from "./errors.js";
 import { OwnerKey } from "./owner-key.js";
@@ -57,7 +59,7 @@
     readonly waves: () => readonly UpkeepWave[];
     readonly upkeep: OwnerUpkeep | undefined;
     /** What is known of the present owner. */
-    readonly knownOwner: () => Pick<CampaignInput, "ownerSilence" | "deadOwner" | "isAsked">;
+    readonly knownOwner: () => Pick<CampaignInput, "ownerSilence" | "heardSilence" | "deadOwner" | "isAsked">;
     /** Connects this VM itself to its own work as owner. */
     readonly connectOwn: (session: OwnerSession) => void;
 }
@@ -79,6 +81,8 @@
     #wantsSince: Milliseconds | undefined;
     /** Since when this VM wants the cell and reaches too few of the others. */
     #isolatedSince: Milliseconds | undefined;
+    /** Suspicions are not followed before this: the other VMs did not share the last one. */
+    #trustsOwnerUntil = -Infinity;
 
     constructor(private readonly options: CandidateOptions) {}
 
@@ -120,7 +124,15 @@
 
     #input(): CampaignInput {
         const { view, self, clock, knownOwner } = this.options;
-        return { view, self, now: clock.monotonic(), ...knownOwner() };
+        const now = clock.monotonic();
+        const known = knownOwner();
+        return {
+            view,
+            self,
+            now,
+            ...known,
+            heardSilence: now < this.#trustsOwnerUntil ? undefined : known.heardSilence,
+        };
     }
 
     #hasWaited(input: CampaignInput): boolean {
@@ -137,7 +149,7 @@
         const dialer = new VmDialer(view, self, clock);
         const dialing = dialer.run(released.signal);
         let keeping: Promise<void> | undefined;
-        const claimed = this.#claim(dialer, key).then(() => {
+        const claimed = this.#claim(dialer, key, reason).then(() => {
             logger.log(logEvents.ownershipClaimed, { reason });
             keeping = key.keep(released.signal);
         });
@@ -152,8 +164,11 @@
     }
 
     /** Claims the owner's key; rejects when this VM is not to have it. */
-    async #claim(dialer: VmDialer, key: OwnerKey): Promise<void> {
+    async #claim(dialer: VmDialer, key: OwnerKey, reason: string): Promise<void> {
         const expected = this.options.view.ownerVersion ?? absentVersion;
+        if (reason === ownerIsSilent && !await this.#othersAgree(dialer)) {
+            throw new ClaimAbandonedError("the other VMs hear the owner");
+        }
         if (!await this.#reachesOthers(dialer)) {
             throw new ClaimAbandonedError("too few of the others are reached");
         }
@@ -162,6 +177,17 @@
         }
     }
 
+    /** Whether the other VMs do not hear the owner either. */
+    async #othersAgree(dialer: VmDialer): Promise<boolean> {
+        const { view, clock, logger } = this.options;
+        const agrees = await dialer.untilSilenceAgreed(view.owner?.name ?? "", agreedSilence, reachLimit);
+        logger.log(logEvents.ownerSuspected, { owner: view.owner?.name, agrees });
+        if (!agrees) {
+            this.#trustsOwnerUntil = clock.monotonic() + suspicionPause;
+        }
+        return agrees;
+    }
+
     /** Whether this VM reaches others, or nobody has claimed the cell for so long that it does not matter. */
     async #reachesOthers(dialer: VmDialer): Promise<boolean> {
         const { clock, logger } = this.options;
--- a/packages/entry/src/ownership/constants.ts
+++ b/packages/entry/src/ownership/constants.ts
@@ -12,6 +12,12 @@
 export const equalCandidateDelay: Milliseconds = 50;
 /** While an owner was heard this lately, a missing key is its own to renew. */
 export const ownerHeardLately: Milliseconds = 600;
+/** An owner that was not heard for this long is suspected: three of its beats stayed out. */
+export const ownerSuspectedAfter: Milliseconds = 400;
+/** Other VMs agree that the owner is silent once they have not heard it for this long: two of its beats stayed out. */
+export const agreedSilence: Milliseconds = 300;
+/** A VM whose suspicion the others did not share asks them again no sooner than this. */
+export const suspicionPause: Milliseconds = 1_000;
 /** Wait after a failed claim. */
 export const claimRetryDelay: Milliseconds = 300;
 /** How long the owner's key outlives its last renewal: bounds how late a silent owner is replaced. */
--- a/packages/entry/src/peers/vm-dialer.ts
+++ b/packages/entry/src/peers/vm-dialer.ts
@@ -23,6 +23,8 @@
     triedAt: Milliseconds;
     /** Whether the way to it is open: it answered, or refused. Undefined before the first dial ended. */
     isReachable: boolean | undefined;
+    /** How long it had not heard the owner when it was dialled; undefined before it said so. */
+    ownerSilence: Milliseconds | undefined;
 }
 
 /** Time between two looks at which VMs are to be dialled, in milliseconds. */
@@ -83,6 +85,24 @@
         }
     }
 
+    /**
+     * Resolves to whether more than half of the VMs besides the owner, this one among them, have not heard the owner for
+     * `silence`: at once when they say so, or after `limit`.
+     */
+    async untilSilenceAgreed(owner: string, silence: Milliseconds, limit: Milliseconds): Promise<boolean> {
+        const until = this.clock.monotonic() + limit;
+        while (!this.#agreesOnSilence(owner, silence) && this.clock.monotonic() < until) {
+            await this.clock.sleep(reachInterval);
+        }
+        return this.#agreesOnSilence(owner, silence);
+    }
+
+    #agreesOnSilence(owner: string, silence: Milliseconds): boolean {
+        const others = this.#others().filter(vm => vm.name !== owner);
+        const agreeing = others.filter(vm => (this.#known.get(vm.name)?.ownerSilence ?? 0) >= silence);
+        return (agreeing.length + 1) * 2 > others.length + 1;
+    }
+
     /** Dials until `signal` fires. */
     async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
@@ -102,6 +122,7 @@
                 seenAt: now,
                 triedAt: former?.triedAt ?? -Infinity,
                 isReachable: isSame ? former.isReachable : undefined,
+                ownerSilence: isSame ? former.ownerSilence : undefined,
             });
         }
         for (const [name, known] of this.#known) {
@@ -135,6 +156,13 @@
         return this.#open.get(name)?.channel.isOpen === true || this.#connections?.isConnected(name) === true;
     }
 
+    #noteHeard(name: string, message: VmMessage): void {
+        const known = this.#known.get(name);
+        if (known !== undefined && message.kind === "owner-heard") {
+            known.ownerSilence = message.silence;
+        }
+    }
+
     async #dial(vm: EntryVm, signal: AbortSignal): Promise<void> {
         const outcome = await dialVm(vm.address, dialLimit);
         const known = this.#known.get(vm.name);
@@ -145,6 +173,7 @@
             return;
         }
         const { channel } = outcome;
+        channel.onMessage = message => this.#noteHeard(vm.name, message);
         if (signal.aborted || this.#isConnected(vm.name)) {
             channel.close();
         }
--- a/packages/entry/src/protocol/messages.ts
+++ b/packages/entry/src/protocol/messages.ts
@@ -129,6 +129,15 @@
     | ResumeMessage
     | OwnerBeatMessage;
 
+/** First message to whoever dials the VM: what it knows of the owner. Candidates dial all VMs before they claim. */
+export interface OwnerHeardMessage {
+    readonly kind: "owner-heard";
+    /** The highest epoch that spoke to the VM; 0 when none did. */
+    readonly epoch: number;
+    /** How long ago an owner was heard. */
+    readonly silence: Milliseconds;
+}
+
 /** A whole look at a worker. */
 export interface LookedMessage {
     readonly kind: "looked";
@@ -222,6 +231,7 @@
     | ConfigurationVersionMessage
     | WantConfigurationMessage
     | ConfigurationMessage
+    | OwnerHeardMessage
     | BeatMessage;
 
 /** What a front asks of the owner for a caller. */
--- a/packages/entry/test/peers/vm-dialer.test.ts
+++ b/packages/entry/test/peers/vm-dialer.test.ts
@@ -1,7 +1,15 @@
-import { type KeyVersion, ManualClock } from "@pebbledale/core";
+import { type KeyVersion, ManualClock, SystemClock } from "@pebbledale/core";
 import { expect } from "earl";
 import { after, describe, it } from "node:test";
-import { CellView, listenForOwners, VmDialer, vmKey } from "../../src/index.js";
+import {
+    CellView,
+    type Channel,
+    listenForOwners,
+    type OwnerMessage,
+    VmDialer,
+    vmKey,
+    type VmMessage,
+} from "../../src/index.js";
 import { makeVm, pass } from "../support/index.js";
 
 const show = (view: CellView, names: readonly string[], address: string): void => {
@@ -35,3 +43,35 @@
         expect(dialer.hasBeenCutOff).toEqual(false);
     });
 });
+
+describe("a VM that does not hear the owner", () => {
+    const stop = new AbortController();
+
+    after(() => stop.abort());
+
+    /** Listens as VMs that have not heard the owner for these times. */
+    const listenAs = async (port: number, silence: number): Promise<string> => {
+        const address = `127.0.0.1:${port}`;
+        const attach = (channel: Channel<VmMessage, OwnerMessage>) =>
+            channel.send({ kind: "owner-heard", epoch: 1, silence });
+        await listenForOwners(address, attach, stop.signal);
+        return address;
+    };
+
+    const askOf = async (port: number, silences: readonly number[]): Promise<boolean> => {
+        const clock = new SystemClock();
+        const view = new CellView(clock);
+        show(view, ["owner"], "127.0.0.1:26739");
+        for (const [index, silence] of silences.entries()) {
+            show(view, [`vm-${index}`], await listenAs(port + index, silence));
+        }
+        const dialer = new VmDialer(view, makeVm("a"), clock);
+        void dialer.run(stop.signal);
+        return dialer.untilSilenceAgreed("owner", 300, 300);
+    };
+
+    it("has the word of more than half of the VMs, itself among them, before it takes the owner for gone", async () => {
+        expect(await askOf(26_740, [500, 500, 20])).toEqual(true);
+        expect(await askOf(26_744, [500, 20, 20])).toEqual(false);
+    });
+});
