--- a/packages/entry/src/membership/view.ts
+++ b/packages/entry/src/membership/view.ts
@@ -39,6 +39,8 @@
     ownerVersion: KeyVersion | undefined;
     /** Since when the owner's key is missing, by the monotonic clock; undefined while it is there or nothing was read. */
     ownerMissingSince: Milliseconds | undefined;
+    /** When the present owner's key was first seen, by the monotonic clock. */
+    ownerSince: Milliseconds = -Infinity;
     /** When a VM was last seen for the first time, by the monotonic clock. */
     grownAt: Milliseconds = -Infinity;
 
@@ -75,7 +77,9 @@
 
     #put({ key, value, version }: KeyValue): void {
         if (key === ownerKey) {
-            this.owner = JSON.parse(value) as OwnerEntry;
+            const owner = JSON.parse(value) as OwnerEntry;
+            this.ownerSince = owner.process === this.owner?.process ? this.ownerSince : this.clock.monotonic();
+            this.owner = owner;
             this.ownerVersion = version;
             this.ownerMissingSince = undefined;
         }
--- a/packages/entry/src/ownership/campaign.ts
+++ b/packages/entry/src/ownership/campaign.ts
@@ -3,6 +3,7 @@
 import type { CellView, EntryVm } from "../membership/index.js";
 import {
     equalCandidateDelay,
+    firstWordLimit,
     gatheringPause,
     largerCandidateDelay,
     ownerHeardLately,
@@ -47,8 +48,15 @@
 /** The reason of a claim that holds only if the other VMs do not hear the owner either. */
 export const ownerIsSilent = "the owner is silent";
 
-const reasonToSuspect = ({ heardSilence }: CampaignInput): string | undefined =>
-    heardSilence !== undefined && heardSilence > ownerSuspectedAfter ? ownerIsSilent : undefined;
+const reasonToSuspect = ({ view, now, heardSilence }: CampaignInput): string | undefined => {
+    if (heardSilence === undefined) {
+        return undefined;
+    }
+    // What was heard before this owner's claim was an earlier one: a new owner reads the journal before it speaks.
+    const hasSpoken = now - heardSilence > view.ownerSince;
+    const isSilent = hasSpoken ? heardSilence > ownerSuspectedAfter : now - view.ownerSince > firstWordLimit;
+    return isSilent ? ownerIsSilent : undefined;
+};
 
 const reasonWithoutOwner = ({ view, ownerSilence, now }: CampaignInput): string | undefined => {
     if (view.ownerMissingSince === undefined) {
--- a/packages/entry/src/ownership/constants.ts
+++ b/packages/entry/src/ownership/constants.ts
@@ -14,6 +14,8 @@
 export const ownerHeardLately: Milliseconds = 600;
 /** An owner that was not heard for this long is suspected: three of its beats stayed out. */
 export const ownerSuspectedAfter: Milliseconds = 400;
+/** An owner that claimed the cell and has not spoken to a VM by then is suspected too: it takes 0.2 to 0.5 s to begin. */
+export const firstWordLimit: Milliseconds = 1_000;
 /** Other VMs agree that the owner is silent once they have not heard it for this long: two of its beats stayed out. */
 export const agreedSilence: Milliseconds = 300;
 /** A VM whose suspicion the others did not share asks them again no sooner than this. */
--- a/packages/entry/test/ownership/campaign.test.ts
+++ b/packages/entry/test/ownership/campaign.test.ts
@@ -70,6 +70,13 @@
         expect(reasonToClaim(input({ view, heardSilence: 500 }))).toEqual(ownerIsSilent);
     });
 
+    it("not because an earlier owner was silent: one that has just claimed the cell is given time to speak", () => {
+        const view = viewOf(owner, "a", "b");
+        view.ownerSince = 1_000;
+        expect(reasonToClaim(input({ view, now: 1_300, heardSilence: 900 }))).toEqual(undefined);
+        expect(reasonToClaim(input({ view, now: 2_100, heardSilence: 1_700 }))).toEqual(ownerIsSilent);
+    });
+
     it("at once when the owner's process is known to be gone", () => {
         const found = reasonToClaim(input({ view: viewOf(owner, "a", "b"), deadOwner: owner.process }));
         expect(found).toEqual("the owner's process is gone");
