The cell's decisions in rooms: state, choosing, watching, pacing, runs, moving, advising, placing, scheduler

Arrows among these folders only go down; each has its own constants and index. No behaviour changes; all tests pass as they stand.

--- a/packages/cell/src/scheduler/advice-desk.ts
+++ b/packages/cell/src/advising/advice-desk.ts
@@ -1,7 +1,8 @@
 /** Decides which steps are asked about, of which workers, and when tickets are asked for again. */
 import { logEvents, type Milliseconds, type QueueName, type WorkerId } from "@pebbledale/core";
 import { type AdviceAnswer, type AdvicePolicy, mostAdviceWorkers, type Permit } from "../advice/index.js";
-import type { CellContext } from "./cell-context.js";
+import { isEligible, isWide, isWorthFreshTickets, rank, type RoomPlan, urgencyOf } from "../choosing/index.js";
+import { type CellContext, type JobTerms, type Step, StepPermits, type WorkerState } from "../state/index.js";
 import {
     adviceInterval,
     choiceMargin,
@@ -13,13 +14,6 @@
     shareWeight,
     ticketLead,
 } from "./constants.js";
-import type { JobTerms } from "./definition.js";
-import type { Step } from "./entities.js";
-import type { RoomPlan } from "./reservations.js";
-import { StepPermits } from "./step-permits.js";
-import { isWorthFreshTickets, rank, urgencyOf } from "./urgency.js";
-import { isEligible, isWide } from "./worker-choice.js";
-import type { WorkerState } from "./worker-state.js";
 
 /** How many tasks of a step a worker takes. */
 export type RoomOf = (worker: WorkerState) => number;
--- /dev/null
+++ b/packages/cell/src/advising/constants.ts
@@ -0,0 +1,22 @@
+/** Times, sizes and weights of questions to the advice service that are not settings. Times are in milliseconds. */
+/** Fewest workers that a first question names: the room of a few is gone by the time of the answer. */
+export const fewestAdviceWorkers = 12;
+/**
+ * The same for a gang, whose members need room at one moment: naming a worker adds little to the time of its questions,
+ * and a second one takes most of a second more.
+ */
+export const fewestForGang = 40;
+/** A first question names workers whose free room is this many times what the permitted ones of them need to have. */
+export const roomMargin = 1.5;
+/** A step has enough permitted workers once these, were they empty, hold it this many times: it can wait for some. */
+export const choiceMargin = 2.5;
+/** Share of workers that is taken to be permitted before a queue's first answer. */
+export const firstPermittedShare = 0.3;
+/** Least share that is believed, so that a queue whose answers were poor still asks. */
+export const leastPermittedShare = 0.1;
+/** Weight of one answer in the share that is learned for its queue. */
+export const shareWeight = 0.2;
+/** A step that found no room is asked about again for fresh tickets at most this often. */
+export const adviceInterval = 100;
+/** Tickets for room that is expected are asked for this much earlier than the question takes. */
+export const ticketLead = 80;
--- /dev/null
+++ b/packages/cell/src/advising/index.ts
@@ -0,0 +1,2 @@
+/** What the advice service is asked. */
+export * from "./advice-desk.js";
--- a/packages/cell/src/scheduler/expected-end.ts
+++ b/packages/cell/src/choosing/expected-end.ts
@@ -1,6 +1,6 @@
 /** When runs are expected to end. */
 import type { Milliseconds } from "@pebbledale/core";
-import { RunPhase, type TaskRun } from "./entities.js";
+import { RunPhase, type TaskRun } from "../state/index.js";
 
 /** Estimates of callers are taken for this much longer where others would have to wait: they are rough. */
 export const backfillMargin = 1.25;
--- a/packages/cell/src/scheduler/room-forecast.ts
+++ b/packages/cell/src/choosing/room-forecast.ts
@@ -1,9 +1,8 @@
 /** When workers will have room, from when the runs there are expected to end. Worked out once a pass for each worker. */
 import type { Milliseconds } from "@pebbledale/core";
+import type { Step, TaskRun, WorkerState } from "../state/index.js";
 import { stopTime } from "./constants.js";
-import type { Step, TaskRun } from "./entities.js";
 import { expectedEnd } from "./expected-end.js";
-import type { WorkerState } from "./worker-state.js";
 
 /** A time from which one more task of a step fits a worker. */
 export interface Opening {
--- a/packages/cell/src/scheduler/urgency.ts
+++ b/packages/cell/src/choosing/urgency.ts
@@ -1,7 +1,6 @@
 /** The order in which ready steps are placed. */
 import type { Milliseconds } from "@pebbledale/core";
-import type { CellContext } from "./cell-context.js";
-import type { Job, Occurrence, Step } from "./entities.js";
+import type { CellContext, Job, Occurrence, Step } from "../state/index.js";
 
 /** What a step can still earn. */
 enum Prospect {
--- a/packages/cell/src/scheduler/worker-choice.ts
+++ b/packages/cell/src/choosing/worker-choice.ts
@@ -1,8 +1,7 @@
 /** Chooses workers for the tasks of one step. */
 import type { Milliseconds, ServiceName } from "@pebbledale/core";
+import type { Step, WorkerState } from "../state/index.js";
 import { servingCost, wideTasksPerWorker } from "./constants.js";
-import type { Step } from "./entities.js";
-import type { WorkerState } from "./worker-state.js";
 
 /** Some tasks of a step at one worker. */
 export interface Share {
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./advice/index.js";
 export * from "./configuration/index.js";
 export * from "./scheduler/index.js";
+export * from "./state/index.js";
 export * from "./task-worker/index.js";
 export * from "./upkeep/index.js";
 export * from "./worker-directory/index.js";
--- /dev/null
+++ b/packages/cell/src/moving/index.ts
@@ -0,0 +1,2 @@
+/** Which runs are better off elsewhere. */
+export * from "./mover.js";
--- a/packages/cell/src/scheduler/mover.ts
+++ b/packages/cell/src/moving/mover.ts
@@ -1,13 +1,10 @@
 /** Moves runs away from workers that are slow, silent or about to leave, where that loses little. */
 import type { Milliseconds } from "@pebbledale/core";
-import type { CellContext } from "./cell-context.js";
+import { expectedEnd, isEligible } from "../choosing/index.js";
+import type { RunBook } from "../runs/index.js";
+import { type CellContext, RunPhase, type Step, type Task, type TaskRun, type WorkerState } from "../state/index.js";
+import type { ProgressWatch } from "../watching/index.js";
 import { leastLeftToMove } from "./constants.js";
-import { RunPhase, type Step, type Task, type TaskRun } from "./entities.js";
-import { expectedEnd } from "./expected-end.js";
-import type { ProgressWatch } from "./progress-watch.js";
-import type { RunBook } from "./run-book.js";
-import { isEligible } from "./worker-choice.js";
-import type { WorkerState } from "./worker-state.js";
 
 /** Progress of a task that lasts once it is at work, in percent (the users' rules). */
 const servingPercent = 100;
--- a/packages/cell/src/scheduler/pace-keeper.ts
+++ b/packages/cell/src/pacing/pace-keeper.ts
@@ -5,11 +5,9 @@
  * over the target costs more than working a little less.
  */
 import { logEvents } from "@pebbledale/core";
+import { type CellContext, fullPace, RunPhase, type TaskRun, type WorkerState } from "../state/index.js";
 import type { WorkerRun } from "../task-worker/index.js";
-import type { CellContext } from "./cell-context.js";
-import { fullPace, paceFloor, paceStep, tailNearTarget, tailWellBelowTarget } from "./constants.js";
-import { RunPhase, type TaskRun } from "./entities.js";
-import type { WorkerState } from "./worker-state.js";
+import { paceFloor, paceStep, tailNearTarget, tailWellBelowTarget } from "./constants.js";
 
 /** See the module's comment. */
 export class PaceKeeper {
--- a/packages/cell/src/scheduler/placer.ts
+++ b/packages/cell/src/placing/placer.ts
@@ -1,18 +1,14 @@
 /** Places what waits: goes through the ready steps in the order of their urgency and orders what fits. */
 import { logEvents, type Milliseconds, type RunNumber } from "@pebbledale/core";
-import type { AdviceDesk, RoomOf } from "./advice-desk.js";
-import type { CellContext } from "./cell-context.js";
+import type { AdviceDesk, RoomOf } from "../advising/index.js";
+import { candidatesFor, compareRanks, dealAll, dealInOneRack, isWide, rank, type Share } from "../choosing/index.js";
+import type { Mover } from "../moving/index.js";
+import type { RunBook } from "../runs/index.js";
+import { addressOf, type CellContext, type Step, type Task, type WorkerState } from "../state/index.js";
+import type { HealthWatch } from "../watching/index.js";
 import { rackPatience, wideTaskPatience } from "./constants.js";
-import { addressOf } from "./definition.js";
-import type { Step, Task } from "./entities.js";
-import type { HealthWatch } from "./health-watch.js";
-import type { Mover } from "./mover.js";
 import { Preemption } from "./preemption.js";
 import { Reservations } from "./reservations.js";
-import type { RunBook } from "./run-book.js";
-import { compareRanks, rank } from "./urgency.js";
-import { candidatesFor, dealAll, dealInOneRack, isWide, type Share } from "./worker-choice.js";
-import type { WorkerState } from "./worker-state.js";
 import type { YieldPolicy } from "./yield-policy.js";
 
 /** See the module's comment. */
--- a/packages/cell/src/scheduler/preemption.ts
+++ b/packages/cell/src/placing/preemption.ts
@@ -3,13 +3,9 @@
  * their jobs have the time to go on elsewhere or later.
  */
 import { logEvents, type Milliseconds } from "@pebbledale/core";
-import type { CellContext } from "./cell-context.js";
-import { stopTime } from "./constants.js";
-import { RunPhase, type Step, type TaskRun } from "./entities.js";
-import type { RoomPlan } from "./reservations.js";
-import { countIn, type Room, roomOf, roomOfRun, sumOf } from "./room-forecast.js";
-import type { RunBook } from "./run-book.js";
-import type { WorkerState } from "./worker-state.js";
+import { countIn, type Room, roomOf, roomOfRun, type RoomPlan, stopTime, sumOf } from "../choosing/index.js";
+import type { RunBook } from "../runs/index.js";
+import { type CellContext, RunPhase, type Step, type TaskRun, type WorkerState } from "../state/index.js";
 import type { YieldPolicy } from "./yield-policy.js";
 
 /** See the module's comment. */
--- a/packages/cell/src/scheduler/reservations.ts
+++ b/packages/cell/src/placing/reservations.ts
@@ -7,7 +7,18 @@
  * kept at others each time is free nowhere. Steps that go before the gang may still use its room, for want of other.
  */
 import type { Milliseconds } from "@pebbledale/core";
-import type { CellContext } from "./cell-context.js";
+import {
+    backfillMargin,
+    countIn,
+    isEligible,
+    type IsStopped,
+    type Opening,
+    type Room,
+    RoomForecast,
+    type RoomPlan,
+    roomWithout,
+} from "../choosing/index.js";
+import type { CellContext, Step, WorkerState } from "../state/index.js";
 import {
     attemptsPerReservation,
     fewestReservations,
@@ -16,11 +27,6 @@
     planLife,
     workersPerReservation,
 } from "./constants.js";
-import type { Step } from "./entities.js";
-import { backfillMargin } from "./expected-end.js";
-import { countIn, type IsStopped, type Opening, type Room, RoomForecast, roomWithout } from "./room-forecast.js";
-import { isEligible } from "./worker-choice.js";
-import type { WorkerState } from "./worker-state.js";
 import type { YieldPolicy } from "./yield-policy.js";
 
 /** Room of one worker that is kept. */
@@ -32,15 +38,6 @@
     spare: Room;
 }
 
-/** Where and when a step is expected to fit. */
-export interface RoomPlan {
-    readonly from: Milliseconds;
-    /** How many of the step's tasks each worker is to take. */
-    readonly shares: ReadonlyMap<WorkerState, number>;
-    /** Whether runs that give way are to be stopped for it. */
-    readonly preempts: boolean;
-}
-
 /** A plan as it stands from pass to pass. */
 interface StandingPlan extends RoomPlan {
     readonly madeAt: Milliseconds;
--- a/packages/cell/src/scheduler/yield-policy.ts
+++ b/packages/cell/src/placing/yield-policy.ts
@@ -1,9 +1,8 @@
 /** Decides which runs give way to more urgent work. */
 import type { Milliseconds } from "@pebbledale/core";
-import type { CellContext } from "./cell-context.js";
+import { compareRanks, rank } from "../choosing/index.js";
+import { type CellContext, RunPhase, type Step, type TaskRun } from "../state/index.js";
 import { fewestPercentLeft, mostPreemptions, preemptedSlack } from "./constants.js";
-import { RunPhase, type Step, type TaskRun } from "./entities.js";
-import { compareRanks, rank } from "./urgency.js";
 
 /** Decides which runs give way to which steps. */
 export interface YieldPolicy {
--- a/packages/cell/src/scheduler/run-book.ts
+++ b/packages/cell/src/runs/run-book.ts
@@ -1,11 +1,18 @@
 /** The life of runs: ordered, confirmed, ended, lost; and what follows from each for the task and its job. */
 import { logEvents, type Milliseconds, type RunNumber, runNumber, type TaskAddress } from "@pebbledale/core";
+import {
+    type CellContext,
+    CellJobState,
+    fullPace,
+    type Job,
+    RunPhase,
+    type Step,
+    type Task,
+    TaskPhase,
+    type TaskRun,
+    type WorkerState,
+} from "../state/index.js";
 import { type EndedRun, OrderRefusal, RunEnd, type WorkerRun } from "../task-worker/index.js";
-import type { CellContext } from "./cell-context.js";
-import { fullPace } from "./constants.js";
-import { CellJobState } from "./definition.js";
-import { type Job, RunPhase, type Step, type Task, TaskPhase, type TaskRun } from "./entities.js";
-import type { WorkerState } from "./worker-state.js";
 
 /** Told what may make further work ready. */
 export interface RunListener {
--- a/packages/cell/src/scheduler/worker-pool.ts
+++ b/packages/cell/src/runs/worker-pool.ts
@@ -1,14 +1,12 @@
 /** The cell's workers: who there is, what they say runs there, and when nothing can run there any more. */
 import { logEvents, type Milliseconds, type WorkerId } from "@pebbledale/core";
+import type { PaceKeeper } from "../pacing/index.js";
+import { type CellContext, type Job, type Task, TaskPhase, type TaskRun, WorkerState } from "../state/index.js";
 import type { Look, WorkerRun } from "../task-worker/index.js";
+import type { ProgressWatch } from "../watching/index.js";
 import type { WorkerEntry } from "../worker-directory/index.js";
-import type { CellContext } from "./cell-context.js";
 import { leaseMargin, unlistedGrace } from "./constants.js";
-import { type Job, type Task, TaskPhase, type TaskRun } from "./entities.js";
-import type { PaceKeeper } from "./pace-keeper.js";
-import type { ProgressWatch } from "./progress-watch.js";
 import type { RunBook } from "./run-book.js";
-import { WorkerState } from "./worker-state.js";
 
 /** Told what may make room or free what was held. */
 export interface WorkerListener {
--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -14,29 +14,35 @@
     type WorkerId,
 } from "@pebbledale/core";
 import type { AdviceAnswer } from "../advice/index.js";
+import { AdviceDesk } from "../advising/index.js";
 import type { CellConfiguration } from "../configuration/index.js";
+import { mayLoseOne, Mover } from "../moving/index.js";
+import { PaceKeeper } from "../pacing/index.js";
+import { Placer, SavedProgressYields } from "../placing/index.js";
+import { RunBook, WorkerPool } from "../runs/index.js";
+import {
+    CellContext,
+    CellJobState,
+    type CellOptions,
+    type CellRecord,
+    type CellSnapshot,
+    isEndState,
+    type Job,
+    type JobDefinition,
+    type Occurrence,
+    RunPhase,
+    type Step,
+    type TaskRun,
+    type Turn,
+    type WorkerState,
+} from "../state/index.js";
 import { type Look, OrderRefusal, type RunEnd } from "../task-worker/index.js";
 import type { PlannedWorker } from "../upkeep/index.js";
+import { HealthWatch, ProgressWatch } from "../watching/index.js";
 import type { WorkerEntry } from "../worker-directory/index.js";
-import { AdviceDesk } from "./advice-desk.js";
-import { CellContext, type CellOptions } from "./cell-context.js";
 import { type CellSummary, summarize } from "./cell-summary.js";
 import { failedRunPause } from "./constants.js";
-import { CellJobState, isEndState, type JobDefinition } from "./definition.js";
-import { type Job, type Occurrence, RunPhase, type Step, type TaskRun } from "./entities.js";
-import { HealthWatch } from "./health-watch.js";
-import type { CellSnapshot } from "./job-table.js";
-import { mayLoseOne, Mover } from "./mover.js";
-import type { Turn } from "./outbox.js";
-import { PaceKeeper } from "./pace-keeper.js";
-import { Placer } from "./placer.js";
-import { ProgressWatch } from "./progress-watch.js";
-import type { CellRecord } from "./records.js";
-import { RunBook } from "./run-book.js";
 import { TimetableWatch } from "./timetable-watch.js";
-import { WorkerPool } from "./worker-pool.js";
-import type { WorkerState } from "./worker-state.js";
-import { SavedProgressYields } from "./yield-policy.js";
 
 /** See the module's comment. */
 export class CellScheduler {
--- a/packages/cell/src/scheduler/cell-summary.ts
+++ b/packages/cell/src/scheduler/cell-summary.ts
@@ -1,6 +1,5 @@
 /** How a cell stands, in a few figures, for logs and metrics. */
-import type { CellContext } from "./cell-context.js";
-import { type Step, TaskPhase } from "./entities.js";
+import { type CellContext, type Step, TaskPhase } from "../state/index.js";
 
 /** See the module's comment. */
 export interface CellSummary {
--- a/packages/cell/src/scheduler/timetable-watch.ts
+++ b/packages/cell/src/scheduler/timetable-watch.ts
@@ -1,7 +1,6 @@
 /** Opens the occurrences of timed jobs as their time comes. */
 import type { Milliseconds } from "@pebbledale/core";
-import type { CellContext } from "./cell-context.js";
-import type { Job, Occurrence } from "./entities.js";
+import type { CellContext, Job, Occurrence } from "../state/index.js";
 
 /**
  * An occurrence is opened this long before it is due: the advice service is asked meanwhile. Its tasks start only when
--- a/packages/cell/src/scheduler/cell-context.ts
+++ b/packages/cell/src/state/cell-context.ts
@@ -1,7 +1,6 @@
 /** What the parts of a cell's owner share. */
 import type { Clock, LogEvent, Milliseconds, QueueName, WorkerId } from "@pebbledale/core";
-import type { CellConfiguration } from "../configuration/index.js";
-import { QueueDirectory } from "../configuration/index.js";
+import { type CellConfiguration, QueueDirectory } from "../configuration/index.js";
 import type { JobTerms } from "./definition.js";
 import { JobTable } from "./job-table.js";
 import { Outbox } from "./outbox.js";
--- /dev/null
+++ b/packages/cell/src/state/index.ts
@@ -0,0 +1,10 @@
+/** What the owner knows: jobs, their steps and tasks, runs and workers, and the records that change it. No decisions. */
+export * from "./cell-context.js";
+export { fullPace } from "./constants.js";
+export * from "./definition.js";
+export * from "./entities.js";
+export * from "./job-table.js";
+export * from "./outbox.js";
+export * from "./records.js";
+export * from "./step-permits.js";
+export * from "./worker-state.js";
--- a/packages/cell/src/scheduler/health-watch.ts
+++ b/packages/cell/src/watching/health-watch.ts
@@ -1,10 +1,8 @@
 /** Keeps work away from workers that fail what succeeds elsewhere. */
 import { logEvents, WorkerHealth } from "@pebbledale/core";
+import type { CellContext, Job, Step, TaskRun, WorkerState } from "../state/index.js";
 import { RunEnd } from "../task-worker/index.js";
-import type { CellContext } from "./cell-context.js";
 import { firstQuarantine, probationLimit, quarantineDoublings, quarantineShare, workerLimits } from "./constants.js";
-import type { Job, Step, TaskRun } from "./entities.js";
-import type { WorkerState } from "./worker-state.js";
 
 /** Added to the cost of a worker whose last outcomes hold a failure that is not its job's own. */
 const suspectCost = 20;
--- a/packages/cell/src/scheduler/progress-watch.ts
+++ b/packages/cell/src/watching/progress-watch.ts
@@ -6,11 +6,9 @@
  * elsewhere, tasks that may have copies get one.
  */
 import { logEvents, type Milliseconds } from "@pebbledale/core";
+import { type CellContext, RunPhase, type TaskRun, type WorkerState } from "../state/index.js";
 import type { WorkerRun } from "../task-worker/index.js";
-import type { CellContext } from "./cell-context.js";
 import { fewestSpeedSamples, progressInterval, slowFor, slowShare, slowSpeed, startingTime } from "./constants.js";
-import { RunPhase, type TaskRun } from "./entities.js";
-import type { WorkerState } from "./worker-state.js";
 
 const middleOf = (values: readonly number[]): number =>
     [...values].sort((left, right) => left - right)[Math.floor(values.length / 2)];
--- a/packages/entry/src/front/job-service.ts
+++ b/packages/entry/src/front/job-service.ts
@@ -1,30 +1,10 @@
 /** What a front does for callers: passes requests to the owner and answers each as truly as it can. */
-import type { CellJobState, JobDefinition } from "@pebbledale/cell";
+import type { JobDefinition } from "@pebbledale/cell";
 import type { Clock, JobId, Milliseconds, QueueName } from "@pebbledale/core";
 import { NotNowReason, type OwnerReply, type OwnerRequest } from "../protocol/index.js";
 import { answerMargin, noOwnerRetryAfter, ownerWait, pendingAge, shortestAsk } from "./constants.js";
 import type { RequestLog } from "./request-log.js";
-
-/** Answer to a caller. */
-export type JobAnswer =
-    | { readonly kind: "accepted"; }
-    | { readonly kind: "cancelled"; }
-    | { readonly kind: "state"; readonly state: CellJobState; }
-    | { readonly kind: "pending"; readonly count: number; }
-    | { readonly kind: "unknown-job"; }
-    /** It was not done and will not be; come back after a while. */
-    | { readonly kind: "refused"; readonly retryAfter: Milliseconds; readonly reason: string; }
-    /** Whether it was done is not known; the same request may be sent again. */
-    | { readonly kind: "uncertain"; readonly reason: string; };
-
-/** The owner as a front reaches it. */
-export interface OwnerAccess {
-    hasOwner(): boolean;
-    /** Asks the owner; resolves to undefined when the connection ends before there is an answer. */
-    ask(body: OwnerRequest): Promise<OwnerReply | undefined>;
-    /** Resolves when there is an owner, or after `wait`. */
-    untilOwner(wait: Milliseconds): Promise<void>;
-}
+import type { JobAnswer, OwnerAccess } from "./types.js";
 
 /** See the module's comment. */
 export class JobService {
--- a/packages/entry/src/front/request-log.ts
+++ b/packages/entry/src/front/request-log.ts
@@ -3,7 +3,7 @@
 import type { EventLogger } from "@pebbledale/runtime";
 import type { EntryMetrics } from "../observation/index.js";
 import type { OwnerRequest } from "../protocol/index.js";
-import type { JobAnswer } from "./job-service.js";
+import type { JobAnswer } from "./types.js";
 
 /** A path is logged up to this length. */
 const longestPath = 100;
--- a/packages/entry/src/links/worker-link.ts
+++ b/packages/entry/src/links/worker-link.ts
@@ -13,7 +13,6 @@
     type StopCommand,
     type TaskWorkerClient,
     type WorkerCommand,
-    type WorkerTime,
 } from "@pebbledale/cell";
 import {
     AnswerTimes,
@@ -28,7 +27,6 @@
 import type { AssignMessage, VmMessage } from "../protocol/index.js";
 import {
     acknowledgeWait,
-    clockDrift,
     longestAnswerTime,
     lookGap,
     lookLimit,
@@ -40,6 +38,7 @@
     shortestAnswerTime,
 } from "./constants.js";
 import type { LossWatch } from "./loss-watch.js";
+import { WorkerLease } from "./worker-lease.js";
 
 /** What a link needs. */
 export interface WorkerLinkOptions {
@@ -66,20 +65,12 @@
     readonly isWhole?: boolean;
 }
 
-interface ClockReading {
-    readonly clock: WorkerTime;
-    readonly sentAt: Milliseconds;
-    readonly receivedAt: Milliseconds;
-}
-
 /** See the module's comment. */
 export class WorkerLink {
     readonly worker: WorkerId;
     readonly #ended = createAbortController();
     #token: FencingToken;
-    #reading: ClockReading | undefined;
-    /** The latest moment until which anything was allowed to run, on the worker's clock. */
-    #leaseUntil: WorkerTime = 0;
+    readonly #lease: WorkerLease;
     #forgetThrough = 0;
     #reportedThrough = 0;
     #progressAt = -Infinity;
@@ -96,6 +87,7 @@
     constructor(private readonly options: WorkerLinkOptions) {
         this.worker = options.assignment.worker;
         this.#token = options.assignment.token;
+        this.#lease = new WorkerLease(options.clock, options.leaseLength);
         void this.#run();
     }
 
@@ -118,7 +110,7 @@
         else if (command.kind === "pace") {
             void this.#pace(command);
         }
-        else if (this.#reading === undefined) {
+        else if (!this.#lease.hasClock) {
             this.#waitingStarts.push(command);
         }
         else {
@@ -159,7 +151,7 @@
      * the time in which no end of a worker is seen from 2 s to 0.3 s.
      */
     async #lookForEnds(): Promise<boolean> {
-        if (!this.#isSilent && this.#reading !== undefined) {
+        if (!this.#isSilent && this.#lease.hasClock) {
             const wait = this.options.losses.isRecent ? lookWaitInDoubt : lookWait;
             const isAnswered = await this.#tryLook({ wait, limit: wait + this.#answerTimes.limit });
             if (typeof isAnswered === "boolean") {
@@ -217,7 +209,7 @@
 
     #lookRequest(wait: Milliseconds): LookRequest {
         // What has no answer may still arrive later, so a silent worker is given no lease either.
-        const leaseUntil = this.#mayLease ? this.#nextLease() : undefined;
+        const leaseUntil = this.#mayLease ? this.#lease.next() : undefined;
         return {
             token: this.#token,
             forgetThrough: this.#forgetThrough,
@@ -226,35 +218,11 @@
         };
     }
 
-    /** The end of a lease given now, on the worker's clock; undefined before that clock was read. */
-    #nextLease(): WorkerTime | undefined {
-        const reading = this.#reading;
-        if (reading === undefined) {
-            return undefined;
-        }
-        const elapsed = this.options.clock.monotonic() - reading.receivedAt;
-        const until = Math.floor(reading.clock + elapsed * (1 - clockDrift) + this.options.leaseLength);
-        this.#leaseUntil = Math.max(this.#leaseUntil, until);
-        return until;
-    }
-
-    /** Time until everything that this link allowed to run is over. */
-    #lapsesIn(): Milliseconds {
-        const reading = this.#reading;
-        if (reading === undefined) {
-            return this.options.leaseLength;
-        }
-        const left = (this.#leaseUntil - reading.clock) / (1 - clockDrift);
-        return Math.max(0, reading.receivedAt + left - this.options.clock.monotonic());
-    }
-
     #takeLook(look: Look, sentAt: Milliseconds, isWhole: boolean): void {
         const { clock, send } = this.options;
         const now = clock.monotonic();
-        const isFirst = this.#reading === undefined;
-        if (isFirst || sentAt >= this.#reading!.sentAt) {
-            this.#reading = { clock: look.clock, sentAt, receivedAt: now };
-        }
+        const isFirst = !this.#lease.hasClock;
+        this.#lease.readClock({ clock: look.clock, sentAt, receivedAt: now });
         const wasSilent = this.#isSilent;
         this.#isSilent = false;
         const fresh = look.ended.filter(end => end.number > this.#reportedThrough);
@@ -295,7 +263,7 @@
         if (!this.#isSilent) {
             this.#isSilent = true;
             this.#mayLease = false;
-            this.options.send({ kind: "silent", worker: this.worker, lapsesIn: this.#lapsesIn(), cause });
+            this.options.send({ kind: "silent", worker: this.worker, lapsesIn: this.#lease.lapsesIn(), cause });
         }
     }
 
@@ -303,7 +271,7 @@
         const { client, clock, send } = this.options;
         const { worker, task, run } = command;
         const token = this.#token;
-        const leaseUntil = this.#mayLease ? this.#nextLease() : undefined;
+        const leaseUntil = this.#mayLease ? this.#lease.next() : undefined;
         if (leaseUntil === undefined) {
             send({ kind: "started", worker, task, run, refusal: "not-delivered" });
             return;
