Turns of the owner in a file of their own; a former owner no longer asks itself for turns without pause while it hands over

The open finding that was seen by reading: while the cell is handed over no pass is made, so work that waits went on wanting one, and each turn asked for the next (up to 1.5 s of its VM's processor). A turn follows by itself only where a pass may be made. The test did not end before the change (its process had to be stopped), and ends with one turn now. No other behaviour changes.

--- a/packages/entry/src/owner/index.ts
+++ b/packages/entry/src/owner/index.ts
@@ -3,4 +3,5 @@
 export * from "./constants.js";
 export * from "./owner-session.js";
 export * from "./pass-pacer.js";
+export * from "./turn-runner.js";
 export * from "./vm-link.js";
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -4,12 +4,9 @@
     type CellRecord,
     CellScheduler,
     type CellSnapshot,
-    type StartCommand,
-    type Turn,
     type UpkeepWave,
     type VmService,
     type WaveBoard,
-    type WorkerCommand,
     type WorkerDirectory,
 } from "@pebbledale/cell";
 import {
@@ -42,8 +39,8 @@
 } from "./constants.js";
 import { followDirectory } from "./directory-follower.js";
 import { Interval } from "./interval.js";
-import { PassPacer } from "./pass-pacer.js";
 import { RequestDesk } from "./request-desk.js";
+import { TurnRunner } from "./turn-runner.js";
 import { UpkeepKeeper } from "./upkeep-keeper.js";
 import { VmLink } from "./vm-link.js";
 
@@ -96,16 +93,11 @@
     readonly #requests: RequestDesk;
     readonly #upkeep: UpkeepKeeper | undefined;
     #configuration: CellConfiguration | undefined;
-    readonly #pacer: PassPacer;
+    readonly #turns: TurnRunner;
     readonly #beat: Interval;
     readonly #summary: Interval;
-    #isTurnDue = false;
-    /** Whether a turn is planned for when the next pass may be made. */
-    #isPassPlanned = false;
     #isHandingOver = false;
     #nextRelay = 0;
-    /** Resolves once all records so far are kept. */
-    #kept: Promise<void> = Promise.resolve();
 
     constructor(private readonly options: OwnerSessionOptions) {
         const { clock, logger, journal, contents, name } = options;
@@ -117,16 +109,24 @@
         journal.setSnapshotSource(() => this.cell.snapshot());
         this.#openedAt = clock.monotonic();
         this.#assignments = new Assignments(journal.epoch, name, () => clock.monotonic());
-        this.#pacer = new PassPacer(clock);
         this.#beat = new Interval(clock, ownerBeatInterval);
         this.#summary = new Interval(clock, summaryInterval);
         this.#advice = new AdviceDispatcher(() => clock.monotonic(), this.cell);
+        this.#turns = new TurnRunner({
+            cell: this.cell,
+            journal,
+            clock,
+            advice: this.#advice,
+            assignments: this.#assignments,
+            lost: options.lost,
+            onNewWorkers: () => this.#balance(),
+        });
         this.#requests = new RequestDesk({
             cell: this.cell,
             journal,
             clock,
             lost: options.lost.signal,
-            turn: () => this.#turn(),
+            turn: () => this.#turns.run(),
         });
         this.#upkeep = options.upkeep && new UpkeepKeeper({
             ...options.upkeep,
@@ -160,7 +160,7 @@
             directory,
             clock,
             logger,
-            onNews: () => this.#requestTurn(),
+            onNews: () => this.#turns.request(),
         }, lost.signal);
         while (!lost.signal.aborted) {
             this.cell.tick();
@@ -168,7 +168,7 @@
             this.#lookForLarger();
             this.#beat.runIfDue(() => this.#sendBeats());
             this.#summary.runIfDue(() => this.#tellSummary());
-            this.#requestTurn();
+            this.#turns.request();
             await clock.sleep(tickInterval, lost.signal);
         }
         metrics.noteCell(undefined, 0);
@@ -198,7 +198,7 @@
         this.#configuration = configuration;
         this.cell.configure(configuration);
         this.#vms.forEach(vm => vm.channel.send({ kind: "configuration-version", version: configuration.version }));
-        this.#requestTurn();
+        this.#turns.request();
     }
 
     /** Takes waves of upkeep in. */
@@ -251,7 +251,8 @@
             undefined,
         );
         this.#isHandingOver = true;
-        await this.#kept;
+        this.#turns.stopPlacing();
+        await this.#turns.untilKept();
         successor?.channel.send({ kind: "hand-over" });
         return successor !== undefined;
     }
@@ -360,7 +361,7 @@
             default:
                 this.#takeOfWorker(link, message, now);
         }
-        this.#requestTurn();
+        this.#turns.request();
     }
 
     #takeOfWorker(
@@ -432,93 +433,6 @@
             link.channel.send({ kind: "reply", request, reply });
         }
     }
-
-    #requestTurn(): void {
-        if (this.#isTurnDue) {
-            return;
-        }
-        this.#isTurnDue = true;
-        setImmediate(() => {
-            this.#isTurnDue = false;
-            if (this.cell.wantsPass && !this.#isHandingOver) {
-                this.#pass();
-            }
-            void this.#turn();
-        });
-    }
-
-    /** A pass now, or a turn when the next one may be made. */
-    #pass(): void {
-        const { wait } = this.#pacer;
-        if (wait === 0) {
-            this.#pacer.run(() => this.cell.place());
-        }
-        else if (!this.#isPassPlanned) {
-            this.#isPassPlanned = true;
-            void this.options.clock.sleep(wait, this.options.lost.signal).then(() => {
-                this.#isPassPlanned = false;
-                this.#requestTurn();
-            });
-        }
-    }
-
-    /** Carries out what the inputs so far led to; resolves once the records are kept. */
-    async #turn(): Promise<void> {
-        const turn = this.cell.drain();
-        turn.commands.filter(command => command.kind !== "start").forEach(command => this.#send(command));
-        turn.questions.forEach(question => this.#advice.ask(question));
-        this.#tidyLinks(turn);
-        try {
-            if (turn.records.length > 0) {
-                this.#kept = this.options.journal.append(turn.records);
-            }
-            // What this turn acknowledges may hang on records of an earlier one.
-            await this.#kept;
-        }
-        catch (cause) {
-            this.options.lost.abort(cause);
-            return;
-        }
-        this.cell.kept(turn);
-        turn.commands.filter(command => command.kind === "start").forEach(command => this.#sendStart(command));
-        for (const [worker, through] of turn.acknowledgements) {
-            this.#assignments.vmOf(worker)?.channel.send({ kind: "acknowledge", worker, through });
-        }
-        if (this.cell.wantsPass && !this.#isPassPlanned) {
-            this.#requestTurn();
-        }
-    }
-
-    /** A start whose job ended while its record was written is not sent. */
-    #sendStart(command: StartCommand): void {
-        const { worker, task, run } = command;
-        const hasLink = this.#assignments.vmOf(worker) !== undefined;
-        if (hasLink && this.cell.sendStart(worker, task, run)) {
-            this.#send(command);
-        }
-        else {
-            this.cell.dropStart(worker, task, run);
-        }
-    }
-
-    #send(command: WorkerCommand): void {
-        this.#assignments.vmOf(command.worker)?.channel.send({ kind: "command", command });
-    }
-
-    /** Workers that came get a link, those that are gone lose it. */
-    #tidyLinks(turn: Turn): void {
-        let hasNew = false;
-        for (const record of turn.records) {
-            hasNew ||= record.kind === "worker";
-            if (record.kind === "worker-gone") {
-                this.#assignments.vmOf(record.worker)?.channel.send({ kind: "unassign", worker: record.worker });
-                this.#assignments.remove(record.worker);
-            }
-        }
-        if (hasNew) {
-            this.#balance();
-        }
-    }
 }
 
 /** The larger VM; among equals the one that started last, as it has been stopped already where all are in turn. */
--- /dev/null
+++ b/packages/entry/src/owner/turn-runner.ts
@@ -0,0 +1,139 @@
+/**
+ * Carries out what the owner's decisions led to, turn by turn: records are kept, then orders, questions and
+ * acknowledgements leave. Passes over what waits are paced.
+ */
+import type { CellScheduler, StartCommand, Turn, WorkerCommand } from "@pebbledale/cell";
+import type { Clock, Journal } from "@pebbledale/core";
+import type { AdviceDispatcher } from "../advice/index.js";
+import type { Assignments } from "./assignments.js";
+import { PassPacer } from "./pass-pacer.js";
+
+/** What turns need. */
+export interface TurnRunnerOptions {
+    readonly cell: CellScheduler;
+    readonly journal: Journal;
+    readonly clock: Clock;
+    readonly advice: AdviceDispatcher;
+    readonly assignments: Assignments;
+    /** Fired when the journal is another owner's. */
+    readonly lost: AbortController;
+    /** Told of workers that have no link yet. */
+    readonly onNewWorkers: () => void;
+}
+
+/** See the module's comment. */
+export class TurnRunner {
+    readonly #pacer: PassPacer;
+    #isTurnDue = false;
+    /** Whether a turn is planned for when the next pass may be made. */
+    #isPassPlanned = false;
+    #mayPlace = true;
+    /** Resolves once all records so far are kept. */
+    #kept: Promise<void> = Promise.resolve();
+
+    constructor(private readonly options: TurnRunnerOptions) {
+        this.#pacer = new PassPacer(options.clock);
+    }
+
+    /** Makes no more passes: the cell is handed over. */
+    stopPlacing(): void {
+        this.#mayPlace = false;
+    }
+
+    /** Resolves once all records so far are kept. */
+    untilKept(): Promise<void> {
+        return this.#kept;
+    }
+
+    /** Plans a turn, with a pass where one is wanted, for when what is ready has run. */
+    request(): void {
+        if (this.#isTurnDue) {
+            return;
+        }
+        this.#isTurnDue = true;
+        setImmediate(() => {
+            this.#isTurnDue = false;
+            if (this.options.cell.wantsPass && this.#mayPlace) {
+                this.#pass();
+            }
+            void this.run();
+        });
+    }
+
+    /** Carries out what the inputs so far led to; resolves once the records are kept. */
+    async run(): Promise<void> {
+        const { cell, advice, journal, assignments, lost } = this.options;
+        const turn = cell.drain();
+        turn.commands.filter(command => command.kind !== "start").forEach(command => this.#send(command));
+        turn.questions.forEach(question => advice.ask(question));
+        this.#tidyLinks(turn);
+        try {
+            if (turn.records.length > 0) {
+                this.#kept = journal.append(turn.records);
+            }
+            // What this turn acknowledges may hang on records of an earlier one.
+            await this.#kept;
+        }
+        catch (cause) {
+            lost.abort(cause);
+            return;
+        }
+        cell.kept(turn);
+        turn.commands.filter(command => command.kind === "start").forEach(command => this.#sendStart(command));
+        for (const [worker, through] of turn.acknowledgements) {
+            assignments.vmOf(worker)?.channel.send({ kind: "acknowledge", worker, through });
+        }
+        if (cell.wantsPass && this.#mayPlace && !this.#isPassPlanned) {
+            this.request();
+        }
+    }
+
+    /** A pass now, or a turn when the next one may be made. */
+    #pass(): void {
+        const { cell, clock, lost } = this.options;
+        const { wait } = this.#pacer;
+        if (wait === 0) {
+            this.#pacer.run(() => cell.place());
+        }
+        else if (!this.#isPassPlanned) {
+            this.#isPassPlanned = true;
+            void clock.sleep(wait, lost.signal).then(() => {
+                this.#isPassPlanned = false;
+                this.request();
+            });
+        }
+    }
+
+    /** A start whose job ended while its record was written is not sent. */
+    #sendStart(command: StartCommand): void {
+        const { cell, assignments } = this.options;
+        const { worker, task, run } = command;
+        const hasLink = assignments.vmOf(worker) !== undefined;
+        if (hasLink && cell.sendStart(worker, task, run)) {
+            this.#send(command);
+        }
+        else {
+            cell.dropStart(worker, task, run);
+        }
+    }
+
+    #send(command: WorkerCommand): void {
+        this.options.assignments.vmOf(command.worker)?.channel.send({ kind: "command", command });
+    }
+
+    /** Workers that came get a link, those that are gone lose it. */
+    #tidyLinks(turn: Turn): void {
+        const { assignments, onNewWorkers } = this.options;
+        let hasNew = false;
+        for (const record of turn.records) {
+            hasNew ||= record.kind === "worker";
+            if (record.kind === "worker-gone") {
+                assignments.vmOf(record.worker)?.channel.send({ kind: "unassign", worker: record.worker });
+                assignments.remove(record.worker);
+            }
+        }
+        if (hasNew) {
+            onNewWorkers();
+        }
+    }
+}
--- /dev/null
+++ b/packages/entry/test/owner/turn-runner.test.ts
@@ -0,0 +1,51 @@
+import type { CellScheduler, Turn } from "@pebbledale/cell";
+import { type Journal, ManualClock } from "@pebbledale/core";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { type AdviceDispatcher, type Assignments, TurnRunner } from "../../src/index.js";
+import { settle } from "../support/index.js";
+
+const emptyTurn: Turn = {
+    records: [],
+    commands: [],
+    questions: [],
+    acknowledgements: new Map(),
+    changedJobs: new Set(),
+};
+
+/** A cell with work that waits whatever is done. */
+const waitingCell = () => {
+    const counts = { turns: 0, passes: 0 };
+    const cell = {
+        wantsPass: true,
+        drain: () => {
+            counts.turns++;
+            return emptyTurn;
+        },
+        kept: () => undefined,
+        place: () => void counts.passes++,
+    };
+    return { counts, cell: cell as unknown as CellScheduler };
+};
+
+const makeRunner = (cell: CellScheduler): TurnRunner =>
+    new TurnRunner({
+        cell,
+        journal: {} as Journal,
+        clock: new ManualClock(),
+        advice: {} as AdviceDispatcher,
+        assignments: {} as Assignments,
+        lost: new AbortController(),
+        onNewWorkers: () => undefined,
+    });
+
+describe("turns of an owner that hands the cell over", () => {
+    it("make no passes, and do not follow each other without pause while work waits", async () => {
+        const { counts, cell } = waitingCell();
+        const runner = makeRunner(cell);
+        runner.stopPlacing();
+        runner.request();
+        await settle();
+        expect(counts).toEqual({ turns: 1, passes: 0 });
+    });
+});
