--- a/packages/entry/src/ownership/candidate.ts
+++ b/packages/entry/src/ownership/candidate.ts
@@ -100,7 +100,7 @@
 
     /** Campaigns and serves until `stop` fires. */
     async run(stop: AbortSignal): Promise<void> {
-        const { clock, logger } = this.options;
+        const { clock } = this.options;
         while (!stop.aborted) {
             const input = this.#input();
             const reason = reasonToClaim(input);
@@ -114,14 +114,21 @@
                 await this.#claimAndServe(reason, stop);
             }
             catch (cause) {
-                if (!(cause instanceof ClaimAbandonedError)) {
-                    logger.log(logEvents.claimFailed, { cause: String(cause) });
-                    await clock.sleep(claimRetryDelay, stop);
-                }
+                await clock.sleep(this.#pauseAfter(cause), stop);
             }
         }
     }
 
+    /** How long to wait after a claim that came to nothing. */
+    #pauseAfter(cause: unknown): Milliseconds {
+        if (cause instanceof ClaimAbandonedError) {
+            // Who was faster is seen by then; a claim that is tried again before that takes three calls of the store.
+            return campaignInterval;
+        }
+        this.options.logger.log(logEvents.claimFailed, { cause: String(cause) });
+        return claimRetryDelay;
+    }
+
     #input(): CampaignInput {
         const { view, self, clock, knownOwner } = this.options;
         const now = clock.monotonic();
