--- a/packages/cell/src/state/step-permits.ts
+++ b/packages/cell/src/state/step-permits.ts
@@ -30,11 +30,6 @@
         return this.#held.has(worker);
     }
 
-    /** How many workers are known to be permitted. */
-    get permittedCount(): number {
-        return this.#held.size;
-    }
-
     /** The ticket of a worker, if it still holds. */
     ticketOf(worker: WorkerId, now: Milliseconds): string | undefined {
         const held = this.#held.get(worker);
--- a/packages/entry/src/configuration/watch.ts
+++ b/packages/entry/src/configuration/watch.ts
@@ -53,11 +53,6 @@
         return [...this.#waves.values()];
     }
 
-    /** Whether the store answered the last call. */
-    get isStoreReachable(): boolean {
-        return this.#store.isAnswering;
-    }
-
     /** Takes a configuration that may be newer. `source`: where it was seen. */
     take(configuration: CellConfiguration, source: string): void {
         if (configuration.version <= (this.configuration?.version ?? 0)) {
--- a/packages/entry/src/observation/dependency-watch.ts
+++ b/packages/entry/src/observation/dependency-watch.ts
@@ -17,11 +17,6 @@
 
     constructor(private readonly options: DependencyWatchOptions) {}
 
-    /** Whether the last call was answered. */
-    get isAnswering(): boolean {
-        return this.#lostAt === undefined;
-    }
-
     /** A call was answered. */
     noteAnswer(): void {
         const { logger, clock, regained } = this.options;
