--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -132,7 +132,9 @@
                 + formerLeaseMargin,
             knownOwner: () => ({
                 ownerSilence: this.#session.hasOwner ? this.#session.ownerSilence : Infinity,
-                heardSilence: this.#session.epoch > 0 ? this.#session.ownerSilence : undefined,
+                // Not told: an owner that was only paused would answer for a while that it does not know jobs which the next
+                // one took, and the renewal of its lease would not show it that the key is another's.
+                heardSilence: undefined,
                 deadOwner: this.#deadOwner,
                 isAsked: this.#isAsked,
             }),
