The owner's beats go out every 250 ms again

Found on reading the change: beats were doubled to 125 ms for the claim by agreement, which is switched off, so that half of them served nothing, and two comments that count the horizon and a VM's silence as four beats were no longer true.

--- a/packages/entry/src/owner/constants.ts
+++ b/packages/entry/src/owner/constants.ts
@@ -1,8 +1,8 @@
 /** Times and sizes of the owner, in milliseconds where they are times. */
 import type { Milliseconds } from "@pebbledale/core";
 
-/** Time between two beats to each VM. Three that stay out make the owner suspect. */
-export const ownerBeatInterval: Milliseconds = 125;
+/** Time between two beats to each VM when nothing else is sent. */
+export const ownerBeatInterval: Milliseconds = 250;
 /** Time between two looks at what time has brought. */
 export const tickInterval: Milliseconds = 100;
 /** A VM that is not heard for this long is taken for gone: its links go to others. Four beats. */
--- a/packages/entry/src/ownership/constants.ts
+++ b/packages/entry/src/ownership/constants.ts
@@ -12,11 +12,11 @@
 export const equalCandidateDelay: Milliseconds = 50;
 /** While an owner was heard this lately, a missing key is its own to renew. */
 export const ownerHeardLately: Milliseconds = 600;
-/** An owner that was not heard for this long is suspected: three of its beats stayed out. */
+/** An owner that was not heard for this long is suspected. Too short for beats of 250 ms: it wants them at 125 ms. */
 export const ownerSuspectedAfter: Milliseconds = 400;
 /** An owner that claimed the cell and has not spoken to a VM by then is suspected too: it takes 0.2 to 0.5 s to begin. */
 export const firstWordLimit: Milliseconds = 1_000;
-/** Other VMs agree that the owner is silent once they have not heard it for this long: two of its beats stayed out. */
+/** Other VMs agree that the owner is silent once they have not heard it for this long. Wants beats of 125 ms. */
 export const agreedSilence: Milliseconds = 300;
 /** A VM whose suspicion the others did not share asks them again no sooner than this. */
 export const suspicionPause: Milliseconds = 1_000;
