--- a/packages/entry/src/peers/server.ts
+++ b/packages/entry/src/peers/server.ts
@@ -42,9 +42,11 @@
 /** Dials a VM. */
 export const dialVm = async (address: string, limit: Milliseconds): Promise<DialOutcome> => {
     const socket = new WebSocket(`ws://${address}`, { ...common, handshakeTimeout: limit });
+    // Made before it opens: a first message may come with the answer to the handshake.
+    const channel = new SocketChannel<OwnerMessage, VmMessage>(socket);
     try {
         await once(socket, "open");
-        return { kind: "open", channel: new SocketChannel(socket) };
+        return { kind: "open", channel };
     }
     catch (cause) {
         socket.on("error", () => undefined);
--- a/packages/entry/src/protocol/socket-channel.ts
+++ b/packages/entry/src/protocol/socket-channel.ts
@@ -8,10 +8,12 @@
 
 /** See the module's comment. */
 export class SocketChannel<Sent, Received> implements Channel<Sent, Received> {
-    onMessage: (message: Received) => void = () => undefined;
     onClose: () => void = () => undefined;
     #bundle: Sent[] = [];
     #isClosed = false;
+    #take: ((message: Received) => void) | undefined;
+    /** What arrived before there was anyone to take it: a first bundle may come with the answer to the handshake. */
+    #early: Received[] = [];
 
     constructor(private readonly socket: WebSocket) {
         socket.on("message", data => this.#receive(String(data)));
@@ -19,6 +21,19 @@
         socket.on("error", () => this.close());
     }
 
+    /** See {@link Channel.onMessage}. */
+    get onMessage(): (message: Received) => void {
+        return message => this.#take?.(message);
+    }
+
+    /** */
+    set onMessage(take: (message: Received) => void) {
+        this.#take = take;
+        const early = this.#early;
+        this.#early = [];
+        early.forEach(message => take(message));
+    }
+
     /** See {@link Channel.isOpen}. */
     get isOpen(): boolean {
         return !this.#isClosed;
@@ -48,7 +63,12 @@
 
     #receive(text: string): void {
         for (const message of JSON.parse(text) as Received[]) {
-            this.onMessage(message);
+            if (this.#take === undefined) {
+                this.#early.push(message);
+            }
+            else {
+                this.#take(message);
+            }
         }
     }
 
