--- a/packages/entry/src/configuration/watch.ts
+++ b/packages/entry/src/configuration/watch.ts
@@ -1,14 +1,16 @@
 /** The newest configuration that this VM knows, from the store, the owner or other VMs. Never goes back. */
-import { type CellConfiguration, type ConfigurationFeed, QueueDirectory, type UpkeepWave } from "@pebbledale/cell";
+import {
+    type CellConfiguration,
+    type ConfigurationFeed,
+    type OperatorNews,
+    QueueDirectory,
+    type UpkeepWave,
+} from "@pebbledale/cell";
 import { type Clock, logEvents, type Milliseconds } from "@pebbledale/core";
 import type { EventLogger } from "@pebbledale/runtime";
+import { type Followed, FollowLoop } from "../following/index.js";
 import { DependencyWatch } from "../observation/index.js";
 
-/** Longest wait in one call, in milliseconds. */
-const watchDuration: Milliseconds = 20_000;
-/** Wait before the store is asked again after a failure, in milliseconds. */
-const retryDelay: Milliseconds = 150;
-
 /**
  * A VM that hears of a newer configuration waits this long for the store to show it before it asks for it, in
  * milliseconds: all VMs see it there within a few, and it may be half a megabyte.
@@ -27,15 +29,26 @@
 }
 
 /** See the module's comment. */
-export class ConfigurationWatch {
+export class ConfigurationWatch implements Followed {
     #queues: QueueDirectory | undefined;
     readonly #waves = new Map<number, UpkeepWave>();
-    readonly #store: DependencyWatch;
+    readonly #loop: FollowLoop;
 
     constructor(private readonly options: ConfigurationWatchOptions) {
         const { logger, clock } = options;
         const { storeUnreachable: lost, storeReachable: regained } = logEvents;
-        this.#store = new DependencyWatch({ logger, clock, lost, regained });
+        const store = new DependencyWatch({ logger, clock, lost, regained });
+        this.#loop = new FollowLoop({
+            followed: this,
+            clock,
+            onAnswer: () => store.noteAnswer(),
+            onFailure: (cause, age) => store.noteFailure(cause, age),
+        });
+    }
+
+    /** How long ago the store last told what is in force; undefined before it first did. */
+    get age(): Milliseconds | undefined {
+        return this.#loop.age;
     }
 
     /** The queues in force; undefined while no configuration is known. */
@@ -68,34 +81,33 @@
     }
 
     /** Follows the store until `signal` fires. */
-    async run(signal: AbortSignal): Promise<void> {
-        let cursor: string | undefined;
-        while (!signal.aborted) {
-            try {
-                cursor = await this.#follow(cursor, signal);
-                this.#store.noteAnswer();
-            }
-            catch (cause) {
-                if (!signal.aborted) {
-                    this.#store.noteFailure(cause);
-                    await this.options.clock.sleep(retryDelay, signal);
-                }
-            }
+    run(signal: AbortSignal): Promise<void> {
+        return this.#loop.run(signal);
+    }
+
+    /** See {@link Followed.readAll}. */
+    async readAll(signal: AbortSignal): Promise<string> {
+        const news = await this.options.feed.read(signal);
+        this.#takeNews(news);
+        return news.cursor;
+    }
+
+    /** See {@link Followed.takeChanges}. */
+    async takeChanges(cursor: string, wait: Milliseconds, signal: AbortSignal): Promise<string | undefined> {
+        const news = await this.options.feed.follow(cursor, wait, signal);
+        if (news !== undefined) {
+            this.#takeNews(news);
         }
+        return news?.cursor;
     }
 
-    async #follow(cursor: string | undefined, signal: AbortSignal): Promise<string | undefined> {
-        const { feed } = this.options;
-        const news = cursor === undefined
-            ? await feed.read(signal)
-            : await feed.follow(cursor, watchDuration, signal);
-        if (news?.configuration !== undefined) {
-            this.take(news.configuration, "store");
+    #takeNews({ configuration, waves }: OperatorNews): void {
+        if (configuration !== undefined) {
+            this.take(configuration, "store");
         }
-        if (news !== undefined && news.waves.length > 0) {
-            news.waves.forEach(wave => this.#waves.set(wave.wave, wave));
-            this.options.onWaves(news.waves);
+        if (waves.length > 0) {
+            waves.forEach(wave => this.#waves.set(wave.wave, wave));
+            this.options.onWaves(waves);
         }
-        return news?.cursor;
     }
 }
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -16,9 +16,10 @@
 } from "@pebbledale/core";
 import { createAbortController, type EventLogger } from "@pebbledale/runtime";
 import { ConfigurationWatch } from "./configuration/index.js";
+import { FollowLoop } from "./following/index.js";
 import { JobService, RequestLog } from "./front/index.js";
 import { clockDrift, ownerHorizon, VmSession } from "./links/index.js";
-import { cellPrefix, CellView, type EntryVm, followKeys, Registration, vmKey } from "./membership/index.js";
+import { cellPrefix, CellView, type EntryVm, FollowedKeys, Registration, vmKey } from "./membership/index.js";
 import { DependencyWatch, type EntryMetrics, MeasuredLogger, MeasuredWorkers } from "./observation/index.js";
 import { confirmationHorizon, type OwnerSession, type OwnerUpkeep } from "./owner/index.js";
 import { Candidate, ownerLease, vmLease } from "./ownership/index.js";
@@ -171,19 +172,22 @@
 
     /** Serves until `stop` fires, then hands over and goes on until callers are `drained`. */
     async run(stop: AbortSignal, drained: () => Promise<void>): Promise<void> {
-        const { settings, store, clock } = this.options;
+        const { settings, store, clock, metrics } = this.options;
         const { membersUnavailable: lost, membersAvailable: regained } = logEvents;
         const members = new DependencyWatch({ logger: this.#logger, clock, lost, regained });
+        const following = new FollowLoop({
+            followed: new FollowedKeys(store, cellPrefix, this.#view),
+            clock,
+            onAnswer: () => members.noteAnswer(),
+            onFailure: (cause, age) => members.noteFailure(cause, age),
+        });
+        metrics.noteAges({ configuration: () => this.#configuration.age, members: () => following.age });
         const background = createAbortController();
         await listenForOwners(settings.peerAddress, channel => this.#session.attach(channel), background.signal);
-        const follower = {
-            all: (keys: Parameters<CellView["replace"]>[0]) => this.#view.replace(keys),
-            changes: (changes: Parameters<CellView["change"]>[0]) => this.#view.change(changes),
-        };
         const running = [
             this.#configuration.run(background.signal),
             this.#registration.run(background.signal),
-            followKeys(store, clock, cellPrefix, follower, members, background.signal),
+            following.run(background.signal),
             this.#session.run(background.signal),
         ];
         stop.addEventListener("abort", () => this.#session.leave());
--- /dev/null
+++ b/packages/entry/src/following/index.ts
@@ -0,0 +1,3 @@
+/** Following what the platform's store holds: workers' entries, the configuration, the keys of the entry VMs. */
+export * from "./constants.js";
+export * from "./follow-loop.js";
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./advice/index.js";
 export * from "./configuration/index.js";
 export * from "./entry-process.js";
+export * from "./following/index.js";
 export * from "./front/index.js";
 export * from "./links/index.js";
 export * from "./membership/index.js";
--- a/packages/entry/src/observation/dependency-watch.ts
+++ b/packages/entry/src/observation/dependency-watch.ts
@@ -28,12 +28,15 @@
         this.#failures = 0;
     }
 
-    /** A call failed. */
-    noteFailure(cause: unknown): void {
+    /** A call failed. `age`: how long ago the last answer came, where that is known. */
+    noteFailure(cause: unknown, age?: Milliseconds): void {
         this.#failures++;
         if (this.#lostAt === undefined) {
             this.#lostAt = this.options.clock.monotonic();
-            this.options.logger.log(this.options.lost, { cause: String(cause) });
+            this.options.logger.log(this.options.lost, {
+                cause: String(cause),
+                ...(age === undefined ? {} : { age: Math.round(age) }),
+            });
         }
     }
 }
--- a/packages/entry/src/observation/entry-metrics.ts
+++ b/packages/entry/src/observation/entry-metrics.ts
@@ -5,6 +5,21 @@
 
 const millisecondsPerSecond = 1_000;
 
+/** How the cell stands at its owner. */
+export interface CellFigures {
+    readonly summary: CellSummary;
+    /** How long the oldest record has waited to be kept. */
+    readonly journalWait: Milliseconds;
+    /** How long ago the store last told of the workers' entries. */
+    readonly entriesAge: Milliseconds;
+}
+
+/** How long ago the store last told of what each VM follows; undefined before it first did. */
+export interface FollowedAges {
+    readonly configuration: () => Milliseconds | undefined;
+    readonly members: () => Milliseconds | undefined;
+}
+
 /** See the module's comment. */
 export class EntryMetrics {
     /** Without the process's own: watching the event loop wakes a small VM a hundred times a second. */
@@ -31,12 +46,12 @@
     );
     readonly #adviceTime = this.metrics.waiting("pebbledale_advice_seconds", "Time of an answer to a question", []);
     readonly #jobTime = this.metrics.waiting("pebbledale_job_seconds", "Time from acceptance to the end", ["state"]);
-    #summary: CellSummary | undefined;
-    #journalWait: Milliseconds = 0;
+    #cell: CellFigures | undefined;
+    #ages: FollowedAges | undefined;
 
     constructor() {
         const ofCell = (name: string, help: string, read: (summary: CellSummary) => number) =>
-            this.metrics.gauge(name, help, () => this.#summary === undefined ? 0 : read(this.#summary));
+            this.metrics.gauge(name, help, () => this.#cell === undefined ? 0 : read(this.#cell.summary));
         ofCell("pebbledale_owner", "1 while this VM owns the cell", () => 1);
         ofCell("pebbledale_workers", "Workers that are known", summary => summary.workers);
         ofCell("pebbledale_open_workers", "Workers that may be ordered", summary => summary.openWorkers);
@@ -46,8 +61,17 @@
         this.metrics.gauge(
             "pebbledale_journal_wait_seconds",
             "How long the oldest record has waited to be kept",
-            () => this.#journalWait / millisecondsPerSecond,
+            () => (this.#cell?.journalWait ?? 0) / millisecondsPerSecond,
         );
+        const age = (followed: string, read: () => Milliseconds | undefined) =>
+            this.metrics.gauge(
+                `pebbledale_${followed}_age_seconds`,
+                `How long ago the store last told of the ${followed}`,
+                () => (read() ?? 0) / millisecondsPerSecond,
+            );
+        age("worker_entries", () => this.#cell?.entriesAge);
+        age("configuration", () => this.#ages?.configuration());
+        age("members", () => this.#ages?.members());
     }
 
     /** A caller was answered. */
@@ -83,8 +107,12 @@
     }
 
     /** How the cell stands; undefined once this VM no longer owns it. */
-    noteCell(summary: CellSummary | undefined, journalWait: Milliseconds): void {
-        this.#summary = summary;
-        this.#journalWait = journalWait;
+    noteCell(cell: CellFigures | undefined): void {
+        this.#cell = cell;
+    }
+
+    /** Where to read how old what this VM follows is. */
+    noteAges(ages: FollowedAges): void {
+        this.#ages = ages;
     }
 }
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -22,6 +22,7 @@
 import type { EventLogger } from "@pebbledale/runtime";
 import { AdviceDispatcher } from "../advice/index.js";
 import { configurationGrace } from "../configuration/index.js";
+import { FollowLoop } from "../following/index.js";
 import type { EntryVm } from "../membership/index.js";
 import type { EntryMetrics } from "../observation/index.js";
 import { type Channel, type OwnerMessage, type OwnerRequest, type VmMessage } from "../protocol/index.js";
@@ -37,7 +38,7 @@
     tickInterval,
     vmSilence,
 } from "./constants.js";
-import { followDirectory } from "./directory-follower.js";
+import { FollowedWorkers } from "./followed-workers.js";
 import { Interval } from "./interval.js";
 import { RequestDesk } from "./request-desk.js";
 import { TurnRunner } from "./turn-runner.js";
@@ -96,6 +97,7 @@
     readonly #turns: TurnRunner;
     readonly #beat: Interval;
     readonly #summary: Interval;
+    readonly #workerEntries: FollowLoop;
     #isHandingOver = false;
     #nextRelay = 0;
 
@@ -121,6 +123,12 @@
             lost: options.lost,
             onNewWorkers: () => this.#balance(),
         });
+        this.#workerEntries = new FollowLoop({
+            followed: new FollowedWorkers(options.directory, this.cell),
+            clock,
+            onAnswer: () => this.#turns.request(),
+            onFailure: (cause, age) => this.#noteEntriesUnheard(cause, age),
+        });
         this.#requests = new RequestDesk({
             cell: this.cell,
             journal,
@@ -154,14 +162,8 @@
 
     /** Serves until `lost` fires. */
     async run(): Promise<void> {
-        const { lost, clock, logger, metrics, directory } = this.options;
-        const following = followDirectory({
-            cell: this.cell,
-            directory,
-            clock,
-            logger,
-            onNews: () => this.#turns.request(),
-        }, lost.signal);
+        const { lost, clock, metrics } = this.options;
+        const following = this.#workerEntries.run(lost.signal);
         while (!lost.signal.aborted) {
             this.cell.tick();
             this.#dropSilentVms();
@@ -171,7 +173,7 @@
             this.#turns.request();
             await clock.sleep(tickInterval, lost.signal);
         }
-        metrics.noteCell(undefined, 0);
+        metrics.noteCell(undefined);
         await following;
         this.#vms.forEach(vm => vm.channel.close());
         this.#vms.clear();
@@ -186,8 +188,18 @@
         const { logger, journal, metrics } = this.options;
         const summary = this.cell.summary();
         const journalWait = Math.round(journal.waitingFor());
-        logger.log(logEvents.cellSummary, { ...summary, journalWait });
-        metrics.noteCell(summary, journalWait);
+        const entriesAge = this.#workerEntries.age;
+        const age = entriesAge === undefined ? {} : { entriesAge: Math.round(entriesAge) };
+        logger.log(logEvents.cellSummary, { ...summary, journalWait, ...age });
+        metrics.noteCell({ summary, journalWait, entriesAge: entriesAge ?? 0 });
+    }
+
+    #noteEntriesUnheard(cause: unknown, age: Milliseconds | undefined): void {
+        this.options.logger.log(logEvents.workerListUnavailable, {
+            cause: String(cause),
+            ...(age === undefined ? {} : { age: Math.round(age) }),
+        });
+        this.#turns.request();
     }
 
     /** Takes a newer configuration and passes it on. */
