--- a/packages/entry/test/following/follow-loop.test.ts
+++ b/packages/entry/test/following/follow-loop.test.ts
@@ -1,45 +1,80 @@
+/*
+ * Open connections fell silent while new ones worked, and an owner went on placing tasks on VMs that had said that they leave.
+ * Its call that waits for news of the workers had begun before and was waited for until 1.5 s after its whole wait of 20 s: nothing
+ * else showed that nobody was at the other end any more. The owner's line of each second (4401) told the age of what it knew of the
+ * workers: 772 ms at 20.8 s, 5,071 ms at 25.0 s, 20,772 ms at 40.8 s, and the workers had begun to leave at 24.5 s. Where the
+ * connection of that call was spared, the age stayed below 120 ms and the leaving workers were known 26 ms after they had said so.
+ */
 import { ManualClock, type Milliseconds } from "@pebbledale/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { type Followed, FollowLoop } from "../../src/index.js";
 import { pass } from "../support/index.js";
 
-/** Answers at once while `isSilent` is false, and never to a call that was made while it was true. */
-class Source implements Followed {
-    isSilent = false;
-    readonly calls: Milliseconds[] = [];
+/** The least time within which the users want a change to be acted on. */
+const boundOfUsers: Milliseconds = 2_000;
+
+/** A store with nothing new: its calls wait as they are asked to. Calls over a connection that falls silent never end. */
+class QuietStore implements Followed {
+    calls = 0;
+    answerTime: Milliseconds = 4;
+    /** Grows with each fall: calls of an earlier generation get no answer. */
+    #generation = 0;
 
     constructor(private readonly clock: ManualClock) {}
 
-    readAll(): Promise<string> {
-        return this.#answer("first");
+    /** The connections that are open now fall silent; new ones work. */
+    silenceOpen(): void {
+        this.#generation++;
+    }
+
+    async readAll(signal: AbortSignal): Promise<string> {
+        return await this.#answer(0, signal) ?? "";
     }
 
     async takeChanges(_cursor: string, wait: Milliseconds, signal: AbortSignal): Promise<string | undefined> {
-        const answer = this.#answer("next");
-        await this.clock.sleep(wait, signal);
-        return answer;
+        return this.#answer(wait, signal);
     }
 
-    #answer(cursor: string): Promise<string> {
-        this.calls.push(this.clock.monotonic());
-        return this.isSilent ? new Promise(() => undefined) : Promise.resolve(cursor);
+    async #answer(wait: Milliseconds, signal: AbortSignal): Promise<string> {
+        const generation = this.#generation;
+        this.calls++;
+        await this.clock.sleep(wait + this.answerTime);
+        if (generation !== this.#generation) {
+            await new Promise((_resolve, reject) => {
+                signal.addEventListener("abort", () => reject(signal.reason as Error));
+                if (signal.aborted) {
+                    reject(signal.reason as Error);
+                }
+            });
+        }
+        return "cursor";
     }
 }
 
 const begin = () => {
     const clock = new ManualClock();
-    const source = new Source(clock);
+    const store = new QuietStore(clock);
     const stop = new AbortController();
-    const ages: (Milliseconds | undefined)[] = [];
+    const failures: (Milliseconds | undefined)[] = [];
     const loop = new FollowLoop({
-        followed: source,
+        followed: store,
         clock,
         onAnswer: () => undefined,
-        onFailure: (_cause, age) => ages.push(age),
+        onFailure: (_cause, age) => failures.push(age),
     });
     void loop.run(stop.signal);
-    return { clock, source, stop, loop, ages };
+    return { clock, store, stop, loop, failures };
+};
+
+/** Lets time pass and returns how old what is known became at most. */
+const oldestIn = async (clock: ManualClock, loop: FollowLoop, length: Milliseconds): Promise<Milliseconds> => {
+    let oldest = 0;
+    for (let elapsed = 0; elapsed < length; elapsed += 10) {
+        await pass(clock, 10);
+        oldest = Math.max(oldest, loop.age ?? 0);
+    }
+    return oldest;
 };
 
 describe("what is followed in the store", () => {
@@ -51,4 +86,15 @@
         expect(loop.age).toEqual(300);
         stop.abort();
     });
+
+    it("is heard within the users' bounds, whenever its connection falls silent", async () => {
+        for (let at = 100; at <= 1_500; at += 350) {
+            const { clock, store, loop, stop, failures } = begin();
+            await pass(clock, at);
+            store.silenceOpen();
+            expect(await oldestIn(clock, loop, 3_000)).toBeLessThan(boundOfUsers);
+            expect(failures.length).toEqual(1);
+            stop.abort();
+        }
+    });
 });
