Calls that wait for news are as short as the users' bounds want, and given up soon after

Cause: a call that waits for news of the workers, the configuration or the VMs' keys waited up to 20 s and was given up 1.5 s later. On a connection that fell silent it looks like a store with nothing new, and what it follows went unheard for up to 21.5 s. Ruled out: the store (a new owner heard the same entries 26 ms after they were written), the links (the owner had no line of a leaving worker before the starts). Change: one loop follows all three; it waits for half of the least of the users' bounds on leaving workers, configurations and contact, gives the call up 0.25 to 0.4 s later, and asks again with a short wait. Reading all is bounded too. The age of what is known stays below 1.67 s of 2 s (virtual time; before: 21.5 s).

--- a/packages/entry/src/configuration/watch.ts
+++ b/packages/entry/src/configuration/watch.ts
@@ -8,7 +8,7 @@
 } from "@pebbledale/cell";
 import { type Clock, logEvents, type Milliseconds } from "@pebbledale/core";
 import type { EventLogger } from "@pebbledale/runtime";
-import { type Followed, FollowLoop } from "../following/index.js";
+import { type Followed, type FollowLimits, FollowLoop } from "../following/index.js";
 import { DependencyWatch } from "../observation/index.js";
 
 /**
@@ -22,6 +22,8 @@
     readonly feed: ConfigurationFeed;
     readonly clock: Clock;
     readonly logger: EventLogger;
+    /** How long the store may go unheard. */
+    readonly limits: FollowLimits;
     /** Told of each newer version. */
     readonly onChange: (configuration: CellConfiguration) => void;
     /** Told of waves of upkeep. */
@@ -35,12 +37,13 @@
     readonly #loop: FollowLoop;
 
     constructor(private readonly options: ConfigurationWatchOptions) {
-        const { logger, clock } = options;
+        const { logger, clock, limits } = options;
         const { storeUnreachable: lost, storeReachable: regained } = logEvents;
         const store = new DependencyWatch({ logger, clock, lost, regained });
         this.#loop = new FollowLoop({
             followed: this,
             clock,
+            limits,
             onAnswer: () => store.noteAnswer(),
             onFailure: (cause, age) => store.noteFailure(cause, age),
         });
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -16,7 +16,7 @@
 } from "@pebbledale/core";
 import { createAbortController, type EventLogger } from "@pebbledale/runtime";
 import { ConfigurationWatch } from "./configuration/index.js";
-import { FollowLoop } from "./following/index.js";
+import { followLimitsOf, FollowLoop } from "./following/index.js";
 import { JobService, RequestLog } from "./front/index.js";
 import { clockDrift, ownerHorizon, VmSession } from "./links/index.js";
 import { cellPrefix, CellView, type EntryVm, FollowedKeys, Registration, vmKey } from "./membership/index.js";
@@ -91,6 +91,7 @@
             feed: options.configuration,
             clock,
             logger,
+            limits: followLimitsOf(settings.bounds),
             onChange: configuration => {
                 this.#session.tellConfiguration(configuration.version);
                 this.#candidate.session?.configure(configuration);
@@ -127,6 +128,7 @@
             self: this.#self,
             view: this.#view,
             leaseLength: Math.max(ownerLease, settings.store.shortestLease),
+            followLimits: followLimitsOf(settings.bounds),
             configuration: () => this.#configuration.configuration,
             onConfiguration: configuration => this.#configuration.take(configuration, "vm"),
             formerLeases: confirmationHorizon + ownerHorizon + settings.bounds.longestLease / (1 - clockDrift)
@@ -178,6 +180,7 @@
         const following = new FollowLoop({
             followed: new FollowedKeys(store, cellPrefix, this.#view),
             clock,
+            limits: followLimitsOf(settings.bounds),
             onAnswer: () => members.noteAnswer(),
             onFailure: (cause, age) => members.noteFailure(cause, age),
         });
--- a/packages/entry/src/following/follow-loop.ts
+++ b/packages/entry/src/following/follow-loop.ts
@@ -1,6 +1,21 @@
-/** Follows something in the store until it is told to stop: reads all, then takes changes in, and knows how old that is. */
-import type { Clock, Milliseconds } from "@pebbledale/core";
-import { followRetryDelay, followWait } from "./constants.js";
+/**
+ * Follows something in the store until it is told to stop: reads all, then takes changes in, and knows how old that is.
+ *
+ * A connection may fall silent without an end. A call over it looks like a store with nothing new, so no call waits for long
+ * and each is given up soon after its wait is over.
+ */
+import { AnswerTimes, type Clock, type Milliseconds } from "@pebbledale/core";
+import { createAbortController, NoAnswerError } from "@pebbledale/runtime";
+import {
+    followRetryDelay,
+    mostReadAllLimit,
+    mostSlack,
+    probeWait,
+    readAllLimit,
+    repeatedRetryDelay,
+    shortestSlack,
+} from "./constants.js";
+import type { FollowLimits } from "./limits.js";
 
 /** What is followed, and who takes it in. Calls reject when no answer came. */
 export interface Followed {
@@ -14,6 +29,7 @@
 export interface FollowLoopOptions {
     readonly followed: Followed;
     readonly clock: Clock;
+    readonly limits: FollowLimits;
     /** Told of each answer, after it was taken in. */
     readonly onAnswer: () => void;
     /** Told of each call without an answer, and how long ago the last one came; undefined when there was none yet. */
@@ -23,8 +39,13 @@
 /** See the module's comment. */
 export class FollowLoop {
     #answeredAt: Milliseconds | undefined;
+    #failuresInARow = 0;
+    readonly #answerTimes: AnswerTimes;
 
-    constructor(private readonly options: FollowLoopOptions) {}
+    constructor(private readonly options: FollowLoopOptions) {
+        const { slack } = options.limits;
+        this.#answerTimes = new AnswerTimes({ shortest: Math.min(shortestSlack, slack), longest: slack });
+    }
 
     /** How long ago the store last answered: what is known is that old. Undefined before the first answer. */
     get age(): Milliseconds | undefined {
@@ -39,19 +60,65 @@
             try {
                 cursor = await this.#followOnce(cursor, signal);
                 this.#answeredAt = clock.monotonic();
+                this.#failuresInARow = 0;
                 onAnswer();
             }
             catch (cause) {
                 if (!signal.aborted) {
                     onFailure(cause, this.age);
-                    await clock.sleep(followRetryDelay, signal);
+                    this.#failuresInARow++;
+                    await clock.sleep(this.#failuresInARow > 1 ? repeatedRetryDelay : followRetryDelay, signal);
                 }
             }
         }
     }
 
     #followOnce(cursor: string | undefined, signal: AbortSignal): Promise<string | undefined> {
-        const { followed } = this.options;
-        return cursor === undefined ? followed.readAll(signal) : followed.takeChanges(cursor, followWait, signal);
+        const { followed, limits } = this.options;
+        if (cursor === undefined) {
+            const limit = Math.min(mostReadAllLimit, readAllLimit * 2 ** this.#failuresInARow);
+            return this.#within(limit, signal, linked => followed.readAll(linked));
+        }
+        const wait = this.#failuresInARow > 0 ? probeWait : limits.wait;
+        return this.#within(wait + this.#slack, signal, async linked => {
+            const sentAt = this.options.clock.monotonic();
+            const next = await followed.takeChanges(cursor, wait, linked);
+            this.#noteAnswerTime(this.options.clock.monotonic() - sentAt - wait);
+            return next;
+        });
+    }
+
+    /** How long the answer to a call may stay out beyond its wait. */
+    get #slack(): Milliseconds {
+        return Math.min(mostSlack, this.#answerTimes.limit * 2 ** this.#failuresInARow);
+    }
+
+    /** An answer that came before the wait was over brought news, and tells nothing of the time that answers take. */
+    #noteAnswerTime(took: Milliseconds): void {
+        if (took >= 0) {
+            this.#answerTimes.note(took);
+        }
+    }
+
+    /** Gives a call up after `limit`: without an answer by then its connection is taken for silent. */
+    async #within<Value>(
+        limit: Milliseconds,
+        signal: AbortSignal,
+        call: (linked: AbortSignal) => Promise<Value>,
+    ): Promise<Value> {
+        const ended = createAbortController();
+        const end = () => ended.abort(signal.reason);
+        signal.addEventListener("abort", end, { once: true });
+        const finished = createAbortController();
+        void this.options.clock.sleep(limit, finished.signal).then(() =>
+            ended.abort(new NoAnswerError(`no answer in ${Math.round(limit)} ms`))
+        );
+        try {
+            return await call(ended.signal);
+        }
+        finally {
+            finished.abort();
+            signal.removeEventListener("abort", end);
+        }
     }
 }
--- /dev/null
+++ b/packages/entry/src/following/limits.ts
@@ -0,0 +1,42 @@
+/** How long what is followed may go unheard, worked out from the users' bounds. */
+import type { Milliseconds } from "@pebbledale/core";
+import {
+    followRetryDelay,
+    longestFollowWait,
+    probeWait,
+    shortestFollowWait,
+    slackShare,
+    waitShare,
+} from "./constants.js";
+
+/** The users' bounds on news. */
+export interface NewsBounds {
+    /** No start reaches a worker later than this after it said that it leaves. */
+    readonly drainWithin: Milliseconds;
+    /** A configuration is in force this long after the store took it. */
+    readonly configurationWithin: Milliseconds;
+    /** A VM is bound by the others this long after a fault of its connections. */
+    readonly contact: Milliseconds;
+}
+
+/** Times of one follow loop. */
+export interface FollowLimits {
+    /** How long a call waits for news. */
+    readonly wait: Milliseconds;
+    /** How long an answer may stay out beyond that before its connection is taken for silent. */
+    readonly slack: Milliseconds;
+}
+
+/** The limits that keep the bounds. */
+export const followLimitsOf = (bounds: NewsBounds): FollowLimits => {
+    const within = Math.min(bounds.drainWithin, bounds.configurationWithin, bounds.contact);
+    const wait = Math.max(shortestFollowWait, Math.floor(within * waitShare));
+    return { wait: Math.min(longestFollowWait, wait), slack: within * slackShare };
+};
+
+/**
+ * How old what is known gets at most while the store answers, when one connection falls silent: the call that waits on it
+ * is given up, and the next one is answered on another within its slack.
+ */
+export const longestUnheard = ({ wait, slack }: FollowLimits): Milliseconds =>
+    wait + slack + followRetryDelay + probeWait + slack / 2;
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -22,7 +22,7 @@
 import type { EventLogger } from "@pebbledale/runtime";
 import { AdviceDispatcher } from "../advice/index.js";
 import { configurationGrace } from "../configuration/index.js";
-import { FollowLoop } from "../following/index.js";
+import { type FollowLimits, FollowLoop } from "../following/index.js";
 import type { EntryVm } from "../membership/index.js";
 import type { EntryMetrics } from "../observation/index.js";
 import { type Channel, type OwnerMessage, type OwnerRequest, type VmMessage } from "../protocol/index.js";
@@ -50,6 +50,8 @@
     readonly journal: Journal;
     readonly contents: JournalContents;
     readonly directory: WorkerDirectory;
+    /** How long the workers' entries may go unheard. */
+    readonly followLimits: FollowLimits;
     readonly clock: Clock;
     readonly logger: EventLogger;
     readonly metrics: EntryMetrics;
@@ -126,6 +128,7 @@
         this.#workerEntries = new FollowLoop({
             followed: new FollowedWorkers(options.directory, this.cell),
             clock,
+            limits: options.followLimits,
             onAnswer: () => this.#turns.request(),
             onFailure: (cause, age) => this.#noteEntriesUnheard(cause, age),
         });
--- a/packages/entry/src/ownership/candidate.ts
+++ b/packages/entry/src/ownership/candidate.ts
@@ -13,6 +13,7 @@
     shardId,
 } from "@pebbledale/core";
 import { createAbortController, type EventLogger } from "@pebbledale/runtime";
+import type { FollowLimits } from "../following/index.js";
 import { type CellView, type EntryVm } from "../membership/index.js";
 import type { EntryMetrics } from "../observation/index.js";
 import {
@@ -52,6 +53,8 @@
     readonly view: CellView;
     /** How long the owner's key outlives its last renewal. */
     readonly leaseLength: Milliseconds;
+    /** How long the workers' entries may go unheard. */
+    readonly followLimits: FollowLimits;
     readonly configuration: () => CellConfiguration | undefined;
     readonly onConfiguration: (configuration: CellConfiguration) => void;
     readonly formerLeases: Milliseconds;
@@ -243,6 +246,7 @@
                 journal,
                 contents,
                 directory,
+                followLimits: this.options.followLimits,
                 clock,
                 logger,
                 metrics: this.options.metrics,
--- a/packages/entry/src/settings/types.ts
+++ b/packages/entry/src/settings/types.ts
@@ -1,8 +1,9 @@
 /** What an entry VM's program is told at its start. */
 import type { Milliseconds } from "@pebbledale/core";
+import type { NewsBounds } from "../following/index.js";
 
 /** Bounds that the users set. */
-export interface EntryBounds {
+export interface EntryBounds extends NewsBounds {
     /** Longest lease that a worker grants. */
     readonly longestLease: Milliseconds;
     /** The process is killed this long after it was asked to stop. */
--- a/packages/entry/test/following/follow-loop.test.ts
+++ b/packages/entry/test/following/follow-loop.test.ts
@@ -8,7 +8,7 @@
 import { ManualClock, type Milliseconds } from "@pebbledale/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { type Followed, FollowLoop } from "../../src/index.js";
+import { type Followed, followLimitsOf, FollowLoop, longestUnheard } from "../../src/index.js";
 import { pass } from "../support/index.js";
 
 /** The least time within which the users want a change to be acted on. */
@@ -52,6 +52,8 @@
     }
 }
 
+const limits = followLimitsOf({ drainWithin: boundOfUsers, configurationWithin: 2_500, contact: 3_000 });
+
 const begin = () => {
     const clock = new ManualClock();
     const store = new QuietStore(clock);
@@ -60,6 +62,7 @@
     const loop = new FollowLoop({
         followed: store,
         clock,
+        limits,
         onAnswer: () => undefined,
         onFailure: (_cause, age) => failures.push(age),
     });
@@ -97,4 +100,32 @@
             stop.abort();
         }
     });
+
+    it("is no older than the limit that is worked out from the users' bounds", async () => {
+        expect(longestUnheard(limits)).toBeLessThan(boundOfUsers);
+        const { clock, store, loop, stop } = begin();
+        let oldest = 0;
+        for (let falls = 0; falls < 8; falls++) {
+            oldest = Math.max(oldest, await oldestIn(clock, loop, 1_700 + falls * 130));
+            store.silenceOpen();
+        }
+        expect(oldest).toBeLessThan(longestUnheard(limits));
+        stop.abort();
+    });
+
+    it("is waited for in calls that are so long that a quiet store gets one a second", async () => {
+        const { clock, store, stop } = begin();
+        await pass(clock, 20_000);
+        const readings = 1;
+        expect(store.calls).toEqual(readings + 20);
+        stop.abort();
+    });
+
+    it("is still heard where the store answers later than any slack", async () => {
+        const { clock, store, loop, stop } = begin();
+        await pass(clock, 3_000);
+        store.answerTime = 600;
+        expect(await oldestIn(clock, loop, 10_000)).toBeLessThan(longestUnheard(limits) + store.answerTime);
+        stop.abort();
+    });
 });
