--- a/packages/core/src/log-events/index.ts
+++ b/packages/core/src/log-events/index.ts
@@ -183,6 +183,12 @@
         "Look at this VM's way to the store.",
     ),
     membersAvailable: define(4511, "info", "the keys of the entry VMs are read again", nothing),
+    connectionsDoubted: define(
+        4610,
+        "info",
+        "a call had no answer; what follows at its address goes over new connections",
+        "Look at the network between this VM and the address if it lasts.",
+    ),
     settingsReloaded: define(4605, "info", "the settings file was read again", nothing),
     settingsUnreadable: define(
         4607,
