--- /dev/null
+++ b/packages/entry/test/links/vm-session.test.ts
@@ -0,0 +1,65 @@
+/*
+ * The owner's connection fell silent and the VM went on asking over it: it had not ended, so there was an owner, and callers were
+ * told after their whole deadline that it is not known what became of their jobs (504, 650 of 1,419). The lines of the fronts (4802)
+ * carried how long the owner had not been heard: it grew to the length of the silence, and nobody acted on it.
+ */
+import { type Epoch, ManualClock } from "@pebbledale/core";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { type Channel, createMemoryChannel, type OwnerMessage, type VmMessage, VmSession } from "../../src/index.js";
+import { KeptLog, pass, settle } from "../support/index.js";
+
+const begin = () => {
+    const clock = new ManualClock();
+    const stop = new AbortController();
+    const session = new VmSession({
+        clients: {} as ConstructorParameters<typeof VmSession>[0]["clients"],
+        advice: undefined,
+        clock,
+        logger: new KeptLog(),
+        leaseLength: 6_000,
+        store: {} as ConstructorParameters<typeof VmSession>[0]["store"],
+        onHandOver: () => undefined,
+        configuration: () => undefined,
+        onConfiguration: () => undefined,
+        onOwner: () => undefined,
+    });
+    void session.run(stop.signal);
+    return { clock, stop, session };
+};
+
+const welcome = async (owner: Channel<OwnerMessage, VmMessage>): Promise<void> => {
+    owner.send({ kind: "welcome", epoch: 1 as Epoch, owner: "a" });
+    await settle();
+};
+
+describe("a VM whose owner is not heard", () => {
+    it("takes the connection for lost within a second and a half, and what was asked for unanswered", async () => {
+        const { clock, stop, session } = begin();
+        const [owner, vm] = createMemoryChannel<OwnerMessage, VmMessage>();
+        session.attach(vm);
+        await welcome(owner);
+        const asked = session.ask({ kind: "pending", queue: "q" as never });
+        let reply: unknown = "none yet";
+        void asked.then(answer => reply = answer);
+        await pass(clock, 1_200);
+        expect([session.hasOwner, reply]).toEqual([true, "none yet"]);
+        await pass(clock, 600);
+        expect([session.hasOwner, reply]).toEqual([false, undefined]);
+        stop.abort();
+    });
+
+    it("keeps the connection of an owner that sends beats, and that of its own owner", async () => {
+        const { clock, stop, session } = begin();
+        const [owner, vm] = createMemoryChannel<OwnerMessage, VmMessage>();
+        session.attach(vm);
+        await welcome(owner);
+        for (let beats = 0; beats < 10; beats++) {
+            await pass(clock, 1_000);
+            owner.send({ kind: "beat", mayLease: true });
+            await settle();
+        }
+        expect(session.hasOwner).toEqual(true);
+        stop.abort();
+    });
+});
