A VM takes an owner that it has not heard for a second and a half for lost

Cause: a connection of the owner that fell silent stood until a new owner spoke, and what callers asked over it had no answer before their deadline. Change: it is ended after six beats without a message, unless this process itself stood still meanwhile; what was asked is asked again of the next connection, and callers are told that there is no owner.

--- a/packages/entry/src/links/vm-session.ts
+++ b/packages/entry/src/links/vm-session.ts
@@ -12,6 +12,12 @@
 /** Time between two beats to the owner when nothing else is sent, in milliseconds. */
 const beatInterval: Milliseconds = 250;
 
+/**
+ * An owner that was not heard for this long is taken for lost, and its connection is ended: six beats. Callers are then told that
+ * there is no owner; over a connection that fell silent they heard nothing until their deadline.
+ */
+const ownerLostAfter: Milliseconds = 1_500;
+
 /** A longer silence of the owner, also one since ever, is told as this, in milliseconds. */
 const longestTold: Milliseconds = 60_000;
 
@@ -113,13 +119,27 @@
 
     /** Sends beats until `signal` fires. */
     async run(signal: AbortSignal): Promise<void> {
+        const { clock } = this.options;
         while (!signal.aborted) {
-            await this.options.clock.sleep(beatInterval, signal);
+            const sleptAt = clock.monotonic();
+            await clock.sleep(beatInterval, signal);
             this.#channel?.send({ kind: "beat" });
+            // Where this process stood still, the owner's beats may be waiting to be read.
+            if (clock.monotonic() - sleptAt < 2 * beatInterval) {
+                this.#dropSilentOwner();
+            }
         }
         this.#links.endAll();
     }
 
+    #dropSilentOwner(): void {
+        const channel = this.#channel;
+        if (channel !== undefined && this.ownerSilence > ownerLostAfter) {
+            this.#lose(channel);
+            channel.close();
+        }
+    }
+
     #welcome(channel: Channel<VmMessage, OwnerMessage>, epoch: Epoch): void {
         if (epoch < this.#epoch) {
             channel.close();
