--- a/packages/entry/src/links/worker-link.ts
+++ b/packages/entry/src/links/worker-link.ts
@@ -102,6 +102,11 @@
         this.#mayLease = true;
     }
 
+    /** The worker says that it leaves. */
+    noteLeaving(): void {
+        // Its leases are as long as all others'.
+    }
+
     /** Passes an order on. */
     order(command: WorkerCommand): void {
         if (command.kind === "stop") {
--- a/packages/entry/test/links/worker-link.test.ts
+++ b/packages/entry/test/links/worker-link.test.ts
@@ -99,6 +99,23 @@
         expect(client.starts.map(start => start.leaseUntil)).toEqual([1_000 + leaseLength]);
     });
 
+    /*
+     * A worker said at 18.08 s that it would leave, and left at 27.01 s with a task that lasts still on it, as none of the workers that
+     * may run the task had room. Its port refused connections and its entry was gone at 27.02 s (4305, 4302), but neither proves that
+     * nothing runs there, and the leases that had been given up to then ran for 10 s: the task was given up at 37.50 s (4307, 4205) and
+     * started again at 38.24 s. From 6 s after the end of its last run the users count it as lost.
+     */
+    it("gives short leases to a worker that leaves, so that what goes with it is soon known to be over", async () => {
+        const client = firstThenWaiting();
+        const { link, clock } = make(client);
+        await settle();
+        link.noteLeaving();
+        client.answerLook = () => untilEnded();
+        link.order(command);
+        await pass(clock, 700);
+        expect(client.starts.map(start => start.leaseUntil)).toEqual([1_000 + 3_000]);
+    });
+
     it("raises its token and looks when a start has no answer; what that look shows is final", async () => {
         const client = firstThenWaiting();
         client.answerStart = noAnswer;
