--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -69,7 +69,10 @@
         this.#mover = new Mover(this.#context, this.#runs, progress);
         this.#pool = new WorkerPool(this.#context, this.#runs, progress, new PaceKeeper(this.#context), {
             roomChanged: () => this.#wantsPass = true,
-            workerDrains: () => this.#wantsPass = true,
+            workerDrains: worker => {
+                this.#wantsPass = true;
+                options.onWorkerLeaves?.(worker.id);
+            },
             workerGone: worker => this.#health.forgetWorker(worker),
         });
         this.#timetables = new TimetableWatch(this.#context, occurrence => this.#openOccurrence(occurrence));
--- a/packages/cell/src/state/cell-context.ts
+++ b/packages/cell/src/state/cell-context.ts
@@ -17,6 +17,8 @@
 export interface CellOptions {
     readonly clock: Clock;
     readonly log: DecisionLog;
+    /** Told of a worker that says that it leaves. */
+    readonly onWorkerLeaves?: (worker: WorkerId) => void;
 }
 
 /** See the module's comment. */
--- a/packages/entry/src/links/constants.ts
+++ b/packages/entry/src/links/constants.ts
@@ -29,6 +29,12 @@
  * takes about as long, and what runs has most of its lease left.
  */
 export const ownerHorizon: Milliseconds = 1_000;
+/**
+ * Leases at a worker that leaves are at most this long. Nothing but the end of its leases proves that what was on it when it left
+ * is over: a task that lasts is started again 4 s after its worker left, 11 s with leases of 10 s (logs of both). Three times the
+ * longest time for which renewals stay out while an owner is replaced.
+ */
+export const leavingLease: Milliseconds = 3_000;
 /** A worker's clock may run this much slower than ours (the workers' protocol says 2%). */
 export const clockDrift = 0.02;
 /** An order to pace a run is given at most this often. */
--- a/packages/entry/src/links/links.ts
+++ b/packages/entry/src/links/links.ts
@@ -49,6 +49,14 @@
             send: message => this.options.send(message),
         });
         this.#links.set(worker, link);
+        if (assignment.isLeaving) {
+            link.noteLeaving();
+        }
+    }
+
+    /** A worker says that it leaves. */
+    noteLeaving(worker: WorkerId): void {
+        this.#links.get(worker)?.noteLeaving();
     }
 
     /** Gives a link up. */
--- a/packages/entry/src/links/vm-session.ts
+++ b/packages/entry/src/links/vm-session.ts
@@ -175,6 +175,9 @@
             case "command":
                 this.#links.command(message);
                 break;
+            case "worker-leaves":
+                this.#links.noteLeaving(message.worker);
+                break;
             case "resume":
                 this.#links.resume(message.worker);
                 break;
--- a/packages/entry/src/links/worker-lease.ts
+++ b/packages/entry/src/links/worker-lease.ts
@@ -17,7 +17,12 @@
     /** The latest moment until which anything was allowed to run, on the worker's clock. */
     #until: WorkerTime = 0;
 
-    constructor(private readonly clock: Clock, private readonly length: Milliseconds) {}
+    constructor(private readonly clock: Clock, private length: Milliseconds) {}
+
+    /** Gives no longer leases than this from now on; those that run are not cut. */
+    shorten(longest: Milliseconds): void {
+        this.length = Math.min(this.length, longest);
+    }
 
     /** Whether the worker's clock was read. */
     get hasClock(): boolean {
--- a/packages/entry/src/links/worker-link.ts
+++ b/packages/entry/src/links/worker-link.ts
@@ -27,6 +27,7 @@
 import type { AssignMessage, VmMessage } from "../protocol/index.js";
 import {
     acknowledgeWait,
+    leavingLease,
     longestAnswerTime,
     lookGap,
     lookLimit,
@@ -104,7 +105,7 @@
 
     /** The worker says that it leaves. */
     noteLeaving(): void {
-        // Its leases are as long as all others'.
+        this.#lease.shorten(leavingLease);
     }
 
     /** Passes an order on. */
--- a/packages/entry/src/owner/assignments.ts
+++ b/packages/entry/src/owner/assignments.ts
@@ -107,6 +107,7 @@
             worker: worker.id,
             address: worker.address,
             token: this.#tokenOf(count),
+            isLeaving: worker.entry?.isDraining === true,
         });
     }
 
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -105,7 +105,11 @@
 
     constructor(private readonly options: OwnerSessionOptions) {
         const { clock, logger, journal, contents, name } = options;
-        this.cell = new CellScheduler({ clock, log: logger });
+        this.cell = new CellScheduler({
+            clock,
+            log: logger,
+            onWorkerLeaves: worker => this.#assignments.vmOf(worker)?.channel.send({ kind: "worker-leaves", worker }),
+        });
         this.cell.recover(
             contents.snapshot as CellSnapshot | undefined,
             contents.records as readonly CellRecord[],
--- a/packages/entry/src/protocol/messages.ts
+++ b/packages/entry/src/protocol/messages.ts
@@ -27,6 +27,14 @@
     readonly address: string;
     /** Orders of this link carry this token or one a little higher, as it settles what got no answer. */
     readonly token: FencingToken;
+    /** Whether the worker has said that it leaves. */
+    readonly isLeaving: boolean;
+}
+
+/** A worker says that it leaves: its leases are short from now on. */
+export interface WorkerLeavesMessage {
+    readonly kind: "worker-leaves";
+    readonly worker: WorkerId;
 }
 
 /** Takes the link to a worker away. */
@@ -117,6 +125,7 @@
     | WelcomeMessage
     | AssignMessage
     | UnassignMessage
+    | WorkerLeavesMessage
     | CommandMessage
     | AcknowledgeMessage
     | AskMessage
--- a/packages/entry/test/links/worker-link.test.ts
+++ b/packages/entry/test/links/worker-link.test.ts
@@ -66,7 +66,7 @@
     const sent: VmMessage[] = [];
     const logger = new KeptLog();
     const link = new WorkerLink({
-        assignment: { kind: "assign", worker, address: "127.0.0.1:1", token: fencingToken(100) },
+        assignment: { kind: "assign", worker, address: "127.0.0.1:1", token: fencingToken(100), isLeaving: false },
         client,
         clock,
         logger,
