--- a/packages/entry/test/following/follow-loop.test.ts
+++ b/packages/entry/test/following/follow-loop.test.ts
@@ -18,6 +18,11 @@
 class QuietStore implements Followed {
     calls = 0;
     answerTime: Milliseconds = 4;
+    /** Whether a call that is given up ends. */
+    heedsSignals = true;
+    /** Answers that were taken in. */
+    taken = 0;
+    readonly #hanging: (() => void)[] = [];
     /** Grows with each fall: calls of an earlier generation get no answer. */
     #generation = 0;
 
@@ -36,20 +41,32 @@
         return this.#answer(wait, signal);
     }
 
+    /** What hangs on silent connections is answered after all. */
+    answerSilent(): void {
+        this.#hanging.splice(0).forEach(answer => answer());
+    }
+
     async #answer(wait: Milliseconds, signal: AbortSignal): Promise<string> {
         const generation = this.#generation;
         this.calls++;
         await this.clock.sleep(wait + this.answerTime);
         if (generation !== this.#generation) {
-            await new Promise((_resolve, reject) => {
-                signal.addEventListener("abort", () => reject(signal.reason as Error));
-                if (signal.aborted) {
-                    reject(signal.reason as Error);
-                }
-            });
+            await this.#hang(signal);
         }
+        this.taken++;
         return "cursor";
     }
+
+    #hang(signal: AbortSignal): Promise<void> {
+        return new Promise((resolve, reject) => {
+            this.#hanging.push(resolve);
+            const end = () => this.heedsSignals ? reject(signal.reason as Error) : undefined;
+            signal.addEventListener("abort", end);
+            if (signal.aborted) {
+                end();
+            }
+        });
+    }
 }
 
 const limits = followLimitsOf({ drainWithin: boundOfUsers, configurationWithin: 2_500, contact: 3_000 });
@@ -121,6 +138,19 @@
         stop.abort();
     });
 
+    it("is given up on time also where a call goes on, as through another VM, and what it brings later is not taken in", async () => {
+        const { clock, store, loop, stop } = begin();
+        store.heedsSignals = false;
+        await pass(clock, 700);
+        store.silenceOpen();
+        expect(await oldestIn(clock, loop, 3_000)).toBeLessThan(boundOfUsers);
+        const taken = store.taken;
+        store.answerSilent();
+        await pass(clock, 100);
+        expect(store.taken).toEqual(taken);
+        stop.abort();
+    });
+
     it("is still heard where the store answers later than any slack", async () => {
         const { clock, store, loop, stop } = begin();
         await pass(clock, 3_000);
