A call for news that is given up is left to itself, and what it brings later is not taken in

Cause: a call that goes through another VM does not end when it is given up, so an owner that the store turns away waited 2 to 3 s on a silent connection; and its answer would have been taken in after newer news. Change: the loop takes news in itself, and only of calls that it still waits for.

--- a/packages/entry/src/configuration/watch.ts
+++ b/packages/entry/src/configuration/watch.ts
@@ -8,7 +8,7 @@
 } from "@pebbledale/cell";
 import { type Clock, logEvents, type Milliseconds } from "@pebbledale/core";
 import type { EventLogger } from "@pebbledale/runtime";
-import { type Followed, type FollowLimits, FollowLoop } from "../following/index.js";
+import { type Followed, type FollowedNews, type FollowLimits, FollowLoop } from "../following/index.js";
 import { DependencyWatch } from "../observation/index.js";
 
 /**
@@ -89,19 +89,15 @@
     }
 
     /** See {@link Followed.readAll}. */
-    async readAll(signal: AbortSignal): Promise<string> {
+    async readAll(signal: AbortSignal): Promise<FollowedNews> {
         const news = await this.options.feed.read(signal);
-        this.#takeNews(news);
-        return news.cursor;
+        return { cursor: news.cursor, take: () => this.#takeNews(news) };
     }
 
-    /** See {@link Followed.takeChanges}. */
-    async takeChanges(cursor: string, wait: Milliseconds, signal: AbortSignal): Promise<string | undefined> {
+    /** See {@link Followed.changes}. */
+    async changes(cursor: string, wait: Milliseconds, signal: AbortSignal): Promise<FollowedNews | undefined> {
         const news = await this.options.feed.follow(cursor, wait, signal);
-        if (news !== undefined) {
-            this.#takeNews(news);
-        }
-        return news?.cursor;
+        return news && { cursor: news.cursor, take: () => this.#takeNews(news) };
     }
 
     #takeNews({ configuration, waves }: OperatorNews): void {
--- a/packages/entry/src/following/follow-loop.ts
+++ b/packages/entry/src/following/follow-loop.ts
@@ -17,12 +17,20 @@
 } from "./constants.js";
 import type { FollowLimits } from "./limits.js";
 
-/** What is followed, and who takes it in. Calls reject when no answer came. */
+/** What one call brought. */
+export interface FollowedNews {
+    /** Where the next call goes on. */
+    readonly cursor: string;
+    /** Takes it in. Not done for a call that was given up: newer news may have been taken in before it ends. */
+    readonly take: () => void;
+}
+
+/** What is followed. Calls reject when no answer came. */
 export interface Followed {
-    /** Reads all as it stands; resolves to the cursor from which changes go on. */
-    readAll(signal: AbortSignal): Promise<string>;
-    /** Waits at most `wait` for changes; resolves to the next cursor, undefined when all must be read again. */
-    takeChanges(cursor: string, wait: Milliseconds, signal: AbortSignal): Promise<string | undefined>;
+    /** Reads all as it stands. */
+    readAll(signal: AbortSignal): Promise<FollowedNews>;
+    /** Waits at most `wait` for changes since; undefined when all must be read again. */
+    changes(cursor: string, wait: Milliseconds, signal: AbortSignal): Promise<FollowedNews | undefined>;
 }
 
 /** What a loop needs. */
@@ -58,7 +66,9 @@
         let cursor: string | undefined;
         while (!signal.aborted) {
             try {
-                cursor = await this.#followOnce(cursor, signal);
+                const news = await this.#followOnce(cursor, signal);
+                news?.take();
+                cursor = news?.cursor;
                 this.#answeredAt = clock.monotonic();
                 this.#failuresInARow = 0;
                 onAnswer();
@@ -73,7 +83,7 @@
         }
     }
 
-    #followOnce(cursor: string | undefined, signal: AbortSignal): Promise<string | undefined> {
+    #followOnce(cursor: string | undefined, signal: AbortSignal): Promise<FollowedNews | undefined> {
         const { followed, limits } = this.options;
         if (cursor === undefined) {
             const limit = Math.min(mostReadAllLimit, readAllLimit * 2 ** this.#failuresInARow);
@@ -82,9 +92,9 @@
         const wait = this.#failuresInARow > 0 ? probeWait : limits.wait;
         return this.#within(wait + this.#slack, signal, async linked => {
             const sentAt = this.options.clock.monotonic();
-            const next = await followed.takeChanges(cursor, wait, linked);
+            const news = await followed.changes(cursor, wait, linked);
             this.#noteAnswerTime(this.options.clock.monotonic() - sentAt - wait);
-            return next;
+            return news;
         });
     }
 
@@ -100,7 +110,10 @@
         }
     }
 
-    /** Gives a call up after `limit`: without an answer by then its connection is taken for silent. */
+    /**
+     * Gives a call up after `limit`: without an answer by then its connection is taken for silent. One that goes through
+     * another VM does not heed the signal and is left to itself.
+     */
     async #within<Value>(
         limit: Milliseconds,
         signal: AbortSignal,
@@ -110,11 +123,14 @@
         const end = () => ended.abort(signal.reason);
         signal.addEventListener("abort", end, { once: true });
         const finished = createAbortController();
+        const givenUp = new Promise<never>((_resolve, reject) =>
+            ended.signal.addEventListener("abort", () => reject(ended.signal.reason as Error))
+        );
         void this.options.clock.sleep(limit, finished.signal).then(() =>
-            ended.abort(new NoAnswerError(`no answer in ${Math.round(limit)} ms`))
+            finished.signal.aborted ? undefined : ended.abort(new NoAnswerError(`no answer in ${Math.round(limit)} ms`))
         );
         try {
-            return await call(ended.signal);
+            return await Promise.race([call(ended.signal), givenUp]);
         }
         finally {
             finished.abort();
--- a/packages/entry/src/membership/followed-keys.ts
+++ b/packages/entry/src/membership/followed-keys.ts
@@ -1,6 +1,6 @@
 /** Keys of the store that are followed by prefix. */
 import type { ChangeFeed, KeyChanges, KeysAtCursor, Milliseconds } from "@pebbledale/core";
-import type { Followed } from "../following/index.js";
+import type { Followed, FollowedNews } from "../following/index.js";
 
 /** Takes in what is followed. */
 export interface KeyFollower {
@@ -19,18 +19,14 @@
     ) {}
 
     /** See {@link Followed.readAll}. */
-    async readAll(signal: AbortSignal): Promise<string> {
+    async readAll(signal: AbortSignal): Promise<FollowedNews> {
         const keys = await this.feed.readAll(this.prefix, signal);
-        this.follower.replace(keys);
-        return keys.cursor;
+        return { cursor: keys.cursor, take: () => this.follower.replace(keys) };
     }
 
-    /** See {@link Followed.takeChanges}. */
-    async takeChanges(cursor: string, wait: Milliseconds, signal: AbortSignal): Promise<string | undefined> {
+    /** See {@link Followed.changes}. */
+    async changes(cursor: string, wait: Milliseconds, signal: AbortSignal): Promise<FollowedNews | undefined> {
         const changes = await this.feed.changes(this.prefix, cursor, wait, signal);
-        if (changes !== undefined) {
-            this.follower.change(changes);
-        }
-        return changes?.cursor;
+        return changes && { cursor: changes.cursor, take: () => this.follower.change(changes) };
     }
 }
--- a/packages/entry/src/owner/followed-workers.ts
+++ b/packages/entry/src/owner/followed-workers.ts
@@ -1,25 +1,24 @@
 /** The workers' entries in the platform's store, as the owner follows them. */
 import type { CellScheduler, WorkerDirectory } from "@pebbledale/cell";
 import type { Milliseconds } from "@pebbledale/core";
-import type { Followed } from "../following/index.js";
+import type { Followed, FollowedNews } from "../following/index.js";
 
 /** See the module's comment. */
 export class FollowedWorkers implements Followed {
     constructor(private readonly directory: WorkerDirectory, private readonly cell: CellScheduler) {}
 
     /** See {@link Followed.readAll}. */
-    async readAll(signal: AbortSignal): Promise<string> {
-        const listing = await this.directory.list(signal);
-        this.cell.listWorkers(listing.workers);
-        return listing.cursor;
+    async readAll(signal: AbortSignal): Promise<FollowedNews> {
+        const { workers, cursor } = await this.directory.list(signal);
+        return { cursor, take: () => this.cell.listWorkers(workers) };
     }
 
-    /** See {@link Followed.takeChanges}. */
-    async takeChanges(cursor: string, wait: Milliseconds, signal: AbortSignal): Promise<string | undefined> {
+    /** See {@link Followed.changes}. */
+    async changes(cursor: string, wait: Milliseconds, signal: AbortSignal): Promise<FollowedNews | undefined> {
         const changes = await this.directory.follow(cursor, wait, signal);
-        if (changes !== undefined) {
-            this.cell.changeWorkers(changes.changed, changes.gone);
-        }
-        return changes?.cursor;
+        return changes && {
+            cursor: changes.cursor,
+            take: () => this.cell.changeWorkers(changes.changed, changes.gone),
+        };
     }
 }
