--- a/packages/entry/src/owner/index.ts
+++ b/packages/entry/src/owner/index.ts
@@ -4,4 +4,5 @@
 export * from "./owner-session.js";
 export * from "./pass-pacer.js";
 export * from "./turn-runner.js";
+export * from "./types.js";
 export * from "./vm-link.js";
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -5,32 +5,17 @@
     CellScheduler,
     type CellSnapshot,
     type UpkeepWave,
-    type VmService,
-    type WaveBoard,
-    type WorkerDirectory,
 } from "@pebbledale/cell";
-import {
-    type Clock,
-    fencingToken,
-    type Journal,
-    type JournalContents,
-    JournalFencedError,
-    logEvents,
-    type Milliseconds,
-    type WorkerId,
-} from "@pebbledale/core";
-import type { EventLogger } from "@pebbledale/runtime";
+import { fencingToken, JournalFencedError, logEvents, type Milliseconds } from "@pebbledale/core";
 import { AdviceDispatcher } from "../advice/index.js";
 import { configurationGrace } from "../configuration/index.js";
-import { type FollowLimits, FollowLoop } from "../following/index.js";
+import { FollowLoop } from "../following/index.js";
 import type { EntryVm } from "../membership/index.js";
-import type { EntryMetrics } from "../observation/index.js";
 import { type Channel, type OwnerMessage, type OwnerRequest, type VmMessage } from "../protocol/index.js";
 import type { StoreRelay } from "../store-relay/index.js";
 import { Assignments } from "./assignments.js";
 import {
     confirmationHorizon,
-    lookAgeMargin,
     muchLarger,
     offerAfter,
     ownerBeatInterval,
@@ -42,49 +27,10 @@
 import { Interval } from "./interval.js";
 import { RequestDesk } from "./request-desk.js";
 import { TurnRunner } from "./turn-runner.js";
+import type { OwnerSessionOptions } from "./types.js";
 import { UpkeepKeeper } from "./upkeep-keeper.js";
 import { VmLink } from "./vm-link.js";
-
-/** What an owner needs. */
-export interface OwnerSessionOptions {
-    readonly journal: Journal;
-    readonly contents: JournalContents;
-    readonly directory: WorkerDirectory;
-    /** How long the workers' entries may go unheard. */
-    readonly followLimits: FollowLimits;
-    readonly clock: Clock;
-    readonly logger: EventLogger;
-    readonly metrics: EntryMetrics;
-    readonly name: string;
-    readonly configuration: CellConfiguration | undefined;
-    /** How long after a take-over an earlier owner's leases may run at a worker that nobody reaches. */
-    readonly formerLeases: Milliseconds;
-    /** When the store last confirmed that this VM owns the cell, by the monotonic clock. */
-    readonly confirmedAt: () => Milliseconds;
-    /** Fires when the cell is lost to another owner. */
-    readonly lost: AbortController;
-    /** Told of a VM that gave no sign of life for too long. */
-    readonly onSilentVm: (name: string) => void;
-    /** Told once when a much larger VM has been connected for a while. */
-    readonly onLargerVm: () => void;
-    /** Whether this VM has been cut off from most of the others. */
-    readonly isCutOff: () => boolean;
-    /** Told of a configuration that a VM saw. */
-    readonly onConfiguration: (configuration: CellConfiguration) => void;
-    /** The platform's service of VMs; undefined where there is none. */
-    readonly upkeep: OwnerUpkeep | undefined;
-}
-
-/** What an owner needs for waves of upkeep. */
-export interface OwnerUpkeep {
-    readonly vms: VmService;
-    readonly board: WaveBoard;
-    readonly upkeepTime: Milliseconds;
-    readonly turnLength: Milliseconds;
-}
-
-/** Messages that concern one worker's link. */
-type WorkerMessage = Extract<VmMessage, { worker: WorkerId; }>;
+import { WorkerInbox } from "./worker-inbox.js";
 
 /** See the module's comment. */
 export class OwnerSession {
@@ -92,7 +38,6 @@
     readonly #vms = new Map<string, VmLink>();
     readonly #assignments: Assignments;
     readonly #advice: AdviceDispatcher;
-    readonly #openedAt: Milliseconds;
     readonly #requests: RequestDesk;
     readonly #upkeep: UpkeepKeeper | undefined;
     #configuration: CellConfiguration | undefined;
@@ -100,6 +45,7 @@
     readonly #beat: Interval;
     readonly #summary: Interval;
     readonly #workerEntries: FollowLoop;
+    readonly #workerInbox: WorkerInbox;
     #isHandingOver = false;
     #nextRelay = 0;
 
@@ -115,8 +61,14 @@
             contents.records as readonly CellRecord[],
         );
         journal.setSnapshotSource(() => this.cell.snapshot());
-        this.#openedAt = clock.monotonic();
         this.#assignments = new Assignments(journal.epoch, name, () => clock.monotonic());
+        this.#workerInbox = new WorkerInbox({
+            cell: this.cell,
+            assignments: this.#assignments,
+            clock,
+            formerLeasesOverAt: clock.monotonic() + options.formerLeases,
+            onFenced: worker => this.stepDown(`worker ${worker} has seen a later owner`),
+        });
         this.#beat = new Interval(clock, ownerBeatInterval);
         this.#summary = new Interval(clock, summaryInterval);
         this.#advice = new AdviceDispatcher(() => clock.monotonic(), this.cell);
@@ -352,8 +304,7 @@
     }
 
     #take(link: VmLink, message: VmMessage): void {
-        const now = this.options.clock.monotonic();
-        link.heardAt = now;
+        link.heardAt = this.options.clock.monotonic();
         switch (message.kind) {
             case "request":
                 void this.#answer(link, message.request, message.body);
@@ -384,73 +335,11 @@
             case "owner-heard":
                 return;
             default:
-                this.#takeOfWorker(link, message, now);
+                this.#workerInbox.take(link, message);
         }
         this.#turns.request();
     }
 
-    #takeOfWorker(
-        link: VmLink,
-        message: WorkerMessage,
-        now: Milliseconds,
-    ): void {
-        const assignment = this.#assignments.at(message.worker, link);
-        if (assignment === undefined) {
-            // Another VM has the link by now; its first look tells all that is known here.
-            return;
-        }
-        switch (message.kind) {
-            case "looked": {
-                const settledBefore = assignment.hasLooked ? -Infinity : assignment.since;
-                assignment.hasLooked = true;
-                this.#resumeIfSilent(link, message.worker);
-                this.cell.takeLook(message.worker, message.look, now - message.age - lookAgeMargin, settledBefore);
-                break;
-            }
-            case "ends":
-                this.cell.takeEnds(message.worker, message.ended);
-                break;
-            case "started":
-                this.#takeStarted(message);
-                break;
-            case "silent":
-                this.cell.takeSilence(
-                    message.worker,
-                    this.#lapsesAt(message.worker, message.lapsesIn, now),
-                    message.cause,
-                );
-                break;
-            case "other-life":
-                this.cell.takeOtherLife(message.worker);
-                this.#assignments.remove(message.worker);
-                break;
-            case "fenced":
-                this.stepDown(`worker ${message.worker} has seen a later owner`);
-                break;
-        }
-    }
-
-    /** A worker that answers again may be given leases from now on: what lapsed meanwhile was taken in. */
-    #resumeIfSilent(link: VmLink, worker: WorkerId): void {
-        if (this.cell.workers.get(worker)?.silentSince !== undefined) {
-            link.channel.send({ kind: "resume", worker });
-        }
-    }
-
-    #takeStarted({ worker, task, run, refusal }: VmMessage & { kind: "started"; }): void {
-        if (refusal === undefined) {
-            this.cell.startTaken(worker, task, run);
-            return;
-        }
-        this.cell.startRefused(worker, task, run, refusal === "not-delivered" ? undefined : refusal);
-    }
-
-    /** Until the first look of this owner, an earlier one's leases may run longer than this link's own. */
-    #lapsesAt(worker: WorkerId, lapsesIn: Milliseconds, now: Milliseconds): Milliseconds {
-        const isClaimed = this.cell.workers.get(worker)?.isClaimed === true;
-        return isClaimed ? now + lapsesIn : Math.max(now + lapsesIn, this.#openedAt + this.options.formerLeases);
-    }
-
     async #answer(link: VmLink, request: number, body: OwnerRequest): Promise<void> {
         // While the cell is handed over the next owner is asked again by the front.
         const reply = this.#isHandingOver ? undefined : await this.#requests.reply(body);
--- /dev/null
+++ b/packages/entry/src/owner/types.ts
@@ -0,0 +1,44 @@
+/** What an owner is made from. */
+import type { CellConfiguration, VmService, WaveBoard, WorkerDirectory } from "@pebbledale/cell";
+import type { Clock, Journal, JournalContents, Milliseconds } from "@pebbledale/core";
+import type { EventLogger } from "@pebbledale/runtime";
+import type { FollowLimits } from "../following/index.js";
+import type { EntryMetrics } from "../observation/index.js";
+
+/** What an owner needs. */
+export interface OwnerSessionOptions {
+    readonly journal: Journal;
+    readonly contents: JournalContents;
+    readonly directory: WorkerDirectory;
+    /** How long the workers' entries may go unheard. */
+    readonly followLimits: FollowLimits;
+    readonly clock: Clock;
+    readonly logger: EventLogger;
+    readonly metrics: EntryMetrics;
+    readonly name: string;
+    readonly configuration: CellConfiguration | undefined;
+    /** How long after a take-over an earlier owner's leases may run at a worker that nobody reaches. */
+    readonly formerLeases: Milliseconds;
+    /** When the store last confirmed that this VM owns the cell, by the monotonic clock. */
+    readonly confirmedAt: () => Milliseconds;
+    /** Fires when the cell is lost to another owner. */
+    readonly lost: AbortController;
+    /** Told of a VM that gave no sign of life for too long. */
+    readonly onSilentVm: (name: string) => void;
+    /** Told once when a much larger VM has been connected for a while. */
+    readonly onLargerVm: () => void;
+    /** Whether this VM has been cut off from most of the others. */
+    readonly isCutOff: () => boolean;
+    /** Told of a configuration that a VM saw. */
+    readonly onConfiguration: (configuration: CellConfiguration) => void;
+    /** The platform's service of VMs; undefined where there is none. */
+    readonly upkeep: OwnerUpkeep | undefined;
+}
+
+/** What an owner needs for waves of upkeep. */
+export interface OwnerUpkeep {
+    readonly vms: VmService;
+    readonly board: WaveBoard;
+    readonly upkeepTime: Milliseconds;
+    readonly turnLength: Milliseconds;
+}
--- /dev/null
+++ b/packages/entry/src/owner/worker-inbox.ts
@@ -0,0 +1,91 @@
+/** Takes in what VMs say of the workers whose links they have. */
+import type { CellScheduler } from "@pebbledale/cell";
+import type { Clock, Milliseconds, WorkerId } from "@pebbledale/core";
+import type { VmMessage } from "../protocol/index.js";
+import type { Assignments } from "./assignments.js";
+import { lookAgeMargin } from "./constants.js";
+import type { VmLink } from "./vm-link.js";
+
+/** Messages that concern one worker's link. */
+export type WorkerMessage = Extract<VmMessage, { worker: WorkerId; }>;
+
+/** What an inbox needs. */
+export interface WorkerInboxOptions {
+    readonly cell: CellScheduler;
+    readonly assignments: Assignments;
+    readonly clock: Clock;
+    /** When leases that an earlier owner gave are over, also at a worker that nobody reaches, by the monotonic clock. */
+    readonly formerLeasesOverAt: Milliseconds;
+    /** Told of a worker that has seen a later owner. */
+    readonly onFenced: (worker: WorkerId) => void;
+}
+
+/** See the module's comment. */
+export class WorkerInbox {
+    constructor(private readonly options: WorkerInboxOptions) {}
+
+    /** Takes a message of a VM in. */
+    take(link: VmLink, message: WorkerMessage): void {
+        const { cell, assignments, onFenced } = this.options;
+        if (assignments.at(message.worker, link) === undefined) {
+            // Another VM has the link by now; its first look tells all that is known here.
+            return;
+        }
+        switch (message.kind) {
+            case "looked":
+                this.#takeLook(link, message);
+                break;
+            case "ends":
+                cell.takeEnds(message.worker, message.ended);
+                break;
+            case "started":
+                this.#takeStarted(message);
+                break;
+            case "silent":
+                cell.takeSilence(message.worker, this.#lapsesAt(message.worker, message.lapsesIn), message.cause);
+                break;
+            case "other-life":
+                cell.takeOtherLife(message.worker);
+                assignments.remove(message.worker);
+                break;
+            case "fenced":
+                onFenced(message.worker);
+                break;
+        }
+    }
+
+    #takeLook(link: VmLink, { worker, look, age }: WorkerMessage & { kind: "looked"; }): void {
+        const { cell, assignments, clock } = this.options;
+        const assignment = assignments.at(worker, link);
+        if (assignment === undefined) {
+            return;
+        }
+        const settledBefore = assignment.hasLooked ? -Infinity : assignment.since;
+        assignment.hasLooked = true;
+        this.#resumeIfSilent(link, worker);
+        cell.takeLook(worker, look, clock.monotonic() - age - lookAgeMargin, settledBefore);
+    }
+
+    /** A worker that answers again may be given leases from now on: what lapsed meanwhile was taken in. */
+    #resumeIfSilent(link: VmLink, worker: WorkerId): void {
+        if (this.options.cell.workers.get(worker)?.silentSince !== undefined) {
+            link.channel.send({ kind: "resume", worker });
+        }
+    }
+
+    #takeStarted({ worker, task, run, refusal }: WorkerMessage & { kind: "started"; }): void {
+        const { cell } = this.options;
+        if (refusal === undefined) {
+            cell.startTaken(worker, task, run);
+            return;
+        }
+        cell.startRefused(worker, task, run, refusal === "not-delivered" ? undefined : refusal);
+    }
+
+    /** Until the first look of this owner, an earlier one's leases may run longer than this link's own. */
+    #lapsesAt(worker: WorkerId, lapsesIn: Milliseconds): Milliseconds {
+        const { cell, clock, formerLeasesOverAt } = this.options;
+        const lapsesAt = clock.monotonic() + lapsesIn;
+        return cell.workers.get(worker)?.isClaimed === true ? lapsesAt : Math.max(lapsesAt, formerLeasesOverAt);
+    }
+}
