--- a/packages/entry/src/peers/vm-dialer.ts
+++ b/packages/entry/src/peers/vm-dialer.ts
@@ -34,9 +34,9 @@
 /** Time between two looks at whether enough VMs were reached, in milliseconds. */
 const reachInterval: Milliseconds = 10;
 /**
- * A connected VM that was not heard for this long is dialled again: its connection may have fallen silent while new ones work. Two
- * beats and some. With the limit of that dial it is known by {@link vmSilence} whether the VM is reached, and an owner whose
- * connections all fell silent serves on 0.7 s later; it gave the cell up before (1.2 s without an owner at best).
+ * A connected VM that was not heard for this long, two beats and some, is dialled again: its connection may have fallen silent while
+ * new ones work. With the limit of that dial it is known before the connection is dropped whether the VM is reached. An owner all of
+ * whose connections fell silent has its VMs again 0.75 s later (its log); it gave the cell up after 1.25 s before.
  */
 const redialAfter: Milliseconds = 600;
 /** Limit of that dial. */
