--- a/packages/entry/test/links/vm-session.test.ts
+++ b/packages/entry/test/links/vm-session.test.ts
@@ -3,17 +3,19 @@
  * told after their whole deadline that it is not known what became of their jobs (504, 650 of 1,419). The lines of the fronts (4802)
  * carried how long the owner had not been heard: it grew to the length of the silence, and nobody acted on it.
  */
-import { type Epoch, ManualClock } from "@pebbledale/core";
+import { type Epoch, fencingToken, ManualClock, workerId } from "@pebbledale/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { type Channel, createMemoryChannel, type OwnerMessage, type VmMessage, VmSession } from "../../src/index.js";
 import { KeptLog, pass, settle } from "../support/index.js";
 
-const begin = () => {
+type Clients = ConstructorParameters<typeof VmSession>[0]["clients"];
+
+const begin = (clients = {} as Clients) => {
     const clock = new ManualClock();
     const stop = new AbortController();
     const session = new VmSession({
-        clients: {} as ConstructorParameters<typeof VmSession>[0]["clients"],
+        clients,
         advice: undefined,
         clock,
         logger: new KeptLog(),
@@ -49,6 +51,36 @@
         stop.abort();
     });
 
+    /*
+     * An owner that comes back over a new connection gives out all links anew, also to other VMs. The links that a VM still had from
+     * before, at the same epoch, went on asking their workers eight times a second with tokens that these refuse.
+     */
+    it("ends its links when the same owner speaks again, as that one gives them out anew", async () => {
+        let looks = 0;
+        const client = {
+            look: () => {
+                looks++;
+                return Promise.resolve({ kind: "seen", look: { clock: 1, running: [], ended: [] } });
+            },
+            close: () => Promise.resolve(),
+        };
+        const { clock, stop, session } = begin({ clientOf: () => client } as never);
+        const [owner, vm] = createMemoryChannel<OwnerMessage, VmMessage>();
+        session.attach(vm);
+        await welcome(owner);
+        const worker = workerId("w");
+        owner.send({ kind: "assign", worker, address: "127.0.0.1:1", token: fencingToken(1), isLeaving: false });
+        await pass(clock, 2_000);
+        expect(session.hasOwner).toEqual(false);
+        const [again, other] = createMemoryChannel<OwnerMessage, VmMessage>();
+        session.attach(other);
+        await welcome(again);
+        const before = looks;
+        await pass(clock, 500);
+        expect([before > 0, looks - before]).toEqual([true, 0]);
+        stop.abort();
+    });
+
     it("keeps the connection of an owner that sends beats", async () => {
         const { clock, stop, session } = begin();
         const [owner, vm] = createMemoryChannel<OwnerMessage, VmMessage>();
