A VM ends its links whenever an owner begins to speak to it

Cause: links were kept when the same owner came back after its connection was lost; it gives all links out anew, so those given to other VMs went on at the former one with tokens that the workers refuse: 43 looks at one worker in half a second (virtual time) to none.

--- a/packages/entry/src/links/vm-session.ts
+++ b/packages/entry/src/links/vm-session.ts
@@ -146,9 +146,8 @@
             return;
         }
         const former = this.#channel;
-        if (epoch > this.#epoch || former !== undefined) {
-            this.#links.endAll();
-        }
+        // An owner that speaks anew, also the same one, gives out all links anew; former ones would ask workers that refuse them.
+        this.#links.endAll();
         this.#epoch = epoch;
         this.#channel = channel;
         this.#noteHeard();
