--- a/packages/entry/src/links/links.ts
+++ b/packages/entry/src/links/links.ts
@@ -2,7 +2,7 @@
 import type { TaskWorkerClient, TaskWorkerClients } from "@pebbledale/cell";
 import type { Clock, Milliseconds, WorkerId } from "@pebbledale/core";
 import type { EventLogger } from "@pebbledale/runtime";
-import type { AssignMessage, CommandMessage, VmMessage } from "../protocol/index.js";
+import type { AssignMessage, CommandMessage, WorkerMessage } from "../protocol/index.js";
 import { ownerHorizon } from "./constants.js";
 import { LossWatch } from "./loss-watch.js";
 import { WorkerLink } from "./worker-link.js";
@@ -13,7 +13,7 @@
     readonly clock: Clock;
     readonly logger: EventLogger;
     readonly leaseLength: Milliseconds;
-    readonly send: (message: VmMessage) => void;
+    readonly send: (message: WorkerMessage) => void;
 }
 
 /** See the module's comment. */
@@ -46,7 +46,7 @@
             leaseLength: this.options.leaseLength,
             mayRenew: () => this.options.clock.monotonic() - this.#heardAt < ownerHorizon,
             losses: this.#losses,
-            send: message => this.options.send(message),
+            send: report => this.options.send({ ...report, assignment: assignment.token }),
         });
         this.#links.set(worker, link);
         if (assignment.isLeaving) {
--- a/packages/entry/src/links/worker-link.ts
+++ b/packages/entry/src/links/worker-link.ts
@@ -24,7 +24,7 @@
     type WorkerId,
 } from "@pebbledale/core";
 import { createAbortController, type EventLogger } from "@pebbledale/runtime";
-import type { AssignMessage, VmMessage } from "../protocol/index.js";
+import type { AssignMessage, WorkerReport } from "../protocol/index.js";
 import {
     acknowledgeWait,
     leavingLease,
@@ -53,7 +53,7 @@
     readonly mayRenew: () => boolean;
     /** Shared by all links of the VM. */
     readonly losses: LossWatch;
-    readonly send: (message: VmMessage) => void;
+    readonly send: (report: WorkerReport) => void;
 }
 
 /** How one look is made. */
--- a/packages/entry/src/owner/index.ts
+++ b/packages/entry/src/owner/index.ts
@@ -6,3 +6,4 @@
 export * from "./turn-runner.js";
 export * from "./types.js";
 export * from "./vm-link.js";
+export * from "./worker-inbox.js";
--- a/packages/entry/src/owner/worker-inbox.ts
+++ b/packages/entry/src/owner/worker-inbox.ts
@@ -1,14 +1,11 @@
 /** Takes in what VMs say of the workers whose links they have. */
 import type { CellScheduler } from "@pebbledale/cell";
 import type { Clock, Milliseconds, WorkerId } from "@pebbledale/core";
-import type { VmMessage } from "../protocol/index.js";
+import type { WorkerMessage } from "../protocol/index.js";
 import type { Assignments } from "./assignments.js";
 import { lookAgeMargin } from "./constants.js";
 import type { VmLink } from "./vm-link.js";
 
-/** Messages that concern one worker's link. */
-export type WorkerMessage = Extract<VmMessage, { worker: WorkerId; }>;
-
 /** What an inbox needs. */
 export interface WorkerInboxOptions {
     readonly cell: CellScheduler;
--- a/packages/entry/src/protocol/messages.ts
+++ b/packages/entry/src/protocol/messages.ts
@@ -225,14 +225,21 @@
     readonly body: OwnerRequest;
 }
 
-/** What an entry VM says. */
-export type VmMessage =
+/** What a link to a worker reports. */
+export type WorkerReport =
     | LookedMessage
     | EndsMessage
     | StartedMessage
     | SilentMessage
     | OtherLifeMessage
-    | FencedMessage
+    | FencedMessage;
+
+/** A report, and under which assignment of the link it was made: the token that came with it. */
+export type WorkerMessage = WorkerReport & { readonly assignment: FencingToken; };
+
+/** What an entry VM says. */
+export type VmMessage =
+    | WorkerMessage
     | AdvisedMessage
     | RequestMessage
     | StoreAnswerMessage
--- a/packages/entry/test/links/worker-link.test.ts
+++ b/packages/entry/test/links/worker-link.test.ts
@@ -12,7 +12,7 @@
 import { fencingToken, ManualClock, runNumber, taskAddress, workerId, WorkerUnreachableError } from "@pebbledale/core";
 import { expect } from "earl";
 import { afterEach, describe, it } from "node:test";
-import { LossWatch, type VmMessage, WorkerLink } from "../../src/index.js";
+import { LossWatch, WorkerLink, type WorkerReport } from "../../src/index.js";
 import { KeptLog, pass, settle } from "../support/index.js";
 
 const worker = workerId("w");
@@ -63,7 +63,7 @@
 const links: WorkerLink[] = [];
 const make = (client: FakeClient, mayRenew = () => true) => {
     const clock = new ManualClock();
-    const sent: VmMessage[] = [];
+    const sent: WorkerReport[] = [];
     const logger = new KeptLog();
     const link = new WorkerLink({
         assignment: { kind: "assign", worker, address: "127.0.0.1:1", token: fencingToken(100), isLeaving: false },
