Reports of a link count only for the assignment under which they were made

A link that was given anew to the same VM had its former link's look taken for its first one, and what that did not show was settled as not begun, though no higher token had reached the worker. Change: reports carry the token of their assignment; others are not taken in.

--- a/packages/entry/src/owner/assignments.ts
+++ b/packages/entry/src/owner/assignments.ts
@@ -7,6 +7,8 @@
 /** One worker's link. */
 interface Assignment {
     readonly vm: VmLink;
+    /** The token that the link was given; names the assignment in what the VM reports. */
+    readonly token: FencingToken;
     /** When it was assigned, by the owner's monotonic clock: what was ordered before is settled by its first look. */
     readonly since: Milliseconds;
     /** Whether its first look was taken in. */
@@ -34,10 +36,10 @@
         return this.#assigned.get(worker)?.vm;
     }
 
-    /** The assignment of a worker at a VM; undefined when another VM has it. */
-    at(worker: WorkerId, vm: VmLink): Assignment | undefined {
+    /** The assignment under which a VM reports of a worker; undefined when the worker has another one by now. */
+    under(token: FencingToken, worker: WorkerId, vm: VmLink): Assignment | undefined {
         const assignment = this.#assigned.get(worker);
-        return assignment?.vm === vm ? assignment : undefined;
+        return assignment?.vm === vm && assignment.token === token ? assignment : undefined;
     }
 
     /** Gives workers without a link to VMs, those of their data hall first, and evens VMs out. */
@@ -101,12 +103,13 @@
         const count = (this.#counts.get(worker.id) ?? 0) + 1;
         this.#counts.set(worker.id, count);
         vm.workers.add(worker.id);
-        this.#assigned.set(worker.id, { vm, since: this.now(), hasLooked: false });
+        const token = this.#tokenOf(count);
+        this.#assigned.set(worker.id, { vm, token, since: this.now(), hasLooked: false });
         vm.channel.send({
             kind: "assign",
             worker: worker.id,
             address: worker.address,
-            token: this.#tokenOf(count),
+            token,
             isLeaving: worker.entry?.isDraining === true,
         });
     }
--- a/packages/entry/src/owner/worker-inbox.ts
+++ b/packages/entry/src/owner/worker-inbox.ts
@@ -24,8 +24,9 @@
     /** Takes a message of a VM in. */
     take(link: VmLink, message: WorkerMessage): void {
         const { cell, assignments, onFenced } = this.options;
-        if (assignments.at(message.worker, link) === undefined) {
-            // Another VM has the link by now; its first look tells all that is known here.
+        if (assignments.under(message.assignment, message.worker, link) === undefined) {
+            // Another link, at this VM or another, has the worker by now; its first look tells all that is known here. A look of
+            // the former one would settle orders that may still reach the worker.
             return;
         }
         switch (message.kind) {
@@ -51,9 +52,9 @@
         }
     }
 
-    #takeLook(link: VmLink, { worker, look, age }: WorkerMessage & { kind: "looked"; }): void {
+    #takeLook(link: VmLink, { worker, look, age, assignment: token }: WorkerMessage & { kind: "looked"; }): void {
         const { cell, assignments, clock } = this.options;
-        const assignment = assignments.at(worker, link);
+        const assignment = assignments.under(token, worker, link);
         if (assignment === undefined) {
             return;
         }
