--- /dev/null
+++ b/packages/cell/test/support/load/draw.ts
@@ -0,0 +1,131 @@
+/** Draws the jobs of a load pattern, alike for the same seed. */
+import { type Milliseconds, SeededRandom } from "@pebbledale/core";
+import type { JobDefinition, StepDefinition } from "../../../src/index.js";
+import { makeJob, makeStep } from "../builders.js";
+import { queueName } from "@pebbledale/core";
+import type { Burst, LoadPattern, QueueLoad, Spread } from "./pattern.js";
+
+/** A job with what only the pattern knows of it. */
+export interface LoadJob {
+    readonly at: Milliseconds;
+    readonly load: QueueLoad;
+    readonly definition: JobDefinition;
+    /** By step and task, what the task takes on a worker of full speed. */
+    readonly works: readonly (readonly Milliseconds[])[];
+    /** By step, the task that fails once, if one does. */
+    readonly failing: readonly (number | undefined)[];
+    /** Core-seconds of all its tasks. */
+    readonly size: number;
+    /** The longest chain of work. */
+    readonly chain: Milliseconds;
+}
+
+const millisecondsPerSecond = 1_000;
+/** Arrivals are drawn in slices of this length. */
+const slice: Milliseconds = 10;
+
+/** Draws sizes from one generator. */
+export class Drawer {
+    constructor(private readonly random: SeededRandom) {}
+
+    /** True with this chance. */
+    happens(chance: number): boolean {
+        return this.random.next() < chance;
+    }
+
+    /** A whole number from 0, below a limit. */
+    below(limit: number): number {
+        return Math.floor(this.random.next() * limit);
+    }
+
+    /** A factor around 1, off by at most a share. */
+    around(share: number): number {
+        return 1 + (this.random.next() * 2 - 1) * share;
+    }
+
+    /** A factor whose logarithm is off by at most `error`. */
+    factor(error: number): number {
+        return Math.exp((this.random.next() * 2 - 1) * error);
+    }
+
+    /** A size of a spread. */
+    size({ mean, spread, most }: Spread): number {
+        const variance = Math.log(1 + spread * spread);
+        const drawn = Math.exp(Math.log(mean) - variance / 2 + Math.sqrt(variance) * this.#normal());
+        return Math.min(most, drawn);
+    }
+
+    /** A whole number of a spread, from 1. */
+    count(spread: Spread): number {
+        return Math.max(1, Math.round(this.size(spread)));
+    }
+
+    /** Of the standard normal distribution (Box and Muller). */
+    #normal(): number {
+        const radius = Math.sqrt(-2 * Math.log(1 - this.random.next()));
+        return radius * Math.cos(2 * Math.PI * this.random.next());
+    }
+}
+
+/** All jobs of a pattern, in the order of their arrival. */
+export const drawJobs = (pattern: LoadPattern): LoadJob[] => {
+    const jobs: LoadJob[] = [];
+    for (const load of pattern.queues) {
+        const drawer = new Drawer(new SeededRandom(pattern.seed + 7_919 * (1 + pattern.queues.indexOf(load))));
+        for (let at = 0; at < pattern.lasts; at += slice) {
+            const expected = load.perSecond * factorAt(pattern.bursts, load, at) * slice / millisecondsPerSecond;
+            let left = expected;
+            while (left > 0 && drawer.happens(Math.min(1, left))) {
+                jobs.push(drawJob(drawer, load, at, `${load.name}${jobs.length}`));
+                left -= 1;
+            }
+        }
+    }
+    return jobs.sort((left, right) => left.at - right.at);
+};
+
+const factorAt = (bursts: readonly Burst[], { name }: QueueLoad, at: Milliseconds): number =>
+    bursts
+        .filter(burst => burst.queue === name && at >= burst.at && at < burst.at + burst.lasts)
+        .reduce((factor, burst) => factor * burst.factor, 1);
+
+const drawJob = (drawer: Drawer, load: QueueLoad, at: Milliseconds, id: string): LoadJob => {
+    const drawn = Array.from({ length: drawer.count(load.steps) }, (_, index) => drawStep(drawer, load, index));
+    const steps = drawn.map(({ step }) => step);
+    const works = drawn.map(step => step.works);
+    const sizes = drawn.map(({ step, works: tasks }) =>
+        step.size.processorThousandths / 1_000 * tasks.reduce((sum, work) => sum + work, 0) / millisecondsPerSecond
+    );
+    return {
+        at,
+        load,
+        definition: makeJob(id, steps, { queue: queueName(load.name) }),
+        works,
+        failing: drawn.map(({ failing }) => failing),
+        size: sizes.reduce((sum, size) => sum + size, 0),
+        chain: works.reduce((sum, tasks) => sum + Math.max(...tasks), 0),
+    };
+};
+
+const drawStep = (
+    drawer: Drawer,
+    load: QueueLoad,
+    index: number,
+): { readonly step: StepDefinition; readonly works: readonly Milliseconds[]; readonly failing: number | undefined; } => {
+    const taskCount = drawer.count(load.width);
+    const mean = drawer.size(load.work);
+    const works = Array.from({ length: taskCount }, () => mean * drawer.around(load.unevenness));
+    const step = makeStep({
+        taskCount,
+        size: {
+            processorThousandths: Math.round(drawer.size(load.processorThousandths)),
+            memoryMebibytes: Math.round(drawer.size(load.memoryMebibytes)),
+            accelerators: 0,
+        },
+        estimate: Math.round(mean * drawer.factor(load.estimateError)),
+        after: index === 0 ? [] : [index - 1],
+        isGang: taskCount > 1 && drawer.happens(load.gangShare),
+        savesProgress: drawer.happens(load.savesShare),
+    });
+    return { step, works, failing: drawer.happens(load.failingShare) ? drawer.below(taskCount) : undefined };
+};
--- /dev/null
+++ b/packages/cell/test/support/load/outcome.ts
@@ -0,0 +1,99 @@
+/** What callers had of a replay, and what it cost. */
+import type { Milliseconds } from "@pebbledale/core";
+import type { LoadJob } from "./draw.js";
+
+/** A job that takes up to this many times its objective is late and worth a part; after that it is worth nothing. */
+const lateFactor = 3;
+/** What a late job is worth, as a share. */
+const lateWorth = 0.2;
+/** A job is worth this much of its queue's mean, and the rest by its work, at most four times the mean (the users' rules). */
+const fixedWorth = 0.3;
+const mostWorth = 4;
+
+/** What callers of some jobs had. */
+export interface Served {
+    readonly asked: number;
+    readonly onTime: number;
+    readonly late: number;
+    /** Worth earned as a share of worth asked. */
+    readonly share: number;
+    readonly median: Milliseconds;
+}
+
+/** What callers of one queue had, also of its largest tenth of jobs and the fifth beneath. */
+export interface QueueOutcome {
+    readonly all: Served;
+    readonly largestTenth: Served;
+    readonly fifthBeneath: Served;
+}
+
+/** See the module's comment. */
+export interface Outcome {
+    readonly total: number;
+    readonly queues: Readonly<Record<string, QueueOutcome>>;
+    /** Share of the processors that was free while tasks waited that would have fitted somewhere. */
+    readonly idleShare: number;
+    /** Core-seconds of work that was thrown away, as a share of all that was done. */
+    readonly wastedShare: number;
+    /** Runs stopped, by reason. */
+    readonly stops: Readonly<Record<string, number>>;
+    readonly questions: number;
+    /** What must not happen. */
+    readonly broken: readonly string[];
+}
+
+/** One job with when it ended; undefined when it did not. */
+export interface JobOutcome {
+    readonly job: LoadJob;
+    readonly took: Milliseconds | undefined;
+}
+
+/** What callers of some jobs had. `mean`: mean size of their queue's jobs. */
+export const served = (jobs: readonly JobOutcome[], mean: number): Served => {
+    const grades = jobs.map(gradeOf);
+    const worths = jobs.map(({ job }) => worthOf(job, mean));
+    const sum = (values: readonly number[]): number => values.reduce((total, value) => total + value, 0);
+    const times = jobs.map(({ took }) => took ?? Infinity).sort((left, right) => left - right);
+    return {
+        asked: jobs.length,
+        onTime: grades.filter(grade => grade === 1).length,
+        late: grades.filter(grade => grade === lateWorth).length,
+        share: sum(grades.map((grade, index) => grade * worths[index])) / Math.max(1e-9, sum(worths)),
+        median: times[Math.floor(times.length / 2)] ?? 0,
+    };
+};
+
+/** Outcomes of one queue. */
+export const queueOutcome = (jobs: readonly JobOutcome[]): QueueOutcome => {
+    const mean = jobs.reduce((sum, { job }) => sum + job.size, 0) / Math.max(1, jobs.length);
+    const bySize = [...jobs].sort((left, right) => right.job.size - left.job.size);
+    const tenth = Math.ceil(jobs.length / 10);
+    return {
+        all: served(jobs, mean),
+        largestTenth: served(bySize.slice(0, tenth), mean),
+        fifthBeneath: served(bySize.slice(tenth, 3 * tenth), mean),
+    };
+};
+
+/** Worth earned in all, as a share of worth asked. */
+export const totalShare = (queues: ReadonlyMap<string, readonly JobOutcome[]>): number => {
+    let asked = 0;
+    let earned = 0;
+    for (const jobs of queues.values()) {
+        const worth = jobs.reduce((sum, { job }) => sum + job.load.worth, 0);
+        asked += worth;
+        earned += worth * queueOutcome(jobs).all.share;
+    }
+    return earned / Math.max(1e-9, asked);
+};
+
+const gradeOf = ({ job, took }: JobOutcome): number => {
+    const objective = job.load.extension * job.chain + job.load.latencyTarget;
+    if (took === undefined || took > lateFactor * objective) {
+        return 0;
+    }
+    return took > objective ? lateWorth : 1;
+};
+
+const worthOf = ({ size, load }: LoadJob, mean: number): number =>
+    load.worth * Math.min(mostWorth, fixedWorth + (1 - fixedWorth) * size / mean);
--- /dev/null
+++ b/packages/cell/test/support/load/pattern.ts
@@ -0,0 +1,86 @@
+/** Load patterns: what callers hand in, on which workers, and what goes wrong meanwhile. Times are in milliseconds. */
+import type { Milliseconds } from "@pebbledale/core";
+import type { AdvicePolicy, TaskSize } from "../../../src/index.js";
+
+/** Sizes around a mean: lognormal, cut at `most`. */
+export interface Spread {
+    readonly mean: number;
+    /** Standard deviation as a share of the mean. */
+    readonly spread: number;
+    readonly most: number;
+}
+
+/** Advice on the steps of a queue: each worker is permitted with this chance, for each step anew. */
+export interface LoadAdvice extends AdvicePolicy {
+    readonly permittedShare: number;
+}
+
+/** What callers of one queue hand in. */
+export interface QueueLoad {
+    readonly name: string;
+    readonly priority: number;
+    readonly perSecond: number;
+    readonly extension: number;
+    readonly latencyTarget: Milliseconds;
+    readonly steps: Spread;
+    readonly width: Spread;
+    readonly processorThousandths: Spread;
+    readonly memoryMebibytes: Spread;
+    /** Work of one task on a worker of full speed. */
+    readonly work: Spread;
+    /** How far tasks of one step differ, as a share of their mean. */
+    readonly unevenness: number;
+    /** How far the callers' estimates are off: the natural logarithm of the factor is within plus or minus this. */
+    readonly estimateError: number;
+    /** Shares of the steps, from 0 to 1. */
+    readonly gangShare: number;
+    readonly savesShare: number;
+    /** Of each step: the chance that one task fails once, by its own fault. */
+    readonly failingShare: number;
+    readonly advice: LoadAdvice | undefined;
+    /** What a mean job is worth to its caller. */
+    readonly worth: number;
+}
+
+/** A queue's load multiplied for a while. */
+export interface Burst {
+    readonly queue: string;
+    readonly at: Milliseconds;
+    readonly lasts: Milliseconds;
+    readonly factor: number;
+}
+
+/** Workers that say that they leave, and go when their notice is over. */
+export interface Departure {
+    readonly at: Milliseconds;
+    readonly share: number;
+    readonly notice: Milliseconds;
+}
+
+/** Records are kept this much later for a while: the store is slow. */
+export interface SlowStore {
+    readonly at: Milliseconds;
+    readonly lasts: Milliseconds;
+    readonly delay: Milliseconds;
+}
+
+/** A whole pattern. */
+export interface LoadPattern {
+    readonly name: string;
+    readonly seed: number;
+    readonly workers: number;
+    readonly capacity: TaskSize;
+    readonly workersPerRack: number;
+    /** Tasks take this many times their work, by worker in turn. */
+    readonly slowness: readonly number[];
+    /** VMs that ask the advice service, one call at a time each. */
+    readonly askers: number;
+    /** Jobs come for so long. */
+    readonly lasts: Milliseconds;
+    /** What was accepted is given so long to end after that. */
+    readonly drains: Milliseconds;
+    readonly queues: readonly QueueLoad[];
+    readonly bursts: readonly Burst[];
+    readonly departures: readonly Departure[];
+    readonly slowStores: readonly SlowStore[];
+}
--- /dev/null
+++ b/packages/cell/test/support/load/patterns.ts
@@ -0,0 +1,94 @@
+/** Load patterns of a cell with urgent small jobs, patient batches, and wide gangs that few workers may run. */
+import type { LoadPattern, QueueLoad } from "./pattern.js";
+
+/** Urgent jobs of a few tasks, some of them gangs. */
+const urgent: QueueLoad = {
+    name: "urgent",
+    priority: 0,
+    perSecond: 62,
+    extension: 1.5,
+    latencyTarget: 250,
+    steps: { mean: 1, spread: 0, most: 1 },
+    width: { mean: 3.1, spread: 0.8, most: 19 },
+    processorThousandths: { mean: 16_000, spread: 0.45, most: 47_000 },
+    memoryMebibytes: { mean: 45_000, spread: 0.6, most: 140_000 },
+    work: { mean: 800, spread: 0.5, most: 2_000 },
+    unevenness: 0.15,
+    estimateError: 0.5,
+    gangShare: 0.3,
+    savesShare: 0,
+    failingShare: 0.005,
+    advice: { decision: 16, eachWorker: 0.23, validity: 1_500, permittedShare: 0.7 },
+    worth: 0.413,
+};
+
+/** Patient jobs of many small tasks, most of which save their progress. */
+const patient: QueueLoad = {
+    name: "patient",
+    priority: 2,
+    perSecond: 7,
+    extension: 4,
+    latencyTarget: 3_000,
+    steps: { mean: 1.5, spread: 0.4, most: 3.8 },
+    width: { mean: 24, spread: 0.8, most: 150 },
+    processorThousandths: { mean: 11_000, spread: 0.45, most: 33_000 },
+    memoryMebibytes: { mean: 32_000, spread: 0.6, most: 95_000 },
+    work: { mean: 2_200, spread: 0.5, most: 5_400 },
+    unevenness: 0.3,
+    estimateError: 0.2,
+    gangShare: 0,
+    savesShare: 0.8,
+    failingShare: 0.05,
+    advice: { decision: 140, eachWorker: 2, validity: 1_500, permittedShare: 0.45 },
+    worth: 2.62,
+};
+
+/** Wide gangs: a task takes more than a quarter of a worker, and one worker in four may run a step. */
+const wide: QueueLoad = {
+    name: "wide",
+    priority: 1,
+    perSecond: 3.4,
+    extension: 2.2,
+    latencyTarget: 1_000,
+    steps: { mean: 1.2, spread: 0.4, most: 3 },
+    width: { mean: 20, spread: 0.8, most: 120 },
+    processorThousandths: { mean: 18_000, spread: 0.4, most: 30_000 },
+    memoryMebibytes: { mean: 52_000, spread: 0.5, most: 100_000 },
+    work: { mean: 6_200, spread: 0.5, most: 16_000 },
+    unevenness: 0.15,
+    estimateError: 0.5,
+    gangShare: 1,
+    savesShare: 0.5,
+    failingShare: 0.05,
+    advice: { decision: 600, eachWorker: 8.6, validity: 1_500, permittedShare: 0.25 },
+    worth: 8.53,
+};
+
+/** The cell at about three quarters of its room, without bursts. */
+export const steadyLoad: LoadPattern = {
+    name: "steady",
+    seed: 1,
+    workers: 380,
+    capacity: { processorThousandths: 64_000, memoryMebibytes: 262_144, accelerators: 0 },
+    workersPerRack: 20,
+    slowness: [1, 1, 1.3],
+    askers: 97,
+    lasts: 24_000,
+    drains: 40_000,
+    queues: [urgent, patient, wide],
+    bursts: [],
+    departures: [],
+    slowStores: [],
+};
+
+/** Urgent jobs at twice their load for four seconds, then wide gangs at 1.7 times theirs; workers leave at short notice. */
+export const worstLoad: LoadPattern = {
+    ...steadyLoad,
+    name: "worst",
+    queues: [{ ...urgent, perSecond: 69 }, { ...patient, perSecond: 7.8 }, { ...wide, perSecond: 3.8 }],
+    bursts: [
+        { queue: "urgent", at: 6_000, lasts: 4_000, factor: 1.9 },
+        { queue: "wide", at: 14_000, lasts: 4_000, factor: 1.7 },
+    ],
+    departures: [{ at: 7_600, share: 0.075, notice: 3_000 }, { at: 18_700, share: 0.075, notice: 3_000 }],
+};
--- /dev/null
+++ b/packages/cell/test/support/load/replay.ts
@@ -0,0 +1,412 @@
+/**
+ * Drives the real decisions over a load pattern on virtual time.
+ *
+ * Delays are those measured on small VMs: a record is kept 25 ms after its turn, a message to a worker takes 5 ms, an end
+ * is seen 10 ms after it came. No message is lost; what strikes is what the pattern says.
+ */
+import {
+    jobId,
+    type LogEvent,
+    logEvents,
+    ManualClock,
+    type Milliseconds,
+    type RunNumber,
+    SeededRandom,
+    type TaskAddress,
+    type WorkerId,
+} from "@pebbledale/core";
+import {
+    type AdviceCommand,
+    CellJobState,
+    CellScheduler,
+    OrderRefusal,
+    placeOf,
+    type QueueConfiguration,
+    RunEnd,
+    type StartCommand,
+    type StepDefinition,
+    type StopCommand,
+    type Turn,
+} from "../../../src/index.js";
+import { makeConfiguration, makeQueue, makeWorker } from "../builders.js";
+import { Drawer, drawJobs, type LoadJob } from "./draw.js";
+import { LoadAdvice } from "./load-advice.js";
+import { type LoadRun, LoadWorker, shareDone } from "./load-worker.js";
+import { type JobOutcome, type Outcome, queueOutcome, totalShare } from "./outcome.js";
+import type { Departure, LoadPattern, QueueLoad } from "./pattern.js";
+
+const stepTime: Milliseconds = 5;
+const recordDelay: Milliseconds = 25;
+const messageDelay: Milliseconds = 5;
+const endDelay: Milliseconds = 10;
+const stopDelay: Milliseconds = 300;
+const lookInterval: Milliseconds = 600;
+const tickInterval: Milliseconds = 100;
+const restoreTime: Milliseconds = 600;
+const lease: Milliseconds = 1_000;
+/** A run that fails does so after this share of its work. */
+const failsAfter = 0.5;
+
+interface Gang {
+    readonly members: LoadRun[];
+    hasEnded: boolean;
+}
+
+/** See the module's comment. */
+export class Replay {
+    readonly #clock = new ManualClock();
+    readonly #cell: CellScheduler;
+    readonly #workers = new Map<WorkerId, LoadWorker>();
+    readonly #jobs: readonly LoadJob[];
+    readonly #byId = new Map<string, LoadJob>();
+    readonly #endedAt = new Map<string, Milliseconds>();
+    readonly #gangs = new Map<string, Gang>();
+    readonly #failed = new Set<TaskAddress>();
+    readonly #advice: LoadAdvice;
+    readonly #drawer: Drawer;
+    readonly #due = new Map<Milliseconds, (() => void)[]>();
+    readonly #lookPlanned = new Set<LoadWorker>();
+    readonly #broken: string[] = [];
+    readonly #stops: Record<string, number> = {};
+    #questions = 0;
+    #nextJob = 0;
+    #nextPass: Milliseconds = 0;
+    #worked = 0;
+    #wasted = 0;
+    #idle = 0;
+    #samples = 0;
+
+    /** `passInterval`: least time between two passes over what waits. */
+    constructor(private readonly pattern: LoadPattern, private readonly passInterval: Milliseconds = 20) {
+        this.#jobs = drawJobs(pattern);
+        this.#jobs.forEach(job => this.#byId.set(job.definition.job, job));
+        this.#drawer = new Drawer(new SeededRandom(pattern.seed));
+        this.#advice = new LoadAdvice(pattern.askers, pattern.seed, (command, at) =>
+            this.#at(at, () => this.#answer(command)));
+        this.#cell = new CellScheduler({ clock: this.#clock, log: { log: (event, fields) => this.#note(event, fields) } });
+        this.#cell.configure(makeConfiguration(1, pattern.queues.map(load => makeQueue(load.name, termsOf(load)))));
+        this.#addWorkers();
+        pattern.departures.forEach(departure => this.#at(departure.at, () => this.#depart(departure)));
+    }
+
+    /** Plays the whole pattern. */
+    run(): Outcome {
+        const end = this.pattern.lasts + this.pattern.drains;
+        while (this.#clock.monotonic() < end && !this.#isDone()) {
+            this.#step();
+        }
+        return this.#outcome();
+    }
+
+    #step(): void {
+        this.#clock.advance(stepTime);
+        const now = this.#clock.monotonic();
+        const due = this.#due.get(now) ?? [];
+        this.#due.delete(now);
+        due.forEach(action => action());
+        this.#arrive(now);
+        if (now % tickInterval === 0) {
+            this.#cell.tick();
+            this.#sample();
+        }
+        if (this.#cell.wantsPass && now >= this.#nextPass) {
+            this.#cell.place();
+            this.#nextPass = now + this.passInterval;
+        }
+        if (this.#cell.hasOutput) {
+            this.#carryOut(this.#cell.drain(), now);
+        }
+        const { isAdviceWanted, dropAdvice } = this.#cell;
+        this.#advice.deal(now, isAdviceWanted.bind(this.#cell), dropAdvice.bind(this.#cell));
+    }
+
+    #arrive(now: Milliseconds): void {
+        while (this.#nextJob < this.#jobs.length && this.#jobs[this.#nextJob].at <= now) {
+            this.#cell.submit(this.#jobs[this.#nextJob++].definition);
+        }
+    }
+
+    #isDone(): boolean {
+        return this.#nextJob === this.#jobs.length && this.#endedAt.size === this.#jobs.length;
+    }
+
+    #at(time: Milliseconds, action: () => void): void {
+        const now = this.#clock.monotonic();
+        const at = Math.max(now + stepTime, Math.ceil(time / stepTime) * stepTime);
+        const actions = this.#due.get(at) ?? [];
+        actions.push(action);
+        this.#due.set(at, actions);
+    }
+
+    #after(delay: Milliseconds, action: () => void): void {
+        this.#at(this.#clock.monotonic() + delay, action);
+    }
+
+    #carryOut(turn: Turn, now: Milliseconds): void {
+        this.#questions += turn.questions.length;
+        this.#advice.ask(turn.questions, now);
+        for (const command of turn.commands) {
+            if (command.kind === "stop") {
+                this.#after(messageDelay + stopDelay, () => this.#stop(command));
+            }
+        }
+        this.#after(this.#recordDelay(now), () => this.#keep(turn));
+    }
+
+    #recordDelay(now: Milliseconds): Milliseconds {
+        const slow = this.pattern.slowStores.find(({ at, lasts }) => now >= at && now < at + lasts);
+        return recordDelay + (slow?.delay ?? 0);
+    }
+
+    #keep(turn: Turn): void {
+        this.#cell.kept(turn);
+        for (const command of turn.commands) {
+            if (command.kind !== "start") {
+                continue;
+            }
+            if (this.#cell.sendStart(command.worker, command.task, command.run)) {
+                this.#after(messageDelay, () => this.#start(command));
+            }
+            else {
+                this.#cell.dropStart(command.worker, command.task, command.run);
+            }
+        }
+        for (const id of turn.changedJobs) {
+            if (this.#cell.stateOf(id) === CellJobState.Completed && !this.#endedAt.has(id)) {
+                this.#endedAt.set(id, this.#clock.monotonic());
+            }
+        }
+    }
+
+    #start(command: StartCommand): void {
+        const { worker: id, task, run, ticket } = command;
+        const worker = this.#workers.get(id);
+        const now = this.#clock.monotonic();
+        if (worker?.isThere !== true) {
+            return;
+        }
+        if (ticket !== undefined && Number(ticket) < now) {
+            this.#after(messageDelay, () => this.#cell.startRefused(id, task, run, OrderRefusal.Ticket));
+            return;
+        }
+        const step = this.#stepOf(task);
+        const restored = command.checkpoint === "" ? 0 : Number(command.checkpoint);
+        const entry: LoadRun = { task, run, worker, step, restored, arrivedAt: now, began: undefined, endsAt: Infinity };
+        worker.add(entry);
+        this.#checkRoom(worker);
+        this.#after(messageDelay, () => this.#cell.startTaken(id, task, run));
+        if (step.isGang) {
+            this.#join(entry);
+        }
+        else {
+            this.#begin([entry]);
+        }
+    }
+
+    #join(entry: LoadRun): void {
+        const name = gangOf(entry);
+        const gang = this.#gangs.get(name) ?? { members: [], hasEnded: false };
+        this.#gangs.set(name, gang);
+        gang.members.push(entry);
+        if (gang.hasEnded) {
+            this.#end(entry, RunEnd.Broken);
+        }
+        else if (gang.members.length === entry.step.taskCount) {
+            this.#begin(gang.members);
+        }
+    }
+
+    /** Tasks begin together and, as a gang, end together. */
+    #begin(entries: readonly LoadRun[]): void {
+        const now = this.#clock.monotonic();
+        const endsAt = now + Math.max(...entries.map(entry => this.#durationOf(entry)));
+        for (const entry of entries) {
+            entry.began = now;
+            entry.endsAt = endsAt;
+        }
+        const failing = entries.find(entry => this.#failsNow(entry));
+        if (failing === undefined) {
+            this.#at(endsAt, () => entries.forEach(entry => this.#end(entry, RunEnd.Done)));
+            return;
+        }
+        this.#at(now + (endsAt - now) * failsAfter, () => {
+            this.#end(failing, RunEnd.Failed);
+            entries.filter(entry => entry !== failing).forEach(entry => this.#end(entry, RunEnd.Broken));
+        });
+    }
+
+    #durationOf({ task, restored, worker }: LoadRun): Milliseconds {
+        const { job, step, index } = placeOf(task)!;
+        const work = this.#byId.get(job)!.works[step][index];
+        return work * worker.slowness * (1 - restored) + (restored > 0 ? restoreTime : 0);
+    }
+
+    /** Whether a run is the one of its step that fails: the first of the task that the pattern names. */
+    #failsNow({ task }: LoadRun): boolean {
+        const { job, step, index } = placeOf(task)!;
+        if (this.#byId.get(job)!.failing[step] !== index || this.#failed.has(task)) {
+            return false;
+        }
+        this.#failed.add(task);
+        return true;
+    }
+
+    #stop({ worker: id, task, run }: StopCommand): void {
+        const entry = this.#workers.get(id)?.runOf(task, run);
+        if (entry === undefined) {
+            return;
+        }
+        this.#end(entry, RunEnd.Stopped);
+        this.#breakGang(entry);
+    }
+
+    #breakGang(entry: LoadRun): void {
+        const gang = entry.step.isGang ? this.#gangs.get(gangOf(entry)) : undefined;
+        if (gang !== undefined && !gang.hasEnded) {
+            gang.hasEnded = true;
+            gang.members.forEach(member => this.#end(member, RunEnd.Broken));
+        }
+    }
+
+    #end(entry: LoadRun, end: RunEnd): void {
+        const now = this.#clock.monotonic();
+        const isKept = end === RunEnd.Stopped && entry.step.savesProgress;
+        const checkpoint = isKept ? String(shareDone(entry, now)) : "";
+        if (!entry.worker.end(entry, end, checkpoint)) {
+            return;
+        }
+        const work = entry.step.size.processorThousandths * (now - entry.arrivedAt);
+        this.#worked += work;
+        this.#wasted += end === RunEnd.Done || isKept ? 0 : work;
+        this.#planLook(entry.worker);
+    }
+
+    #planLook(worker: LoadWorker): void {
+        if (!this.#lookPlanned.has(worker)) {
+            this.#lookPlanned.add(worker);
+            this.#after(endDelay, () => this.#look(worker));
+        }
+    }
+
+    #look(worker: LoadWorker, settledBefore = -Infinity): void {
+        this.#lookPlanned.delete(worker);
+        const now = this.#clock.monotonic();
+        if (worker.isThere) {
+            this.#cell.takeLook(worker.entry.worker, worker.look(now), now - messageDelay, settledBefore);
+        }
+    }
+
+    #lookAgain(worker: LoadWorker): void {
+        this.#look(worker);
+        if (worker.isThere) {
+            this.#after(lookInterval, () => this.#lookAgain(worker));
+        }
+    }
+
+    #addWorkers(): void {
+        const { workers, capacity, workersPerRack, slowness } = this.pattern;
+        for (let index = 0; index < workers; index++) {
+            const rack = `r${Math.floor(index / workersPerRack)}`;
+            const entry = makeWorker(`w${index}`, { capacity, rack, labels: ["a", rack] });
+            const worker = new LoadWorker(entry, slowness[index % slowness.length]);
+            this.#workers.set(entry.worker, worker);
+            this.#after(lookInterval * index / workers, () => this.#lookAgain(worker));
+        }
+        this.#cell.changeWorkers([...this.#workers.values()].map(worker => worker.entry), []);
+        this.#cell.kept(this.#cell.drain());
+        this.#workers.forEach(worker => this.#look(worker, this.#clock.monotonic()));
+    }
+
+    #depart({ share, notice }: Departure): void {
+        for (const worker of this.#workers.values()) {
+            if (worker.isThere && this.#drawer.happens(share)) {
+                this.#cell.changeWorkers([{ ...worker.entry, isDraining: true, leavesIn: notice }], []);
+                this.#after(notice, () => this.#leave(worker));
+            }
+        }
+    }
+
+    #leave(worker: LoadWorker): void {
+        worker.isThere = false;
+        const { worker: id } = worker.entry;
+        for (const entry of [...worker.runs.values()]) {
+            this.#end(entry, RunEnd.Lapsed);
+            this.#breakGang(entry);
+        }
+        this.#cell.changeWorkers([], [id]);
+        this.#cell.takeSilence(id, this.#clock.monotonic() + lease);
+    }
+
+    #answer(command: AdviceCommand): void {
+        const { step, workers } = command;
+        const policy = this.#byId.get(step.split("/")[0])?.load.advice;
+        if (policy !== undefined) {
+            const until = this.#clock.monotonic() + policy.validity;
+            const permits = this.#advice.permitsOf(command, policy.permittedShare, until);
+            this.#after(messageDelay, () =>
+                this.#cell.takeAdvice(step, workers, { kind: "advised", permits, validity: policy.validity }));
+        }
+    }
+
+    #checkRoom({ runs, entry }: LoadWorker): void {
+        let used = 0;
+        for (const { step } of runs.values()) {
+            used += step.size.processorThousandths;
+        }
+        if (used > entry.capacity.processorThousandths) {
+            this.#broken.push(`${entry.worker} is given ${used}`);
+        }
+    }
+
+    #stepOf(task: TaskAddress): StepDefinition {
+        const { job, step } = placeOf(task)!;
+        return this.#byId.get(job)!.definition.steps[step];
+    }
+
+    #note(event: LogEvent, fields: Readonly<Record<string, unknown>> = {}): void {
+        if (event === logEvents.runStopped) {
+            const reason = String(fields["reason"]);
+            this.#stops[reason] = (this.#stops[reason] ?? 0) + 1;
+        }
+    }
+
+    /** Free processors count as idle up to what waiting tasks ask for. */
+    #sample(): void {
+        if (this.#clock.monotonic() > this.pattern.lasts) {
+            return;
+        }
+        const { freeProcessor, processor, waiting } = this.#cell.summary();
+        const wanted = Object.values(waiting).reduce((sum, entry) => sum + entry.processor, 0);
+        this.#idle += Math.min(freeProcessor, wanted) / Math.max(1, processor);
+        this.#samples++;
+    }
+
+    #outcome(): Outcome {
+        const outcomes = new Map<string, JobOutcome[]>();
+        for (const job of this.#jobs) {
+            const endedAt = this.#endedAt.get(jobId(job.definition.job));
+            const jobs = outcomes.get(job.load.name) ?? [];
+            jobs.push({ job, took: endedAt === undefined ? undefined : endedAt - job.at });
+            outcomes.set(job.load.name, jobs);
+        }
+        return {
+            total: totalShare(outcomes),
+            queues: Object.fromEntries([...outcomes].map(([name, jobs]) => [name, queueOutcome(jobs)])),
+            idleShare: this.#idle / Math.max(1, this.#samples),
+            wastedShare: this.#wasted / Math.max(1, this.#worked),
+            stops: this.#stops,
+            questions: this.#questions,
+            broken: this.#broken,
+        };
+    }
+}
+
+const gangOf = ({ task, run }: { readonly task: TaskAddress; readonly run: RunNumber; }): string =>
+    `${task.slice(0, task.lastIndexOf("/"))}#${run}`;
+
+const termsOf = ({ priority, extension, latencyTarget, advice }: QueueLoad): Partial<QueueConfiguration> => ({
+    priority,
+    extension,
+    latencyTarget,
+    advice,
+});
