--- a/packages/entry/src/advice/dispatcher.ts
+++ b/packages/cell/src/advising/advice-dispatcher.ts
@@ -4,8 +4,8 @@
  * The service answers one call at a time for each VM that asks, so a quick question must not wait behind a slow one:
  * some VMs never get slow ones while there are others.
  */
-import type { AdviceCommand } from "@pebbledale/cell";
 import type { Milliseconds } from "@pebbledale/core";
+import type { AdviceCommand } from "../state/index.js";
 
 /** Questions that take longer than this are slow ones: half of what an urgent job can lose without being late. */
 const slowQuestion: Milliseconds = 150;
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -1,5 +1,6 @@
 /** Public items of the cell: decisions on jobs made of steps, and the interfaces of what is outside. */
 export * from "./advice/index.js";
+export { AdviceDispatcher, type Questioner } from "./advising/index.js";
 export * from "./configuration/index.js";
 export * from "./scheduler/index.js";
 export * from "./state/index.js";
--- a/packages/cell/test/support/load/draw.ts
+++ b/packages/cell/test/support/load/draw.ts
@@ -1,8 +1,8 @@
 /** Draws the jobs of a load pattern, alike for the same seed. */
 import { type Milliseconds, SeededRandom } from "@pebbledale/core";
+import { queueName } from "@pebbledale/core";
 import type { JobDefinition, StepDefinition } from "../../../src/index.js";
 import { makeJob, makeStep } from "../builders.js";
-import { queueName } from "@pebbledale/core";
 import type { Burst, LoadPattern, QueueLoad, Spread } from "./pattern.js";
 
 /** A job with what only the pattern knows of it. */
@@ -111,7 +111,11 @@
     drawer: Drawer,
     load: QueueLoad,
     index: number,
-): { readonly step: StepDefinition; readonly works: readonly Milliseconds[]; readonly failing: number | undefined; } => {
+): {
+    readonly step: StepDefinition;
+    readonly works: readonly Milliseconds[];
+    readonly failing: number | undefined;
+} => {
     const taskCount = drawer.count(load.width);
     const mean = drawer.size(load.work);
     const works = Array.from({ length: taskCount }, () => mean * drawer.around(load.unevenness));
--- a/packages/cell/test/support/load/load-advice.ts
+++ b/packages/cell/test/support/load/load-advice.ts
@@ -58,7 +58,9 @@
 
     #dealOne(command: AdviceCommand, now: Milliseconds): boolean {
         const isSlow = command.duration > slowQuestion;
-        const asker = isSlow ? this.#busyUntil.findIndex((at, index) => index >= this.#quick && at <= now) : this.#leastBusy();
+        const asker = isSlow
+            ? this.#busyUntil.findIndex((at, index) => index >= this.#quick && at <= now)
+            : this.#leastBusy();
         if (asker < 0) {
             return false;
         }
--- a/packages/cell/test/support/load/replay.ts
+++ b/packages/cell/test/support/load/replay.ts
@@ -81,9 +81,15 @@
         this.#jobs = drawJobs(pattern);
         this.#jobs.forEach(job => this.#byId.set(job.definition.job, job));
         this.#drawer = new Drawer(new SeededRandom(pattern.seed));
-        this.#advice = new LoadAdvice(pattern.askers, pattern.seed, (command, at) =>
-            this.#at(at, () => this.#answer(command)));
-        this.#cell = new CellScheduler({ clock: this.#clock, log: { log: (event, fields) => this.#note(event, fields) } });
+        this.#advice = new LoadAdvice(
+            pattern.askers,
+            pattern.seed,
+            (command, at) => this.#at(at, () => this.#answer(command)),
+        );
+        this.#cell = new CellScheduler({
+            clock: this.#clock,
+            log: { log: (event, fields) => this.#note(event, fields) },
+        });
         this.#cell.configure(makeConfiguration(1, pattern.queues.map(load => makeQueue(load.name, termsOf(load)))));
         this.#addWorkers();
         pattern.departures.forEach(departure => this.#at(departure.at, () => this.#depart(departure)));
@@ -191,7 +197,16 @@
         }
         const step = this.#stepOf(task);
         const restored = command.checkpoint === "" ? 0 : Number(command.checkpoint);
-        const entry: LoadRun = { task, run, worker, step, restored, arrivedAt: now, began: undefined, endsAt: Infinity };
+        const entry: LoadRun = {
+            task,
+            run,
+            worker,
+            step,
+            restored,
+            arrivedAt: now,
+            began: undefined,
+            endsAt: Infinity,
+        };
         worker.add(entry);
         this.#checkRoom(worker);
         this.#after(messageDelay, () => this.#cell.startTaken(id, task, run));
@@ -343,8 +358,10 @@
         if (policy !== undefined) {
             const until = this.#clock.monotonic() + policy.validity;
             const permits = this.#advice.permitsOf(command, policy.permittedShare, until);
-            this.#after(messageDelay, () =>
-                this.#cell.takeAdvice(step, workers, { kind: "advised", permits, validity: policy.validity }));
+            this.#after(
+                messageDelay,
+                () => this.#cell.takeAdvice(step, workers, { kind: "advised", permits, validity: policy.validity }),
+            );
         }
     }
 
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,5 +1,4 @@
 /** The program of an entry VM: front, links to workers and the owner of the cell. */
-export * from "./advice/index.js";
 export * from "./configuration/index.js";
 export * from "./entry-process.js";
 export * from "./following/index.js";
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -1,5 +1,6 @@
 /** The owner's work: drives the decisions with what the VMs, the store and time bring, and carries them out. */
 import {
+    AdviceDispatcher,
     type CellConfiguration,
     type CellRecord,
     CellScheduler,
@@ -7,7 +8,6 @@
     type UpkeepWave,
 } from "@pebbledale/cell";
 import { fencingToken, JournalFencedError, logEvents, type Milliseconds } from "@pebbledale/core";
-import { AdviceDispatcher } from "../advice/index.js";
 import { configurationGrace } from "../configuration/index.js";
 import { FollowLoop } from "../following/index.js";
 import type { EntryVm } from "../membership/index.js";
--- a/packages/entry/src/owner/turn-runner.ts
+++ b/packages/entry/src/owner/turn-runner.ts
@@ -2,9 +2,8 @@
  * Carries out what the owner's decisions led to, turn by turn: records are kept, then orders, questions and
  * acknowledgements leave. Passes over what waits are paced.
  */
-import type { CellScheduler, StartCommand, Turn, WorkerCommand } from "@pebbledale/cell";
+import type { AdviceDispatcher, CellScheduler, StartCommand, Turn, WorkerCommand } from "@pebbledale/cell";
 import type { Clock, Journal } from "@pebbledale/core";
-import type { AdviceDispatcher } from "../advice/index.js";
 import type { Assignments } from "./assignments.js";
 import { PassPacer } from "./pass-pacer.js";
 
--- a/packages/entry/test/owner/turn-runner.test.ts
+++ b/packages/entry/test/owner/turn-runner.test.ts
@@ -1,8 +1,8 @@
-import type { CellScheduler, Turn } from "@pebbledale/cell";
+import type { AdviceDispatcher, CellScheduler, Turn } from "@pebbledale/cell";
 import { type Journal, ManualClock } from "@pebbledale/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { type AdviceDispatcher, type Assignments, TurnRunner } from "../../src/index.js";
+import { type Assignments, TurnRunner } from "../../src/index.js";
 import { settle } from "../support/index.js";
 
 const emptyTurn: Turn = {
