--- a/packages/cell/src/advice/index.ts
+++ b/packages/cell/src/advice/index.ts
@@ -11,6 +11,10 @@
     readonly validity: Milliseconds;
 }
 
+/** What a call that names `workers` takes at the service. */
+export const callDuration = ({ decision, eachWorker }: AdvicePolicy, workers: number): Milliseconds =>
+    decision + eachWorker * workers;
+
 /** Names a step of an occurrence of a job: job, occurrence and step, with slashes between. */
 export interface AdviceQuestion {
     readonly step: string;
--- a/packages/cell/src/advising/advice-desk.ts
+++ b/packages/cell/src/advising/advice-desk.ts
@@ -1,13 +1,13 @@
 /** Decides which steps are asked about, of which workers, and when tickets are asked for again. */
 import { logEvents, type Milliseconds, type QueueName, type WorkerId } from "@pebbledale/core";
-import { type AdviceAnswer, type AdvicePolicy, mostAdviceWorkers, type Permit } from "../advice/index.js";
+import { type AdviceAnswer, type AdvicePolicy, callDuration, mostAdviceWorkers, type Permit } from "../advice/index.js";
 import { isEligible, isWide, isWorthFreshTickets, rank, type RoomPlan, urgencyOf } from "../choosing/index.js";
 import { type CellContext, type JobTerms, type Step, StepPermits, type WorkerState } from "../state/index.js";
 import {
     adviceInterval,
     choiceMargin,
     fewestAdviceWorkers,
-    fewestForGang,
+    gangRoomMargin,
     firstPermittedShare,
     leastPermittedShare,
     roomMargin,
@@ -18,8 +18,6 @@
 /** How many tasks of a step a worker takes. */
 export type RoomOf = (worker: WorkerState) => number;
 
-const millisecondsPerSecond = 1_000;
-
 /** See the module's comment. */
 export class AdviceDesk {
     /** Steps that a question is on its way for. */
@@ -50,16 +48,16 @@
         const { permits } = step;
         const { advice } = step.job.terms;
         const now = this.context.now();
-        if (permits === undefined || permits.isAsking || advice === undefined) {
+        if (permits === undefined || advice === undefined || now - permits.askedAt < adviceInterval) {
             return;
         }
-        if (now - permits.askedAt < adviceInterval) {
-            return;
+        if (step.definition.isGang) {
+            this.#ask(step, advice, this.#wantedForGang(step, permits, advice, count, roomOf));
+        }
+        else if (!permits.isAsking) {
+            const workers = this.#wantedForTasks(step, permits, count, roomOf);
+            this.#ask(step, advice, workers.length > 0 ? workers : this.#runningOut(step, permits, advice, now));
         }
-        const workers = step.definition.isGang
-            ? this.#wantedForGang(step, permits, count, roomOf)
-            : this.#wantedForTasks(step, permits, count, roomOf);
-        this.#ask(step, advice, workers.length > 0 ? workers : this.#runningOut(step, permits, advice, now));
     }
 
     /**
@@ -74,7 +72,7 @@
             return [];
         }
         const permitted = this.#permitted(step, permits).slice(0, mostAdviceWorkers);
-        const needed = now + policy.decision + policy.eachWorker * permitted.length + ticketLead;
+        const needed = now + callDuration(policy, permitted.length) + ticketLead;
         const isRunningOut = permitted.some(worker => permits.ticketOf(worker.id, needed) === undefined);
         return isRunningOut ? permitted : [];
     }
@@ -85,13 +83,9 @@
         return step !== undefined && !step.job.isOver && step.hasWaitingTask;
     }
 
-    /** A question is not asked. */
-    drop(address: string): void {
-        const step = this.#asked.get(address);
-        this.#asked.delete(address);
-        if (step?.permits !== undefined) {
-            step.permits.isAsking = false;
-        }
+    /** A question, or a part of one, is not asked. */
+    drop(address: string, workers: readonly WorkerId[]): void {
+        this.#settle(address, workers);
     }
 
     /** Room for a step is expected: tickets that will have run out by then are asked for, so that they come in time. */
@@ -102,9 +96,8 @@
         if (permits === undefined || permits.isAsking || terms.advice === undefined) {
             return;
         }
-        const { decision, eachWorker } = terms.advice;
         const planned = [...plan.shares.keys()];
-        const lead = decision + eachWorker * planned.length + ticketLead;
+        const lead = callDuration(terms.advice, planned.length) + ticketLead;
         const isTime = now >= plan.from - lead && now - permits.askedAt >= adviceInterval;
         const isMissing = planned.some(worker => permits.ticketOf(worker.id, plan.from) === undefined);
         if (isTime && isMissing) {
@@ -116,12 +109,10 @@
 
     /** Takes an answer in. `cause`: why there was none, for the log. */
     take(address: string, asked: readonly WorkerId[], answer: AdviceAnswer | undefined, cause: string): void {
-        const step = this.#asked.get(address);
-        this.#asked.delete(address);
+        const step = this.#settle(address, asked);
         if (step?.permits === undefined) {
             return;
         }
-        step.permits.isAsking = false;
         if (answer?.kind !== "advised") {
             this.context.options.log.log(logEvents.adviceFailed, { step: address, cause: answer?.kind ?? cause });
             return;
@@ -146,21 +137,22 @@
     }
 
     /**
-     * Tickets of a gang run out while it waits for room, so they are asked for only once there is enough of it; before
-     * that, more workers only while too few may run it. Tickets for room that is kept come with its plan.
+     * Tickets of a gang run out while it waits for room, so they are asked for only once there is enough of it, and kept
+     * fresh as long as there is; before that it learns of more workers. Tickets for room that is kept come with its plan.
      */
-    #wantedForGang(step: Step, permits: StepPermits, count: number, roomOf: RoomOf): WorkerState[] {
-        const now = this.context.now();
+    #wantedForGang(
+        step: Step,
+        permits: StepPermits,
+        policy: AdvicePolicy,
+        count: number,
+        roomOf: RoomOf,
+    ): WorkerState[] {
         const roomy = this.#roomyOf(step, permits, count, roomOf);
-        const hasRoom = sumOf(roomy, roomOf) >= count;
-        const isStale = roomy.some(worker => permits.ticketOf(worker.id, now) === undefined);
-        if (hasRoom && isStale) {
-            return roomy.slice(0, mostAdviceWorkers);
+        if (sumOf(roomy, roomOf) < count) {
+            return permits.isAsking ? [] : this.#notAsked(step, count);
         }
-        // The longer it has waited, the more workers it may choose from.
-        const wanted = count * (1 + (now - (step.readyAt ?? now)) / millisecondsPerSecond);
-        const whole = sumOf(this.#permitted(step, permits), worker => worker.countWhenEmpty(step));
-        return !hasRoom && whole < wanted * choiceMargin ? this.#notAsked(step, wanted) : [];
+        const needed = this.context.now() + callDuration(policy, roomy.length) + ticketLead;
+        return roomy.filter(worker => permits.ticketOf(worker.id, needed) === undefined);
     }
 
     /**
@@ -192,14 +184,17 @@
 
     /** Workers that were not asked about yet, those with the most room first: as many as are likely to be enough. */
     #notAsked(step: Step, count: number): WorkerState[] {
+        const { isGang } = step.definition;
         const share = this.#permittedShares.get(step.job.queue) ?? firstPermittedShare;
-        const fewest = step.definition.isGang ? fewestForGang : fewestAdviceWorkers;
+        const most = isGang ? Infinity : mostAdviceWorkers;
         const chosen: WorkerState[] = [];
         let room = 0;
         let whole = 0;
         for (const worker of this.#eligible(step).sort(byRoom)) {
-            const isEnough = room * share >= count * roomMargin || whole * share >= count * choiceMargin;
-            if (chosen.length >= mostAdviceWorkers || isEnough && chosen.length >= fewest) {
+            const isEnough = isGang
+                ? room * share >= count * gangRoomMargin
+                : room * share >= count * roomMargin || whole * share >= count * choiceMargin;
+            if (chosen.length >= most || isEnough && chosen.length >= fewestAdviceWorkers) {
                 break;
             }
             if (step.permits?.wasAsked(worker.id) !== true) {
@@ -224,21 +219,31 @@
     }
 
     #ask(step: Step, policy: AdvicePolicy, workers: readonly WorkerState[]): void {
-        if (step.permits === undefined || workers.length === 0) {
+        const { permits, address } = step;
+        const named = workers.map(worker => worker.id).filter(worker => permits?.isPending(worker) === false);
+        if (permits === undefined || named.length === 0) {
             return;
         }
         const now = this.context.now();
-        step.permits.isAsking = true;
-        step.permits.askedAt = now;
-        this.#asked.set(step.address, step);
-        const duration: Milliseconds = policy.decision + policy.eachWorker * workers.length;
+        permits.expect(named, now);
+        this.#asked.set(address, step);
         this.context.outbox.ask({
-            step: step.address,
-            workers: workers.map(worker => worker.id),
+            step: address,
+            workers: named,
             urgency: urgencyOf(rank(this.context, step, now)),
-            duration,
+            policy,
         });
-        this.context.options.log.log(logEvents.stepAsked, { step: step.address, workers: workers.length, duration });
+        this.context.options.log.log(logEvents.stepAsked, { step: address, workers: named.length });
+    }
+
+    /** A question, or a part of one, is over; the step it was about, if that is still known. */
+    #settle(address: string, workers: readonly WorkerId[]): Step | undefined {
+        const step = this.#asked.get(address);
+        step?.permits?.settle(workers);
+        if (step?.permits?.isAsking !== true) {
+            this.#asked.delete(address);
+        }
+        return step;
     }
 }
 
--- a/packages/cell/src/advising/advice-dispatcher.ts
+++ b/packages/cell/src/advising/advice-dispatcher.ts
@@ -2,9 +2,11 @@
  * Deals the questions to the advice service out over the VMs.
  *
  * The service answers one call at a time for each VM that asks, so a quick question must not wait behind a slow one:
- * some VMs never get slow ones while there are others.
+ * some VMs never get slow ones while there are others. A slow question that names many workers is put in parts to as many
+ * VMs as are free: its answers are there in half of the time, and all of its tickets hold at one moment.
  */
-import type { Milliseconds } from "@pebbledale/core";
+import type { Milliseconds, WorkerId } from "@pebbledale/core";
+import { type AdvicePolicy, callDuration, mostAdviceWorkers } from "../advice/index.js";
 import type { AdviceCommand } from "../state/index.js";
 
 /** Questions that take longer than this are slow ones: half of what an urgent job can lose without being late. */
@@ -20,38 +22,50 @@
 /** Most quick questions of one VM that are on their way at once. */
 const mostOnTheirWay = 8;
 
+/**
+ * A part of a slow question names at least so many workers that naming them takes this share of what the call takes
+ * whatever it names: smaller parts keep more VMs busy and are hardly answered sooner.
+ */
+const leastNamingShare = 1 / 3;
+/** Share of the free VMs that one question is put to at once: others come within the same turn. */
+const shareOfFree = 1 / 2;
+
 /** Whose questions are dealt out. */
 export interface Questioner {
     /** Whether the answer to a question about a step is still of use. */
     isAdviceWanted(step: string): boolean;
-    /** The question about a step is not asked: its answer would be of no use. */
-    dropAdvice(step: string): void;
+    /** The question about a step and workers is not asked: its answer would be of no use. */
+    dropAdvice(step: string, workers: readonly WorkerId[]): void;
 }
 
 /** One VM that can ask. */
 interface Asker {
     readonly name: string;
-    readonly ask: (question: number, command: AdviceCommand) => void;
+    readonly ask: (question: number, command: AdviceCommand, duration: Milliseconds) => void;
     readonly onTheirWay: Set<number>;
     /** When the service will have answered all of this VM's questions. */
     busyUntil: Milliseconds;
     hasSlow: boolean;
 }
 
-/** A question that was dealt out or waits to be. */
-interface Question {
-    readonly number: number;
+/** A question, or what is left of one, that waits to be dealt out. */
+interface WaitingQuestion {
     readonly command: AdviceCommand;
     /** Questions are dealt in this order: when it was asked, put off by how little urgent it is. */
     readonly turn: Milliseconds;
-    asker: Asker | undefined;
+}
+
+/** A question, or a part of one, that a VM has. */
+interface DealtQuestion extends WaitingQuestion {
+    readonly number: number;
+    readonly asker: Asker;
 }
 
 /** See the module's comment. */
 export class AdviceDispatcher {
     readonly #askers = new Map<string, Asker>();
-    readonly #questions = new Map<number, Question>();
-    #waiting: Question[] = [];
+    readonly #dealt = new Map<number, DealtQuestion>();
+    #waiting: WaitingQuestion[] = [];
     #next = 1;
 
     constructor(private readonly now: () => Milliseconds, private readonly questioner: Questioner) {}
@@ -67,9 +81,9 @@
         const asker = this.#askers.get(name);
         this.#askers.delete(name);
         for (const number of asker?.onTheirWay ?? []) {
-            const question = this.#questions.get(number);
+            const question = this.#dealt.get(number);
             if (question !== undefined) {
-                question.asker = undefined;
+                this.#dealt.delete(number);
                 this.#waiting.unshift(question);
             }
         }
@@ -78,27 +92,24 @@
 
     /** Asks, now or once a VM is free for it. */
     ask(command: AdviceCommand): void {
-        const turn = this.now() + command.urgency * headStart;
-        const question: Question = { number: this.#next++, command, turn, asker: undefined };
-        this.#questions.set(question.number, question);
-        this.#waiting.push(question);
+        this.#waiting.push({ command, turn: this.now() + command.urgency * headStart });
         this.#deal();
     }
 
     /** A question was answered, or failed; resolves to what was asked. */
     answered(number: number): AdviceCommand | undefined {
-        const question = this.#questions.get(number);
-        this.#questions.delete(number);
-        if (question?.asker !== undefined) {
-            this.#free(question.asker, question);
+        const question = this.#dealt.get(number);
+        this.#dealt.delete(number);
+        if (question !== undefined) {
+            this.#free(question);
         }
         this.#deal();
         return question?.command;
     }
 
-    #free(asker: Asker, { number, command }: Question): void {
+    #free({ asker, number, command }: DealtQuestion): void {
         asker.onTheirWay.delete(number);
-        if (command.duration > slowQuestion) {
+        if (isSlow(command)) {
             asker.hasSlow = false;
         }
         if (asker.onTheirWay.size === 0) {
@@ -107,49 +118,75 @@
     }
 
     #deal(): void {
-        this.#waiting.sort((left, right) => left.turn - right.turn || left.number - right.number);
-        this.#waiting = this.#waiting.filter(question => !this.#dropUnwanted(question) && !this.#dealOne(question));
+        this.#waiting.sort((left, right) => left.turn - right.turn);
+        this.#waiting = this.#waiting.flatMap(question => this.#dropUnwanted(question) ? [] : this.#put(question));
     }
 
     /** Whether the answer to a question is of no use any more. */
-    #dropUnwanted({ number, command }: Question): boolean {
-        if (this.questioner.isAdviceWanted(command.step)) {
+    #dropUnwanted({ command: { step, workers } }: WaitingQuestion): boolean {
+        if (this.questioner.isAdviceWanted(step)) {
             return false;
         }
-        this.#questions.delete(number);
-        this.questioner.dropAdvice(command.step);
+        this.questioner.dropAdvice(step, workers);
         return true;
     }
 
-    #dealOne(question: Question): boolean {
-        const { duration } = question.command;
-        const isSlow = duration > slowQuestion;
-        const now = this.now();
-        const free = this.#candidates(isSlow).filter(asker => isFreeFor(asker, isSlow));
+    /** Puts a question to free VMs, in parts; returns what is left of it. */
+    #put(question: WaitingQuestion): WaitingQuestion[] {
+        const { command, turn } = question;
+        const size = this.#partSize(command);
+        for (let next = 0; next < command.workers.length; next += size) {
+            const part = { ...command, workers: command.workers.slice(next, next + size) };
+            if (!this.#putPart(part, turn)) {
+                return [{ command: { ...command, workers: command.workers.slice(next) }, turn }];
+            }
+        }
+        return [];
+    }
+
+    #putPart(command: AdviceCommand, turn: Milliseconds): boolean {
+        const free = this.#freeFor(isSlow(command));
         if (free.length === 0) {
             return false;
         }
+        const now = this.now();
         const asker = free.reduce((best, other) => waitOf(other, now) < waitOf(best, now) ? other : best);
-        question.asker = asker;
-        asker.onTheirWay.add(question.number);
+        const duration = callDuration(command.policy, command.workers.length);
+        const number = this.#next++;
+        this.#dealt.set(number, { number, command, turn, asker });
+        asker.onTheirWay.add(number);
         asker.busyUntil = Math.max(asker.busyUntil, now) + duration;
-        asker.hasSlow ||= isSlow;
-        asker.ask(question.number, question.command);
+        asker.hasSlow ||= isSlow(command);
+        asker.ask(number, command, duration);
         return true;
     }
 
-    /** VMs that may get a question of its kind; for quick ones those that never get slow ones come first. */
-    #candidates(isSlow: boolean): Asker[] {
-        const all = [...this.#askers.values()];
-        if (!isSlow || all.length === 1) {
-            return all;
+    /** How many workers a part of a question names. */
+    #partSize(command: AdviceCommand): number {
+        const { workers, policy } = command;
+        if (!isSlow(command)) {
+            return mostAdviceWorkers;
         }
+        const parts = Math.max(1, Math.floor(this.#freeFor(true).length * shareOfFree));
+        const size = Math.max(leastPartSize(policy), Math.ceil(workers.length / parts));
+        return Math.min(mostAdviceWorkers, size);
+    }
+
+    /** VMs that may get a question of its kind now; for quick ones those that never get slow ones come first. */
+    #freeFor(isSlowOne: boolean): Asker[] {
+        const all = [...this.#askers.values()];
         const quick = Math.min(Math.floor(all.length / 2), Math.floor(fewestQuick + all.length * quickShare));
-        return all.slice(quick);
+        const candidates = !isSlowOne || all.length === 1 ? all : all.slice(quick);
+        return candidates.filter(asker => isFreeFor(asker, isSlowOne));
     }
 }
 
-const isFreeFor = (asker: Asker, isSlow: boolean): boolean =>
-    isSlow ? asker.onTheirWay.size === 0 : asker.onTheirWay.size < mostOnTheirWay;
+const isSlow = ({ policy, workers }: AdviceCommand): boolean => callDuration(policy, workers.length) > slowQuestion;
+
+const leastPartSize = ({ decision, eachWorker }: AdvicePolicy): number =>
+    eachWorker === 0 ? mostAdviceWorkers : Math.ceil(decision * leastNamingShare / eachWorker);
+
+const isFreeFor = (asker: Asker, isSlowOne: boolean): boolean =>
+    isSlowOne ? asker.onTheirWay.size === 0 : asker.onTheirWay.size < mostOnTheirWay;
 
 const waitOf = (asker: Asker, now: Milliseconds): Milliseconds => Math.max(0, asker.busyUntil - now);
--- a/packages/cell/src/advising/constants.ts
+++ b/packages/cell/src/advising/constants.ts
@@ -1,13 +1,13 @@
 /** Times, sizes and weights of questions to the advice service that are not settings. Times are in milliseconds. */
 /** Fewest workers that a first question names: the room of a few is gone by the time of the answer. */
 export const fewestAdviceWorkers = 12;
-/**
- * The same for a gang, whose members need room at one moment: naming a worker adds little to the time of its questions,
- * and a second one takes most of a second more.
- */
-export const fewestForGang = 40;
 /** A first question names workers whose free room is this many times what the permitted ones of them need to have. */
 export const roomMargin = 1.5;
+/**
+ * The same for a gang, whose members need room at one moment: some of it is gone by the time of the answer, and a second
+ * question takes most of a second more.
+ */
+export const gangRoomMargin = 3;
 /** A step has enough permitted workers once these, were they empty, hold it this many times: it can wait for some. */
 export const choiceMargin = 2.5;
 /** Share of workers that is taken to be permitted before a queue's first answer. */
--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -256,9 +256,9 @@
         return this.#advice.isWanted(step);
     }
 
-    /** A question is not asked: its answer would be of no use. */
-    dropAdvice(step: string): void {
-        this.#advice.drop(step);
+    /** A question about workers is not asked: its answer would be of no use. */
+    dropAdvice(step: string, workers: readonly WorkerId[]): void {
+        this.#advice.drop(step, workers);
     }
 
     /** The records of a step are kept. */
--- a/packages/cell/src/state/outbox.ts
+++ b/packages/cell/src/state/outbox.ts
@@ -1,5 +1,6 @@
 /** Gathers what the inputs of one turn lead to: records to keep, orders to send, questions to ask. */
 import type { JobId, RunNumber, TaskAddress, WorkerId } from "@pebbledale/core";
+import type { AdvicePolicy } from "../advice/index.js";
 import type { CellRecord } from "./records.js";
 
 /** Starts a run at a worker. */
@@ -34,15 +35,15 @@
 /** An order to a worker. */
 export type WorkerCommand = StartCommand | StopCommand | PaceCommand;
 
-/** A question to the advice service. */
+/** A question to the advice service, or a part of one: it may be put in parts to several VMs at once. */
 export interface AdviceCommand {
     /** Address of the step. */
     readonly step: string;
     readonly workers: readonly WorkerId[];
     /** Lower is asked first. */
     readonly urgency: number;
-    /** What the call takes at the service, in milliseconds. */
-    readonly duration: number;
+    /** What calls take at the service. */
+    readonly policy: AdvicePolicy;
 }
 
 /** What one turn led to. */
--- a/packages/cell/src/state/step-permits.ts
+++ b/packages/cell/src/state/step-permits.ts
@@ -15,11 +15,32 @@
 export class StepPermits {
     readonly #held = new Map<WorkerId, HeldTicket>();
     readonly #asked = new Set<WorkerId>();
-    /** Whether a call is on its way. */
-    isAsking = false;
+    /** Workers that a question about is on its way. */
+    readonly #pending = new Set<WorkerId>();
     /** When the last call was asked for, by the owner's monotonic clock. */
     askedAt: Milliseconds = -Infinity;
 
+    /** Whether a question is on its way. */
+    get isAsking(): boolean {
+        return this.#pending.size > 0;
+    }
+
+    /** Whether a question about a worker is on its way. */
+    isPending(worker: WorkerId): boolean {
+        return this.#pending.has(worker);
+    }
+
+    /** A question about workers is on its way from `now` on. */
+    expect(workers: readonly WorkerId[], now: Milliseconds): void {
+        this.askedAt = now;
+        workers.forEach(worker => this.#pending.add(worker));
+    }
+
+    /** A question about workers, or a part of one, is over. */
+    settle(workers: readonly WorkerId[]): void {
+        workers.forEach(worker => this.#pending.delete(worker));
+    }
+
     /** Whether the service was asked of a worker. */
     wasAsked(worker: WorkerId): boolean {
         return this.#asked.has(worker);
--- a/packages/cell/test/advising/advice-dispatcher.test.ts
+++ b/packages/cell/test/advising/advice-dispatcher.test.ts
@@ -15,7 +15,12 @@
     const dispatcher = new AdviceDispatcher(() => clock.monotonic(), questioner);
     names.forEach(vm => dispatcher.join(vm, (question, { step }) => asked.push({ vm, question, step })));
     const ask = (step: string, duration: number, urgency = 1) =>
-        dispatcher.ask({ step, workers: [workerId("w")], urgency, duration });
+        dispatcher.ask({
+            step,
+            workers: [workerId("w")],
+            urgency,
+            policy: { decision: duration, eachWorker: 0, validity: 1_500 },
+        });
     return { dispatcher, asked, ask, clock, unwanted, dropped };
 };
 
--- a/packages/cell/test/support/fake-advice.ts
+++ b/packages/cell/test/support/fake-advice.ts
@@ -1,6 +1,6 @@
 /** The advice service in the tests' time: answers after a while, or never, and knows which tickets hold. */
 import type { Milliseconds, SeededRandom, WorkerId } from "@pebbledale/core";
-import type { AdviceCommand, CellScheduler, StartCommand } from "../../src/index.js";
+import { type AdviceCommand, callDuration, type CellScheduler, type StartCommand } from "../../src/index.js";
 
 /** Policy of the queue that is advised on. */
 export const fakePolicy = { decision: 150, eachWorker: 10, validity: 600 };
@@ -24,7 +24,7 @@
 
     /** Takes questions in. */
     ask(commands: readonly AdviceCommand[], now: Milliseconds): void {
-        commands.forEach(command => this.#questions.push({ command, at: now + command.duration }));
+        commands.forEach(command => this.#questions.push({ command, at: now + callDuration(command.policy, command.workers.length) }));
     }
 
     /** The owner that asked is gone. */
@@ -38,7 +38,7 @@
         this.#questions = this.#questions.filter(question => question.at > now);
         for (const { command: { step, workers } } of due) {
             if (!cell.isAdviceWanted(step)) {
-                cell.dropAdvice(step);
+                cell.dropAdvice(step, workers);
                 continue;
             }
             if (this.random.next() < this.loss) {
--- a/packages/cell/test/support/load/replay.ts
+++ b/packages/cell/test/support/load/replay.ts
@@ -17,6 +17,7 @@
 } from "@pebbledale/core";
 import {
     type AdviceCommand,
+    AdviceDispatcher,
     CellJobState,
     CellScheduler,
     OrderRefusal,
@@ -63,6 +64,7 @@
     readonly #gangs = new Map<string, Gang>();
     readonly #failed = new Set<TaskAddress>();
     readonly #advice: LoadAdvice;
+    readonly #dispatcher: AdviceDispatcher;
     readonly #drawer: Drawer;
     readonly #due = new Map<Milliseconds, (() => void)[]>();
     readonly #lookPlanned = new Set<LoadWorker>();
@@ -81,17 +83,15 @@
         this.#jobs = drawJobs(pattern);
         this.#jobs.forEach(job => this.#byId.set(job.definition.job, job));
         this.#drawer = new Drawer(new SeededRandom(pattern.seed));
-        this.#advice = new LoadAdvice(
-            pattern.askers,
-            pattern.seed,
-            (command, at) => this.#at(at, () => this.#answer(command)),
-        );
+        this.#advice = new LoadAdvice(pattern.seed);
         this.#cell = new CellScheduler({
             clock: this.#clock,
             log: { log: (event, fields) => this.#note(event, fields) },
         });
         this.#cell.configure(makeConfiguration(1, pattern.queues.map(load => makeQueue(load.name, termsOf(load)))));
+        this.#dispatcher = new AdviceDispatcher(() => this.#clock.monotonic(), this.#cell);
         this.#addWorkers();
+        this.#addAskers();
         pattern.departures.forEach(departure => this.#at(departure.at, () => this.#depart(departure)));
     }
 
@@ -122,8 +122,6 @@
         if (this.#cell.hasOutput) {
             this.#carryOut(this.#cell.drain(), now);
         }
-        const { isAdviceWanted, dropAdvice } = this.#cell;
-        this.#advice.deal(now, isAdviceWanted.bind(this.#cell), dropAdvice.bind(this.#cell));
     }
 
     #arrive(now: Milliseconds): void {
@@ -150,7 +148,7 @@
 
     #carryOut(turn: Turn, now: Milliseconds): void {
         this.#questions += turn.questions.length;
-        this.#advice.ask(turn.questions, now);
+        turn.questions.forEach(question => this.#dispatcher.ask(question));
         for (const command of turn.commands) {
             if (command.kind === "stop") {
                 this.#after(messageDelay + stopDelay, () => this.#stop(command));
@@ -352,19 +350,27 @@
         this.#cell.takeSilence(id, this.#clock.monotonic() + lease);
     }
 
-    #answer(command: AdviceCommand): void {
-        const { step, workers } = command;
-        const policy = this.#byId.get(step.split("/")[0])?.load.advice;
-        if (policy !== undefined) {
-            const until = this.#clock.monotonic() + policy.validity;
-            const permits = this.#advice.permitsOf(command, policy.permittedShare, until);
-            this.#after(
-                messageDelay,
-                () => this.#cell.takeAdvice(step, workers, { kind: "advised", permits, validity: policy.validity }),
-            );
+    /** The service answers one call at a time for each VM that asks. */
+    #addAskers(): void {
+        for (let index = 0; index < this.pattern.askers; index++) {
+            let busyUntil = 0;
+            this.#dispatcher.join(`vm${index}`, (question, command, duration) => {
+                busyUntil = Math.max(busyUntil, this.#clock.monotonic() + messageDelay) + duration;
+                this.#at(busyUntil, () => this.#answer(question, command));
+            });
         }
     }
 
+    #answer(question: number, { step, workers }: AdviceCommand): void {
+        const { validity, permittedShare } = this.#byId.get(step.split("/")[0])!.load.advice!;
+        const until = this.#clock.monotonic() + validity;
+        const permits = this.#advice.permitsOf(step, workers, permittedShare, until);
+        this.#after(messageDelay, () => {
+            this.#dispatcher.answered(question);
+            this.#cell.takeAdvice(step, workers, { kind: "advised", permits, validity });
+        });
+    }
+
     #checkRoom({ runs, entry }: LoadWorker): void {
         let used = 0;
         for (const { step } of runs.values()) {
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -202,7 +202,7 @@
         }
         this.#advice.join(
             vm.name,
-            (question, { step, workers, duration }) => channel.send({ kind: "ask", question, step, workers, duration }),
+            (question, { step, workers }, duration) => channel.send({ kind: "ask", question, step, workers, duration }),
         );
         this.#balance();
         this.#assignments.even(this.cell.workers, link, [...this.#vms.values()]);
