A gang that would be lost with a worker that leaves is stopped at once and starts again the sooner

Cause: members on other workers held their room for the whole notice and the gang's job began anew seconds later.

--- a/packages/cell/src/moving/constants.ts
+++ b/packages/cell/src/moving/constants.ts
@@ -1,3 +1,10 @@
 /** Times, sizes and weights of moves that are not settings. Times are in milliseconds. */
 /** A run at a hindered worker is moved only if more than this share of it, in percent, is left. */
 export const leastLeftToMove = 15;
+/**
+ * A gang is stopped when it is expected to end this much after one of its workers leaves. Ends are expected from estimates
+ * and progress that are rough, and workers may leave later than they say. Where 15% of the workers leave at a notice of 3 s,
+ * 0.87 of the worth of wide gangs is served instead of 0.83, and 6.7% of the work is thrown away instead of 8.6% (mean of
+ * four replays of load).
+ */
+export const leastLateToStop = 1_500;
--- a/packages/cell/src/moving/mover.ts
+++ b/packages/cell/src/moving/mover.ts
@@ -4,7 +4,7 @@
 import type { RunBook } from "../runs/index.js";
 import { type CellContext, RunPhase, type Step, type Task, type TaskRun, type WorkerState } from "../state/index.js";
 import type { ProgressWatch } from "../watching/index.js";
-import { leastLeftToMove } from "./constants.js";
+import { leastLateToStop, leastLeftToMove } from "./constants.js";
 
 /** Progress of a task that lasts once it is at work, in percent (the users' rules). */
 const servingPercent = 100;
@@ -65,13 +65,17 @@
         }
     }
 
-    /** What will not end before its worker leaves is stopped in time, if its progress is saved or it lasts. */
+    /**
+     * What will not end before its worker leaves is stopped in time, if its progress is saved or it lasts. A gang goes with
+     * any one of its workers: its members elsewhere hold their room for nothing, and it starts again the sooner.
+     */
     #moveFromLeaving(worker: WorkerState, leavesAt: Milliseconds, now: Milliseconds): void {
         for (const run of worker.runs.values()) {
             const { definition } = run.task.step;
-            const endsAt = expectedEnd(run, now);
+            const lateBy = expectedEnd(run, now) - leavesAt;
             const isCheap = definition.savesProgress || definition.isLasting;
-            if (isCheap && isMovable(run) && endsAt > leavesAt && this.#hasPlace(run, now)) {
+            const isLostGang = definition.isGang && lateBy > leastLateToStop && run.percent < 100 - leastLeftToMove;
+            if (isMovable(run) && (isLostGang || isCheap && lateBy > 0 && this.#hasPlace(run, now))) {
                 this.runs.stop(run, "its worker is about to leave");
             }
         }
--- a/packages/cell/test/load/replays.test.ts
+++ b/packages/cell/test/load/replays.test.ts
@@ -24,10 +24,11 @@
         expectOthersServed(outcome);
     });
 
-    // 0.76 when patient work takes each bit of room as it opens, 0.84 when it is held back.
-    it("with bursts, and workers that leave: patient work leaves room for gangs while it has time", () => {
+    // 0.76 when patient work takes each bit of room as it opens, 0.84 when it is held back; 0.88 when gangs that would go with
+    // a worker that leaves are stopped at once.
+    it("with bursts, and workers that leave: patient work leaves room for gangs, and those that are lost start again", () => {
         const outcomes = [play(worstLoad, 1), play(worstLoad, 2)];
-        expect(meanOf(wideShares(outcomes))).toBeGreaterThan(0.8);
+        expect(meanOf(wideShares(outcomes))).toBeGreaterThan(0.85);
         outcomes.forEach(expectOthersServed);
     });
 
