--- a/packages/evidence/test/journal/journal.test.ts
+++ b/packages/evidence/test/journal/journal.test.ts
@@ -228,6 +228,46 @@
         expect(await allRecords(store)).toEqual(["a", "b"]);
     });
 
+    it("keeps records while a snapshot is on its way, however long that takes", async () => {
+        const store = new FlakyStore();
+        const { journal } = await open(store, "owner", { mostOnTheirWay: 4 });
+        const owner = keepState(journal);
+        let release: () => void = () => undefined;
+        const held = new Promise<void>(resolve => release = resolve);
+        store.beforeSwap = key => key.includes("/snapshots/") ? held : undefined;
+        const told: number[] = [];
+        const appends = Array.from({ length: 10 }, async (_, index) => {
+            await turns(index * 20);
+            await owner.append(index);
+            told.push(index);
+        });
+        await turns(400);
+        expect(told.length).toEqual(10);
+        expect(store.memory.list("shards/shard-0/snapshots/")).toEqual([]);
+        release();
+        await Promise.all(appends);
+        await owner.append("the next");
+        expect(store.memory.list("shards/shard-0/snapshots/").length).toEqual(1);
+        expect(await allRecords(store)).toEqual(owner.state);
+    });
+
+    it("waits for a snapshot before the keys of its ring run out", async () => {
+        const store = new FlakyStore();
+        const { journal } = await open(store, "owner", { mostOnTheirWay: 4 });
+        const owner = keepState(journal);
+        let release: () => void = () => undefined;
+        const held = new Promise<void>(resolve => release = resolve);
+        store.beforeSwap = key => key.includes("/snapshots/") ? held : undefined;
+        const appends = Array.from({ length: 60 }, async (_, index) => {
+            await turns(index * 10);
+            await owner.append(index);
+        });
+        await turns(1_000);
+        release();
+        await Promise.all(appends);
+        expect(await allRecords(store)).toEqual(owner.state);
+    });
+
     it("does not count what follows a segment that never arrived, and overwrites it", async () => {
         const store = new FlakyStore();
         const { journal } = await open(store, "old", { mostOnTheirWay: 4, snapshotEvery: 100 });
@@ -263,8 +303,8 @@
 });
 
 /** Lets what is ready run. */
-const turns = async (): Promise<void> => {
-    for (let turn = 0; turn < 20; turn++) {
+const turns = async (count = 20): Promise<void> => {
+    for (let turn = 0; turn < count; turn++) {
         await new Promise(resolve => setImmediate(resolve));
     }
 };
