--- a/packages/entry/test/owner/turn-runner.test.ts
+++ b/packages/entry/test/owner/turn-runner.test.ts
@@ -1,5 +1,5 @@
 import type { AdviceDispatcher, CellScheduler, Turn } from "@pebbledale/cell";
-import { type Journal, ManualClock } from "@pebbledale/core";
+import { jobId, type Journal, ManualClock } from "@pebbledale/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { type Assignments, TurnRunner } from "../../src/index.js";
@@ -28,10 +28,14 @@
     return { counts, cell: cell as unknown as CellScheduler };
 };
 
+const appended: unknown[] = [];
+
 const makeRunner = (cell: CellScheduler): TurnRunner =>
     new TurnRunner({
         cell,
-        journal: {} as Journal,
+        journal: {
+            append: async (records: readonly unknown[]) => void appended.push(...records),
+        } as unknown as Journal,
         clock: new ManualClock(),
         advice: {} as AdviceDispatcher,
         assignments: {} as Assignments,
@@ -48,4 +52,13 @@
         await settle();
         expect(counts).toEqual({ turns: 1, passes: 0 });
     });
+
+    it("write nothing more, so that the next owner finds the journal as it read it", async () => {
+        const { cell } = waitingCell();
+        const turn: Turn = { ...emptyTurn, records: [{ kind: "forgotten", job: jobId("late") }] };
+        const runner = makeRunner({ ...cell, drain: () => turn } as unknown as CellScheduler);
+        runner.stopPlacing();
+        await runner.run();
+        expect(appended).toEqual([]);
+    });
 });
--- a/packages/evidence/test/journal/journal.test.ts
+++ b/packages/evidence/test/journal/journal.test.ts
@@ -268,6 +268,40 @@
         expect(await allRecords(store)).toEqual(owner.state);
     });
 
+    it("is read by calls side by side, so that a slow store answers once for all of a large ring and once for a snapshot", async () => {
+        const store = new FlakyStore();
+        const sizes = { ringSize: 1_024, snapshotEvery: 4, largestBytes: 200 };
+        const { journal } = await open(store, "first", sizes);
+        const owner = keepState(journal);
+        for (let index = 0; index < 30; index++) {
+            await owner.append(`record ${index}`.padEnd(60, "x"));
+        }
+        let rounds = 0;
+        let waiting: (() => void)[] = [];
+        // Answers all calls that are on their way once nothing else happens.
+        const answered = () => new Promise<void>(resolve => waiting.push(resolve));
+        const list = store.list.bind(store);
+        const get = store.get.bind(store);
+        store.list = async prefix => {
+            await answered();
+            return list(prefix);
+        };
+        store.get = async key => {
+            await answered();
+            return get(key);
+        };
+        const opened = open(store, "second", sizes);
+        for (let pause = 0; pause < 20; pause++) {
+            await turns();
+            rounds += waiting.length > 0 ? 1 : 0;
+            waiting.forEach(resolve => resolve());
+            waiting = [];
+        }
+        const { contents } = await opened;
+        expect([...contents.snapshot as unknown[], ...contents.records]).toEqual(owner.state);
+        expect(rounds).toEqual(2);
+    });
+
     it("does not count what follows a segment that never arrived, and overwrites it", async () => {
         const store = new FlakyStore();
         const { journal } = await open(store, "old", { mostOnTheirWay: 4, snapshotEvery: 100 });
