--- a/packages/core/src/journal/chain.ts
+++ b/packages/core/src/journal/chain.ts
@@ -8,7 +8,7 @@
 import { absentVersion, type KeyValue, type KeyVersion, type PlatformStore } from "../platform/index.js";
 import type { Random } from "../random/index.js";
 import type { Clock, Milliseconds } from "../time/index.js";
-import { journalPrefix, parseSegment, ringKey, slotOf } from "./segments.js";
+import { parseSegment, ringKey, sectionPrefixes, slotOf } from "./segments.js";
 import { epochOfSnapshot } from "./snapshots.js";
 import type { Segment, SnapshotPointer } from "./types.js";
 
@@ -141,8 +141,13 @@
     }
 }
 
-/** Reads a journal's segments; undefined when all must be read again. */
+/**
+ * Reads a journal's segments, by calls side by side, as a store that answers slowly would take one answer a page; undefined
+ * when all must be read again.
+ */
 export const readChain = async (dependencies: ChainDependencies): Promise<Chain | undefined> => {
-    const chain = new Chain(dependencies, await dependencies.store.list(journalPrefix(dependencies.shard)));
+    const { store, shard, ringSize } = dependencies;
+    const sections = await Promise.all(sectionPrefixes(shard, ringSize).map(prefix => store.list(prefix)));
+    const chain = new Chain(dependencies, sections.flat());
     return await chain.follow() ? chain : undefined;
 };
--- a/packages/core/src/journal/journal.ts
+++ b/packages/core/src/journal/journal.ts
@@ -19,6 +19,8 @@
 
 /** A ring this full gets a snapshot whatever that costs. */
 const fullShare = 0.6;
+/** A ring this full takes no more segments before a snapshot has freed keys. */
+const shortShare = 0.9;
 
 /** Records of one append that are not kept yet. */
 interface Waiting {
@@ -82,8 +84,10 @@
     #takeSnapshot: (() => unknown) | undefined;
     #snapshotBytes = 0;
     #bytesSince = 0;
-    /** Wakes what waits for a segment to be kept. */
-    #noteProgress: (() => void) | undefined;
+    /** Wake what waits for a segment to be kept. */
+    #progressListeners: (() => void)[] = [];
+    /** Resolves once the snapshot that is on its way is written; undefined when none is. */
+    #snapshotOnItsWay: Promise<void> | undefined;
 
     constructor(
         private readonly dependencies: JournalDependencies,
@@ -167,15 +171,26 @@
     }
 
     /** Waits until at most this many segments are on their way. */
-    async #untilSent(most: number): Promise<void> {
-        while (this.#sent.size > most) {
-            await new Promise<void>(resolve => this.#noteProgress = resolve);
+    #untilSent(most: number): Promise<void> {
+        return this.#until(() => this.#sent.size <= most);
+    }
+
+    /** Waits for a condition that can only become true when a segment is kept. */
+    async #until(isTrue: () => boolean): Promise<void> {
+        while (!isTrue()) {
+            await new Promise<void>(resolve => this.#progressListeners.push(resolve));
             if (this.#fenced !== undefined) {
                 throw this.#fenced;
             }
         }
     }
 
+    #noteProgress(): void {
+        const listeners = this.#progressListeners;
+        this.#progressListeners = [];
+        listeners.forEach(listener => listener());
+    }
+
     /** Takes the first entries that wait, at most `most` of them and as many as one value holds. */
     #takeGroup(most: number): Waiting[] {
         let bytes = 0;
@@ -255,7 +270,7 @@
             next.group.forEach(entry => entry.resolve());
         }
         this.#removeObsolete();
-        this.#noteProgress?.();
+        this.#noteProgress();
     }
 
     #fail(cause: unknown): void {
@@ -266,47 +281,65 @@
         this.#sent.clear();
         this.#waiting = [];
         refused.forEach(entry => entry.reject(this.#fenced));
-        this.#noteProgress?.();
+        this.#noteProgress();
     }
 
     /**
-     * Replaces the segments so far by a snapshot when enough of them have gathered.
-     *
-     * The state already holds the records that wait at this moment, so these are written first; the snapshot then
-     * equals the journal up to the last of them. The pointer counts only from the next segment on, and the former
-     * snapshot is removed only after that segment is kept.
+     * Has the segments so far replaced by a snapshot when enough of them have gathered. Segments go on meanwhile, unless the
+     * ring's keys would run out: a snapshot takes two answers of the store, in which nothing would be kept.
      */
     async #snapshotIfDue(): Promise<void> {
         if (this.#takeSnapshot === undefined || !this.#isSnapshotDue()) {
             return;
         }
-        const text = JSON.stringify(this.#takeSnapshot());
+        if (this.#snapshotOnItsWay === undefined) {
+            this.#beginSnapshot(JSON.stringify(this.#takeSnapshot()));
+        }
+        else if (this.#isRingShort()) {
+            await this.#snapshotOnItsWay;
+        }
+    }
+
+    /**
+     * The state already holds the records that wait at this moment, so these are sent first; the snapshot then equals the
+     * journal up to the last of them.
+     */
+    #beginSnapshot(text: string): void {
         let included = this.#waiting.length;
         while (included > 0) {
             const group = this.#takeGroup(included);
             included -= group.length;
             this.#send(group);
         }
-        await this.#untilSent(0);
-        const through = this.#sequence;
+        this.#bytesSince = 0;
+        this.#snapshotOnItsWay = this.#writeSnapshot(text, this.#sequence)
+            .catch(cause => this.#fail(cause))
+            .finally(() => this.#snapshotOnItsWay = undefined);
+    }
+
+    /**
+     * Writes a snapshot of the state after segment `through`. Its pointer counts only from the next segment on, and the
+     * former snapshot is removed only after that segment is kept.
+     */
+    async #writeSnapshot(text: string, through: number): Promise<void> {
         const name = snapshotName(this.epoch, through, this.dependencies.random.name());
         const parts = await this.#writeParts(name, text);
+        await this.#until(() => this.#keptThrough >= through);
         if (this.#snapshot !== undefined) {
-            this.#obsolete = { pointer: this.#snapshot, replacedBy: through + 1 };
+            this.#obsolete = { pointer: this.#snapshot, replacedBy: this.#sequence + 1 };
         }
         this.#snapshot = { name, parts, through };
         this.#snapshotBytes = Buffer.byteLength(text);
-        this.#bytesSince = 0;
     }
 
-    /** Writes a snapshot; returns the number of its parts. */
+    /** Writes the parts of a snapshot side by side; returns their number. */
     async #writeParts(name: string, text: string): Promise<number> {
         const { shard, options } = this.dependencies;
         const parts = splitText(text, options.largestBytes);
-        for (const [index, part] of parts.entries()) {
-            // The name is drawn once, so a conflict means that a copy of this very part arrived first.
-            await this.#swaps.untilAnswered(snapshotKey(shard, name, index), absentVersion, part);
-        }
+        // The name is drawn once, so a conflict means that a copy of this very part arrived first.
+        await Promise.all(parts.map((part, index) =>
+            this.#swaps.untilAnswered(snapshotKey(shard, name, index), absentVersion, part)
+        ));
         return parts.length;
     }
 
@@ -325,6 +358,12 @@
         return this.#bytesSince >= this.#snapshotBytes || expected >= ringSize * fullShare;
     }
 
+    /** Whether the keys of the ring are nearly used up, so that a snapshot has to free some first. */
+    #isRingShort(): boolean {
+        const { ringSize, mostOnTheirWay } = this.dependencies.options;
+        return this.#sequence - (this.#snapshot?.through ?? 0) >= ringSize * shortShare - mostOnTheirWay;
+    }
+
     #removeObsolete(): void {
         const { store, shard } = this.dependencies;
         if (this.#obsolete !== undefined && this.#keptThrough >= this.#obsolete.replacedBy) {
--- a/packages/core/src/journal/segments.ts
+++ b/packages/core/src/journal/segments.ts
@@ -9,6 +9,17 @@
 /** Where the segments of a shard lie. */
 export const journalPrefix = (shard: ShardId): string => `shards/${shard}/journal/`;
 
+/** Slots whose keys are alike but for the last digits are read by one call: so many, well below what a page holds. */
+const slotsPerSection = 100;
+const sectionDigits = 2;
+
+/** Prefixes of keys that together are those of all slots of a ring. */
+export const sectionPrefixes = (shard: ShardId, ringSize: number): string[] =>
+    Array.from(
+        { length: Math.ceil(ringSize / slotsPerSection) },
+        (_, section) => `${journalPrefix(shard)}${String(section).padStart(slotDigits - sectionDigits, "0")}`,
+    );
+
 /** The key of one slot of the ring. */
 export const ringKey = (shard: ShardId, slot: number): string =>
     `${journalPrefix(shard)}${String(slot).padStart(slotDigits, "0")}`;
--- a/packages/core/src/journal/snapshots.ts
+++ b/packages/core/src/journal/snapshots.ts
@@ -53,13 +53,9 @@
     shard: ShardId,
     pointer: SnapshotPointer,
 ): Promise<unknown> => {
-    let text = "";
-    for (let part = 0; part < pointer.parts; part++) {
-        const entry = await store.get(snapshotKey(shard, pointer.name, part));
-        if (entry === undefined) {
-            return undefined;
-        }
-        text += entry.value;
-    }
-    return JSON.parse(text);
+    const keys = Array.from({ length: pointer.parts }, (_, part) => snapshotKey(shard, pointer.name, part));
+    const entries = await Promise.all(keys.map(key => store.get(key)));
+    return entries.includes(undefined)
+        ? undefined
+        : JSON.parse(entries.map(entry => entry?.value ?? "").join(""));
 };
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -228,7 +228,7 @@
             undefined,
         );
         this.#isHandingOver = true;
-        this.#turns.stopPlacing();
+        this.#turns.freeze();
         await this.#turns.untilKept();
         successor?.channel.send({ kind: "hand-over" });
         return successor !== undefined;
--- a/packages/entry/src/owner/turn-runner.ts
+++ b/packages/entry/src/owner/turn-runner.ts
@@ -26,7 +26,7 @@
     #isTurnDue = false;
     /** Whether a turn is planned for when the next pass may be made. */
     #isPassPlanned = false;
-    #mayPlace = true;
+    #isFrozen = false;
     /** Resolves once all records so far are kept. */
     #kept: Promise<void> = Promise.resolve();
 
@@ -34,9 +34,12 @@
         this.#pacer = new PassPacer(options.clock);
     }
 
-    /** Makes no more passes: the cell is handed over. */
-    stopPlacing(): void {
-        this.#mayPlace = false;
+    /**
+     * Nothing is decided or written any more: the cell is handed over. Each segment that the next owner finds beyond those
+     * that it has read takes it one more answer of the store.
+     */
+    freeze(): void {
+        this.#isFrozen = true;
     }
 
     /** Resolves once all records so far are kept. */
@@ -52,7 +55,7 @@
         this.#isTurnDue = true;
         setImmediate(() => {
             this.#isTurnDue = false;
-            if (this.options.cell.wantsPass && this.#mayPlace) {
+            if (this.options.cell.wantsPass && !this.#isFrozen) {
                 this.#pass();
             }
             void this.run();
@@ -63,6 +66,10 @@
     async run(): Promise<void> {
         const { cell, advice, journal, assignments, lost } = this.options;
         const turn = cell.drain();
+        if (this.#isFrozen) {
+            // What came since is seen by the next owner too: it is neither acted on nor acknowledged here.
+            return;
+        }
         turn.commands.filter(command => command.kind !== "start").forEach(command => this.#send(command));
         turn.questions.forEach(question => advice.ask(question));
         this.#tidyLinks(turn);
@@ -82,7 +89,7 @@
         for (const [worker, through] of turn.acknowledgements) {
             assignments.vmOf(worker)?.channel.send({ kind: "acknowledge", worker, through });
         }
-        if (cell.wantsPass && this.#mayPlace && !this.#isPassPlanned) {
+        if (cell.wantsPass && !this.#isFrozen && !this.#isPassPlanned) {
             this.request();
         }
     }
--- a/packages/entry/src/ownership/candidate.ts
+++ b/packages/entry/src/ownership/candidate.ts
@@ -176,6 +176,7 @@
     /** Claims the owner's key; rejects when this VM is not to have it. */
     async #claim(dialer: VmDialer, key: OwnerKey, reason: string): Promise<void> {
         const expected = this.options.view.ownerVersion ?? absentVersion;
+        key.prepare();
         if (reason === ownerIsSilent && !await this.#othersAgree(dialer)) {
             throw new ClaimAbandonedError("the other VMs hear the owner");
         }
--- a/packages/entry/src/ownership/owner-key.ts
+++ b/packages/entry/src/ownership/owner-key.ts
@@ -28,6 +28,8 @@
     readonly #watch: DependencyWatch;
     #lease: PlatformLeaseId | undefined;
     #confirmedAt = -Infinity;
+    /** A lease that was asked for ahead of a claim. */
+    #prepared: Promise<PlatformLeaseId> | undefined;
     /** The claim of a key whose lease has ended, while it is on its way. */
     #claiming: Promise<unknown> | undefined;
 
@@ -42,10 +44,20 @@
         return this.#confirmedAt;
     }
 
+    /** Asks for the lease of a claim that may follow: a slow store answers meanwhile. */
+    prepare(): void {
+        const { store, leaseLength } = this.options;
+        this.#prepared = store.grantLease(leaseLength);
+        // A failure counts once the lease is used.
+        this.#prepared.catch(() => undefined);
+    }
+
     /** Claims the key if its version is still `expected`; false when another process was faster. */
     async claim(expected: KeyVersion): Promise<boolean> {
         const { store, value, leaseLength } = this.options;
-        const lease = await store.grantLease(leaseLength);
+        const prepared = this.#prepared;
+        this.#prepared = undefined;
+        const lease = await (prepared ?? store.grantLease(leaseLength));
         const outcome = await store.compareAndSwap(ownerKey, expected, value, lease);
         // A conflict with our own value: the first answer was lost.
         const isOwn = outcome.kind === "swapped" || outcome.current?.value === value;
--- a/packages/entry/test/owner/turn-runner.test.ts
+++ b/packages/entry/test/owner/turn-runner.test.ts
@@ -47,7 +47,7 @@
     it("make no passes, and do not follow each other without pause while work waits", async () => {
         const { counts, cell } = waitingCell();
         const runner = makeRunner(cell);
-        runner.stopPlacing();
+        runner.freeze();
         runner.request();
         await settle();
         expect(counts).toEqual({ turns: 1, passes: 0 });
@@ -57,7 +57,7 @@
         const { cell } = waitingCell();
         const turn: Turn = { ...emptyTurn, records: [{ kind: "forgotten", job: jobId("late") }] };
         const runner = makeRunner({ ...cell, drain: () => turn } as unknown as CellScheduler);
-        runner.stopPlacing();
+        runner.freeze();
         await runner.run();
         expect(appended).toEqual([]);
     });
--- a/packages/evidence/test/journal/journal.test.ts
+++ b/packages/evidence/test/journal/journal.test.ts
@@ -56,8 +56,9 @@
     };
 };
 
-const allRecords = async (store: FlakyStore): Promise<unknown[]> => {
-    const { contents } = await open(store, "reader");
+/** `sizes`: those of the owner, as a reader has to know the ring. */
+const allRecords = async (store: FlakyStore, sizes: { ringSize?: number; } = {}): Promise<unknown[]> => {
+    const { contents } = await open(store, "reader", sizes);
     return [...(contents.snapshot as unknown[] | undefined ?? []), ...contents.records];
 };
 
@@ -147,7 +148,7 @@
         }
         // Without the rule: a snapshot, of up to three parts, after every fourth of 400 segments.
         expect(journal.writes - count).toBeLessThan(20);
-        expect(await allRecords(store)).toEqual(owner.state);
+        expect(await allRecords(store, { ringSize: 256 })).toEqual(owner.state);
     });
 
     it("keeps the former snapshot until a segment names the new one", async () => {
@@ -230,7 +231,7 @@
 
     it("keeps records while a snapshot is on its way, however long that takes", async () => {
         const store = new FlakyStore();
-        const { journal } = await open(store, "owner", { mostOnTheirWay: 4 });
+        const { journal } = await open(store, "owner", { mostOnTheirWay: 4, ringSize: 32 });
         const owner = keepState(journal);
         let release: () => void = () => undefined;
         const held = new Promise<void>(resolve => release = resolve);
