--- a/packages/cell/test/advising/advice-dispatcher.test.ts
+++ b/packages/cell/test/advising/advice-dispatcher.test.ts
@@ -139,3 +139,27 @@
         expect(dispatcher.answered(asked[0].question)).toEqual(undefined);
     });
 });
+
+describe("a thousand questions that wait, as after a change of owner", () => {
+    const policy = { decision: 16, eachWorker: 0.23, validity: 1_500 };
+
+    it("are looked at only as far as VMs are free: an answer costs no look at all of them", () => {
+        let looks = 0;
+        const questioner = { isAdviceWanted: () => ++looks > 0, dropAdvice: () => undefined };
+        const dispatcher = new AdviceDispatcher(() => 0, questioner);
+        const asked: number[] = [];
+        for (let index = 0; index < 20; index++) {
+            dispatcher.join(`vm${index}`, question => asked.push(question));
+        }
+        for (let index = 0; index < 1_000; index++) {
+            dispatcher.ask({ step: `s${index}`, workers: workersOf(12), urgency: 0, policy });
+        }
+        expect(asked.length).toEqual(160);
+        looks = 0;
+        for (let answered = 0; answered < 100; answered++) {
+            dispatcher.answered(asked[answered]);
+        }
+        expect(asked.length).toEqual(260);
+        expect(looks).toEqual(100);
+    });
+});
--- a/packages/entry/test/owner/pass-pacer.test.ts
+++ b/packages/entry/test/owner/pass-pacer.test.ts
@@ -20,6 +20,31 @@
         expect(spent / clock.monotonic() <= passShare + 0.01).toEqual(true);
     });
 
+    it("take no more than their share when all of them are long, as in a large cell with a long backlog", () => {
+        const clock = new ManualClock();
+        const pacer = new PassPacer(clock);
+        let spent = 0;
+        while (clock.monotonic() < 60_000) {
+            if (pacer.wait === 0) {
+                pacer.run(() => clock.advance(120));
+                spent += 120;
+            }
+            else {
+                clock.advance(1);
+            }
+        }
+        expect(spent / clock.monotonic() <= passShare + 0.02).toEqual(true);
+    });
+
+    it("are not held back by one during which the process was paused, when the others are short", () => {
+        const clock = new ManualClock();
+        const pacer = new PassPacer(clock);
+        for (const duration of [8, 8, 8, 8, 4_000]) {
+            pacer.run(() => clock.advance(duration));
+        }
+        expect(pacer.wait).toEqual(longestPassPause);
+    });
+
     it("go on soon after one during which the process was paused", () => {
         const clock = new ManualClock();
         const pacer = new PassPacer(clock);
