--- a/packages/cell/src/choosing/constants.ts
+++ b/packages/cell/src/choosing/constants.ts
@@ -9,8 +9,9 @@
 /** A task is wide when no worker of its service holds more than this many of them. */
 export const wideTasksPerWorker = 4;
 /**
- * Workers are looked through, the fullest first, until those found hold this many times the tasks that wait, and are so
- * many: a worker that is less full may be left with less once it has several tasks.
+ * Workers are looked through, the fullest first, until those found hold this many times the tasks that wait: a worker that is
+ * less full may be left with less once it has several tasks.
  */
 export const choiceFactor = 3;
+/** Fewest workers that are found before the others are left out. */
 export const fewestCandidates = 16;
