--- /dev/null
+++ b/packages/cell/test/support/load/main.ts
@@ -0,0 +1,51 @@
+/** Plays load patterns by hand and prints what callers had: `npm run replay -- PATTERN SEED...`. */
+import { SystemClock } from "@pebbledale/core";
+import type { Outcome, Served } from "./outcome.js";
+import type { LoadPattern } from "./pattern.js";
+import { backlogLoad, grownLoad, smallLoad, steadyLoad, worstLoad } from "./patterns.js";
+import { Replay } from "./replay.js";
+
+const patterns = new Map([steadyLoad, worstLoad, grownLoad, smallLoad, backlogLoad].map(load => [load.name, load]));
+
+const percent = (share: number): string => `${(100 * share).toFixed(1)}%`;
+
+const servedLine = (name: string, { asked, onTime, late, share, median }: Served): string =>
+    `  ${name.padEnd(24)} ${
+        percent(share).padStart(7)
+    } of its worth; ${onTime} on time, ${late} late of ${asked}; median ${Math.round(median)} ms`;
+
+const passLine = (passes: readonly number[]): string => {
+    const sorted = [...passes].sort((left, right) => right - left);
+    const mean = passes.reduce((sum, pass) => sum + pass, 0) / Math.max(1, passes.length);
+    return `  ${passes.length} passes: mean ${mean.toFixed(2)} ms, longest ${(sorted[0] ?? 0).toFixed(0)} ms`;
+};
+
+const print = (pattern: LoadPattern, seed: number, outcome: Outcome): void => {
+    console.log(
+        `${pattern.name}, seed ${seed}: ${percent(outcome.total)} of all worth; ${
+            percent(outcome.idleShare)
+        } idle while work waits; ${
+            percent(outcome.wastedShare)
+        } of the work thrown away; ${outcome.questions} questions`,
+    );
+    for (const [name, { all, fifthBeneath, largestTenth }] of Object.entries(outcome.queues)) {
+        console.log(servedLine(name, all));
+        console.log(servedLine(`${name}, largest tenth`, largestTenth));
+        console.log(servedLine(`${name}, fifth beneath`, fifthBeneath));
+    }
+    console.log(passLine(outcome.passes));
+    outcome.broken.forEach(line => console.log(`  broken: ${line}`));
+};
+
+const [name = "", ...seeds] = process.argv.slice(2);
+const pattern = patterns.get(name);
+const numbers = seeds.map(Number);
+if (pattern === undefined || numbers.length === 0 || numbers.some(seed => !Number.isInteger(seed))) {
+    console.error(
+        `usage: npm run replay -- PATTERN SEED...; patterns: ${[...patterns.keys()].join(", ")}; seeds: whole numbers`,
+    );
+    process.exitCode = 2;
+}
+else {
+    numbers.forEach(seed => print(pattern, seed, new Replay({ ...pattern, seed }, new SystemClock()).run()));
+}
--- a/packages/cell/test/support/load/outcome.ts
+++ b/packages/cell/test/support/load/outcome.ts
@@ -38,6 +38,8 @@
     /** Runs stopped, by reason. */
     readonly stops: Readonly<Record<string, number>>;
     readonly questions: number;
+    /** What passes over what waits took; empty without a stopwatch. */
+    readonly passes: readonly Milliseconds[];
     /** What must not happen. */
     readonly broken: readonly string[];
 }
--- a/packages/cell/test/support/load/replay.ts
+++ b/packages/cell/test/support/load/replay.ts
@@ -5,6 +5,7 @@
  * is seen 10 ms after it came. No message is lost; what strikes is what the pattern says.
  */
 import {
+    type Clock,
     jobId,
     type LogEvent,
     logEvents,
@@ -41,6 +42,8 @@
 const messageDelay: Milliseconds = 5;
 const endDelay: Milliseconds = 10;
 const stopDelay: Milliseconds = 300;
+/** Least time between two passes over what waits. */
+const passInterval: Milliseconds = 20;
 const lookInterval: Milliseconds = 600;
 const tickInterval: Milliseconds = 100;
 const restoreTime: Milliseconds = 600;
@@ -70,6 +73,7 @@
     readonly #lookPlanned = new Set<LoadWorker>();
     readonly #broken: string[] = [];
     readonly #stops: Record<string, number> = {};
+    readonly #passes: Milliseconds[] = [];
     #questions = 0;
     #nextJob = 0;
     #nextPass: Milliseconds = 0;
@@ -78,8 +82,8 @@
     #idle = 0;
     #samples = 0;
 
-    /** `passInterval`: least time between two passes over what waits. */
-    constructor(private readonly pattern: LoadPattern, private readonly passInterval: Milliseconds = 20) {
+    /** `stopwatch`: measures what passes take. */
+    constructor(private readonly pattern: LoadPattern, private readonly stopwatch?: Clock) {
         this.#jobs = drawJobs(pattern);
         this.#jobs.forEach(job => this.#byId.set(job.definition.job, job));
         this.#drawer = new Drawer(new SeededRandom(pattern.seed));
@@ -119,14 +123,22 @@
             this.#sample();
         }
         if (this.#cell.wantsPass && now >= this.#nextPass) {
-            this.#cell.place();
-            this.#nextPass = now + this.passInterval;
+            this.#pass();
+            this.#nextPass = now + passInterval;
         }
         if (this.#cell.hasOutput) {
             this.#carryOut(this.#cell.drain(), now);
         }
     }
 
+    #pass(): void {
+        const begunAt = this.stopwatch?.monotonic() ?? 0;
+        this.#cell.place();
+        if (this.stopwatch !== undefined) {
+            this.#passes.push(this.stopwatch.monotonic() - begunAt);
+        }
+    }
+
     #arrive(now: Milliseconds): void {
         while (this.#nextJob < this.#jobs.length && this.#jobs[this.#nextJob].at <= now) {
             this.#cell.submit(this.#jobs[this.#nextJob++].definition);
@@ -422,6 +434,7 @@
             wastedShare: this.#wasted / Math.max(1, this.#worked),
             stops: this.#stops,
             questions: this.#questions,
+            passes: this.#passes,
             broken: this.#broken,
         };
     }
