--- a/packages/cell/test/load/hold-back.test.ts
+++ b/packages/cell/test/load/hold-back.test.ts
@@ -18,12 +18,12 @@
 };
 
 /** Workers with two of eight cores free each; a gang has waited for room for a while. */
-const shortOfRoom = (): { driver: CellDriver; holders: readonly StartCommand[]; } => {
+const shortOfRoom = (waiting = gang): { driver: CellDriver; holders: readonly StartCommand[]; } => {
     const driver = makeDriver(2);
     driver.cell.submit(makeJob("holder", [makeStep({ taskCount: 2, size: sizeOf(6_000), estimate: 60_000 })]));
     const holders = driver.run().starts;
     driver.confirm(...holders);
-    driver.cell.submit(makeJob("gang", [gang]));
+    driver.cell.submit(makeJob("gang", [waiting]));
     driver.run();
     driver.clock.advance(1_600);
     return { driver, holders };
@@ -68,6 +68,12 @@
         expect(startedJobs(driver)).toEqual(["small"]);
     });
 
+    it("starts as before where the gang would not fit the workers that may run it, were they empty", () => {
+        const { driver } = shortOfRoom({ ...gang, taskCount: 3 });
+        driver.cell.submit(makeJob("small", [small], patient));
+        expect(startedJobs(driver)).toEqual(["small"]);
+    });
+
     it("of a queue that is as urgent starts as before", () => {
         const { driver } = shortOfRoom();
         driver.cell.submit(makeJob("small", [small]));
