--- a/packages/cell/src/placing/placer.ts
+++ b/packages/cell/src/placing/placer.ts
@@ -132,7 +132,9 @@
         }
         const shares = this.#deal(step, candidates, waiting.length, now);
         if (shares === undefined) {
-            this.#holdBack.noteShortage(ranked, now);
+            if (this.#mayEverFit(step, waiting.length)) {
+                this.#holdBack.noteShortage(ranked, now);
+            }
             this.#keepRoom(step, waiting.length, now);
             this.advice.wantRoom(step, waiting.length, this.#roomOf(step, waiting.length, now));
             return;
@@ -145,6 +147,20 @@
         }
     }
 
+    /** Whether the workers that may run a gang, as far as is known, would hold all of it, were they empty. */
+    #mayEverFit(step: Step, count: number): boolean {
+        const { permits } = step;
+        const workers = permits === undefined ? this.#open : this.context.workersOf(permits.permitted);
+        let held = 0;
+        for (const worker of workers) {
+            held += worker.countWhenEmpty(step);
+            if (held >= count) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Whether a step waits whose tasks seldom find room by chance. */
     #isStarving(step: Step, now: Milliseconds): boolean {
         return now - (step.readyAt ?? now) >= wideTaskPatience && isWide(step, this.#open);
