--- a/packages/cell/src/placing/placer.ts
+++ b/packages/cell/src/placing/placer.ts
@@ -32,6 +32,7 @@
     /** Workers that may be ordered in this pass. */
     #open: readonly WorkerState[] = [];
     #index = new RoomIndex([]);
+    #heldBack = 0;
 
     constructor(
         private readonly context: CellContext,
@@ -50,6 +51,11 @@
         return this.#ready;
     }
 
+    /** Tasks that the last pass held back. */
+    get heldBack(): number {
+        return this.#heldBack;
+    }
+
     /** Adds a step whose tasks may be placed. */
     add(step: Step): void {
         this.#ready.add(step);
@@ -70,6 +76,7 @@
             .sort(compareRanks);
         this.#reservations.begin(ranked.map(({ step }) => step), now);
         this.#holdBack.begin(this.#open);
+        this.#heldBack = 0;
         this.#index = new RoomIndex(this.#open);
         this.advice.begin(this.#index);
         ranked.forEach(entry => this.#placeStep(entry, now));
@@ -83,7 +90,11 @@
             return;
         }
         this.advice.prepare(step, terms);
-        if (now < step.notBefore || this.#holdBack.holds(ranked, now)) {
+        if (now < step.notBefore) {
+            return;
+        }
+        if (this.#holdBack.holds(ranked, now)) {
+            this.#heldBack += waiting.length;
             return;
         }
         const input = {
--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -343,7 +343,7 @@
 
     /** How the cell stands, in figures. */
     summary(): CellSummary {
-        return summarize(this.#context, this.#placer.readySteps);
+        return summarize(this.#context, this.#placer.readySteps, this.#placer.heldBack);
     }
 
     /** Takes out what the inputs so far led to. */
--- a/packages/cell/src/scheduler/cell-summary.ts
+++ b/packages/cell/src/scheduler/cell-summary.ts
@@ -16,10 +16,12 @@
     readonly openJobs: number;
     /** Tasks that wait, by the priority of their queue, and the processor that they ask for, in thousandths. */
     readonly waiting: Readonly<Record<string, { readonly tasks: number; readonly processor: number; }>>;
+    /** Of these the tasks that the last pass held back, as a gang of a more urgent queue is short of room. */
+    readonly heldBack: number;
 }
 
 /** Works the figures out. */
-export const summarize = (context: CellContext, ready: ReadonlySet<Step>): CellSummary => {
+export const summarize = (context: CellContext, ready: ReadonlySet<Step>, heldBack: number): CellSummary => {
     const now = context.now();
     const workers = [...context.workers.values()];
     const open = workers.filter(worker => worker.isOpen(now));
@@ -32,6 +34,7 @@
         freeProcessor: sum(open.map(worker => worker.freeProcessor)),
         runs: sum(workers.map(worker => worker.runs.size)),
         openJobs: [...context.table.jobs.values()].filter(job => !job.isOver).length,
+        heldBack,
         waiting: waitingByPriority(ready),
     };
 };
--- a/packages/cell/test/load/hold-back.test.ts
+++ b/packages/cell/test/load/hold-back.test.ts
@@ -36,6 +36,7 @@
         const { driver } = shortOfRoom();
         driver.cell.submit(makeJob("small", [small], patient));
         expect(startedJobs(driver)).toEqual([]);
+        expect(driver.cell.summary().heldBack).toEqual(1);
     });
 
     it("starts once its job could no longer be on time otherwise", () => {
--- a/packages/entry/src/observation/entry-metrics.ts
+++ b/packages/entry/src/observation/entry-metrics.ts
@@ -57,6 +57,7 @@
         ofCell("pebbledale_open_workers", "Workers that may be ordered", summary => summary.openWorkers);
         ofCell("pebbledale_free_cores", "Free cores of these", summary => summary.freeProcessor / 1_000);
         ofCell("pebbledale_runs", "Runs that are not over", summary => summary.runs);
+        ofCell("pebbledale_held_back_tasks", "Patient tasks that wait for a gang's room", ({ heldBack }) => heldBack);
         ofCell("pebbledale_open_jobs", "Jobs that are not over", summary => summary.openJobs);
         this.metrics.gauge(
             "pebbledale_journal_wait_seconds",
