--- a/packages/cell/src/choosing/constants.ts
+++ b/packages/cell/src/choosing/constants.ts
@@ -10,7 +10,7 @@
 export const wideTasksPerWorker = 4;
 /**
  * Workers are looked through, the fullest first, until those found hold this many times the tasks that wait: a worker that is
- * less full may be left with less once it has several tasks. Replays of load serve the same with all of them looked through.
+ * less full may be left with less once it has several tasks.
  */
 export const choiceFactor = 3;
 /** Fewest workers that are found before the others are left out. */
