Sight: entries and looks tell which life of a worker speaks; a change of it is logged by the owner and by the link

Cause: the logs name workers by their ids, so a worker that was started again under its id shows as one that forgot its runs (4205, cause alive), and nothing tells which numbers of ends or which leases it was asked with. No decision changes.

--- a/packages/cell/src/runs/worker-pool.ts
+++ b/packages/cell/src/runs/worker-pool.ts
@@ -92,6 +92,15 @@
         const wasDraining = worker.entry?.isDraining === true;
         const isNew = worker.entry === undefined;
         const former = worker.entry?.capacity;
+        if (worker.entry !== undefined && worker.entry.life !== entry.life) {
+            log.log(logEvents.workerListedAnew, {
+                worker: entry.worker,
+                former: worker.entry.life,
+                life: entry.life,
+                address: entry.address,
+                runs: worker.runs.size,
+            });
+        }
         worker.describe(entry);
         if (former !== undefined && !isSameRoom(former, entry.capacity)) {
             log.log(logEvents.workerRoomChanged, {
@@ -109,7 +118,12 @@
             this.listener.workerDrains(worker);
         }
         if (isNew) {
-            log.log(logEvents.workerListed, { worker: entry.worker, address: entry.address, labels: entry.labels });
+            log.log(logEvents.workerListed, {
+                worker: entry.worker,
+                life: entry.life,
+                address: entry.address,
+                labels: entry.labels,
+            });
         }
         this.listener.roomChanged();
     }
@@ -150,6 +164,7 @@
         if (isFirst) {
             this.context.options.log.log(logEvents.workerSeen, {
                 worker: id,
+                life: look.life,
                 running: look.running.length,
                 ended: look.ended.length,
             });
--- a/packages/cell/src/task-worker/types.ts
+++ b/packages/cell/src/task-worker/types.ts
@@ -1,5 +1,5 @@
 /** The orders a worker takes and what it answers. One adapter implements the client for each real protocol. */
-import type { FencingToken, Milliseconds, RunNumber, TaskAddress, WorkerId } from "@pebbledale/core";
+import type { FencingToken, Milliseconds, RunNumber, TaskAddress, WorkerId, WorkerLife } from "@pebbledale/core";
 
 /** One run that a worker has at work. */
 export interface WorkerRun {
@@ -53,6 +53,8 @@
 
 /** What a worker has. */
 export interface Look {
+    /** Which life of the worker answers; left out where the platform gives a restarted worker another id. */
+    readonly life?: WorkerLife;
     readonly clock: WorkerTime;
     readonly running: readonly WorkerRun[];
     readonly ended: readonly EndedRun[];
--- a/packages/cell/src/worker-directory/index.ts
+++ b/packages/cell/src/worker-directory/index.ts
@@ -1,12 +1,13 @@
 /** Workers as they record themselves in the platform's store. */
-import type { Milliseconds, ServiceName, WorkerId } from "@pebbledale/core";
+import type { Milliseconds, ServiceName, WorkerId, WorkerLife } from "@pebbledale/core";
 import type { TaskSize } from "../state/index.js";
 import type { VmId } from "../upkeep/index.js";
 
 /** One life of a worker, as it last described itself. */
 export interface WorkerEntry {
-    /** Names this life; a restarted worker has another. */
     readonly worker: WorkerId;
+    /** Left out where the platform gives a restarted worker another id. */
+    readonly life?: WorkerLife;
     /** IP number and port. */
     readonly address: string;
     readonly service: ServiceName;
--- a/packages/core/src/ids/index.ts
+++ b/packages/core/src/ids/index.ts
@@ -9,6 +9,11 @@
 export type ShardId = Branded<string, "ShardId">;
 /** Names one VM of the platform's list that runs tasks. */
 export type WorkerId = Branded<string, "WorkerId">;
+/**
+ * Tells the lives of a worker apart that start one after the other under its id: the Unix millisecond of the start. Clocks step back, so
+ * another value is another life, and neither of two is the newer one by its value.
+ */
+export type WorkerLife = Branded<number, "WorkerLife">;
 /** Names one job as it was accepted. */
 export type JobId = Branded<string, "JobId">;
 /** Names one task of a job: the job's id, a slash and the task's index. */
@@ -40,6 +45,8 @@
 export const shardId = (text: string): ShardId => text as ShardId;
 /** Makes a worker id from text that is known to be one. */
 export const workerId = (text: string): WorkerId => text as WorkerId;
+/** Makes the name of a worker's life from a whole number. */
+export const workerLife = (value: number): WorkerLife => value as WorkerLife;
 /** Makes a job id from text that is known to be one. */
 export const jobId = (text: string): JobId => text as JobId;
 /** Makes a process id from text that is known to be one. */
--- a/packages/core/src/log-events/index.ts
+++ b/packages/core/src/log-events/index.ts
@@ -128,6 +128,13 @@
         "a worker has more or less room; what runs beyond it goes on",
         nothing,
     ),
+    workerListedAnew: define(4315, "info", "a worker is listed as another life than before", nothing),
+    workerRestarted: define(
+        4316,
+        "warn",
+        "a worker was started again under its id: another life of it answers",
+        "Look at the VM if it recurs.",
+    ),
     workerEntryUnreadable: define(
         4312,
         "error",
--- a/packages/entry/src/links/worker-link.ts
+++ b/packages/entry/src/links/worker-link.ts
@@ -22,6 +22,7 @@
     logEvents,
     type Milliseconds,
     type WorkerId,
+    type WorkerLife,
 } from "@pebbledale/core";
 import { createAbortController, type EventLogger } from "@pebbledale/runtime";
 import type { AssignMessage, WorkerReport } from "../protocol/index.js";
@@ -78,6 +79,8 @@
     #reportedThrough = 0;
     #progressAt = -Infinity;
     #isSilent = false;
+    /** Which life of the worker answered last. */
+    #life: WorkerLife | undefined;
     /** When the worker last answered anything. */
     #heardAt: Milliseconds | undefined;
     /** After a silence the owner may take the leases for over: none is given until it says so. */
@@ -232,6 +235,7 @@
     #takeLook(look: Look, sentAt: Milliseconds, isWhole: boolean): void {
         const { clock, send } = this.options;
         const now = clock.monotonic();
+        this.#noteLife(look);
         const isFirst = !this.#lease.hasClock;
         this.#lease.readClock({ clock: look.clock, sentAt, receivedAt: now });
         const wasSilent = this.#isSilent;
@@ -251,6 +255,22 @@
         starts.forEach(start => void this.#start(start));
     }
 
+    #noteLife({ life, clock, running, ended }: Look): void {
+        if (this.#life !== undefined && this.#life !== life) {
+            this.options.logger.log(logEvents.workerRestarted, {
+                worker: this.worker,
+                former: this.#life,
+                life,
+                clock,
+                running: running.length,
+                ended: ended.length,
+                forgottenThrough: this.#forgetThrough,
+                lapsesIn: Math.round(this.#lease.lapsesIn()),
+            });
+        }
+        this.#life = life;
+    }
+
     #takeRefusal(refusal: OrderRefusal, token: FencingToken): boolean {
         if (refusal === OrderRefusal.OtherLife) {
             this.options.send({ kind: "other-life", worker: this.worker });
