A link, its lease and what the owner knows of a worker belong to one life of it

Cause: ids were taken for lives. The link told a restarted worker to forget ends up to the former life's highest number and dropped what it listed up to there (TWICE; and rooms held by runs that were done, LOST), and reckoned leases of the former clock on the new one. Change: a life is (id, born); a link is for one life, and reports another that answers its looks and ends; the owner replaces its whole state of the worker, frees what a look has shown, and keeps what was only ordered until the new link's first look. Numbers of ends go with a life from the decision to the link, and are sent only on a look that follows an answered one. A first reading counts the longest lease. Where lives have no names a steady clock that went back tells.

--- a/packages/cell/src/runs/run-book.ts
+++ b/packages/cell/src/runs/run-book.ts
@@ -79,6 +79,7 @@
         task.lastRun = Math.max(task.lastRun, seen.run);
         const run = this.#add(task, seen.run, worker, RunPhase.AtWork, { isAdopted: true });
         run.confirmedAt = this.context.now();
+        run.isShown = true;
         this.#noteBegun(task);
         this.noteProgress(run, seen);
     }
@@ -92,6 +93,22 @@
         this.#noteBegun(run.task);
     }
 
+    /** A look of the worker shows a run. */
+    noteShown(run: TaskRun): void {
+        run.isShown = true;
+        run.isOfFormerLife = false;
+        this.confirm(run);
+    }
+
+    /** The worker was started again before it was known whether it has a run: the first look of its new life tells. */
+    transfer(run: TaskRun, worker: WorkerState): void {
+        run.worker.discharge(run);
+        run.worker = worker;
+        run.confirmedAt = undefined;
+        run.isOfFormerLife = true;
+        worker.charge(run);
+    }
+
     /** Takes in how far a run is. */
     noteProgress(run: TaskRun, seen: WorkerRun): void {
         if (seen.percent !== run.percent) {
@@ -263,6 +280,8 @@
             checkpoint: "",
             pace: fullPace,
             stopReason: undefined,
+            isShown: false,
+            isOfFormerLife: false,
             isAdopted,
             isTrial,
         };
--- a/packages/cell/src/runs/worker-pool.ts
+++ b/packages/cell/src/runs/worker-pool.ts
@@ -1,5 +1,5 @@
 /** The cell's workers: who there is, what they say runs there, and when nothing can run there any more. */
-import { logEvents, type Milliseconds, type WorkerId } from "@pebbledale/core";
+import { logEvents, type Milliseconds, type WorkerId, type WorkerLife } from "@pebbledale/core";
 import { type CrashWatch, LossCause, type SilenceLog } from "../crashes/index.js";
 import type { PaceKeeper } from "../pacing/index.js";
 import {
@@ -55,8 +55,8 @@
     /** Takes over the workers of the journal, and the runs there whose ends are not known. */
     recover(): void {
         const { table, workers } = this.context;
-        for (const [id, address] of table.knownWorkers) {
-            const worker = new WorkerState(id, address);
+        for (const [id, { address, life }] of table.knownWorkers) {
+            const worker = new WorkerState(id, address, life);
             worker.isRecorded = true;
             workers.set(id, worker);
         }
@@ -82,25 +82,21 @@
         const { log } = this.context.options;
         let worker = this.context.workers.get(entry.worker);
         if (worker === undefined) {
-            worker = new WorkerState(entry.worker, entry.address);
+            worker = new WorkerState(entry.worker, entry.address, entry.life);
             this.context.workers.set(entry.worker, worker);
             this.crashes.noteNewLife(entry.worker, entry.address);
         }
+        worker.unlistedSince = undefined;
+        if (!this.#isOfItsLife(worker, entry)) {
+            return;
+        }
+        worker.life ??= entry.life;
         if (!worker.isRecorded) {
-            this.context.record({ kind: "worker", worker: entry.worker, address: entry.address });
+            this.#record(worker);
         }
         const wasDraining = worker.entry?.isDraining === true;
         const isNew = worker.entry === undefined;
         const former = worker.entry?.capacity;
-        if (worker.entry !== undefined && worker.entry.life !== entry.life) {
-            log.log(logEvents.workerListedAnew, {
-                worker: entry.worker,
-                former: worker.entry.life,
-                life: entry.life,
-                address: entry.address,
-                runs: worker.runs.size,
-            });
-        }
         worker.describe(entry);
         if (former !== undefined && !isSameRoom(former, entry.capacity)) {
             log.log(logEvents.workerRoomChanged, {
@@ -111,7 +107,6 @@
                 isOverfull: worker.isOverfull,
             });
         }
-        worker.unlistedSince = undefined;
         if (entry.isDraining && !wasDraining) {
             worker.leavesAt = this.context.now() + (entry.leavesIn ?? 0);
             log.log(logEvents.workerDrains, { worker: entry.worker, leavesIn: entry.leavesIn });
@@ -155,6 +150,10 @@
         if (worker === undefined) {
             return;
         }
+        if (worker.life === undefined && look.life !== undefined) {
+            worker.life = look.life;
+            this.#record(worker);
+        }
         const isFirst = !worker.isClaimed;
         worker.isClaimed = true;
         this.crashes.explain(id, false);
@@ -183,7 +182,7 @@
             this.runs.takeEnd(worker, end);
             worker.takenThrough = Math.max(worker.takenThrough, end.number);
         }
-        this.context.outbox.acknowledge(id, worker.takenThrough);
+        this.context.outbox.acknowledge(worker, worker.takenThrough);
         this.listener.roomChanged();
     }
 
@@ -221,6 +220,39 @@
         this.crashes.explain(id, true);
     }
 
+    /**
+     * A worker was started again under its id: another life of it answers. All that its former life has shown is over. What was ordered
+     * and not shown yet may be carried out by either, and by the new one later, until that has seen a higher token: the first look under a
+     * new link tells.
+     */
+    takeRestart(id: WorkerId, life: WorkerLife | undefined): void {
+        const former = this.context.workers.get(id);
+        if (former === undefined) {
+            return;
+        }
+        if (former.silentSince === undefined) {
+            this.silences.note(id, this.context.now());
+        }
+        const worker = former.succeed(life);
+        this.context.workers.set(id, worker);
+        this.listener.workerGone(former);
+        this.#record(worker);
+        const runs = [...former.runs.values()];
+        runs.forEach(run => this.#leave(run, worker));
+        this.context.options.log.log(logEvents.workerRestarted, {
+            worker: id,
+            former: former.life,
+            life,
+            runs: runs.length,
+            unsettled: worker.runs.size,
+        });
+        const { nextEntry } = former;
+        if (nextEntry !== undefined) {
+            this.takeEntry(nextEntry);
+        }
+        this.listener.roomChanged();
+    }
+
     /** Looks at what time has brought: leases that are over. */
     tick(): void {
         const now = this.context.now();
@@ -248,6 +280,45 @@
         }
     }
 
+    /** What becomes of a run whose worker was started again. */
+    #leave(run: TaskRun, worker: WorkerState): void {
+        if (run.isShown) {
+            this.runs.lose(run, "its worker was started again", LossCause.Alive);
+        }
+        else if (run.sentAt === undefined) {
+            this.runs.notStarted(run, undefined);
+        }
+        else {
+            this.runs.transfer(run, worker);
+        }
+    }
+
+    /**
+     * Whether an entry describes the life that answers. The store may be behind the worker, or ahead of what was heard of it, so only
+     * answers tell which life is the present one; the entry of another waits until that one answers.
+     */
+    #isOfItsLife(worker: WorkerState, entry: WorkerEntry): boolean {
+        if (worker.life === undefined || worker.life === entry.life) {
+            return true;
+        }
+        const isFormer = entry.life !== undefined && worker.formerLives.includes(entry.life);
+        worker.nextEntry = isFormer ? undefined : entry;
+        this.context.options.log.log(logEvents.workerListedAnew, {
+            worker: entry.worker,
+            life: worker.life,
+            listed: entry.life,
+            isFormer,
+            address: entry.address,
+            runs: worker.runs.size,
+        });
+        return false;
+    }
+
+    /** Has a later owner ask a worker before it trusts that nothing runs there. */
+    #record({ id, address, life }: WorkerState): void {
+        this.context.record({ kind: "worker", worker: id, address, ...(life === undefined ? {} : { life }) });
+    }
+
     /** Whether a worker that answers is no longer listed and has nothing at work. */
     #isLeft(worker: WorkerState, now: Milliseconds): boolean {
         return worker.unlistedSince !== undefined
@@ -285,7 +356,7 @@
             }
             seen.add(run);
             progress.push([run, entry]);
-            this.runs.confirm(run);
+            this.runs.noteShown(run);
             this.runs.noteProgress(run, entry);
             if (run.stopReason !== undefined) {
                 // The first order to stop may have been lost.
@@ -300,7 +371,7 @@
                 continue;
             }
             if (run.confirmedAt === undefined && run.sentAt !== undefined && run.sentAt < settledBefore) {
-                this.runs.notStarted(run, undefined);
+                this.#settleUnseen(run);
             }
             else if (run.confirmedAt !== undefined && run.confirmedAt < sentAt) {
                 this.runs.lose(run, "its worker no longer has it", LossCause.Alive);
@@ -308,6 +379,16 @@
         }
     }
 
+    /** A run that was ordered is not there and will not be. */
+    #settleUnseen(run: TaskRun): void {
+        if (run.isOfFormerLife) {
+            this.runs.lose(run, "its worker was started again", LossCause.Alive);
+        }
+        else {
+            this.runs.notStarted(run, undefined);
+        }
+    }
+
     /** Takes over a run of a task that is known; undefined when it is not. */
     #adopt(worker: WorkerState, entry: WorkerRun): TaskRun | undefined {
         const task = this.context.table.taskOf(entry.task);
--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -12,6 +12,7 @@
     type RunNumber,
     type TaskAddress,
     type WorkerId,
+    type WorkerLife,
 } from "@pebbledale/core";
 import type { AdviceAnswer } from "../advice/index.js";
 import { AdviceDesk } from "../advising/index.js";
@@ -238,7 +239,12 @@
         this.#pool.takeSilence(worker, lapsesAt, silence);
     }
 
-    /** Another life of the worker answers at its address. */
+    /** A worker was started again under its id. `life`: undefined where lives have no names. */
+    takeRestart(worker: WorkerId, life: WorkerLife | undefined): void {
+        this.#pool.takeRestart(worker, life);
+    }
+
+    /** A worker of another id answers at its address. */
     takeOtherLife(worker: WorkerId): void {
         this.#pool.takeOver(worker);
     }
--- a/packages/cell/src/state/entities.ts
+++ b/packages/cell/src/state/entities.ts
@@ -37,7 +37,8 @@
 export interface TaskRun {
     readonly task: Task;
     readonly run: RunNumber;
-    readonly worker: WorkerState;
+    /** Replaced when its worker starts again before it is known which of the two lives has the run. */
+    worker: WorkerState;
     phase: RunPhase;
     /** When its order was handed to the worker's link, by the owner's monotonic clock; undefined before. */
     sentAt: Milliseconds | undefined;
@@ -56,6 +57,10 @@
     pace: number;
     /** Why it was told to stop; undefined while it was not. */
     stopReason: string | undefined;
+    /** Whether its worker's life has shown it in a look: no other life will. */
+    isShown: boolean;
+    /** Whether it was ordered of a former life of its worker, and which life carried the order out is not known yet. */
+    isOfFormerLife: boolean;
     /** Whether an earlier owner ordered it: it has been at work for longer than this owner knows of. */
     readonly isAdopted: boolean;
     /** Whether it is tried apart: its worker takes nothing new meanwhile. */
--- a/packages/cell/src/state/job-table.ts
+++ b/packages/cell/src/state/job-table.ts
@@ -1,5 +1,5 @@
 /** All jobs of a cell, changed only by records, so that a replay of the journal gives the same. */
-import type { JobId, Milliseconds, RunNumber, WorkerId } from "@pebbledale/core";
+import type { JobId, Milliseconds, RunNumber, WorkerId, WorkerLife } from "@pebbledale/core";
 import { RunEnd } from "../task-worker/index.js";
 import { CellJobState, type JobDefinition, type JobTerms, placeOf } from "./definition.js";
 import { Job, Occurrence, type Step, type Task, TaskPhase } from "./entities.js";
@@ -36,17 +36,26 @@
     readonly strikes?: readonly Strike[];
 }
 
+/** A worker as snapshots hold it: id, address, and its present life where that is known. */
+type WorkerSnapshot = readonly [WorkerId, string, WorkerLife?];
+
 /** A cell as snapshots hold it. */
 export interface CellSnapshot {
     readonly jobs: readonly JobSnapshot[];
-    readonly workers: readonly (readonly [WorkerId, string])[];
+    readonly workers: readonly WorkerSnapshot[];
+}
+
+/** A worker that runs may have been ordered on. */
+export interface KnownWorker {
+    readonly address: string;
+    readonly life: WorkerLife | undefined;
 }
 
 /** See the module's comment. */
 export class JobTable {
     readonly jobs = new Map<JobId, Job>();
-    /** Workers that runs may have been ordered on, with their addresses. */
-    readonly knownWorkers = new Map<WorkerId, string>();
+    /** Workers that runs may have been ordered on. */
+    readonly knownWorkers = new Map<WorkerId, KnownWorker>();
 
     constructor(private readonly now: () => Milliseconds) {}
 
@@ -81,7 +90,7 @@
                 this.jobs.delete(record.job);
                 break;
             case "worker":
-                this.knownWorkers.set(record.worker, record.address);
+                this.knownWorkers.set(record.worker, { address: record.address, life: record.life });
                 break;
             case "worker-gone":
                 this.knownWorkers.delete(record.worker);
@@ -113,12 +122,15 @@
 
     /** All of it, in a form that JSON holds. */
     snapshot(): CellSnapshot {
-        return { jobs: [...this.jobs.values()].map(snapshotOf), workers: [...this.knownWorkers] };
+        const workers = [...this.knownWorkers].map(([id, { address, life }]): WorkerSnapshot =>
+            life === undefined ? [id, address] : [id, address, life]
+        );
+        return { jobs: [...this.jobs.values()].map(snapshotOf), workers };
     }
 
     /** Takes over a snapshot. */
     restore(snapshot: CellSnapshot): void {
-        snapshot.workers.forEach(([worker, address]) => this.knownWorkers.set(worker, address));
+        snapshot.workers.forEach(([worker, address, life]) => this.knownWorkers.set(worker, { address, life }));
         snapshot.jobs.forEach(saved => this.#restoreJob(saved));
     }
 
--- a/packages/cell/src/state/outbox.ts
+++ b/packages/cell/src/state/outbox.ts
@@ -2,6 +2,7 @@
 import type { JobId, RunNumber, TaskAddress, WorkerId } from "@pebbledale/core";
 import type { AdvicePolicy } from "../advice/index.js";
 import type { CellRecord } from "./records.js";
+import type { WorkerState } from "./worker-state.js";
 
 /** Starts a run at a worker. */
 export interface StartCommand {
@@ -52,8 +53,8 @@
     /** Stops and paces are sent at once, starts once the records are kept. */
     readonly commands: readonly WorkerCommand[];
     readonly questions: readonly AdviceCommand[];
-    /** Once the records are kept: ends that a worker may forget, by worker the highest number. */
-    readonly acknowledgements: ReadonlyMap<WorkerId, number>;
+    /** Once the records are kept: ends that a life of a worker may forget, by life the highest number. */
+    readonly acknowledgements: ReadonlyMap<WorkerState, number>;
     /** Jobs whose state may have changed. */
     readonly changedJobs: ReadonlySet<JobId>;
 }
@@ -63,7 +64,7 @@
     #records: CellRecord[] = [];
     #commands: WorkerCommand[] = [];
     #questions: AdviceCommand[] = [];
-    #acknowledgements = new Map<WorkerId, number>();
+    #acknowledgements = new Map<WorkerState, number>();
     #changedJobs = new Set<JobId>();
 
     /** Whether anything was gathered. */
@@ -87,8 +88,8 @@
         this.#questions.push(question);
     }
 
-    /** Lets a worker forget its ends up to `through` once the records so far are kept. */
-    acknowledge(worker: WorkerId, through: number): void {
+    /** Lets a life of a worker forget its ends up to `through` once the records so far are kept. */
+    acknowledge(worker: WorkerState, through: number): void {
         this.#acknowledgements.set(worker, Math.max(through, this.#acknowledgements.get(worker) ?? 0));
     }
 
--- a/packages/cell/src/state/records.ts
+++ b/packages/cell/src/state/records.ts
@@ -1,5 +1,5 @@
 /** What the journal of a cell holds. */
-import type { JobId, RunNumber, TaskAddress, WorkerId } from "@pebbledale/core";
+import type { JobId, RunNumber, TaskAddress, WorkerId, WorkerLife } from "@pebbledale/core";
 import type { RunEnd } from "../task-worker/index.js";
 import type { JobDefinition, JobTerms } from "./definition.js";
 import type { Strike } from "./strikes.js";
@@ -82,6 +82,8 @@
     readonly kind: "worker";
     readonly worker: WorkerId;
     readonly address: string;
+    /** Its present life; left out while that is not known, and by programs that did not know of lives. */
+    readonly life?: WorkerLife;
 }
 
 /** A worker is gone: nothing of it can run any more. */
--- a/packages/cell/test/support/cell-driver.ts
+++ b/packages/cell/test/support/cell-driver.ts
@@ -138,7 +138,7 @@
             stops: turn.commands.filter(command => command.kind === "stop"),
             paces: turn.commands.filter(command => command.kind === "pace"),
             questions: turn.questions,
-            acknowledged: Object.fromEntries(turn.acknowledgements),
+            acknowledged: Object.fromEntries([...turn.acknowledgements].map(([{ id }, through]) => [id, through])),
         };
     }
 }
--- a/packages/core/src/log-events/index.ts
+++ b/packages/core/src/log-events/index.ts
@@ -128,11 +128,17 @@
         "a worker has more or less room; what runs beyond it goes on",
         nothing,
     ),
-    workerListedAnew: define(4315, "info", "a worker is listed as another life than before", nothing),
-    workerRestarted: define(
+    workerListedAnew: define(4315, "info", "a worker is listed as another life than the one that answers", nothing),
+    workerAnswersAnew: define(
         4316,
+        "info",
+        "another life of a worker answers than the one that its link is for",
+        nothing,
+    ),
+    workerRestarted: define(
+        4317,
         "warn",
-        "a worker was started again under its id: another life of it answers",
+        "a worker was started again under its id; what its former life had is over",
         "Look at the VM if it recurs.",
     ),
     workerEntryUnreadable: define(
--- a/packages/entry/src/links/worker-lease.ts
+++ b/packages/entry/src/links/worker-lease.ts
@@ -1,4 +1,4 @@
-/** The lease of all that runs at one worker, on that worker's own clock, which may run slower than ours. */
+/** The lease of all that runs at one life of a worker, on that life's own clock, which may run slower than ours. */
 import type { WorkerTime } from "@pebbledale/cell";
 import type { Clock, Milliseconds } from "@pebbledale/core";
 import { clockDrift } from "./constants.js";
@@ -17,11 +17,17 @@
     /** The latest moment until which anything was allowed to run, on the worker's clock. */
     #until: WorkerTime = 0;
 
-    constructor(private readonly clock: Clock, private length: Milliseconds) {}
+    /** How long leases given from now on run. */
+    #length: Milliseconds;
+
+    /** `longest`: how long a lease runs at most. */
+    constructor(private readonly clock: Clock, private readonly longest: Milliseconds) {
+        this.#length = longest;
+    }
 
     /** Gives no longer leases than this from now on; those that run are not cut. */
     shorten(longest: Milliseconds): void {
-        this.length = Math.min(this.length, longest);
+        this.#length = Math.min(this.#length, longest);
     }
 
     /** Whether the worker's clock was read. */
@@ -31,11 +37,20 @@
 
     /** Takes a reading in; one of an older call undoes no newer one. */
     readClock(reading: ClockReading): void {
+        if (this.#reading === undefined) {
+            // An earlier link may have given as much, and the worker may have carried an order out that was meant for its former life.
+            this.#until = reading.clock + this.longest;
+        }
         if (this.#reading === undefined || reading.sentAt >= this.#reading.sentAt) {
             this.#reading = reading;
         }
     }
 
+    /** Whether a reading is of another life: within one the clock is steady, and never behind what it showed before. */
+    isOfOtherLife({ clock, sentAt }: ClockReading): boolean {
+        return this.#reading !== undefined && sentAt >= this.#reading.receivedAt && clock < this.#reading.clock;
+    }
+
     /** The end of a lease given now, on the worker's clock; undefined before that clock was read. */
     next(): WorkerTime | undefined {
         const reading = this.#reading;
@@ -43,7 +58,7 @@
             return undefined;
         }
         const elapsed = this.clock.monotonic() - reading.receivedAt;
-        const until = Math.floor(reading.clock + elapsed * (1 - clockDrift) + this.length);
+        const until = Math.floor(reading.clock + elapsed * (1 - clockDrift) + this.#length);
         this.#until = Math.max(this.#until, until);
         return until;
     }
@@ -52,7 +67,7 @@
     lapsesIn(): Milliseconds {
         const reading = this.#reading;
         if (reading === undefined) {
-            return this.length;
+            return this.longest;
         }
         const left = (this.#until - reading.clock) / (1 - clockDrift);
         return Math.max(0, reading.receivedAt + left - this.clock.monotonic());
--- a/packages/entry/src/links/worker-link.ts
+++ b/packages/entry/src/links/worker-link.ts
@@ -1,5 +1,7 @@
 /**
- * The link to one worker for one owner: orders, and looks one after the other that renew its lease.
+ * The link to one life of a worker for one owner: orders, and looks one after the other that renew its lease.
+ *
+ * The numbers of ends, the clock and the leases are those of the life. When another one answers, the link tells the owner and ends.
  *
  * A start without an answer may still be carried out later. The link then raises the fencing token and looks: what that
  * look shows is final, as the worker refuses whatever still carries a lower token.
@@ -40,7 +42,7 @@
     shortestAnswerTime,
 } from "./constants.js";
 import type { LossWatch } from "./loss-watch.js";
-import { WorkerLease } from "./worker-lease.js";
+import { type ClockReading, WorkerLease } from "./worker-lease.js";
 
 /** What a link needs. */
 export interface WorkerLinkOptions {
@@ -79,8 +81,13 @@
     #reportedThrough = 0;
     #progressAt = -Infinity;
     #isSilent = false;
-    /** Which life of the worker answered last. */
+    /** The life that the link is for; undefined until it is known, and where lives have no names. */
     #life: WorkerLife | undefined;
+    /**
+     * Whether the last look was answered by the life. What tells a worker to forget its ends is sent only then: a worker that was started
+     * again meanwhile takes the numbers for its own, and the ends that it forgets are seen by nobody.
+     */
+    #mayForget = false;
     /** When the worker last answered anything. */
     #heardAt: Milliseconds | undefined;
     /** After a silence the owner may take the leases for over: none is given until it says so. */
@@ -95,6 +102,7 @@
     constructor(private readonly options: WorkerLinkOptions) {
         this.worker = options.assignment.worker;
         this.#token = options.assignment.token;
+        this.#life = options.assignment.life;
         this.#lease = new WorkerLease(options.clock, options.leaseLength);
         void this.#run();
     }
@@ -191,6 +199,7 @@
         const sentAt = clock.monotonic();
         const request = this.#lookRequest(wait);
         const token = this.#token;
+        this.#mayForget = false;
         try {
             const answer = await client.look(request, limit, this.#ended.signal);
             if (this.#ended.signal.aborted) {
@@ -226,7 +235,7 @@
         const leaseUntil = this.#mayLease ? this.#lease.next() : undefined;
         return {
             token: this.#token,
-            forgetThrough: this.#forgetThrough,
+            forgetThrough: this.#mayForget ? this.#forgetThrough : 0,
             ...(leaseUntil === undefined ? {} : { leaseUntil }),
             ...(wait > 0 ? { wait } : {}),
         };
@@ -235,9 +244,15 @@
     #takeLook(look: Look, sentAt: Milliseconds, isWhole: boolean): void {
         const { clock, send } = this.options;
         const now = clock.monotonic();
-        this.#noteLife(look);
+        const reading = { clock: look.clock, sentAt, receivedAt: now };
+        if (this.#isOtherLife(look, reading)) {
+            this.#endWithLife(look);
+            return;
+        }
+        this.#life ??= look.life;
+        this.#mayForget = true;
         const isFirst = !this.#lease.hasClock;
-        this.#lease.readClock({ clock: look.clock, sentAt, receivedAt: now });
+        this.#lease.readClock(reading);
         const wasSilent = this.#isSilent;
         this.#isSilent = false;
         const fresh = look.ended.filter(end => end.number > this.#reportedThrough);
@@ -255,20 +270,24 @@
         starts.forEach(start => void this.#start(start));
     }
 
-    #noteLife({ life, clock, running, ended }: Look): void {
-        if (this.#life !== undefined && this.#life !== life) {
-            this.options.logger.log(logEvents.workerRestarted, {
-                worker: this.worker,
-                former: this.#life,
-                life,
-                clock,
-                running: running.length,
-                ended: ended.length,
-                forgottenThrough: this.#forgetThrough,
-                lapsesIn: Math.round(this.#lease.lapsesIn()),
-            });
-        }
-        this.#life = life;
+    /** Whether another life answered than the one that the link is for. Without a name, a clock that went back proves it. */
+    #isOtherLife({ life }: Look, reading: ClockReading): boolean {
+        return this.#life === life ? this.#lease.isOfOtherLife(reading) : this.#life !== undefined;
+    }
+
+    #endWithLife({ life, clock, running, ended }: Look): void {
+        this.options.logger.log(logEvents.workerAnswersAnew, {
+            worker: this.worker,
+            former: this.#life,
+            life,
+            clock,
+            running: running.length,
+            ended: ended.length,
+            forgottenThrough: this.#forgetThrough,
+            lapsesIn: Math.round(this.#lease.lapsesIn()),
+        });
+        this.options.send({ kind: "restarted", worker: this.worker, ...(life === undefined ? {} : { life }) });
+        this.end();
     }
 
     #takeRefusal(refusal: OrderRefusal, token: FencingToken): boolean {
@@ -338,6 +357,7 @@
         }
         catch (cause) {
             if (!this.#ended.signal.aborted) {
+                this.#mayForget = false;
                 this.#noteUnanswered(command, cause);
                 this.#noteLost();
                 this.#uncertain.push(command);
--- a/packages/entry/src/owner/assignments.ts
+++ b/packages/entry/src/owner/assignments.ts
@@ -109,6 +109,7 @@
             kind: "assign",
             worker: worker.id,
             address: worker.address,
+            ...(worker.life === undefined ? {} : { life: worker.life }),
             token,
             isLeaving: worker.entry?.isDraining === true,
         });
--- a/packages/entry/src/owner/turn-runner.ts
+++ b/packages/entry/src/owner/turn-runner.ts
@@ -100,7 +100,11 @@
         cell.kept(turn);
         turn.commands.filter(command => command.kind === "start").forEach(command => this.#sendStart(command));
         for (const [worker, through] of turn.acknowledgements) {
-            assignments.vmOf(worker)?.channel.send({ kind: "acknowledge", worker, through });
+            // Numbers of ends are those of one life: the next one counts its own from 1.
+            if (cell.workers.get(worker.id) === worker) {
+                const { id } = worker;
+                assignments.vmOf(id)?.channel.send({ kind: "acknowledge", worker: id, through });
+            }
         }
         if (cell.wantsPass && !this.#isFrozen && !this.#isPassPlanned) {
             this.request();
--- a/packages/entry/src/owner/worker-inbox.ts
+++ b/packages/entry/src/owner/worker-inbox.ts
@@ -46,9 +46,13 @@
                     heardAgo: message.heardAgo,
                 });
                 break;
+            case "restarted":
+                cell.takeRestart(message.worker, message.life);
+                this.#endLink(link, message.worker);
+                break;
             case "other-life":
                 cell.takeOtherLife(message.worker);
-                assignments.remove(message.worker);
+                this.#endLink(link, message.worker);
                 break;
             case "fenced":
                 onFenced(message.worker);
@@ -56,6 +60,12 @@
         }
     }
 
+    /** A link belongs to one life of its worker. */
+    #endLink(link: VmLink, worker: WorkerId): void {
+        link.channel.send({ kind: "unassign", worker });
+        this.options.assignments.remove(worker);
+    }
+
     #takeLook(link: VmLink, assignment: Assignment, { worker, look, age }: WorkerMessage & { kind: "looked"; }): void {
         const { cell, clock } = this.options;
         const settledBefore = assignment.hasLooked ? -Infinity : assignment.since;
--- a/packages/entry/src/protocol/messages.ts
+++ b/packages/entry/src/protocol/messages.ts
@@ -9,7 +9,16 @@
     OrderRefusal,
     WorkerCommand,
 } from "@pebbledale/cell";
-import type { Epoch, FencingToken, JobId, QueueName, RunNumber, TaskAddress, WorkerId } from "@pebbledale/core";
+import type {
+    Epoch,
+    FencingToken,
+    JobId,
+    QueueName,
+    RunNumber,
+    TaskAddress,
+    WorkerId,
+    WorkerLife,
+} from "@pebbledale/core";
 import type { Milliseconds } from "@pebbledale/core";
 import type { StoreOperation } from "../store-relay/index.js";
 
@@ -25,6 +34,8 @@
     readonly kind: "assign";
     readonly worker: WorkerId;
     readonly address: string;
+    /** The life that the link is for; left out while it is not known, which is then the first that answers. */
+    readonly life?: WorkerLife;
     /** Orders of this link carry this token or one a little higher, as it settles what got no answer. */
     readonly token: FencingToken;
     /** Whether the worker has said that it leaves. */
@@ -184,7 +195,15 @@
     readonly heardAgo?: Milliseconds;
 }
 
-/** Another life of the worker answers at its address. */
+/** The worker was started again under its id: another life of it has answered, and the link has ended. */
+export interface RestartedMessage {
+    readonly kind: "restarted";
+    readonly worker: WorkerId;
+    /** Left out where lives have no names. */
+    readonly life?: WorkerLife;
+}
+
+/** A worker of another id answers at its address. */
 export interface OtherLifeMessage {
     readonly kind: "other-life";
     readonly worker: WorkerId;
@@ -233,6 +252,7 @@
     | EndsMessage
     | StartedMessage
     | SilentMessage
+    | RestartedMessage
     | OtherLifeMessage
     | FencedMessage;
 
--- a/packages/entry/test/support/lives/network.ts
+++ b/packages/entry/test/support/lives/network.ts
@@ -4,7 +4,6 @@
     type LookRequest,
     type OrderAnswer,
     OrderRefusal,
-    type PaceOrder,
     type StartOrder,
     type StopOrder,
     type TaskWorkerClient,
@@ -116,7 +115,7 @@
         return this.network.call("stop", this, limit, machine => machine.stop(order), refuse);
     }
 
-    async pace(_order: PaceOrder, _limit: Milliseconds): Promise<OrderAnswer> {
+    async pace(): Promise<OrderAnswer> {
         return { kind: "taken", clock: 0 };
     }
 
