Failing tests: crashes that the next life proves, another address, the advice service's word of the former life

Each is the same class as the incident: something that belongs to a life is kept by the worker's id. A task that crashes each worker that starts it is started 100 times in 20 s; a worker that is back at another address is never called there; a worker that was refused once is never asked about again.

--- /dev/null
+++ b/packages/cell/test/scheduler/restarts.test.ts
@@ -0,0 +1,48 @@
+/*
+ * A worker that was started again under its id may be of another kind. What the advice service said of its former life was kept by
+ * id, so a worker that was refused once was never asked about again, and one that was permitted was sent starts with tickets that it refused.
+ */
+import { workerLife } from "@pebbledale/core";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import type { Permit } from "../../src/index.js";
+import { CellDriver, idOf, makeConfiguration, makeJob, makeQueue, makeStep, makeWorker } from "../support/index.js";
+
+const worker = idOf("w");
+const validity = 60_000;
+const formerLife = workerLife(1_000);
+const presentLife = workerLife(2_000);
+
+/** A cell of one worker with a step that its service has judged on. */
+const begin = (permits: readonly Permit[]): CellDriver => {
+    const advice = { decision: 10, eachWorker: 1, validity };
+    const driver = new CellDriver(undefined, makeConfiguration(1, [makeQueue("work", { advice })]));
+    driver.addWorkers(makeWorker("w", { life: formerLife }));
+    driver.cell.submit(makeJob("j", [makeStep()]));
+    const questions = [...driver.run().questions, ...driver.run().questions];
+    expect(questions.flatMap(({ workers }) => workers)).toEqual([worker]);
+    questions.forEach(({ step, workers }) =>
+        driver.cell.takeAdvice(step, workers, { kind: "advised", permits, validity })
+    );
+    return driver;
+};
+
+const restart = (driver: CellDriver): void => {
+    driver.cell.takeRestart(worker, presentLife);
+    driver.cell.changeWorkers([makeWorker("w", { life: presentLife })], []);
+    driver.run();
+    driver.look("w");
+    driver.clock.advance(1_000);
+};
+
+describe("what the advice service said of a worker's former life", () => {
+    it("says nothing of the next one, which is asked about anew", () => {
+        for (const permits of [[], [{ worker, ticket: "former" }]]) {
+            const driver = begin(permits);
+            restart(driver);
+            const { questions, starts } = driver.run();
+            expect(starts).toEqual([]);
+            expect(questions.flatMap(question => question.workers)).toEqual([worker]);
+        }
+    });
+});
--- a/packages/entry/test/lives/restarts.test.ts
+++ b/packages/entry/test/lives/restarts.test.ts
@@ -80,6 +80,29 @@
         expect(isStartedElsewhere).toEqual(true);
     });
 
+    it("has crashed with all that ran there: what runs there again and again is given up after three starts", async () => {
+        await begin({ workers: 4 });
+        world.machines.forEach(machine => machine.tick());
+        await world.submit("killer", "crash 10");
+        for (let elapsed = 0; elapsed < 20_000; elapsed += 200) {
+            await world.pass(200);
+            for (const machine of world.machines.filter(({ isUp }) => !isUp)) {
+                machine.start();
+                world.list(machine);
+            }
+        }
+        expect(world.runsOf("killer").length).toEqual(3);
+        expect(world.stateOf("killer")).toEqual("failed");
+    });
+
+    it("is called where it is now", async () => {
+        await begin({ workers: 1 });
+        await world.restart(world.machines[0], 300, { address: "10.0.0.77:80" });
+        await world.pass(1_000);
+        await world.submit("after", "done 100");
+        expect(await world.until(() => world.stateOf("after") === "completed", 10_000)).toEqual(true);
+    });
+
     it("runs what was ordered of its former life once, also where the order arrives late", async () => {
         await begin({ workers: 2 });
         let isFirst = true;
