The next life proves its worker's crash, is called where it is, and is asked about anew

Change: what a former life had shown is lost as a crash, which is held against the tasks there; what was only ordered keeps how long it stood and is held against its task once the new life does not show it. An entry of another life at another address moves the link there once the worker is silent: whoever answers tells. Connections are those of one life at one address. The advice service's word and tickets go with the life, and an answer to a question from before the restart says nothing. An answer or entry that names no life says nothing about lives.

--- a/packages/cell/src/advising/advice-desk.ts
+++ b/packages/cell/src/advising/advice-desk.ts
@@ -125,9 +125,20 @@
         }
     }
 
+    /** What the service says of a worker holds for its life: of the next one nothing is known. */
+    forgetWorker(worker: WorkerId): void {
+        for (const job of this.context.table.jobs.values()) {
+            for (const { steps } of job.occurrences.values()) {
+                steps.forEach(step => step.permits?.forget(worker));
+            }
+        }
+    }
+
     /** Takes an answer in. `cause`: why there was none, for the log. */
-    take(address: string, asked: readonly WorkerId[], answer: AdviceAnswer | undefined, cause: string): void {
-        const step = this.#settle(address, asked);
+    take(address: string, named: readonly WorkerId[], answer: AdviceAnswer | undefined, cause: string): void {
+        const permits = this.#asked.get(address)?.permits;
+        const asked = named.filter(worker => permits?.isOfPresentLife(worker) !== false);
+        const step = this.#settle(address, named);
         if (step?.permits === undefined) {
             return;
         }
@@ -135,12 +146,13 @@
             this.context.options.log.log(logEvents.adviceFailed, { step: address, cause: answer?.kind ?? cause });
             return;
         }
-        this.#noteShare(step, asked, answer.permits);
-        step.permits.take(asked, answer.permits, this.context.now() + answer.validity);
+        const permitted = answer.permits.filter(({ worker }) => asked.includes(worker));
+        this.#noteShare(step, asked, permitted);
+        step.permits.take(asked, permitted, this.context.now() + answer.validity);
         this.context.options.log.log(logEvents.stepAdvised, {
             step: address,
             asked: asked.length,
-            permitted: answer.permits.length,
+            permitted: permitted.length,
             took: Math.round(this.context.now() - step.permits.askedAt),
         });
     }
--- a/packages/cell/src/crashes/judgement.ts
+++ b/packages/cell/src/crashes/judgement.ts
@@ -8,7 +8,7 @@
  * that its neighbours' faults cannot spoil, and a run that outlives all earlier ones clears it.
  */
 import type { Milliseconds } from "@pebbledale/core";
-import { type Strike, type TaskRun, type WorkerState } from "../state/index.js";
+import type { FormerLife, Strike, TaskRun, WorkerState } from "../state/index.js";
 import {
     outliveMargin,
     startWindow,
@@ -38,7 +38,8 @@
 export const strikeOf = (run: TaskRun, cause: LossCause, isShared: boolean): Strike | undefined => {
     const { task, worker } = run;
     const wasSent = run.sentAt !== undefined || run.confirmedAt !== undefined;
-    if (!wasSent || isLeaving(worker) || cause === LossCause.Left || cause === LossCause.Alive) {
+    const { wasLeaving } = run.formerLife ?? formerLifeOf(run);
+    if (!wasSent || wasLeaving || cause === LossCause.Left || cause === LossCause.Alive) {
         return undefined;
     }
     return {
@@ -56,12 +57,27 @@
  * How long a worker was heard after it had taken a run; undefined when it was not heard to take it, or when an earlier owner
  * ordered the run. What a run did after its worker was last heard is not known.
  */
-export const stoodFor = (run: TaskRun): Milliseconds | undefined =>
-    run.isAdopted || run.confirmedAt === undefined ? undefined : Math.round(heardFor(run));
+export const stoodFor = (run: TaskRun): Milliseconds | undefined => {
+    if (run.formerLife !== undefined) {
+        return run.formerLife.stood;
+    }
+    return run.isAdopted || run.confirmedAt === undefined ? undefined : Math.round(heardFor(run));
+};
+
+/** What is known of a run at the life of its worker that is over. */
+export const formerLifeOf = (run: TaskRun): FormerLife => ({
+    life: run.worker.life,
+    stood: stoodFor(run),
+    wasLeaving: isLeaving(run.worker),
+});
 
 /** Whether a run is past its start, so that a crash from now on says little against its task. */
-export const isPastStart = (run: TaskRun): boolean =>
-    run.confirmedAt !== undefined && (run.isAdopted || heardFor(run) >= startWindow);
+export const isPastStart = (run: TaskRun): boolean => {
+    if (run.formerLife !== undefined) {
+        return (run.formerLife.stood ?? 0) >= startWindow;
+    }
+    return run.confirmedAt !== undefined && (run.isAdopted || heardFor(run) >= startWindow);
+};
 
 /** Whether a run has been at work for longer than any before that went with its worker. */
 export const outlives = (run: TaskRun, strikes: readonly Strike[]): boolean => {
--- a/packages/cell/src/runs/run-book.ts
+++ b/packages/cell/src/runs/run-book.ts
@@ -1,6 +1,14 @@
 /** The life of runs: ordered, confirmed, ended, lost; and what follows from each for the task and its job. */
 import { logEvents, type RunNumber, runNumber, type TaskAddress } from "@pebbledale/core";
-import { judge, Judgement, type LossCause, type SilenceLog, stoodFor, strikeOf } from "../crashes/index.js";
+import {
+    formerLifeOf,
+    judge,
+    Judgement,
+    type LossCause,
+    type SilenceLog,
+    stoodFor,
+    strikeOf,
+} from "../crashes/index.js";
 import {
     type CellContext,
     CellJobState,
@@ -96,16 +104,16 @@
     /** A look of the worker shows a run. */
     noteShown(run: TaskRun): void {
         run.isShown = true;
-        run.isOfFormerLife = false;
+        run.formerLife = undefined;
         this.confirm(run);
     }
 
     /** The worker was started again before it was known whether it has a run: the first look of its new life tells. */
     transfer(run: TaskRun, worker: WorkerState): void {
+        run.formerLife ??= formerLifeOf(run);
         run.worker.discharge(run);
         run.worker = worker;
         run.confirmedAt = undefined;
-        run.isOfFormerLife = true;
         worker.charge(run);
     }
 
@@ -281,7 +289,7 @@
             pace: fullPace,
             stopReason: undefined,
             isShown: false,
-            isOfFormerLife: false,
+            formerLife: undefined,
             isAdopted,
             isTrial,
         };
--- a/packages/cell/src/runs/worker-pool.ts
+++ b/packages/cell/src/runs/worker-pool.ts
@@ -91,7 +91,8 @@
             return;
         }
         worker.life ??= entry.life;
-        if (!worker.isRecorded) {
+        if (!worker.isRecorded || worker.address !== entry.address) {
+            worker.address = entry.address;
             this.#record(worker);
         }
         const wasDraining = worker.entry?.isDraining === true;
@@ -209,15 +210,19 @@
             });
         }
         worker.lapsesAt = lapsesAt ?? worker.lapsesAt;
+        this.#followAddress(worker);
     }
 
     /** Another life of the worker answers at its address: this one is over, with all that ran there. */
     takeOver(id: WorkerId): void {
         const worker = this.context.workers.get(id);
         if (worker !== undefined) {
-            this.#dismiss(worker, "another life of the worker answers at its address", LossCause.Crashed);
+            this.#dismiss(worker, "another worker answers at its address", LossCause.Crashed);
         }
         this.crashes.explain(id, true);
+        if (worker?.nextEntry !== undefined) {
+            this.takeEntry(worker.nextEntry);
+        }
     }
 
     /**
@@ -239,6 +244,7 @@
         this.#record(worker);
         const runs = [...former.runs.values()];
         runs.forEach(run => this.#leave(run, worker));
+        this.crashes.explain(id, true);
         this.context.options.log.log(logEvents.workerRestarted, {
             worker: id,
             former: former.life,
@@ -283,7 +289,7 @@
     /** What becomes of a run whose worker was started again. */
     #leave(run: TaskRun, worker: WorkerState): void {
         if (run.isShown) {
-            this.runs.lose(run, "its worker was started again", LossCause.Alive);
+            this.runs.lose(run, "its worker was started again", LossCause.Crashed);
         }
         else if (run.sentAt === undefined) {
             this.runs.notStarted(run, undefined);
@@ -298,10 +304,10 @@
      * answers tell which life is the present one; the entry of another waits until that one answers.
      */
     #isOfItsLife(worker: WorkerState, entry: WorkerEntry): boolean {
-        if (worker.life === undefined || worker.life === entry.life) {
+        if (worker.life === undefined || entry.life === undefined || worker.life === entry.life) {
             return true;
         }
-        const isFormer = entry.life !== undefined && worker.formerLives.includes(entry.life);
+        const isFormer = worker.formerLives.includes(entry.life);
         worker.nextEntry = isFormer ? undefined : entry;
         this.context.options.log.log(logEvents.workerListedAnew, {
             worker: entry.worker,
@@ -311,9 +317,19 @@
             address: entry.address,
             runs: worker.runs.size,
         });
+        this.#followAddress(worker);
         return false;
     }
 
+    /** A worker that is silent and listed at another address as another life is asked there: whoever answers tells what became of it. */
+    #followAddress(worker: WorkerState): void {
+        const { nextEntry } = worker;
+        if (nextEntry !== undefined && worker.silentSince !== undefined && nextEntry.address !== worker.address) {
+            worker.address = nextEntry.address;
+            this.#record(worker);
+        }
+    }
+
     /** Has a later owner ask a worker before it trusts that nothing runs there. */
     #record({ id, address, life }: WorkerState): void {
         this.context.record({ kind: "worker", worker: id, address, ...(life === undefined ? {} : { life }) });
@@ -381,8 +397,8 @@
 
     /** A run that was ordered is not there and will not be. */
     #settleUnseen(run: TaskRun): void {
-        if (run.isOfFormerLife) {
-            this.runs.lose(run, "its worker was started again", LossCause.Alive);
+        if (run.formerLife !== undefined) {
+            this.runs.lose(run, "its worker was started again", LossCause.Crashed);
         }
         else {
             this.runs.notStarted(run, undefined);
--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -88,7 +88,10 @@
                     this.#wantsPass = true;
                     options.onWorkerLeaves?.(worker.id);
                 },
-                workerGone: worker => this.#health.forgetWorker(worker),
+                workerGone: worker => {
+                    this.#health.forgetWorker(worker);
+                    this.#advice.forgetWorker(worker.id);
+                },
             },
         );
         this.#timetables = new TimetableWatch(this.#context, occurrence => this.#openOccurrence(occurrence));
--- a/packages/cell/src/state/entities.ts
+++ b/packages/cell/src/state/entities.ts
@@ -1,5 +1,5 @@
 /** The owner's view of jobs, their steps and tasks, and the runs of these. */
-import type { JobId, Milliseconds, QueueName, RunNumber, TaskAddress, WorkerId } from "@pebbledale/core";
+import type { JobId, Milliseconds, QueueName, RunNumber, TaskAddress, WorkerId, WorkerLife } from "@pebbledale/core";
 import {
     addressOf,
     CellJobState,
@@ -33,6 +33,15 @@
     Stopping = "stopping",
 }
 
+/** What is known of a run at the life of a worker that it was ordered of, once another life answers. */
+export interface FormerLife {
+    readonly life: WorkerLife | undefined;
+    /** How long that life was heard after it had taken the run; undefined when it was not heard to take it. */
+    readonly stood: Milliseconds | undefined;
+    /** Whether that life had said that it leaves, so that its end was no crash. */
+    readonly wasLeaving: boolean;
+}
+
 /** One run of a task at a worker. */
 export interface TaskRun {
     readonly task: Task;
@@ -59,8 +68,8 @@
     stopReason: string | undefined;
     /** Whether its worker's life has shown it in a look: no other life will. */
     isShown: boolean;
-    /** Whether it was ordered of a former life of its worker, and which life carried the order out is not known yet. */
-    isOfFormerLife: boolean;
+    /** Set while it was ordered of a former life of its worker and which life carried the order out is not known yet. */
+    formerLife: FormerLife | undefined;
     /** Whether an earlier owner ordered it: it has been at work for longer than this owner knows of. */
     readonly isAdopted: boolean;
     /** Whether it is tried apart: its worker takes nothing new meanwhile. */
--- a/packages/cell/src/state/step-permits.ts
+++ b/packages/cell/src/state/step-permits.ts
@@ -17,6 +17,8 @@
     readonly #asked = new Set<WorkerId>();
     /** Workers that a question about is on its way. */
     readonly #pending = new Set<WorkerId>();
+    /** Those of them that have been started again since: the answer may be about the former life. */
+    readonly #outdated = new Set<WorkerId>();
     /** When the last call was asked for, by the owner's monotonic clock. */
     askedAt: Milliseconds = -Infinity;
 
@@ -38,7 +40,24 @@
 
     /** A question about workers, or a part of one, is over. */
     settle(workers: readonly WorkerId[]): void {
-        workers.forEach(worker => this.#pending.delete(worker));
+        workers.forEach(worker => {
+            this.#pending.delete(worker);
+            this.#outdated.delete(worker);
+        });
+    }
+
+    /** The worker's life is over: nothing is known of the next one, and what is on its way tells nothing of it. */
+    forget(worker: WorkerId): void {
+        this.#held.delete(worker);
+        this.#asked.delete(worker);
+        if (this.#pending.has(worker)) {
+            this.#outdated.add(worker);
+        }
+    }
+
+    /** Whether an answer that is on its way is surely about the worker's present life. */
+    isOfPresentLife(worker: WorkerId): boolean {
+        return !this.#outdated.has(worker);
     }
 
     /** Whether the service was asked of a worker. */
@@ -75,7 +94,13 @@
 
     /** Takes an answer in. `until`: when its tickets run out. */
     take(asked: readonly WorkerId[], permits: readonly Permit[], until: Milliseconds): void {
-        asked.forEach(worker => this.#asked.add(worker));
+        const named = new Set(permits.map(({ worker }) => worker));
+        asked.forEach(worker => {
+            this.#asked.add(worker);
+            if (!named.has(worker)) {
+                this.#held.delete(worker);
+            }
+        });
         for (const { worker, ticket } of permits) {
             this.#held.set(worker, { ticket, until: until - ticketMargin });
         }
--- a/packages/entry/src/links/links.ts
+++ b/packages/entry/src/links/links.ts
@@ -1,6 +1,6 @@
 /** All links of this VM to workers, for the owner that speaks at the moment. */
 import type { TaskWorkerClient, TaskWorkerClients } from "@pebbledale/cell";
-import type { GapClock, Milliseconds, WorkerId } from "@pebbledale/core";
+import type { GapClock, Milliseconds, WorkerId, WorkerLife } from "@pebbledale/core";
 import type { EventLogger } from "@pebbledale/runtime";
 import type { AssignMessage, CommandMessage, WorkerMessage } from "../protocol/index.js";
 import { oldMessagesTime, ownerHorizon } from "./constants.js";
@@ -16,10 +16,17 @@
     readonly send: (message: WorkerMessage) => void;
 }
 
+/** Connections to one life of a worker. */
+interface LifeClient {
+    readonly client: TaskWorkerClient;
+    readonly address: string;
+    readonly life: WorkerLife | undefined;
+}
+
 /** See the module's comment. */
 export class Links {
     readonly #links = new Map<WorkerId, WorkerLink>();
-    readonly #clients = new Map<WorkerId, TaskWorkerClient>();
+    readonly #clients = new Map<WorkerId, LifeClient>();
     readonly #losses: LossWatch;
     #heardAt = -Infinity;
 
@@ -42,10 +49,9 @@
 
     /** Takes a link over. */
     assign(assignment: AssignMessage): void {
-        const { worker, address } = assignment;
+        const { worker } = assignment;
         this.#links.get(worker)?.end();
-        const client = this.#clients.get(worker) ?? this.options.clients.clientOf(worker, address);
-        this.#clients.set(worker, client);
+        const client = this.#clientOf(assignment);
         const link = new WorkerLink({
             assignment,
             client,
@@ -72,9 +78,21 @@
     unassign(worker: WorkerId): void {
         this.#links.get(worker)?.end();
         this.#links.delete(worker);
-        const client = this.#clients.get(worker);
+        const known = this.#clients.get(worker);
         this.#clients.delete(worker);
-        void client?.close();
+        void known?.client.close();
+    }
+
+    /** Connections are those of one life at one address: those to a life that is over may stay silent without an end. */
+    #clientOf({ worker, address, life }: AssignMessage): TaskWorkerClient {
+        const known = this.#clients.get(worker);
+        if (known?.address === address && known.life === life) {
+            return known.client;
+        }
+        void known?.client.close();
+        const client = this.options.clients.clientOf(worker, address);
+        this.#clients.set(worker, { client, address, life });
+        return client;
     }
 
     /** Passes an order on. */
--- a/packages/entry/src/links/worker-link.ts
+++ b/packages/entry/src/links/worker-link.ts
@@ -270,9 +270,10 @@
         starts.forEach(start => void this.#start(start));
     }
 
-    /** Whether another life answered than the one that the link is for. Without a name, a clock that went back proves it. */
+    /** Whether another life answered than the one that the link is for. An answer without a name tells it by a clock that went back. */
     #isOtherLife({ life }: Look, reading: ClockReading): boolean {
-        return this.#life === life ? this.#lease.isOfOtherLife(reading) : this.#life !== undefined;
+        const isNamed = life !== undefined && this.#life !== undefined;
+        return isNamed && life !== this.#life || this.#lease.isOfOtherLife(reading);
     }
 
     #endWithLife({ life, clock, running, ended }: Look): void {
--- a/packages/entry/src/owner/assignments.ts
+++ b/packages/entry/src/owner/assignments.ts
@@ -7,6 +7,8 @@
 /** One worker's link. */
 export interface Assignment {
     readonly vm: VmLink;
+    /** Where the link calls the worker. */
+    readonly address: string;
     /** The token that the link was given; names the assignment in what the VM reports. */
     readonly token: FencingToken;
     /** When it was assigned, by the owner's monotonic clock: what was ordered before is settled by its first look. */
@@ -36,6 +38,12 @@
         return this.#assigned.get(worker)?.vm;
     }
 
+    /** Whether a worker's link calls another address than this. */
+    isElsewhere(worker: WorkerId, address: string): boolean {
+        const assignment = this.#assigned.get(worker);
+        return assignment !== undefined && assignment.address !== address;
+    }
+
     /** The assignment under which a VM reports of a worker; undefined when the worker has another one by now. */
     under(token: FencingToken, worker: WorkerId, vm: VmLink): Assignment | undefined {
         const assignment = this.#assigned.get(worker);
@@ -104,7 +112,7 @@
         this.#counts.set(worker.id, count);
         vm.workers.add(worker.id);
         const token = this.#tokenOf(count);
-        this.#assigned.set(worker.id, { vm, token, since: this.now(), hasLooked: false });
+        this.#assigned.set(worker.id, { vm, address: worker.address, token, since: this.now(), hasLooked: false });
         vm.channel.send({
             kind: "assign",
             worker: worker.id,
--- a/packages/entry/src/owner/turn-runner.ts
+++ b/packages/entry/src/owner/turn-runner.ts
@@ -164,13 +164,14 @@
         this.options.assignments.vmOf(command.worker)?.channel.send({ kind: "command", command });
     }
 
-    /** Workers that came get a link, those that are gone lose it. */
+    /** Workers that came get a link, those that are gone lose it, and those that are elsewhere get another. */
     #tidyLinks(turn: Turn): void {
         const { assignments, onNewWorkers } = this.options;
         let hasNew = false;
         for (const record of turn.records) {
+            const isGone = record.kind === "worker-gone";
             hasNew ||= record.kind === "worker";
-            if (record.kind === "worker-gone") {
+            if (isGone || record.kind === "worker" && assignments.isElsewhere(record.worker, record.address)) {
                 assignments.vmOf(record.worker)?.channel.send({ kind: "unassign", worker: record.worker });
                 assignments.remove(record.worker);
             }
