--- a/packages/cell/test/scheduler/restarts.test.ts
+++ b/packages/cell/test/scheduler/restarts.test.ts
@@ -2,7 +2,7 @@
  * A worker that was started again under its id may be of another kind. What the advice service said of its former life was kept by
  * id, so a worker that was refused once was never asked about again, and one that was permitted was sent starts with tickets that it refused.
  */
-import { workerLife } from "@pebbledale/core";
+import { logEvents, workerLife } from "@pebbledale/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import type { Permit } from "../../src/index.js";
@@ -46,3 +46,28 @@
         }
     });
 });
+
+describe("a worker that was given up as silent and comes back under its id", () => {
+    /** A run goes with its worker, which is dropped once its leases are over, and is listed again. */
+    const comeBack = (life: typeof formerLife): unknown[] => {
+        const driver = new CellDriver();
+        driver.addWorkers(makeWorker("w", { life: formerLife }));
+        driver.cell.submit(makeJob("j", [makeStep()]));
+        driver.run();
+        driver.confirm(...driver.run().starts);
+        driver.cell.takeSilence(worker, driver.clock.monotonic() + 1_000);
+        driver.cell.changeWorkers([], [worker]);
+        driver.clock.advance(2_000);
+        driver.cell.tick();
+        driver.cell.changeWorkers([makeWorker("w", { life })], []);
+        driver.run();
+        driver.look("w");
+        return driver.logged.filter(({ event }) => event === logEvents.silenceExplained)
+            .map(({ fields }) => fields["isCrash"]);
+    };
+
+    it("has crashed when it is another life, and lived on when it is the same", () => {
+        expect(comeBack(presentLife)).toEqual([true]);
+        expect(comeBack(formerLife)).toEqual([false]);
+    });
+});
--- a/packages/cell/test/upkeep/wave-planner.test.ts
+++ b/packages/cell/test/upkeep/wave-planner.test.ts
@@ -70,13 +70,21 @@
         expect(vms.plan().begin).toEqual(["a"]);
     });
 
-    it("takes a VM with another worker for one that had its upkeep, though no list showed it down", () => {
+    /*
+     * Another worker on a VM was taken for proof that its upkeep was carried out. A worker that crashes is followed by another one too, under
+     * another id or its own, so a wave could be told to be completed with a VM that stayed.
+     */
+    it("asks again for a VM with another worker whose order had no answer, and takes it for done once that is answered", () => {
         const vms = new Vms("a");
         vms.planner.add(waveOf(1, "a"));
         vms.plan();
         vms.order("a");
         vms.set("a", VmCondition.Up, "a-worker-2");
         vms.clock.advance(upkeepTime + 1_000);
+        expect([vms.plan().state, vms.plan().begin]).toEqual([WaveState.Running, ["a"]]);
+        vms.order("a");
+        vms.planner.noteConfirmed(1, vmId("a"));
+        vms.clock.advance(upkeepTime + 1_000);
         expect(vms.plan().state).toEqual(WaveState.Completed);
     });
 
