--- a/packages/cell/src/crashes/crash-watch.ts
+++ b/packages/cell/src/crashes/crash-watch.ts
@@ -1,5 +1,5 @@
 /** Keeps what is known of crashes from loss to judgement: silences that wait for an explanation, trials, tasks that are cleared. */
-import { logEvents, type Milliseconds, type ServiceName, type WorkerId } from "@pebbledale/core";
+import { logEvents, type Milliseconds, type ServiceName, type WorkerId, type WorkerLife } from "@pebbledale/core";
 import {
     type CellContext,
     type Job,
@@ -29,13 +29,19 @@
     readonly trials: number;
 }
 
+/** A worker that was lost as silent: what answers there later tells whether it crashed. */
+interface LostWorker {
+    readonly address: string;
+    readonly life: WorkerLife | undefined;
+}
+
 /** See the module's comment. */
 export class CrashWatch {
     /** Jobs with anything held against a task. */
     readonly #struck = new Set<Job>();
     readonly #trials = new Set<TaskRun>();
-    /** Workers of strikes that are not explained, with their addresses. */
-    readonly #silences = new Map<WorkerId, string>();
+    /** Workers of strikes that are not explained. */
+    readonly #silences = new Map<WorkerId, LostWorker>();
     /** Until when tasks wait for word of silent workers, by the owner's monotonic clock. */
     readonly #heldUntil = new Map<Task, Milliseconds>();
 
@@ -77,10 +83,16 @@
         }
     }
 
+    /** A life of a worker answers: the one that fell silent lived on if it is the same, and has crashed if it is another. */
+    noteAnswer(worker: WorkerId, life: WorkerLife | undefined): void {
+        const lost = this.#silences.get(worker)?.life;
+        this.explain(worker, lost !== undefined && life !== undefined && lost !== life);
+    }
+
     /** A worker that was not known is listed at an address: whoever was there before and is silent has crashed. */
     noteNewLife(worker: WorkerId, address: string): void {
-        for (const [silent, where] of this.#silences) {
-            if (where === address && silent !== worker) {
+        for (const [silent, lost] of this.#silences) {
+            if (lost.address === address && silent !== worker) {
                 this.explain(silent, true);
             }
         }
@@ -130,9 +142,9 @@
         return { suspects, trials: this.#trials.size };
     }
 
-    #noteSilence({ worker, address, isProved }: Strike): void {
+    #noteSilence({ worker, address, life, isProved }: Strike): void {
         if (!isProved) {
-            this.#silences.set(worker, address);
+            this.#silences.set(worker, { address, life });
         }
     }
 
--- a/packages/cell/src/crashes/judgement.ts
+++ b/packages/cell/src/crashes/judgement.ts
@@ -38,7 +38,7 @@
 export const strikeOf = (run: TaskRun, cause: LossCause, isShared: boolean): Strike | undefined => {
     const { task, worker } = run;
     const wasSent = run.sentAt !== undefined || run.confirmedAt !== undefined;
-    const { wasLeaving } = run.formerLife ?? formerLifeOf(run);
+    const { wasLeaving, life } = run.formerLife ?? formerLifeOf(run);
     if (!wasSent || wasLeaving || cause === LossCause.Left || cause === LossCause.Alive) {
         return undefined;
     }
@@ -46,6 +46,7 @@
         task: task.address,
         run: run.run,
         worker: worker.id,
+        ...(life === undefined ? {} : { life }),
         address: worker.address,
         stood: stoodFor(run),
         isProved: cause === LossCause.Crashed,
--- a/packages/cell/src/runs/worker-pool.ts
+++ b/packages/cell/src/runs/worker-pool.ts
@@ -157,7 +157,7 @@
         }
         const isFirst = !worker.isClaimed;
         worker.isClaimed = true;
-        this.crashes.explain(id, false);
+        this.crashes.noteAnswer(id, worker.life);
         this.#noteAnswer(worker);
         this.takeEnds(id, look.ended);
         this.#compare(worker, look.running, sentAt, settledBefore);
--- a/packages/cell/src/state/strikes.ts
+++ b/packages/cell/src/state/strikes.ts
@@ -1,11 +1,13 @@
 /** What is held against a task: workers that crashed, or may have, while a run of it was there. */
-import type { Milliseconds, RunNumber, TaskAddress, WorkerId } from "@pebbledale/core";
+import type { Milliseconds, RunNumber, TaskAddress, WorkerId, WorkerLife } from "@pebbledale/core";
 
 /** One worker that was lost with a run of a task on it. */
 export interface Strike {
     readonly task: TaskAddress;
     readonly run: RunNumber;
     readonly worker: WorkerId;
+    /** The life that was lost; left out where lives have no names, and by programs that did not know of lives. */
+    readonly life?: WorkerLife;
     /** Where the worker was: what answers there later tells whether it crashed. */
     readonly address: string;
     /** How long the worker was heard after it had taken the run; undefined when it was not heard to take it. */
--- a/packages/cell/src/upkeep/wave-planner.ts
+++ b/packages/cell/src/upkeep/wave-planner.ts
@@ -37,9 +37,7 @@
 /** One order to begin an upkeep. */
 interface Order {
     readonly at: Milliseconds;
-    /** The worker that lived there before; another one afterwards shows that it was carried out. */
-    readonly worker: WorkerId | undefined;
-    /** Whether its answer said that it was carried out. */
+    /** Whether its answer said that it was carried out. Another worker there is no proof: one that crashes is followed by another too. */
     isConfirmed: boolean;
 }
 
@@ -100,7 +98,7 @@
 
     /** An order is given. Until it is refused, or seen not to have been carried out, its VM counts as down. */
     noteOrdered(wave: number, vm: VmId): void {
-        this.#waves.get(wave)?.begun.set(vm, this.#orderNow(vm, false));
+        this.#waves.get(wave)?.begun.set(vm, this.#orderNow(false));
     }
 
     /** An order was carried out. */
@@ -171,8 +169,8 @@
         return Math.min(definition.within * (patientShare + elapsedShare), definition.within - needed);
     }
 
-    #orderNow(vm: VmId, isConfirmed: boolean): Order {
-        return { at: this.options.now(), worker: this.#vms.get(vm)?.worker, isConfirmed };
+    #orderNow(isConfirmed: boolean): Order {
+        return { at: this.options.now(), isConfirmed };
     }
 
     /** Follows a VM through its upkeep: it is finished once it is up again after it was down, or is no longer there. */
@@ -185,7 +183,7 @@
         }
         if (entry.state === VmCondition.Upkeep) {
             // Also when an earlier owner began it.
-            wave.begun.set(vm, { ...order ?? this.#orderNow(vm, true), isConfirmed: true });
+            wave.begun.set(vm, { ...order ?? this.#orderNow(true), isConfirmed: true });
             wave.seenDown.add(vm);
             return;
         }
@@ -193,12 +191,11 @@
             return;
         }
         const isOld = this.options.now() - order.at > this.options.upkeepTime + upkeepMargin;
-        const wasDone = order.isConfirmed || entry.worker !== order.worker;
-        if (wave.seenDown.has(vm) || isOld && wasDone) {
+        if (wave.seenDown.has(vm) || isOld && order.isConfirmed) {
             wave.finished.add(vm);
         }
         else if (isOld) {
-            // The order had no answer and was not carried out.
+            // The order had no answer: it is given again, and answered as done if it was carried out.
             wave.begun.delete(vm);
         }
     }
