--- a/packages/cell/src/runs/run-book.ts
+++ b/packages/cell/src/runs/run-book.ts
@@ -1,5 +1,5 @@
 /** The life of runs: ordered, confirmed, ended, lost; and what follows from each for the task and its job. */
-import { logEvents, type RunNumber, runNumber, type TaskAddress } from "@pebbledale/core";
+import { logEvents, type RunNumber, runNumber, type TaskAddress, type WorkerLife } from "@pebbledale/core";
 import {
     formerLifeOf,
     judge,
@@ -55,7 +55,14 @@
     /** Orders one run; the caller has checked that it fits. */
     order(task: Task, run: RunNumber, worker: WorkerState, { ticket, isTrial }: OrderTerms): TaskRun {
         const entry = this.#add(task, run, worker, RunPhase.Ordered, { isTrial });
-        this.context.record({ kind: "started", worker: worker.id, task: task.address, run });
+        const { id, life } = worker;
+        this.context.record({
+            kind: "started",
+            worker: id,
+            ...(life === undefined ? {} : { life }),
+            task: task.address,
+            run,
+        });
         this.context.outbox.changed(task.step.job.id);
         this.context.outbox.command({
             kind: "start",
@@ -78,8 +85,11 @@
     }
 
     /** Takes over a run of the journal whose end is not known. */
-    recover(task: Task, run: RunNumber, worker: WorkerState): void {
-        this.#add(task, run, worker, RunPhase.Ordered, { sentAt: -Infinity, isAdopted: true });
+    recover(task: Task, run: RunNumber, worker: WorkerState, life: WorkerLife | undefined): void {
+        const entry = this.#add(task, run, worker, RunPhase.Ordered, { sentAt: -Infinity, isAdopted: true });
+        if (life !== undefined && life !== worker.life) {
+            entry.formerLife = { life, stood: undefined, wasLeaving: false };
+        }
     }
 
     /** Takes over a run that a worker has and that this owner did not order. */
--- a/packages/cell/src/runs/worker-pool.ts
+++ b/packages/cell/src/runs/worker-pool.ts
@@ -275,14 +275,14 @@
     }
 
     #recoverRuns(task: Task): void {
-        for (const [run, id] of [...task.openRuns]) {
+        for (const [run, { worker: id, life }] of [...task.openRuns]) {
             const worker = this.context.workers.get(id);
             if (worker === undefined) {
                 // The worker was recorded as gone after this run was: the run went with it.
                 this.context.record({ kind: "lost", task: task.address, run });
                 continue;
             }
-            this.runs.recover(task, run, worker);
+            this.runs.recover(task, run, worker, life);
         }
     }
 
--- a/packages/cell/src/state/entities.ts
+++ b/packages/cell/src/state/entities.ts
@@ -76,6 +76,12 @@
     isTrial: boolean;
 }
 
+/** Where a run was ordered. */
+export interface OpenRun {
+    readonly worker: WorkerId;
+    readonly life: WorkerLife | undefined;
+}
+
 /** One task of an occurrence of a step. */
 export class Task {
     phase = TaskPhase.Waiting;
@@ -89,8 +95,8 @@
     preemptions = 0;
     /** Runs whose ends were taken in. */
     readonly endedRuns = new Set<number>();
-    /** Workers at which runs were recorded that are not over, by run. */
-    readonly openRuns = new Map<RunNumber, WorkerId>();
+    /** Where runs were recorded that are not over, by run. */
+    readonly openRuns = new Map<RunNumber, OpenRun>();
     readonly address: TaskAddress;
 
     constructor(readonly step: Step, readonly index: number) {
--- a/packages/cell/src/state/job-table.ts
+++ b/packages/cell/src/state/job-table.ts
@@ -6,6 +6,9 @@
 import type { AcceptedRecord, CellRecord, EndedRecord, GivenUpRecord, LostRecord, StartedRecord } from "./records.js";
 import type { Strike } from "./strikes.js";
 
+/** A run that is not over as snapshots hold it: run, worker, and the life that it was ordered of where that is known. */
+type OpenRunSnapshot = readonly [RunNumber, WorkerId, WorkerLife?];
+
 /** A task as snapshots hold it: step, index, phase, last run, failures, checkpoint, ended runs, open runs. */
 type TaskSnapshot = readonly [
     number,
@@ -15,7 +18,7 @@
     number,
     string,
     readonly number[],
-    readonly (readonly [RunNumber, WorkerId])[],
+    readonly OpenRunSnapshot[],
 ];
 
 /** An occurrence as snapshots hold it: number, failed runs of each step's gang, changed tasks. */
@@ -150,11 +153,11 @@
         }
     }
 
-    #start({ task: address, run, worker }: StartedRecord): void {
+    #start({ task: address, run, worker, life }: StartedRecord): void {
         const task = this.taskOf(address);
         if (task !== undefined) {
             task.lastRun = Math.max(task.lastRun, run);
-            task.openRuns.set(run, worker);
+            task.openRuns.set(run, { worker, life });
         }
     }
 
@@ -286,7 +289,9 @@
     task.failures,
     task.checkpoint,
     [...task.endedRuns],
-    [...task.openRuns],
+    [...task.openRuns].map(([run, { worker, life }]): OpenRunSnapshot =>
+        life === undefined ? [run, worker] : [run, worker, life]
+    ),
 ];
 
 const restoreTask = (occurrence: Occurrence, saved: TaskSnapshot): void => {
@@ -299,6 +304,6 @@
     step.failedRuns += failures;
     task.checkpoint = checkpoint;
     endedRuns.forEach(run => task.endedRuns.add(run));
-    openRuns.forEach(([run, worker]) => task.openRuns.set(run, worker));
+    openRuns.forEach(([run, worker, life]) => task.openRuns.set(run, { worker, life }));
     step.doneCount += phase === TaskPhase.Done ? 1 : 0;
 };
--- a/packages/cell/src/state/records.ts
+++ b/packages/cell/src/state/records.ts
@@ -25,6 +25,8 @@
 export interface StartedRecord {
     readonly kind: "started";
     readonly worker: WorkerId;
+    /** The life that it is ordered of; left out as in {@link WorkerRecord}. */
+    readonly life?: WorkerLife;
     readonly task: TaskAddress;
     readonly run: RunNumber;
 }
--- a/packages/cell/test/scheduler/restarts.test.ts
+++ b/packages/cell/test/scheduler/restarts.test.ts
@@ -71,3 +71,26 @@
         expect(comeBack(formerLife)).toEqual([false]);
     });
 });
+
+describe("a restart that an owner did not live to settle", () => {
+    it("is settled by the next one, which holds the crash against what was ordered of the former life", () => {
+        for (const fromSnapshot of [false, true]) {
+            const driver = new CellDriver();
+            driver.addWorkers(makeWorker("w", { life: formerLife }));
+            driver.cell.submit(makeJob("j", [makeStep()]));
+            expect([...driver.run().starts, ...driver.run().starts].length).toEqual(1);
+            driver.cell.takeRestart(worker, presentLife);
+            driver.run();
+            const snapshot = JSON.parse(JSON.stringify(driver.cell.snapshot())) as ReturnType<
+                typeof driver.cell.snapshot
+            >;
+            driver.takeOver(fromSnapshot ? snapshot : undefined);
+            expect(JSON.stringify(driver.cell.snapshot())).toEqual(JSON.stringify(snapshot));
+            driver.cell.changeWorkers([makeWorker("w", { life: presentLife })], []);
+            driver.look("w");
+            const lost = driver.logged.filter(({ event }) => event === logEvents.runLost);
+            expect(lost.map(({ fields }) => fields["cause"])).toEqual(["crashed"]);
+            expect(driver.run().starts.map(start => Number(start.run))).toEqual([2]);
+        }
+    });
+});
