--- a/packages/entry/src/links/worker-link.ts
+++ b/packages/entry/src/links/worker-link.ts
@@ -437,14 +437,10 @@
         }
     }
 
-    #untilAcknowledged(): Promise<void> {
-        return new Promise(resolve => {
-            const timer = setTimeout(() => this.#acknowledged?.(), acknowledgeWait);
-            this.#acknowledged = () => {
-                clearTimeout(timer);
-                this.#acknowledged = undefined;
-                resolve();
-            };
-        });
+    async #untilAcknowledged(): Promise<void> {
+        const waited = createAbortController();
+        this.#acknowledged = () => waited.abort();
+        await this.options.clock.sleep(acknowledgeWait, waited.signal);
+        this.#acknowledged = undefined;
     }
 }
