--- a/packages/cell/src/runs/worker-pool.ts
+++ b/packages/cell/src/runs/worker-pool.ts
@@ -252,9 +252,10 @@
             runs: runs.length,
             unsettled: worker.runs.size,
         });
-        const { nextEntry } = former;
-        if (nextEntry !== undefined) {
-            this.takeEntry(nextEntry);
+        // An entry that names no life may be of either: it does not change again only because its worker was started again.
+        const entry = former.nextEntry ?? (former.entry?.life === undefined ? former.entry : undefined);
+        if (entry !== undefined) {
+            this.takeEntry(entry);
         }
         this.listener.roomChanged();
     }
@@ -308,7 +309,7 @@
             return true;
         }
         const isFormer = worker.formerLives.includes(entry.life);
-        worker.nextEntry = isFormer ? undefined : entry;
+        worker.nextEntry = isFormer ? worker.nextEntry : entry;
         this.context.options.log.log(logEvents.workerListedAnew, {
             worker: entry.worker,
             life: worker.life,
--- a/packages/core/src/time/clock.ts
+++ b/packages/core/src/time/clock.ts
@@ -65,7 +65,7 @@
     #elapsed = 0;
     /** By how much the time of day is ahead of the monotonic clock since the start. */
     #ahead = 0;
-    #waiting: { at: Milliseconds; resolve: () => void; }[] = [];
+    readonly #waiting = new Set<{ readonly at: Milliseconds; readonly resolve: () => void; }>();
 
     constructor(private readonly start: Date = new Date("2026-01-01T00:00:00Z")) {}
 
@@ -86,8 +86,17 @@
                 resolve();
                 return;
             }
-            this.#waiting.push({ at: this.#elapsed + duration, resolve });
-            signal?.addEventListener("abort", () => resolve(), { once: true });
+            const finish = () => {
+                signal?.removeEventListener("abort", abort);
+                resolve();
+            };
+            const entry = { at: this.#elapsed + duration, resolve: finish };
+            const abort = () => {
+                this.#waiting.delete(entry);
+                finish();
+            };
+            this.#waiting.add(entry);
+            signal?.addEventListener("abort", abort, { once: true });
         });
     }
 
@@ -105,8 +114,8 @@
     /** Moves time on by `duration` and wakes all who waited for it. */
     advance(duration: Milliseconds): void {
         this.#elapsed += duration;
-        const due = this.#waiting.filter(entry => entry.at <= this.#elapsed);
-        this.#waiting = this.#waiting.filter(entry => entry.at > this.#elapsed);
+        const due = [...this.#waiting].filter(entry => entry.at <= this.#elapsed);
+        due.forEach(entry => this.#waiting.delete(entry));
         due.forEach(entry => entry.resolve());
     }
 }
--- a/packages/entry/test/support/lives/index.ts
+++ b/packages/entry/test/support/lives/index.ts
@@ -1,4 +1,5 @@
 /** Cells whose workers may be started again under their ids. */
+export * from "./behaviour.js";
 export * from "./machine.js";
 export * from "./network.js";
 export * from "./record.js";
