What was ordered of a former life is settled by the first look of the next one, whatever the clock shows

Cause: only orders from before the link's assignment were settled, by the clock; an order of the same moment was not, and none of the later looks settles. Before: the walk's job has no end. After: its end in the walk, and no counterexample in 3 s a scenario.

--- a/packages/cell/src/runs/worker-pool.ts
+++ b/packages/cell/src/runs/worker-pool.ts
@@ -387,7 +387,7 @@
             if (seen.has(run)) {
                 continue;
             }
-            if (run.confirmedAt === undefined && run.sentAt !== undefined && run.sentAt < settledBefore) {
+            if (isSettled(run, settledBefore)) {
                 this.#settleUnseen(run);
             }
             else if (run.confirmedAt !== undefined && run.confirmedAt < sentAt) {
@@ -448,6 +448,15 @@
     && left.memoryMebibytes === right.memoryMebibytes
     && left.accelerators === right.accelerators;
 
+/**
+ * Whether a look that does not show a run proves that it is not there and will not be. What was ordered of a former life was so before
+ * the link to the present one, also where a clock shows the same moment for both: else its task would wait for ever.
+ */
+const isSettled = ({ confirmedAt, sentAt, formerLife }: TaskRun, settledBefore: Milliseconds): boolean => {
+    const isSent = confirmedAt === undefined && sentAt !== undefined;
+    return isSent && (formerLife === undefined ? sentAt < settledBefore : settledBefore > -Infinity);
+};
+
 /** Whether a task is to be at work. */
 const isWanted = (task: Task): boolean =>
     !task.step.job.isOver && task.phase !== TaskPhase.Done && task.phase !== TaskPhase.Failed;
