Mutations of the product that the explorer has to find; orders that start after a stray one are held against the product

One was missed at first, as each repeat beside an order to a former life was excused: now only what had been sent before that order started is. Three crashes at the start of its runs may give an innocent task up: the judgement's own bound, and no test of a few starts tells it from fault; a walk needs three crashes of workers for it.

--- a/packages/entry/test/explorer/faults.ts
+++ b/packages/entry/test/explorer/faults.ts
@@ -9,6 +9,7 @@
         "delivered": { carriedOutAfter: 0, isAnswered: true },
         "its answer is lost": { carriedOutAfter: 0, isAnswered: false },
         "lost": { carriedOutAfter: undefined, isAnswered: false },
+        "carried out 110 ms late": { carriedOutAfter: 110, isAnswered: true },
         "carried out 150 ms late, without an answer": { carriedOutAfter: 150, isAnswered: false },
         "carried out 800 ms late, without an answer": { carriedOutAfter: 800, isAnswered: false },
     },
--- /dev/null
+++ b/packages/entry/test/explorer/mutations.ts
@@ -0,0 +1,125 @@
+/** Faults that are put into the product's compiled code, to show that the explorer finds them. */
+
+/** One change of one place. */
+export interface Mutation {
+    readonly name: string;
+    /** The rule that it breaks. */
+    readonly rule: string;
+    /** Where only one scenario can show it soon: a part of its name. */
+    readonly scenario?: string;
+    /** End of the compiled file's path. */
+    readonly file: string;
+    /** What stands there, and what is put in its place; all places of the file that hold it are changed. */
+    readonly from: string;
+    readonly to: string;
+}
+
+const pool = "cell/dist/src/runs/worker-pool.js";
+const link = "entry/dist/src/links/worker-link.js";
+const runs = "cell/dist/src/runs/run-book.js";
+const turns = "entry/dist/src/owner/turn-runner.js";
+const inbox = "entry/dist/src/owner/worker-inbox.js";
+const assignments = "entry/dist/src/owner/assignments.js";
+
+/** See the module's comment. */
+export const mutations: readonly Mutation[] = [
+    {
+        name: "a link goes on with another life",
+        rule: "done once",
+        file: link,
+        from: "if (this.#isOtherLife(look, reading))",
+        to: "if (false)",
+    },
+    {
+        name: "ends are acknowledged before they are kept",
+        rule: "done once",
+        file: turns,
+        from: "await this.#kept;",
+        to: "",
+    },
+    {
+        name: "what was ordered of a former life is over at once",
+        rule: "one run at work",
+        scenario: "plain tasks, two workers",
+        file: pool,
+        from: "if (run.isShown)",
+        to: "if (true)",
+    },
+    {
+        name: "what was ordered of a former life is never settled",
+        rule: "each job has its end",
+        file: pool,
+        from: "formerLife === undefined ? sentAt < settledBefore : settledBefore > -Infinity",
+        to: "formerLife === undefined && sentAt < settledBefore",
+    },
+    {
+        name: "what a restarted worker had is waited for",
+        rule: "each job has its end",
+        file: pool,
+        from: "runs.forEach(run => this.#leave(run, worker));",
+        to: "",
+    },
+    {
+        name: "a crash is held against nobody",
+        rule: "crashes are few",
+        file: pool,
+        from: "LossCause.Crashed",
+        to: "LossCause.Alive",
+    },
+    {
+        name: "leases of a silent worker are over at once",
+        rule: "one run at work",
+        file: pool,
+        from: "now > worker.lapsesAt + leaseMargin",
+        to: "true",
+    },
+    {
+        name: "an order without an answer is settled without a higher token",
+        rule: "one run at work",
+        file: link,
+        from: "this.#token = fencingToken(this.#token + 1);",
+        to: "",
+    },
+    {
+        name: "tokens of a later owner are not higher",
+        rule: "workers are seen as they are",
+        file: assignments,
+        from: "(this.epoch * assignmentsPerEpoch + count)",
+        to: "(assignmentsPerEpoch - this.epoch)",
+    },
+    {
+        name: "a new owner trusts that nothing runs",
+        rule: "one run at work",
+        file: pool,
+        from: "this.runs.recover(task, run, worker, life);",
+        to: "this.context.record({ kind: \"lost\", task: task.address, run });",
+    },
+    {
+        name: "a worker that is back at another address is not called there",
+        rule: "each job has its end",
+        file: pool,
+        from: "nextEntry.address !== worker.address",
+        to: "false",
+    },
+    {
+        name: "the entry of the next life is dropped",
+        rule: "workers are seen as they are",
+        file: pool,
+        from: "worker.nextEntry = isFormer ? worker.nextEntry : entry;",
+        to: "",
+    },
+    {
+        name: "each look settles what was ordered, not only a link's first",
+        rule: "one run at work",
+        file: inbox,
+        from: "assignment.hasLooked ? -Infinity : assignment.since",
+        to: "clock.monotonic()",
+    },
+    {
+        name: "what is ordered of a former life is charged nowhere",
+        rule: "each job has its end",
+        file: runs,
+        from: "run.confirmedAt = undefined;\n        worker.charge(run);",
+        to: "run.confirmedAt = undefined;",
+    },
+];
--- a/packages/entry/test/support/lives/record.ts
+++ b/packages/entry/test/support/lives/record.ts
@@ -13,6 +13,8 @@
     readonly life: number;
     /** Whether the order was sent to a former life of the worker and arrived late. */
     readonly isStray: boolean;
+    /** When the order was sent. */
+    readonly sentAt: Milliseconds;
     readonly startedAt: Milliseconds;
     /** Undefined while it runs. */
     endedAt: Milliseconds | undefined;
