--- a/packages/cell/test/support/cell-driver.ts
+++ b/packages/cell/test/support/cell-driver.ts
@@ -101,6 +101,11 @@
         return { number, task, run, end, checkpoint };
     }
 
+    /** Another life of a worker counts its ends from 1. */
+    countAnew(worker: string): void {
+        this.#numbers.delete(worker);
+    }
+
     /** Another owner takes over with what is kept, and with the configuration or without one. */
     takeOver(snapshot?: CellSnapshot, isConfigured = true): void {
         this.#unkept = [];
--- a/packages/cell/test/support/crashing-cell.ts
+++ b/packages/cell/test/support/crashing-cell.ts
@@ -1,5 +1,16 @@
-/** A cell on which some tasks crash each worker that starts them. Each worker is back at its address after a while. */
-import { ManualClock, type Milliseconds, type TaskAddress, type WorkerId, workerId } from "@pebbledale/core";
+/**
+ * A cell on which some tasks crash each worker that starts them. Each worker is back at its address after a while, half of them under the
+ * id that they had.
+ */
+import {
+    ManualClock,
+    type Milliseconds,
+    type TaskAddress,
+    type WorkerId,
+    workerId,
+    type WorkerLife,
+    workerLife,
+} from "@pebbledale/core";
 import {
     type CellConfiguration,
     type EndedRun,
@@ -27,6 +38,7 @@
 interface Place {
     address: string;
     worker: WorkerId;
+    life: WorkerLife;
     /** When the next worker comes there; undefined while one is up. */
     backAt: Milliseconds | undefined;
     /** Until then nobody reaches the worker, which runs on. */
@@ -74,6 +86,7 @@
     losesAnswer: () => boolean = () => false;
     readonly #places: Place[] = [];
     #lives = 0;
+    #returns = 0;
     #addresses = 0;
 
     /** `conductOf`: how a task behaves. */
@@ -87,6 +100,7 @@
             const place: Place = {
                 address: "",
                 worker: workerId(""),
+                life: workerLife(0),
                 backAt: undefined,
                 cutUntil: 0,
                 isSilent: false,
@@ -177,11 +191,15 @@
     }
 
     #entryOf(place: Place): WorkerEntry {
-        return makeWorker(place.worker, { worker: place.worker, address: place.address });
+        return makeWorker(place.worker, { worker: place.worker, life: place.life, address: place.address });
     }
 
-    #begin(place: Place): void {
-        place.worker = workerId(`w${++this.#lives}`);
+    /** Begins a life, under the worker's former id or another. */
+    #begin(place: Place, id = workerId(`w${this.#lives + 1}`)): void {
+        this.#lives++;
+        place.worker = id;
+        place.life = workerLife(this.#lives);
+        this.driver.countAnew(id);
         place.backAt = undefined;
         place.cutUntil = 0;
         place.isSilent = false;
@@ -195,6 +213,11 @@
 
     #return(place: Place, now: Milliseconds): void {
         if (place.backAt !== undefined && now >= place.backAt) {
+            if (this.#returns++ % 2 === 0 && this.driver.cell.workers.has(place.worker)) {
+                this.driver.cell.takeRestart(place.worker, workerLife(this.#lives + 1));
+                this.#begin(place, place.worker);
+                return;
+            }
             this.driver.cell.takeOtherLife(place.worker);
             this.#begin(place);
         }
--- a/packages/cell/test/support/load/replay.ts
+++ b/packages/cell/test/support/load/replay.ts
@@ -16,6 +16,7 @@
     type TaskAddress,
     type WorkerId,
     workerId,
+    workerLife,
 } from "@pebbledale/core";
 import {
     type AdviceCommand,
@@ -77,6 +78,7 @@
     readonly #due = new Map<Milliseconds, (() => void)[]>();
     readonly #lookPlanned = new Set<LoadWorker>();
     readonly #broken: string[] = [];
+    #restarts = 0;
     readonly #crashesBy = new Map<TaskAddress, number>();
     readonly #stops: Record<string, number> = {};
     readonly #passes: Milliseconds[] = [];
@@ -261,7 +263,7 @@
         }
     }
 
-    /** A worker ends without a word; another life comes at its address after a while. */
+    /** A worker ends without a word; another life comes at its address after a while, each second one under its id. */
     #crash(worker: LoadWorker): void {
         if (!worker.isThere) {
             return;
@@ -280,13 +282,25 @@
     }
 
     #restart({ entry, slowness }: LoadWorker): void {
-        const life = makeWorker(`${entry.worker}+`, { ...entry, worker: workerId(`${entry.worker}+`) });
-        const worker = new LoadWorker(life, slowness);
+        const isUnderItsId = this.#restarts++ % 2 === 0;
+        const id = isUnderItsId ? entry.worker : workerId(`${entry.worker}+`);
+        const life = workerLife(this.#restarts);
+        const next = makeWorker(id, { ...entry, worker: id, life });
+        const worker = new LoadWorker(next, slowness);
         this.#workers.delete(entry.worker);
-        this.#workers.set(life.worker, worker);
-        this.#cell.takeOtherLife(entry.worker);
-        this.#cell.changeWorkers([life], []);
-        this.#after(recordDelay * 2, () => this.#lookAgain(worker));
+        this.#workers.set(id, worker);
+        if (isUnderItsId) {
+            this.#cell.takeRestart(id, life);
+        }
+        else {
+            this.#cell.takeOtherLife(entry.worker);
+        }
+        this.#cell.changeWorkers([next], []);
+        this.#after(recordDelay * 2, () => {
+            // The first look under the link to this life.
+            this.#look(worker, this.#clock.monotonic());
+            this.#lookAgain(worker);
+        });
     }
 
     #join(entry: LoadRun): void {
--- a/packages/cell/test/support/world.ts
+++ b/packages/cell/test/support/world.ts
@@ -2,7 +2,16 @@
  * A small cell under random faults: workers that keep their protocol's rules, links that lose and delay messages, and
  * owners that die. What must always hold is checked at the workers, whatever the owner believes.
  */
-import { fencingToken, jobId, ManualClock, type Milliseconds, SeededRandom, type TaskAddress } from "@pebbledale/core";
+import {
+    fencingToken,
+    jobId,
+    ManualClock,
+    type Milliseconds,
+    SeededRandom,
+    type TaskAddress,
+    type WorkerLife,
+    workerLife,
+} from "@pebbledale/core";
 import {
     type EndedRun,
     isEndState,
@@ -24,6 +33,8 @@
 const lease: Milliseconds = 2_000;
 const stepTime: Milliseconds = 50;
 const mostFailures = 3;
+/** A link to a later life of a worker has higher tokens. */
+const tokensPerLife = 1_000;
 /** A room that has shrunk counts from this long after the worker said so (the users' rules: three seconds and a beat). */
 const shrinkTime: Milliseconds = 4_500;
 
@@ -57,6 +68,10 @@
     isAssigned: boolean;
     isSilent: boolean;
     reportedThrough: number;
+    /** The present life, once the worker was started again. */
+    life: WorkerLife | undefined;
+    /** Whether it was started again and the owner has not heard of it. */
+    isRestarted: boolean;
 }
 
 interface LateStart {
@@ -85,6 +100,7 @@
     #epoch = 1;
     #nextWorker = 1;
     #nextJob = 1;
+    #lives = 0;
 
     constructor(seed: number, private readonly faults: Faults, workers: number) {
         this.#random = new SeededRandom(seed);
@@ -170,6 +186,8 @@
             isAssigned: true,
             isSilent: false,
             reportedThrough: 0,
+            life: undefined,
+            isRestarted: false,
         };
         this.#links.set(entry.worker, link);
         this.driver.cell.changeWorkers([entry], []);
@@ -224,7 +242,8 @@
     }
 
     #entryOf(link: Link): WorkerEntry {
-        return makeWorker(link.worker.id, { capacity: link.room });
+        const life = link.life === undefined ? {} : { life: link.life };
+        return makeWorker(link.worker.id, { capacity: link.room, ...life });
     }
 
     /** The most that the worker has said of late. */
@@ -253,11 +272,33 @@
 
     #crash(link: Link): void {
         link.worker.crash();
+        if (this.#lives++ % 2 === 0) {
+            this.#restart(link);
+            return;
+        }
         this.#links.delete(link.worker.id);
         this.driver.cell.takeOtherLife(link.worker.id);
         this.#addWorker();
     }
 
+    /** The worker is back at once under its id; its entry comes with its next look, or some time after. */
+    #restart(link: Link): void {
+        link.worker = new FakeWorker(link.worker.id, link.worker.capacity);
+        link.life = workerLife(this.#lives);
+        link.isRestarted = true;
+    }
+
+    /** The link of the former life ends with the first answer of the next one. */
+    #noteRestart(link: Link): void {
+        link.isRestarted = false;
+        link.isAssigned = true;
+        link.forgetThrough = 0;
+        link.reportedThrough = 0;
+        link.token = this.#tokenBase() + this.#lives * tokensPerLife;
+        this.driver.cell.takeRestart(link.worker.id, link.life!);
+        this.driver.cell.changeWorkers([this.#entryOf(link)], []);
+    }
+
     #look(link: Link, now: Milliseconds): void {
         if (now < link.cutUntil) {
             if (!link.isSilent) {
@@ -266,6 +307,9 @@
             }
             return;
         }
+        if (link.isRestarted) {
+            this.#noteRestart(link);
+        }
         const look = link.worker.look(fencingToken(link.token), link.forgetThrough, now + lease, now);
         if (look === undefined) {
             this.broken.push(`${link.worker.id} refuses the owner's token`);
