--- /dev/null
+++ b/packages/cell/src/runs/worker-entries.ts
@@ -0,0 +1,105 @@
+/** What the platform's store lists of workers: room, labels, whether they leave. */
+import { logEvents, type WorkerId } from "@pebbledale/core";
+import type { CrashWatch } from "../crashes/index.js";
+import { type CellContext, type TaskSize, WorkerState } from "../state/index.js";
+import type { WorkerEntry } from "../worker-directory/index.js";
+import type { WorkerListener } from "./types.js";
+import type { WorkerLives } from "./worker-lives.js";
+
+/** See the module's comment. */
+export class WorkerEntries {
+    constructor(
+        private readonly context: CellContext,
+        private readonly lives: WorkerLives,
+        private readonly crashes: CrashWatch,
+        private readonly listener: WorkerListener,
+    ) {}
+
+    /** Takes in all entries of the platform's store. */
+    takeListing(entries: readonly WorkerEntry[], unreadable: readonly WorkerId[]): void {
+        const listed = new Set([...entries.map(entry => entry.worker), ...unreadable]);
+        entries.forEach(entry => this.takeEntry(entry));
+        unreadable.forEach(id => this.takeUnreadable(id));
+        for (const id of this.context.workers.keys()) {
+            if (!listed.has(id)) {
+                this.takeGone(id);
+            }
+        }
+    }
+
+    /** Takes in one entry. */
+    takeEntry(entry: WorkerEntry): void {
+        const { log } = this.context.options;
+        const worker = this.context.workers.get(entry.worker) ?? this.#add(entry);
+        worker.unlistedSince = undefined;
+        if (!this.lives.isOfItsLife(worker, entry)) {
+            return;
+        }
+        worker.life ??= entry.life;
+        if (!worker.isRecorded || worker.address !== entry.address) {
+            worker.address = entry.address;
+            this.lives.record(worker);
+        }
+        const former = worker.entry;
+        worker.describe(entry);
+        this.#logRoom(worker, former);
+        if (entry.isDraining && former?.isDraining !== true) {
+            worker.leavesAt = this.context.now() + (entry.leavesIn ?? 0);
+            log.log(logEvents.workerDrains, { worker: entry.worker, leavesIn: entry.leavesIn });
+            this.listener.workerDrains(worker);
+        }
+        if (former === undefined) {
+            log.log(logEvents.workerListed, {
+                worker: entry.worker,
+                life: entry.life,
+                address: entry.address,
+                labels: entry.labels,
+            });
+        }
+        this.listener.roomChanged();
+    }
+
+    /** An entry can no longer be read: its worker takes nothing new until it can. What runs there goes on. */
+    takeUnreadable(id: WorkerId): void {
+        const worker = this.context.workers.get(id);
+        if (worker !== undefined) {
+            worker.isUnreadable = true;
+            worker.unlistedSince = undefined;
+        }
+    }
+
+    /** An entry is gone from the platform's store. The worker may live on: it is asked until its leases are over. */
+    takeGone(id: WorkerId): void {
+        const worker = this.context.workers.get(id);
+        if (worker !== undefined && worker.unlistedSince === undefined) {
+            worker.unlistedSince = this.context.now();
+            this.context.options.log.log(logEvents.workerUnlisted, { worker: id });
+        }
+    }
+
+    #add({ worker: id, address, life }: WorkerEntry): WorkerState {
+        const worker = new WorkerState(id, address, life);
+        this.context.workers.set(id, worker);
+        this.crashes.noteNewLife(id, address);
+        return worker;
+    }
+
+    #logRoom(worker: WorkerState, former: WorkerEntry | undefined): void {
+        const room = worker.entry!.capacity;
+        if (former === undefined || isSameRoom(former.capacity, room)) {
+            return;
+        }
+        this.context.options.log.log(logEvents.workerRoomChanged, {
+            worker: worker.id,
+            former: former.capacity,
+            room,
+            runs: worker.runs.size,
+            isOverfull: worker.isOverfull,
+        });
+    }
+}
+
+const isSameRoom = (left: TaskSize, right: TaskSize): boolean =>
+    left.processorThousandths === right.processorThousandths
+    && left.memoryMebibytes === right.memoryMebibytes
+    && left.accelerators === right.accelerators;
--- /dev/null
+++ b/packages/cell/src/runs/worker-lives.ts
@@ -0,0 +1,116 @@
+/** The lives of workers that follow each other under one id: which one is the present one, and what becomes of what a former one had. */
+import { logEvents, type WorkerId, type WorkerLife } from "@pebbledale/core";
+import { type CrashWatch, LossCause, type SilenceLog } from "../crashes/index.js";
+import type { CellContext, TaskRun, WorkerState } from "../state/index.js";
+import type { WorkerEntry } from "../worker-directory/index.js";
+import type { RunBook } from "./run-book.js";
+import type { WorkerListener } from "./types.js";
+
+/** See the module's comment. */
+export class WorkerLives {
+    constructor(
+        private readonly context: CellContext,
+        private readonly runs: RunBook,
+        private readonly crashes: CrashWatch,
+        private readonly silences: SilenceLog,
+        private readonly listener: WorkerListener,
+    ) {}
+
+    /**
+     * A worker was started again under its id: another life of it answers. All that its former life has shown is over. What was ordered
+     * and not shown yet may be carried out by either, and by the new one later, until that has seen a higher token: the first look under a
+     * new link tells. Returns what may describe the new life, as far as it is known.
+     */
+    takeRestart(id: WorkerId, life: WorkerLife | undefined): WorkerEntry | undefined {
+        const former = this.context.workers.get(id);
+        if (former === undefined) {
+            return undefined;
+        }
+        if (former.silentSince === undefined) {
+            this.silences.note(id, this.context.now());
+        }
+        const worker = this.#succeed(former, life);
+        this.context.workers.set(id, worker);
+        this.listener.workerGone(former);
+        this.record(worker);
+        const runs = [...former.runs.values()];
+        runs.forEach(run => this.#leave(run, worker));
+        this.crashes.explain(id, true);
+        this.context.options.log.log(logEvents.workerRestarted, {
+            worker: id,
+            former: former.life,
+            life,
+            runs: runs.length,
+            unsettled: worker.runs.size,
+        });
+        // An entry that names no life may be of either: it does not change again only because its worker was started again.
+        return former.nextEntry ?? (former.entry?.life === undefined ? former.entry : undefined);
+    }
+
+    /**
+     * Whether an entry describes the life that answers. The store may be behind the worker, or ahead of what was heard of it, so only
+     * answers tell which life is the present one; the entry of another waits until that one answers.
+     */
+    isOfItsLife(worker: WorkerState, entry: WorkerEntry): boolean {
+        if (worker.life === undefined || entry.life === undefined || worker.life === entry.life) {
+            return true;
+        }
+        const isFormer = worker.formerLives.includes(entry.life);
+        worker.nextEntry = isFormer ? worker.nextEntry : entry;
+        this.context.options.log.log(logEvents.workerListedAnew, {
+            worker: entry.worker,
+            life: worker.life,
+            listed: entry.life,
+            isFormer,
+            address: entry.address,
+            runs: worker.runs.size,
+        });
+        this.followAddress(worker);
+        return false;
+    }
+
+    /** A worker that is silent and listed at another address as another life is asked there: whoever answers tells what became of it. */
+    followAddress(worker: WorkerState): void {
+        const { nextEntry } = worker;
+        if (nextEntry !== undefined && worker.silentSince !== undefined && nextEntry.address !== worker.address) {
+            worker.address = nextEntry.address;
+            this.record(worker);
+        }
+    }
+
+    /** Has a later owner ask a worker before it trusts that nothing runs there. */
+    record({ id, address, life }: WorkerState): void {
+        this.context.record({ kind: "worker", worker: id, address, ...(life === undefined ? {} : { life }) });
+    }
+
+    /** Nothing of a worker can run any more, and none of its lives is asked. */
+    dismiss(worker: WorkerState, reason: string, cause: LossCause): void {
+        [...worker.runs.values()].forEach(run => this.runs.lose(run, reason, cause));
+        this.context.workers.delete(worker.id);
+        this.listener.workerGone(worker);
+        this.context.record({ kind: "worker-gone", worker: worker.id });
+        this.context.options.log.log(logEvents.workerGone, { worker: worker.id, reason });
+    }
+
+    #succeed(former: WorkerState, life: WorkerLife | undefined): WorkerState {
+        const worker = former.succeed(life);
+        if (worker.unlistedSince !== undefined) {
+            // It may come to be listed as soon as any worker that starts.
+            worker.unlistedSince = this.context.now();
+        }
+        return worker;
+    }
+
+    /** What becomes of a run whose worker was started again. */
+    #leave(run: TaskRun, worker: WorkerState): void {
+        if (run.isShown) {
+            this.runs.lose(run, "its worker was started again", LossCause.Crashed);
+        }
+        else if (run.sentAt === undefined) {
+            this.runs.notStarted(run, undefined);
+        }
+        else {
+            this.runs.transfer(run, worker);
+        }
+    }
+}
--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -75,14 +75,14 @@
         this.#health = new HealthWatch(this.#context);
         const progress = new ProgressWatch(this.#context);
         this.#mover = new Mover(this.#context, this.#runs, progress, this.#crashes);
-        this.#pool = new WorkerPool(
-            this.#context,
-            this.#runs,
+        this.#pool = new WorkerPool({
+            context: this.#context,
+            runs: this.#runs,
             progress,
-            new PaceKeeper(this.#context),
-            this.#crashes,
+            paces: new PaceKeeper(this.#context),
+            crashes: this.#crashes,
             silences,
-            {
+            listener: {
                 roomChanged: () => this.#wantsPass = true,
                 workerDrains: worker => {
                     this.#wantsPass = true;
@@ -93,7 +93,7 @@
                     this.#advice.forgetWorker(worker.id);
                 },
             },
-        );
+        });
         this.#timetables = new TimetableWatch(this.#context, occurrence => this.#openOccurrence(occurrence));
         const yields = new SavedProgressYields(this.#context);
         this.#placer = new Placer({
--- a/packages/entry/test/explorer/mutations.ts
+++ b/packages/entry/test/explorer/mutations.ts
@@ -15,6 +15,8 @@
 }
 
 const pool = "cell/dist/src/runs/worker-pool.js";
+const lives = "cell/dist/src/runs/worker-lives.js";
+const looks = "cell/dist/src/runs/worker-looks.js";
 const link = "entry/dist/src/links/worker-link.js";
 const runs = "cell/dist/src/runs/run-book.js";
 const turns = "entry/dist/src/owner/turn-runner.js";
@@ -41,28 +43,28 @@
         name: "what was ordered of a former life is over at once",
         rule: "one run at work",
         scenario: "plain tasks, two workers",
-        file: pool,
+        file: lives,
         from: "if (run.isShown)",
         to: "if (true)",
     },
     {
         name: "what was ordered of a former life is never settled",
         rule: "each job has its end",
-        file: pool,
+        file: looks,
         from: "formerLife === undefined ? sentAt < settledBefore : settledBefore > -Infinity",
         to: "formerLife === undefined && sentAt < settledBefore",
     },
     {
         name: "what a restarted worker had is waited for",
         rule: "each job has its end",
-        file: pool,
+        file: lives,
         from: "runs.forEach(run => this.#leave(run, worker));",
         to: "",
     },
     {
         name: "a crash is held against nobody",
         rule: "crashes are few",
-        file: pool,
+        file: lives,
         from: "LossCause.Crashed",
         to: "LossCause.Alive",
     },
@@ -91,20 +93,20 @@
         name: "a new owner trusts that nothing runs",
         rule: "one run at work",
         file: pool,
-        from: "this.runs.recover(task, run, worker, life);",
-        to: "this.context.record({ kind: \"lost\", task: task.address, run });",
+        from: "this.#runs.recover(task, run, worker, life);",
+        to: "this.#context.record({ kind: \"lost\", task: task.address, run });",
     },
     {
         name: "a worker that is back at another address is not called there",
         rule: "each job has its end",
-        file: pool,
+        file: lives,
         from: "nextEntry.address !== worker.address",
         to: "false",
     },
     {
         name: "the entry of the next life is dropped",
         rule: "workers are seen as they are",
-        file: pool,
+        file: lives,
         from: "worker.nextEntry = isFormer ? worker.nextEntry : entry;",
         to: "",
     },
