--- /dev/null
+++ b/packages/entry/src/links/end-numbers.ts
@@ -0,0 +1,52 @@
+/** The numbers of one life's ends: which were reported to the owner, and which the worker may forget. */
+import type { EndedRun } from "@pebbledale/cell";
+
+/** See the module's comment. */
+export class EndNumbers {
+    #forgetThrough = 0;
+    #reportedThrough = 0;
+    /**
+     * Whether the last call was answered by the life. What tells a worker to forget its ends is sent only then: a worker that was started
+     * again meanwhile takes the numbers for its own, and the ends that it forgets are seen by nobody.
+     */
+    #isLifeSure = false;
+
+    /** Ends up to this one are kept. */
+    get keptThrough(): number {
+        return this.#forgetThrough;
+    }
+
+    /** Whether ends were reported that are not known to be kept. */
+    get areSomeUnkept(): boolean {
+        return this.#reportedThrough > this.#forgetThrough;
+    }
+
+    /** Ends up to `through` are kept. */
+    keep(through: number): void {
+        this.#forgetThrough = Math.max(this.#forgetThrough, through);
+    }
+
+    /** What a look that is sent now lets the worker forget; its life is not sure again before the answer. */
+    takeForLook(): number {
+        const through = this.#isLifeSure ? this.#forgetThrough : 0;
+        this.#isLifeSure = false;
+        return through;
+    }
+
+    /** The life has answered. */
+    noteAnswer(): void {
+        this.#isLifeSure = true;
+    }
+
+    /** A call had no answer: the life may be over. */
+    noteLost(): void {
+        this.#isLifeSure = false;
+    }
+
+    /** Those of some ends that were not reported yet; from now on they are. */
+    report(ended: readonly EndedRun[]): EndedRun[] {
+        const fresh = ended.filter(({ number }) => number > this.#reportedThrough);
+        this.#reportedThrough = Math.max(this.#reportedThrough, ...fresh.map(({ number }) => number));
+        return fresh;
+    }
+}
--- a/packages/entry/src/links/worker-link.ts
+++ b/packages/entry/src/links/worker-link.ts
@@ -10,9 +10,7 @@
     type Look,
     type LookRequest,
     OrderRefusal,
-    type PaceCommand,
     type StartCommand,
-    type StopCommand,
     type TaskWorkerClient,
     type WorkerCommand,
 } from "@pebbledale/cell";
@@ -36,12 +34,13 @@
     lookLimit,
     lookWait,
     lookWaitInDoubt,
-    paceAttempts,
     progressInterval,
     retryDelay,
     shortestAnswerTime,
 } from "./constants.js";
+import { EndNumbers } from "./end-numbers.js";
 import type { LossWatch } from "./loss-watch.js";
+import { SideOrders } from "./side-orders.js";
 import { type ClockReading, WorkerLease } from "./worker-lease.js";
 
 /** What a link needs. */
@@ -77,17 +76,12 @@
     readonly #ended = createAbortController();
     #token: FencingToken;
     readonly #lease: WorkerLease;
-    #forgetThrough = 0;
-    #reportedThrough = 0;
+    readonly #ends = new EndNumbers();
+    readonly #sideOrders: SideOrders;
     #progressAt = -Infinity;
     #isSilent = false;
     /** The life that the link is for; undefined until it is known, and where lives have no names. */
     #life: WorkerLife | undefined;
-    /**
-     * Whether the last look was answered by the life. What tells a worker to forget its ends is sent only then: a worker that was started
-     * again meanwhile takes the numbers for its own, and the ends that it forgets are seen by nobody.
-     */
-    #mayForget = false;
     /** When the worker last answered anything. */
     #heardAt: Milliseconds | undefined;
     /** After a silence the owner may take the leases for over: none is given until it says so. */
@@ -104,6 +98,15 @@
         this.#token = options.assignment.token;
         this.#life = options.assignment.life;
         this.#lease = new WorkerLease(options.clock, options.leaseLength);
+        const { client, clock, logger } = options;
+        this.#sideOrders = new SideOrders({
+            client,
+            clock,
+            logger,
+            signal: this.#ended.signal,
+            token: () => this.#token,
+            onStopLost: () => this.#progressAt = -Infinity,
+        });
         void this.#run();
     }
 
@@ -126,10 +129,10 @@
     /** Passes an order on. */
     order(command: WorkerCommand): void {
         if (command.kind === "stop") {
-            void this.#stop(command);
+            void this.#sideOrders.stop(command);
         }
         else if (command.kind === "pace") {
-            void this.#pace(command);
+            void this.#sideOrders.pace(command);
         }
         else if (!this.#lease.hasClock) {
             this.#waitingStarts.push(command);
@@ -141,7 +144,7 @@
 
     /** Ends up to `through` are kept. */
     acknowledge(through: number): void {
-        this.#forgetThrough = Math.max(this.#forgetThrough, through);
+        this.#ends.keep(through);
         this.#acknowledged?.();
     }
 
@@ -160,7 +163,7 @@
             if (!isAnswered) {
                 await this.options.clock.sleep(retryDelay, this.#ended.signal);
             }
-            else if (this.#reportedThrough > this.#forgetThrough) {
+            else if (this.#ends.areSomeUnkept) {
                 await this.#untilAcknowledged();
             }
         }
@@ -199,7 +202,6 @@
         const sentAt = clock.monotonic();
         const request = this.#lookRequest(wait);
         const token = this.#token;
-        this.#mayForget = false;
         try {
             const answer = await client.look(request, limit, this.#ended.signal);
             if (this.#ended.signal.aborted) {
@@ -235,7 +237,7 @@
         const leaseUntil = this.#mayLease ? this.#lease.next() : undefined;
         return {
             token: this.#token,
-            forgetThrough: this.#mayForget ? this.#forgetThrough : 0,
+            forgetThrough: this.#ends.takeForLook(),
             ...(leaseUntil === undefined ? {} : { leaseUntil }),
             ...(wait > 0 ? { wait } : {}),
         };
@@ -250,13 +252,12 @@
             return;
         }
         this.#life ??= look.life;
-        this.#mayForget = true;
+        this.#ends.noteAnswer();
         const isFirst = !this.#lease.hasClock;
         this.#lease.readClock(reading);
         const wasSilent = this.#isSilent;
         this.#isSilent = false;
-        const fresh = look.ended.filter(end => end.number > this.#reportedThrough);
-        fresh.forEach(end => this.#reportedThrough = Math.max(this.#reportedThrough, end.number));
+        const fresh = this.#ends.report(look.ended);
         const isDue = now - this.#progressAt >= progressInterval;
         if (isFirst || wasSilent || isDue || isWhole) {
             this.#progressAt = now;
@@ -284,7 +285,7 @@
             clock,
             running: running.length,
             ended: ended.length,
-            forgottenThrough: this.#forgetThrough,
+            forgottenThrough: this.#ends.keptThrough,
             lapsesIn: Math.round(this.#lease.lapsesIn()),
         });
         this.options.send({ kind: "restarted", worker: this.worker, ...(life === undefined ? {} : { life }) });
@@ -358,8 +359,8 @@
         }
         catch (cause) {
             if (!this.#ended.signal.aborted) {
-                this.#mayForget = false;
-                this.#noteUnanswered(command, cause);
+                this.#ends.noteLost();
+                this.#sideOrders.noteUnanswered(command, cause);
                 this.#noteLost();
                 this.#uncertain.push(command);
                 this.#settle();
@@ -396,47 +397,6 @@
         );
     }
 
-    async #stop(command: StopCommand): Promise<void> {
-        try {
-            const order = { task: command.task, run: command.run, token: this.#token };
-            await this.options.client.stop(order, longestAnswerTime, this.#ended.signal);
-        }
-        catch (cause) {
-            this.#noteUnanswered(command, cause);
-            // The owner sends it again as long as a look shows the run.
-            this.#progressAt = -Infinity;
-        }
-    }
-
-    /** An order that got no answer is given again, a few times: the full pace is not told a second time. */
-    async #pace(command: PaceCommand): Promise<void> {
-        const { task, run, percent } = command;
-        for (let attempt = 0; attempt < paceAttempts && !this.#ended.signal.aborted; attempt++) {
-            try {
-                const order = { task, run, percent, token: this.#token };
-                await this.options.client.pace(order, longestAnswerTime, this.#ended.signal);
-                return;
-            }
-            catch (cause) {
-                this.#noteUnanswered(command, cause);
-                await this.options.clock.sleep(retryDelay, this.#ended.signal);
-            }
-        }
-    }
-
-    /** An order had no answer; one that was given up with the link is settled by the next link. */
-    #noteUnanswered({ kind, worker, task, run }: WorkerCommand, cause: unknown): void {
-        if (!this.#ended.signal.aborted) {
-            this.options.logger.log(logEvents.orderUnanswered, {
-                order: kind,
-                worker,
-                task,
-                run,
-                cause: String(cause),
-            });
-        }
-    }
-
     async #untilAcknowledged(): Promise<void> {
         const waited = createAbortController();
         this.#acknowledged = () => waited.abort();
