A silent worker that an order without an answer may still reach is asked each 20 ms, also by the links that follow

The doubt goes with the report of a restart to the next link. A call that hangs meanwhile is given up after the time that answers take, not after 0.5 s. Late orders that reach a life before any token remain possible.

--- a/packages/entry/src/links/constants.ts
+++ b/packages/entry/src/links/constants.ts
@@ -20,6 +20,13 @@
 export const lookGap: Milliseconds = 4;
 /** Wait before a worker that did not answer is asked again. */
 export const retryDelay: Milliseconds = 120;
+/**
+ * The same while an order of the link that got no answer may still be carried out. Should the worker have crashed, its next life takes that
+ * order unless it has heard of a higher token first: it hears of one 20 ms after its start, 120 ms with the longer wait (tests' time).
+ */
+export const doubtfulRetryDelay: Milliseconds = 20;
+/** An order that got no answer may be carried out for so long: some were 12 s after they were sent (logs of workers). */
+export const lateOrderTime: Milliseconds = 12_000;
 /** The owner is told how far the runs are at most this often. */
 export const progressInterval: Milliseconds = 500;
 /** After ends were reported, the next look waits this long at most for the owner's word that they are kept. */
--- a/packages/entry/src/links/worker-link.ts
+++ b/packages/entry/src/links/worker-link.ts
@@ -28,6 +28,8 @@
 import type { AssignMessage, WorkerReport } from "../protocol/index.js";
 import {
     acknowledgeWait,
+    doubtfulRetryDelay,
+    lateOrderTime,
     leavingLease,
     longestAnswerTime,
     lookGap,
@@ -84,6 +86,8 @@
     #life: WorkerLife | undefined;
     /** When the worker last answered anything. */
     #heardAt: Milliseconds | undefined;
+    /** Until then an order that got no answer may still be carried out. */
+    #doubtfulUntil: Milliseconds;
     /** After a silence the owner may take the leases for over: none is given until it says so. */
     #mayLease = true;
     #acknowledged: (() => void) | undefined;
@@ -97,6 +101,7 @@
         this.worker = options.assignment.worker;
         this.#token = options.assignment.token;
         this.#life = options.assignment.life;
+        this.#doubtfulUntil = options.clock.monotonic() + (options.assignment.doubtfulFor ?? 0);
         this.#lease = new WorkerLease(options.clock, options.leaseLength);
         const { client, clock, logger } = options;
         this.#sideOrders = new SideOrders({
@@ -161,7 +166,8 @@
                 await this.options.clock.sleep(gap, this.#ended.signal);
             }
             if (!isAnswered) {
-                await this.options.clock.sleep(retryDelay, this.#ended.signal);
+                const delay = this.#isDoubtful ? doubtfulRetryDelay : retryDelay;
+                await this.options.clock.sleep(delay, this.#ended.signal);
             }
             else if (this.#ends.areSomeUnkept) {
                 await this.#untilAcknowledged();
@@ -169,6 +175,11 @@
         }
     }
 
+    /** Whether an order that got no answer may still be carried out. */
+    get #isDoubtful(): boolean {
+        return this.options.clock.monotonic() < this.#doubtfulUntil;
+    }
+
     /**
      * A look that waits for an end. When its answer is lost it is repeated at once without a wait: only a worker that does
      * not answer that one either is silent. Where one order in twenty is lost, this and the shorter wait bring the time in
@@ -188,7 +199,8 @@
 
     /** One look that does not wait; false when it had no answer. */
     async #lookOnce(isWhole = false): Promise<boolean> {
-        const isAnswered = await this.#tryLook({ wait: 0, limit: lookLimit, isWhole });
+        const limit = this.#isDoubtful && this.#isSilent ? this.#answerTimes.limit : lookLimit;
+        const isAnswered = await this.#tryLook({ wait: 0, limit, isWhole });
         if (typeof isAnswered === "boolean") {
             return isAnswered;
         }
@@ -288,7 +300,13 @@
             forgottenThrough: this.#ends.keptThrough,
             lapsesIn: Math.round(this.#lease.lapsesIn()),
         });
-        this.options.send({ kind: "restarted", worker: this.worker, ...(life === undefined ? {} : { life }) });
+        const doubtfulFor = Math.max(0, this.#doubtfulUntil - this.options.clock.monotonic());
+        this.options.send({
+            kind: "restarted",
+            worker: this.worker,
+            ...(life === undefined ? {} : { life }),
+            ...(doubtfulFor > 0 ? { doubtfulFor } : {}),
+        });
         this.end();
     }
 
@@ -360,6 +378,7 @@
         catch (cause) {
             if (!this.#ended.signal.aborted) {
                 this.#ends.noteLost();
+                this.#doubtfulUntil = clock.monotonic() + lateOrderTime;
                 this.#sideOrders.noteUnanswered(command, cause);
                 this.#noteLost();
                 this.#uncertain.push(command);
--- a/packages/entry/src/owner/assignments.ts
+++ b/packages/entry/src/owner/assignments.ts
@@ -1,6 +1,7 @@
 /** Which VM has the link to which worker. */
 import type { WorkerState } from "@pebbledale/cell";
 import { type Epoch, type FencingToken, fencingToken, type Milliseconds, type WorkerId } from "@pebbledale/core";
+import type { AssignMessage } from "../protocol/index.js";
 import { assignmentsPerEpoch, tokensPerAssignment } from "./constants.js";
 import type { VmLink } from "./vm-link.js";
 
@@ -26,6 +27,8 @@
 export class Assignments {
     readonly #assigned = new Map<WorkerId, Assignment>();
     readonly #counts = new Map<WorkerId, number>();
+    /** Until when orders to former lives of a worker may be carried out, where any may. */
+    readonly #doubtfulUntil = new Map<WorkerId, Milliseconds>();
 
     constructor(
         private readonly epoch: Epoch,
@@ -38,6 +41,14 @@
         return this.#assigned.get(worker)?.vm;
     }
 
+    /** For so long an order that got no answer may still be carried out by any life of a worker. */
+    noteDoubt(worker: WorkerId, duration: Milliseconds): void {
+        const until = this.now() + duration;
+        if (duration > 0 && until > (this.#doubtfulUntil.get(worker) ?? 0)) {
+            this.#doubtfulUntil.set(worker, until);
+        }
+    }
+
     /** Whether a worker's link calls another address than this. */
     isElsewhere(worker: WorkerId, address: string): boolean {
         const assignment = this.#assigned.get(worker);
@@ -120,9 +131,19 @@
             ...(worker.life === undefined ? {} : { life: worker.life }),
             token,
             isLeaving: worker.entry?.isDraining === true,
+            ...this.#doubtOf(worker.id),
         });
     }
 
+    #doubtOf(worker: WorkerId): Pick<AssignMessage, "doubtfulFor"> {
+        const doubtfulFor = (this.#doubtfulUntil.get(worker) ?? 0) - this.now();
+        if (doubtfulFor > 0) {
+            return { doubtfulFor };
+        }
+        this.#doubtfulUntil.delete(worker);
+        return {};
+    }
+
     /** Tokens of a later owner, and of a later assignment, are higher than all of earlier ones. */
     #tokenOf(count: number): FencingToken {
         return fencingToken((this.epoch * assignmentsPerEpoch + count) * tokensPerAssignment);
--- a/packages/entry/src/protocol/messages.ts
+++ b/packages/entry/src/protocol/messages.ts
@@ -40,6 +40,8 @@
     readonly token: FencingToken;
     /** Whether the worker has said that it leaves. */
     readonly isLeaving: boolean;
+    /** For so long an order to a former life may still be carried out by whoever answers; left out when none may. */
+    readonly doubtfulFor?: Milliseconds;
 }
 
 /** A worker says that it leaves: its leases are short from now on. */
@@ -201,6 +203,8 @@
     readonly worker: WorkerId;
     /** Left out where lives have no names. */
     readonly life?: WorkerLife;
+    /** See {@link AssignMessage}; for the next link. */
+    readonly doubtfulFor?: Milliseconds;
 }
 
 /** A worker of another id answers at its address. */
