A shared loss is worked out once a worker, and its share is taken of the service

A cause that no run could have (left in peace) goes; whether a task may be tried is counted without lists.

--- a/packages/cell/src/crashes/crash-watch.ts
+++ b/packages/cell/src/crashes/crash-watch.ts
@@ -8,7 +8,6 @@
     type Task,
     type TaskRun,
     tasksOf,
-    type WorkerState,
 } from "../state/index.js";
 import { explanationDoublings, explanationWait, fewestToWait, mostSilentShare, trialShare } from "./constants.js";
 import { judge, outlives } from "./judgement.js";
@@ -199,17 +198,26 @@
     /** One trial a job at a time, a few in all, and none while too much of the service is away. */
     #mayTry({ job }: Step): boolean {
         const { service } = job.terms;
-        const workers = this.#workersOf(service);
-        const silent = workers.filter(worker => worker.silentSince !== undefined).length;
-        const jobs = new Set([...this.#trials].map(run => run.task.step.job));
-        const sameService = [...jobs].filter(other => other.terms.service === service).length;
-        return !jobs.has(job)
-            && silent <= Math.max(1, workers.length * mostSilentShare)
-            && sameService < Math.max(1, Math.floor(workers.length * trialShare));
+        let trials = 0;
+        for (const { task: { step } } of this.#trials) {
+            if (step.job === job) {
+                return false;
+            }
+            trials += step.job.terms.service === service ? 1 : 0;
+        }
+        const { all, silent } = this.#countWorkers(service);
+        return silent <= Math.max(1, all * mostSilentShare) && trials < Math.max(1, Math.floor(all * trialShare));
     }
 
-    #workersOf(service: ServiceName): WorkerState[] {
-        return [...this.context.workers.values()].filter(worker => worker.entry?.service === service);
+    #countWorkers(service: ServiceName): { readonly all: number; readonly silent: number; } {
+        let all = 0;
+        let silent = 0;
+        for (const { entry, silentSince } of this.context.workers.values()) {
+            const isOfService = entry?.service === service;
+            all += isOfService ? 1 : 0;
+            silent += isOfService && silentSince !== undefined ? 1 : 0;
+        }
+        return { all, silent };
     }
 
     #isHeld(task: Task, now: Milliseconds): boolean {
--- a/packages/cell/src/crashes/judgement.ts
+++ b/packages/cell/src/crashes/judgement.ts
@@ -39,7 +39,7 @@
     const { task, worker } = run;
     const wasSent = run.sentAt !== undefined || run.confirmedAt !== undefined;
     const { wasLeaving, life } = run.formerLife ?? formerLifeOf(run);
-    if (!wasSent || wasLeaving || cause === LossCause.Left || cause === LossCause.Alive) {
+    if (!wasSent || wasLeaving || cause === LossCause.Alive) {
         return undefined;
     }
     return {
--- a/packages/cell/src/crashes/silence-log.ts
+++ b/packages/cell/src/crashes/silence-log.ts
@@ -1,34 +1,42 @@
 /** Remembers when workers fell silent, so that a loss that many shared is told from one that a task may have brought about. */
-import type { Milliseconds, WorkerId } from "@pebbledale/core";
+import type { Milliseconds, ServiceName, WorkerId } from "@pebbledale/core";
 import { fewestSharing, leastShareSharing, sharingWindow } from "./constants.js";
 
 /** Most silences that are remembered: a few times all workers of a large cell. */
 const mostRemembered = 2_000;
 
+/** A worker fell silent. It is remembered also once the worker is gone: others that were lost with it are looked at after it. */
+interface RememberedSilence {
+    readonly at: Milliseconds;
+    /** Undefined when the platform had not listed the worker to this owner. */
+    readonly service: ServiceName | undefined;
+}
+
 /** See the module's comment. */
 export class SilenceLog {
     /** The latest silence of each worker, the oldest first. */
-    readonly #silentAt = new Map<WorkerId, Milliseconds>();
+    readonly #silences = new Map<WorkerId, RememberedSilence>();
 
-    /** A worker fell silent. */
-    note(worker: WorkerId, at: Milliseconds): void {
-        this.#silentAt.delete(worker);
-        this.#silentAt.set(worker, at);
-        const oldest = this.#silentAt.keys().next().value;
-        if (this.#silentAt.size > mostRemembered && oldest !== undefined) {
-            this.#silentAt.delete(oldest);
+    /** A worker of a service fell silent. */
+    note(worker: WorkerId, service: ServiceName | undefined, at: Milliseconds): void {
+        this.#silences.delete(worker);
+        this.#silences.set(worker, { at, service });
+        const oldest = this.#silences.keys().next().value;
+        if (this.#silences.size > mostRemembered && oldest !== undefined) {
+            this.#silences.delete(oldest);
         }
     }
 
-    /** Whether many others fell silent together with a worker. `workers`: how many there are. */
+    /** Whether many others of its service, which has so many `workers`, fell silent together with a worker. */
     isShared(worker: WorkerId, workers: number): boolean {
-        const at = this.#silentAt.get(worker);
-        if (at === undefined) {
+        const silence = this.#silences.get(worker);
+        if (silence === undefined) {
             return false;
         }
         let others = 0;
-        for (const [other, otherAt] of this.#silentAt) {
-            others += other !== worker && Math.abs(otherAt - at) <= sharingWindow ? 1 : 0;
+        for (const [other, { at, service }] of this.#silences) {
+            const isWithIt = service === silence.service && Math.abs(at - silence.at) <= sharingWindow;
+            others += other !== worker && isWithIt ? 1 : 0;
         }
         return others >= Math.max(fewestSharing, workers * leastShareSharing);
     }
--- a/packages/cell/src/crashes/types.ts
+++ b/packages/cell/src/crashes/types.ts
@@ -6,9 +6,7 @@
     Crashed = "crashed",
     /** It is silent until every lease there is over: it crashed, or is cut off and runs on. */
     Silent = "silent",
-    /** It said that it leaves, or its entry went while it answered. */
-    Left = "left",
-    /** It lives and no longer has the run. */
+    /** It lives, or has left in peace, and no longer has the run. */
     Alive = "alive",
 }
 
--- a/packages/cell/src/runs/run-book.ts
+++ b/packages/cell/src/runs/run-book.ts
@@ -1,14 +1,6 @@
 /** The life of runs: ordered, confirmed, ended, lost; and what follows from each for the task and its job. */
 import { logEvents, type RunNumber, runNumber, type TaskAddress, type WorkerLife } from "@pebbledale/core";
-import {
-    formerLifeOf,
-    judge,
-    Judgement,
-    type LossCause,
-    type SilenceLog,
-    stoodFor,
-    strikeOf,
-} from "../crashes/index.js";
+import { formerLifeOf, judge, Judgement, type LossCause, stoodFor, strikeOf } from "../crashes/index.js";
 import {
     type CellContext,
     CellJobState,
@@ -37,6 +29,15 @@
     struck(task: Task, strike: Strike): void;
 }
 
+/** What became of a run's worker. */
+export interface Loss {
+    /** For the log. */
+    readonly reason: string;
+    readonly cause: LossCause;
+    /** Whether many other workers of its service were lost with it. */
+    readonly isShared: boolean;
+}
+
 /** How a run is ordered. */
 export interface OrderTerms {
     readonly ticket: string | undefined;
@@ -48,7 +49,6 @@
 export class RunBook {
     constructor(
         private readonly context: CellContext,
-        private readonly silences: SilenceLog,
         private readonly listener: RunListener,
     ) {}
 
@@ -199,11 +199,10 @@
     }
 
     /** A run can no longer be at work and its end is not known. */
-    lose(run: TaskRun, reason: string, cause: LossCause): void {
+    lose(run: TaskRun, { reason, cause, isShared }: Loss): void {
         const { task } = run;
         const { job } = task.step;
         this.#remove(run);
-        const isShared = this.silences.isShared(run.worker.id, this.context.workers.size);
         const strike = job.isOver ? undefined : strikeOf(run, cause, isShared);
         this.context.record({
             kind: "lost",
--- a/packages/cell/src/runs/worker-lives.ts
+++ b/packages/cell/src/runs/worker-lives.ts
@@ -3,7 +3,7 @@
 import { type CrashWatch, LossCause, type SilenceLog } from "../crashes/index.js";
 import type { CellContext, TaskRun, WorkerState } from "../state/index.js";
 import type { WorkerEntry } from "../worker-directory/index.js";
-import type { RunBook } from "./run-book.js";
+import type { Loss, RunBook } from "./run-book.js";
 import type { WorkerListener } from "./types.js";
 
 /** See the module's comment. */
@@ -27,14 +27,15 @@
             return undefined;
         }
         if (former.silentSince === undefined) {
-            this.silences.note(id, this.context.now());
+            this.silences.note(id, former.entry?.service, this.context.now());
         }
         const worker = this.#succeed(former, life);
         this.context.workers.set(id, worker);
         this.listener.workerGone(former);
         this.record(worker);
         const runs = [...former.runs.values()];
-        runs.forEach(run => this.#leave(run, worker));
+        const loss = this.lossOf(former, "its worker was started again", LossCause.Crashed);
+        runs.forEach(run => this.#leave(run, worker, loss));
         this.crashes.explain(id, true);
         this.context.options.log.log(logEvents.workerRestarted, {
             worker: id,
@@ -83,9 +84,19 @@
         this.context.record({ kind: "worker", worker: id, address, ...(life === undefined ? {} : { life }) });
     }
 
+    /** What became of a worker with all that runs there: worked out once for all of them. */
+    lossOf({ id, entry }: WorkerState, reason: string, cause: LossCause): Loss {
+        let workers = 0;
+        for (const other of this.context.workers.values()) {
+            workers += other.entry?.service === entry?.service ? 1 : 0;
+        }
+        return { reason, cause, isShared: this.silences.isShared(id, workers) };
+    }
+
     /** Nothing of a worker can run any more, and none of its lives is asked. */
     dismiss(worker: WorkerState, reason: string, cause: LossCause): void {
-        [...worker.runs.values()].forEach(run => this.runs.lose(run, reason, cause));
+        const loss = this.lossOf(worker, reason, cause);
+        [...worker.runs.values()].forEach(run => this.runs.lose(run, loss));
         this.context.workers.delete(worker.id);
         this.listener.workerGone(worker);
         this.context.record({ kind: "worker-gone", worker: worker.id });
@@ -102,9 +113,9 @@
     }
 
     /** What becomes of a run whose worker was started again. */
-    #leave(run: TaskRun, worker: WorkerState): void {
+    #leave(run: TaskRun, worker: WorkerState, loss: Loss): void {
         if (run.isShown) {
-            this.runs.lose(run, "its worker was started again", LossCause.Crashed);
+            this.runs.lose(run, loss);
         }
         else if (run.sentAt === undefined) {
             this.runs.notStarted(run, undefined);
--- a/packages/cell/src/runs/worker-looks.ts
+++ b/packages/cell/src/runs/worker-looks.ts
@@ -112,7 +112,7 @@
                 this.#settleUnseen(run);
             }
             else if (run.confirmedAt !== undefined && run.confirmedAt < sentAt) {
-                this.runs.lose(run, "its worker no longer has it", LossCause.Alive);
+                this.runs.lose(run, { reason: "its worker no longer has it", cause: LossCause.Alive, isShared: false });
             }
         }
     }
@@ -120,7 +120,7 @@
     /** A run that was ordered is not there and will not be. */
     #settleUnseen(run: TaskRun): void {
         if (run.formerLife !== undefined) {
-            this.runs.lose(run, "its worker was started again", LossCause.Crashed);
+            this.runs.lose(run, this.lives.lossOf(run.worker, "its worker was started again", LossCause.Crashed));
         }
         else {
             this.runs.notStarted(run, undefined);
--- a/packages/cell/src/runs/worker-pool.ts
+++ b/packages/cell/src/runs/worker-pool.ts
@@ -107,7 +107,7 @@
             worker.silentSince = this.#context.now();
             if (worker.heardAt !== undefined) {
                 // A new owner finds all that fell silent before its time at one moment.
-                this.#silences.note(id, worker.silentSince);
+                this.#silences.note(id, worker.entry?.service, worker.silentSince);
             }
             this.#context.options.log.log(logEvents.workerSilent, {
                 worker: id,
@@ -146,7 +146,7 @@
                 }
             }
             else if (this.#isLeft(worker, now)) {
-                this.#lives.dismiss(worker, "it left", LossCause.Left);
+                this.#lives.dismiss(worker, "it left", LossCause.Alive);
             }
         }
     }
@@ -183,7 +183,8 @@
         const isListed = worker.unlistedSince === undefined && worker.entry !== undefined;
         const lost = [...worker.runs.values()];
         this.#context.options.log.log(logEvents.workerLapsed, { worker: worker.id, runs: lost.length });
-        lost.forEach(run => this.#runs.lose(run, "every lease at its silent worker is over", LossCause.Silent));
+        const loss = this.#lives.lossOf(worker, "every lease at its silent worker is over", LossCause.Silent);
+        lost.forEach(run => this.#runs.lose(run, loss));
         worker.lapsesAt = undefined;
         // Whatever it says next is compared as if it were new.
         worker.isClaimed = false;
--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -64,7 +64,7 @@
     constructor(options: CellOptions) {
         this.#context = new CellContext(options);
         const silences = new SilenceLog();
-        this.#runs = new RunBook(this.#context, silences, {
+        this.#runs = new RunBook(this.#context, {
             stepChanged: step => this.#stepChanged(step),
             jobEnded: job => this.#jobEnded(job),
             runEnded: (run, end) => this.#runEnded(run, end),
--- a/packages/entry/test/explorer/mutations.ts
+++ b/packages/entry/test/explorer/mutations.ts
@@ -58,7 +58,7 @@
         name: "what a restarted worker had is waited for",
         rule: "each job has its end",
         file: lives,
-        from: "runs.forEach(run => this.#leave(run, worker));",
+        from: "runs.forEach(run => this.#leave(run, worker, loss));",
         to: "",
     },
     {
