--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -28,12 +28,8 @@
     type CellOptions,
     type CellRecord,
     type CellSnapshot,
-    isEndState,
     type Job,
     type JobDefinition,
-    type Occurrence,
-    RunPhase,
-    type Step,
     type TaskRun,
     type Turn,
     type WorkerState,
@@ -44,6 +40,8 @@
 import type { WorkerEntry } from "../worker-directory/index.js";
 import { type CellSummary, summarize } from "./cell-summary.js";
 import { failedRunPause } from "./constants.js";
+import { JobFlow } from "./job-flow.js";
+import { StartDesk } from "./start-desk.js";
 import { TimetableWatch } from "./timetable-watch.js";
 
 const unexplainedSilence: Silence = { cause: "no answer" };
@@ -58,6 +56,8 @@
     readonly #placer: Placer;
     readonly #timetables: TimetableWatch;
     readonly #pool: WorkerPool;
+    readonly #starts: StartDesk;
+    readonly #flow: JobFlow;
     readonly #crashes: CrashWatch;
     #wantsPass = false;
 
@@ -65,11 +65,12 @@
         this.#context = new CellContext(options);
         const silences = new SilenceLog();
         this.#runs = new RunBook(this.#context, {
-            stepChanged: step => this.#stepChanged(step),
-            jobEnded: job => this.#jobEnded(job),
+            stepChanged: step => this.#flow.stepChanged(step),
+            jobEnded: job => this.#flow.jobEnded(job),
             runEnded: (run, end) => this.#runEnded(run, end),
             struck: (task, strike) => this.#crashes.note(task, strike),
         });
+        this.#starts = new StartDesk(this.#context, this.#runs, () => this.#wantsPass = true);
         this.#crashes = new CrashWatch(this.#context, task => this.#runs.giveUp(task));
         this.#advice = new AdviceDesk(this.#context);
         this.#health = new HealthWatch(this.#context);
@@ -94,7 +95,7 @@
                 },
             },
         });
-        this.#timetables = new TimetableWatch(this.#context, occurrence => this.#openOccurrence(occurrence));
+        this.#timetables = new TimetableWatch(this.#context, occurrence => this.#flow.openOccurrence(occurrence));
         const yields = new SavedProgressYields(this.#context);
         this.#placer = new Placer({
             context: this.#context,
@@ -105,6 +106,11 @@
             crashes: this.#crashes,
             yields,
         });
+        this.#flow = new JobFlow(
+            this.#context,
+            { placer: this.#placer, timetables: this.#timetables, health: this.#health },
+            () => this.#wantsPass = true,
+        );
     }
 
     /** All workers that are to be asked. */
@@ -139,7 +145,7 @@
         for (const job of table.jobs.values()) {
             job.isKept = true;
             job.shownState = job.state;
-            this.#openSteps(job);
+            this.#flow.openSteps(job);
         }
     }
 
@@ -173,7 +179,7 @@
             tasks: definition.steps.reduce((sum, step) => sum + step.taskCount, 0),
         });
         outbox.changed(job.id);
-        this.#openSteps(job);
+        this.#flow.openSteps(job);
         return job;
     }
 
@@ -188,7 +194,7 @@
             this.#context.options.log.log(logEvents.jobCancelled, { job: id });
             this.#context.outbox.changed(id);
             this.#runs.stopJob(job, "its caller cancelled the job");
-            this.#jobEnded(job);
+            this.#flow.jobEnded(job);
         }
         return true;
     }
@@ -252,31 +258,14 @@
         this.#pool.takeOver(worker);
     }
 
-    /** A worker has taken a start. */
+    /** See {@link StartDesk.startTaken}. */
     startTaken(worker: WorkerId, task: TaskAddress, run: RunNumber): void {
-        const entry = this.workers.get(worker)?.runOf(task, run);
-        if (entry !== undefined) {
-            entry.worker.noteHeard(this.#context.now());
-            this.#runs.confirm(entry);
-        }
+        this.#starts.startTaken(worker, task, run);
     }
 
-    /** A start was not done and will not be. `refusal`: undefined when it never reached the worker. */
+    /** See {@link StartDesk.startRefused}. */
     startRefused(worker: WorkerId, task: TaskAddress, run: RunNumber, refusal: OrderRefusal | undefined): void {
-        const entry = this.workers.get(worker)?.runOf(task, run);
-        this.#context.options.log.log(logEvents.runRefused, { worker, task, run, refusal: refusal ?? "not delivered" });
-        if (entry === undefined || refusal === undefined && entry.confirmedAt !== undefined) {
-            return;
-        }
-        const { step } = entry.task;
-        if (refusal === OrderRefusal.Ticket) {
-            step.permits?.drop(worker);
-        }
-        this.#runs.notStarted(entry, refusal);
-        if (step.definition.isGang) {
-            this.#stopMembers(step, "a member of its gang was not started");
-        }
-        this.#wantsPass = true;
+        this.#starts.startRefused(worker, task, run, refusal);
     }
 
     /** Takes in an answer of the advice service; undefined when there was none. */
@@ -319,39 +308,17 @@
                 this.#wantsPass = true;
             }
         }
-        step.changedJobs.forEach(id => this.#showState(table.jobs.get(id)));
+        step.changedJobs.forEach(id => this.#flow.showState(table.jobs.get(id)));
     }
 
-    /** Whether a run that was ordered is still to be started, now that its record is kept; it is then sent. */
+    /** See {@link StartDesk.sendStart}. */
     sendStart(worker: WorkerId, task: TaskAddress, run: RunNumber): boolean {
-        const entry = this.workers.get(worker)?.runOf(task, run);
-        if (entry?.phase !== RunPhase.Ordered) {
-            return false;
-        }
-        if (entry.worker.isOverfull) {
-            // The room has shrunk since the run was decided on.
-            return false;
-        }
-        const { permits } = entry.task.step;
-        if (permits !== undefined && permits.ticketOf(worker, this.#context.now()) === undefined) {
-            // The record took so long that the ticket no longer holds.
-            return false;
-        }
-        entry.sentAt = this.#context.now();
-        return true;
+        return this.#starts.sendStart(worker, task, run);
     }
 
-    /** A run that was ordered is not sent: it is no longer wanted. */
+    /** See {@link StartDesk.dropStart}. */
     dropStart(worker: WorkerId, task: TaskAddress, run: RunNumber): void {
-        const entry = this.workers.get(worker)?.runOf(task, run);
-        if (entry === undefined || entry.confirmedAt !== undefined) {
-            return;
-        }
-        this.#runs.notStarted(entry, undefined);
-        if (entry.task.step.definition.isGang) {
-            this.#stopMembers(entry.task.step, "a member of its gang was not started");
-        }
-        this.#wantsPass = true;
+        this.#starts.dropStart(worker, task, run);
     }
 
     /** Looks at what time has brought. */
@@ -408,96 +375,14 @@
         return this.#context.table.snapshot();
     }
 
-    /** A final state is shown only once its record is kept; `step` named the job when its records were. */
-    #showState(job: Job | undefined): void {
-        if (job !== undefined && (job.shownState === CellJobState.Queued || isEndState(job.state))) {
-            job.shownState = job.state;
-        }
-    }
-
-    #openSteps(job: Job): void {
-        if (job.isOver) {
-            return;
-        }
-        this.#timetables.add(job);
-        for (const occurrence of job.occurrences.values()) {
-            this.#openOccurrence(occurrence);
-        }
-        this.#wantsPass = true;
-    }
-
-    #openOccurrence(occurrence: Occurrence): void {
-        for (const step of occurrence.steps) {
-            if (!step.isDone && step.isUnblocked) {
-                this.#open(step);
-            }
-        }
-    }
-
-    /** Lets go of an occurrence that is done, unless it is its job's only one. */
-    #closeOccurrence({ job, number, steps }: Occurrence): void {
-        const isOver = job.doneOccurrences.has(number) && steps.every(hasNoRuns);
-        if (isOver && job.occurrenceCount > 1) {
-            job.occurrences.delete(number);
-        }
-    }
-
-    #open(step: Step): void {
-        if (step.readyAt === undefined) {
-            step.readyAt = this.#context.now();
-            this.#context.options.log.log(logEvents.stepReady, { step: step.address, tasks: step.tasks.length });
-        }
-        this.#placer.add(step);
-        this.#wantsPass = true;
-    }
-
-    #stepChanged(step: Step): void {
-        this.#wantsPass = true;
-        this.#context.outbox.changed(step.job.id);
-        if (step.isDone) {
-            this.#placer.remove(step);
-            this.#openOccurrence(step.occurrence);
-            this.#closeOccurrence(step.occurrence);
-            return;
-        }
-        this.#open(step);
-    }
-
     #runEnded(run: TaskRun, end: RunEnd): void {
         const { step } = run.task;
         this.#health.noteEnd(run, end);
         if (end !== "done" && step.definition.isGang && !step.isDone) {
-            this.#stopMembers(step, "another member of its gang ended");
+            this.#starts.stopMembers(step, "another member of its gang ended");
         }
         if (end === "failed") {
             step.notBefore = Math.max(step.notBefore, this.#context.now() + failedRunPause);
         }
     }
-
-    /** Stops what is left of a gang's run, so that it waits for no member that will not come. */
-    #stopMembers(step: Step, reason: string): void {
-        for (const task of step.tasks) {
-            task.runs.forEach(run => this.#runs.stop(run, reason));
-        }
-    }
-
-    #jobEnded(job: Job): void {
-        for (const occurrence of job.occurrences.values()) {
-            occurrence.steps.forEach(step => this.#placer.remove(step));
-        }
-        this.#context.outbox.changed(job.id);
-        this.#wantsPass = true;
-        if ([...job.occurrences.values()].every(occurrence => occurrence.steps.every(hasNoRuns))) {
-            this.#context.options.log.log(logEvents.jobEnded, {
-                job: job.id,
-                queue: job.queue,
-                state: job.state,
-                took: Math.round(this.#context.now() - job.acceptedSteady),
-            });
-            this.#health.forgetJob(job);
-            job.shrink();
-        }
-    }
 }
-
-const hasNoRuns = (step: Step): boolean => step.tasks.every(task => task.runs.length === 0);
