--- a/packages/entry/test/lives/restarts.test.ts
+++ b/packages/entry/test/lives/restarts.test.ts
@@ -4,6 +4,7 @@
  * name these workers, "its worker no longer has it", and the first end of theirs that was seen came at 8.45 s. The link had told
  * the new life to forget ends up to the highest number of the former one, and had dropped what that life listed up to there.
  */
+import { logEvents, workerLife } from "@pebbledale/core";
 import { expect } from "earl";
 import { afterEach, describe, it } from "node:test";
 import { type LivesOptions, LivesWorld } from "../support/lives/index.js";
@@ -166,3 +167,47 @@
         expect(areDone).toEqual(true);
     });
 });
+
+describe("a worker whose life is told in strange ways", () => {
+    afterEach(() => world.end());
+
+    it("another one at each answer: is asked less and less often, so that it keeps nobody busy", async () => {
+        await begin({ workers: 2 });
+        const [strange] = world.machines;
+        strange.namesAnewEachTime = true;
+        await world.pass(10_000);
+        expect(world.logged(logEvents.workerRestarted).length).toBeLessThan(20);
+        await world.submit("beside", "done 100");
+        expect(await world.until(() => world.stateOf("beside") === "completed", 2_000)).toEqual(true);
+        strange.namesAnewEachTime = false;
+        strange.start();
+        world.list(strange);
+        const isUsed = () => world.owner.cell.workers.get(strange.id)?.isOpen(world.clock.monotonic()) === true;
+        expect(await world.until(isUsed, 5_000)).toEqual(true);
+    });
+
+    it("one in its entry and another in its answers, for ever: what answers counts, as it last described itself", async () => {
+        await begin({ workers: 1 });
+        const [machine] = world.machines;
+        world.list(machine, { address: machine.address, born: workerLife(7) });
+        await world.pass(2_000);
+        await world.submit("a", "done 100");
+        expect(await world.until(() => world.stateOf("a") === "completed", 2_000)).toEqual(true);
+        expect(world.logged(logEvents.workerListedAnew).map(({ fields }) => [fields["life"], fields["listed"]]))
+            .toEqual([[machine.born, 7]]);
+    });
+
+    it("at two addresses in turn: stays where it answers", async () => {
+        await begin({ workers: 1 });
+        const [machine] = world.machines;
+        for (let turn = 0; turn < 10; turn++) {
+            world.list(machine, { address: "10.0.0.99:80", born: workerLife(turn) });
+            await world.pass(100);
+            world.list(machine);
+            await world.pass(100);
+        }
+        await world.submit("a", "done 100");
+        expect(await world.until(() => world.stateOf("a") === "completed", 2_000)).toEqual(true);
+        expect(world.logged(logEvents.workerRestarted)).toEqual([]);
+    });
+});
--- a/packages/entry/test/support/lives/machine.ts
+++ b/packages/entry/test/support/lives/machine.ts
@@ -65,8 +65,11 @@
 export class Machine {
     #life: Life | undefined;
     #lives = 0;
+    #names = 0;
     /** The most thousandths of a processor that its runs asked for at once. */
     mostCharged = 0;
+    /** Whether each answer names another life: a strange worker, or one in a crash loop. */
+    namesAnewEachTime = false;
     /** Whether it names its lives, as the platform that restarts workers under their ids does. */
     namesLives = true;
 
@@ -143,7 +146,7 @@
         life.ended.filter(({ listed }) => listed.number <= forgetThrough).forEach(({ seen }) => seen.isNoted = true);
         life.ended = life.ended.filter(({ listed }) => listed.number > forgetThrough);
         return {
-            ...(this.namesLives ? { life: life.born } : {}),
+            ...(this.namesLives ? { life: this.#nameOf(life) } : {}),
             clock: this.#clockOf(life),
             running: life.runs.map(({ seen: { task, run } }) => ({
                 task,
@@ -230,6 +233,10 @@
         }
     }
 
+    #nameOf(life: Life): WorkerLife {
+        return this.namesAnewEachTime ? workerLife(life.born + ++this.#names) : life.born;
+    }
+
     /** How a run ends now; undefined while it goes on. */
     #endOf(seen: SeenRun): RunEnd | "crash" | undefined {
         const { kind, after } = seen.behaviour;
