--- a/packages/cell/src/runs/run-book.ts
+++ b/packages/cell/src/runs/run-book.ts
@@ -114,7 +114,7 @@
     /** A look of the worker shows a run. */
     noteShown(run: TaskRun): void {
         run.isShown = true;
-        run.formerLife = undefined;
+        this.#settleFormerLife(run);
         this.confirm(run);
     }
 
@@ -173,6 +173,7 @@
         const task = this.context.table.taskOf(ended.task);
         const run = worker.runOf(ended.task, ended.run);
         if (run !== undefined) {
+            this.#settleFormerLife(run);
             this.#remove(run);
         }
         if (task === undefined || task.endedRuns.has(ended.run)) {
@@ -244,6 +245,21 @@
         this.#afterRun(task);
     }
 
+    /** The present life of its worker has a run, whichever it was ordered of. */
+    #settleFormerLife(run: TaskRun): void {
+        if (run.formerLife === undefined) {
+            return;
+        }
+        this.context.options.log.log(logEvents.orderMetNextLife, {
+            task: run.task.address,
+            run: run.run,
+            worker: run.worker.id,
+            former: run.formerLife.life,
+            life: run.worker.life,
+        });
+        run.formerLife = undefined;
+    }
+
     #recordEnd(task: Task, { task: address, run, end, checkpoint }: EndedRun): void {
         const { step } = task;
         const failures = step.definition.isGang
--- a/packages/core/src/log-events/index.ts
+++ b/packages/core/src/log-events/index.ts
@@ -141,6 +141,12 @@
         "a worker was started again under its id; what its former life had is over",
         "Look at the VM if it recurs.",
     ),
+    orderMetNextLife: define(
+        4318,
+        "info",
+        "an order to a former life of a worker was carried out by the next one",
+        nothing,
+    ),
     workerEntryUnreadable: define(
         4312,
         "error",
--- a/packages/entry/src/links/worker-link.ts
+++ b/packages/entry/src/links/worker-link.ts
@@ -154,6 +154,10 @@
     }
 
     async #run(): Promise<void> {
+        const { pause = 0 } = this.options.assignment;
+        if (pause > 0) {
+            await this.options.clock.sleep(pause, this.#ended.signal);
+        }
         while (!this.#ended.signal.aborted) {
             if (!this.options.mayRenew()) {
                 await this.options.clock.sleep(retryDelay, this.#ended.signal);
--- a/packages/entry/src/owner/assignments.ts
+++ b/packages/entry/src/owner/assignments.ts
@@ -3,6 +3,7 @@
 import { type Epoch, type FencingToken, fencingToken, type Milliseconds, type WorkerId } from "@pebbledale/core";
 import type { AssignMessage } from "../protocol/index.js";
 import { assignmentsPerEpoch, tokensPerAssignment } from "./constants.js";
+import { RestartPauses } from "./restart-pauses.js";
 import type { VmLink } from "./vm-link.js";
 
 /** One worker's link. */
@@ -27,6 +28,7 @@
 export class Assignments {
     readonly #assigned = new Map<WorkerId, Assignment>();
     readonly #counts = new Map<WorkerId, number>();
+    readonly #pauses: RestartPauses;
     /** Until when orders to former lives of a worker may be carried out, where any may. */
     readonly #doubtfulUntil = new Map<WorkerId, Milliseconds>();
 
@@ -34,13 +36,20 @@
         private readonly epoch: Epoch,
         private readonly ownVm: string,
         private readonly now: () => Milliseconds,
-    ) {}
+    ) {
+        this.#pauses = new RestartPauses(now);
+    }
 
     /** The VM that has the link to a worker. */
     vmOf(worker: WorkerId): VmLink | undefined {
         return this.#assigned.get(worker)?.vm;
     }
 
+    /** A worker was started again: its next link may have to wait. */
+    noteRestart(worker: WorkerId): void {
+        this.#pauses.note(worker);
+    }
+
     /** For so long an order that got no answer may still be carried out by any life of a worker. */
     noteDoubt(worker: WorkerId, duration: Milliseconds): void {
         const until = this.now() + duration;
@@ -132,9 +141,15 @@
             token,
             isLeaving: worker.entry?.isDraining === true,
             ...this.#doubtOf(worker.id),
+            ...this.#pauseOf(worker.id),
         });
     }
 
+    #pauseOf(worker: WorkerId): Pick<AssignMessage, "pause"> {
+        const pause = this.#pauses.of(worker);
+        return pause > 0 ? { pause } : {};
+    }
+
     #doubtOf(worker: WorkerId): Pick<AssignMessage, "doubtfulFor"> {
         const doubtfulFor = (this.#doubtfulUntil.get(worker) ?? 0) - this.now();
         if (doubtfulFor > 0) {
--- a/packages/entry/src/owner/constants.ts
+++ b/packages/entry/src/owner/constants.ts
@@ -67,3 +67,11 @@
 export const rememberedPasses = 4;
 /** Passes over what waits take at most this share of the owner's time: the rest is for messages and calls. */
 export const passShare = 0.25;
+/** A worker may be started again so often of late before its links wait: a fault strikes a cell a few times in a row. */
+export const freeRestarts = 3;
+/** The first such wait; each further restart doubles it. About what a process takes to start. */
+export const firstRestartPause: Milliseconds = 100;
+/** The longest such wait: a worker that comes to rest is used again soon after. */
+export const longestRestartPause: Milliseconds = 2_000;
+/** A worker that was not started again for this long has come to rest. */
+export const restartMemory: Milliseconds = 10_000;
--- a/packages/entry/src/owner/worker-inbox.ts
+++ b/packages/entry/src/owner/worker-inbox.ts
@@ -48,6 +48,7 @@
                 break;
             case "restarted":
                 cell.takeRestart(message.worker, message.life);
+                assignments.noteRestart(message.worker);
                 assignments.noteDoubt(message.worker, message.doubtfulFor ?? 0);
                 this.#endLink(link, message.worker);
                 break;
--- a/packages/entry/src/protocol/messages.ts
+++ b/packages/entry/src/protocol/messages.ts
@@ -42,6 +42,8 @@
     readonly isLeaving: boolean;
     /** For so long an order to a former life may still be carried out by whoever answers; left out when none may. */
     readonly doubtfulFor?: Milliseconds;
+    /** The first look waits for so long: the worker was started again many times of late. Left out when it waits for nothing. */
+    readonly pause?: Milliseconds;
 }
 
 /** A worker says that it leaves: its leases are short from now on. */
