--- a/packages/entry/src/links/constants.ts
+++ b/packages/entry/src/links/constants.ts
@@ -31,6 +31,11 @@
 export const progressInterval: Milliseconds = 500;
 /** After ends were reported, the next look waits this long at most for the owner's word that they are kept. */
 export const acknowledgeWait: Milliseconds = 150;
+/**
+ * A worker that answered this long ago is taken for the same life still: the wait for the owner's word and two retries of a call. A process
+ * takes longer to end, to start and to run something to its end.
+ */
+export const sureLifeTime: Milliseconds = 200;
 /**
  * Links give no further leases this long after they last heard that the owner owns the cell. Four beats: a take-over
  * takes about as long, and what runs has most of its lease left.
--- a/packages/entry/src/links/end-numbers.ts
+++ b/packages/entry/src/links/end-numbers.ts
@@ -1,15 +1,19 @@
 /** The numbers of one life's ends: which were reported to the owner, and which the worker may forget. */
 import type { EndedRun } from "@pebbledale/cell";
+import type { Clock, Milliseconds } from "@pebbledale/core";
+import { sureLifeTime } from "./constants.js";
 
 /** See the module's comment. */
 export class EndNumbers {
     #forgetThrough = 0;
     #reportedThrough = 0;
     /**
-     * Whether the last call was answered by the life. What tells a worker to forget its ends is sent only then: a worker that was started
-     * again meanwhile takes the numbers for its own, and the ends that it forgets are seen by nobody.
+     * When the life last answered, while each call since then has been answered. What tells a worker to forget its ends is sent only soon
+     * after: a worker that was started again meanwhile takes the numbers for its own, and the ends that it forgets are seen by nobody.
      */
-    #isLifeSure = false;
+    #answeredAt: Milliseconds = -Infinity;
+
+    constructor(private readonly clock: Clock) {}
 
     /** Ends up to this one are kept. */
     get keptThrough(): number {
@@ -28,19 +32,19 @@
 
     /** What a look that is sent now lets the worker forget; its life is not sure again before the answer. */
     takeForLook(): number {
-        const through = this.#isLifeSure ? this.#forgetThrough : 0;
-        this.#isLifeSure = false;
-        return through;
+        const isSure = this.clock.monotonic() - this.#answeredAt <= sureLifeTime;
+        this.#answeredAt = -Infinity;
+        return isSure ? this.#forgetThrough : 0;
     }
 
     /** The life has answered. */
     noteAnswer(): void {
-        this.#isLifeSure = true;
+        this.#answeredAt = this.clock.monotonic();
     }
 
     /** A call had no answer: the life may be over. */
     noteLost(): void {
-        this.#isLifeSure = false;
+        this.#answeredAt = -Infinity;
     }
 
     /** Those of some ends that were not reported yet; from now on they are. */
--- a/packages/entry/src/links/worker-link.ts
+++ b/packages/entry/src/links/worker-link.ts
@@ -78,7 +78,7 @@
     readonly #ended = createAbortController();
     #token: FencingToken;
     readonly #lease: WorkerLease;
-    readonly #ends = new EndNumbers();
+    readonly #ends: EndNumbers;
     readonly #sideOrders: SideOrders;
     #progressAt = -Infinity;
     #isSilent = false;
@@ -102,6 +102,7 @@
         this.#token = options.assignment.token;
         this.#life = options.assignment.life;
         this.#doubtfulUntil = options.clock.monotonic() + (options.assignment.doubtfulFor ?? 0);
+        this.#ends = new EndNumbers(options.clock);
         this.#lease = new WorkerLease(options.clock, options.leaseLength);
         const { client, clock, logger } = options;
         this.#sideOrders = new SideOrders({
@@ -232,6 +233,7 @@
             return true;
         }
         catch (cause) {
+            this.#ends.noteLost();
             return this.#ended.signal.aborted ? true : { cause: String(cause) };
         }
     }
