--- a/packages/entry/test/explorer/mutations.ts
+++ b/packages/entry/test/explorer/mutations.ts
@@ -110,6 +110,27 @@
         from: "worker.nextEntry = isFormer ? worker.nextEntry : entry;",
         to: "",
     },
+    {
+        name: "room that is taken is not counted",
+        rule: "room is kept",
+        file: "cell/dist/src/state/worker-state.js",
+        from: "this.#change(run.task.step.definition, -1);",
+        to: "",
+    },
+    {
+        name: "an end is not taken in",
+        rule: "done once",
+        file: runs,
+        from: "this.#recordEnd(task, ended);",
+        to: "",
+    },
+    {
+        name: "a job is shown as completed with its first task",
+        rule: "ends are true",
+        file: "cell/dist/src/state/entities.js",
+        from: "return this.doneCount === this.tasks.length;",
+        to: "return this.doneCount > 0;",
+    },
     {
         name: "each look settles what was ordered, not only a link's first",
         rule: "one run at work",
