--- a/packages/cell/src/state/definition.ts
+++ b/packages/cell/src/state/definition.ts
@@ -9,13 +9,9 @@
     taskAddress,
 } from "@pebbledale/core";
 import type { AdvicePolicy } from "../advice/index.js";
+import type { TaskSize } from "../task-size/index.js";
 
-/** What one task takes of a worker, and what a worker has. */
-export interface TaskSize {
-    readonly processorThousandths: number;
-    readonly memoryMebibytes: number;
-    readonly accelerators: number;
-}
+export type { TaskSize } from "../task-size/index.js";
 
 /** One step: tasks that are alike. */
 export interface StepDefinition {
--- a/packages/cell/src/worker-directory/index.ts
+++ b/packages/cell/src/worker-directory/index.ts
@@ -1,6 +1,6 @@
 /** Workers as they record themselves in the platform's store. */
 import type { Milliseconds, ServiceName, WorkerId, WorkerLife } from "@pebbledale/core";
-import type { TaskSize } from "../state/index.js";
+import type { TaskSize } from "../task-size/index.js";
 import type { VmId } from "../upkeep/index.js";
 
 /** One life of a worker, as it last described itself. */
--- a/packages/scheduler/src/ownership/candidate.ts
+++ b/packages/scheduler/src/ownership/candidate.ts
@@ -1,29 +1,14 @@
 /** Campaigns for one shard: claims it when it has no owner, serves it, and leaves it when it is lost or handed over. */
 import {
     absentVersion,
-    type Clock,
     JournalDamagedError,
     JournalFencedError,
     logEvents,
     openJournal,
     type PlatformLeaseId,
-    type PlatformStore,
     PlatformUnavailableError,
-    type ProcessId,
-    type Random,
-    type ShardId,
-    type VmList,
 } from "@pebbledale/core";
-import {
-    createAbortController,
-    type EventLogger,
-    type Metrics,
-    ownerKeyOf,
-    type OwnerValue,
-    type ProgramValues,
-    schedulerSchema,
-    type SettingsWatch,
-} from "@pebbledale/runtime";
+import { createAbortController, ownerKeyOf, type OwnerValue } from "@pebbledale/runtime";
 import {
     claimDelayPerShard,
     claimRetryDelay,
@@ -35,22 +20,7 @@
     renewalsPerLease,
 } from "./constants.js";
 import { OwnedShard } from "./owned-shard.js";
-
-/** What a candidate needs. */
-export interface CandidateOptions {
-    readonly values: ProgramValues<typeof schedulerSchema>;
-    readonly shard: ShardId;
-    readonly owner: ProcessId;
-    readonly store: PlatformStore;
-    readonly vmList: VmList;
-    readonly clock: Clock;
-    readonly random: Random;
-    readonly logger: EventLogger;
-    readonly watch: SettingsWatch;
-    readonly metrics: Metrics;
-    /** Number of shards that this process owns. */
-    readonly countOwned: () => number;
-}
+import type { CandidateOptions } from "./types.js";
 
 /** One scheduler's candidacy for one shard. */
 export class ShardCandidate {
--- a/packages/scheduler/src/ownership/index.ts
+++ b/packages/scheduler/src/ownership/index.ts
@@ -2,3 +2,4 @@
 export * from "./candidate.js";
 export * from "./constants.js";
 export * from "./owned-shard.js";
+export * from "./types.js";
--- a/packages/scheduler/src/ownership/owned-shard.ts
+++ b/packages/scheduler/src/ownership/owned-shard.ts
@@ -3,8 +3,6 @@
     type Effect,
     type JobId,
     jobOfTask,
-    type Journal,
-    type JournalContents,
     JournalFencedError,
     type ListedWorker,
     logEvents,
@@ -24,18 +22,8 @@
 } from "@pebbledale/core";
 import { linkSignals, type NotRecorded, shardOfText, withLinkedSignal } from "@pebbledale/runtime";
 import { WorkerLink } from "../workers/index.js";
-import type { CandidateOptions } from "./candidate.js";
 import { recordLimit, stalledAfter, stalledRetryAfter, tickInterval } from "./constants.js";
-
-/** What an owned shard needs. */
-export interface OwnedShardOptions extends CandidateOptions {
-    readonly journal: Journal;
-    readonly contents: JournalContents;
-    /** When the platform last confirmed the lease, by the monotonic clock. */
-    readonly contact: { readonly at: Milliseconds; };
-    /** Fires when the shard is lost. */
-    readonly lost: AbortController;
-}
+import type { LinkedShard, OwnedShardOptions } from "./types.js";
 
 /** Thrown when a record was not confirmed in time; it may still be kept later. */
 export class NotRecordedError extends Error {
@@ -43,7 +31,7 @@
 }
 
 /** See the module's comment. */
-export class OwnedShard {
+export class OwnedShard implements LinkedShard {
     readonly core: ShardScheduler;
     readonly #links = new Map<WorkerId, WorkerLink>();
     readonly #waiting = new Map<JobId, Set<() => void>>();
--- a/packages/scheduler/src/workers/worker-link.ts
+++ b/packages/scheduler/src/workers/worker-link.ts
@@ -11,7 +11,7 @@
 } from "@pebbledale/core";
 import { createAbortController, HttpWorkerClient, type LinkedSignal, linkSignals } from "@pebbledale/runtime";
 import { workerRetryDelay } from "../ownership/constants.js";
-import type { OwnedShard } from "../ownership/owned-shard.js";
+import type { LinkedShard } from "../ownership/types.js";
 
 /** See the module's comment. */
 export class WorkerLink {
@@ -22,7 +22,7 @@
     readonly #running: Promise<void>;
     #isReachable = true;
 
-    constructor(private readonly shard: OwnedShard, private readonly listed: ListedWorker) {
+    constructor(private readonly shard: LinkedShard, private readonly listed: ListedWorker) {
         this.#client = new HttpWorkerClient(listed.address, shard.options.values["worker.timeout"]);
         this.#linked = linkSignals([this.#closed.signal, shard.options.lost.signal]);
         this.#signal = this.#linked.signal;
@@ -117,7 +117,7 @@
     }
 
     /** Takes a report in. Its records need not be kept before the next heartbeat: leases must go on. */
-    async #take(report: () => ReturnType<OwnedShard["core"]["tick"]>): Promise<void> {
+    async #take(report: () => ReturnType<LinkedShard["core"]["tick"]>): Promise<void> {
         if (!this.#signal.aborted) {
             void this.shard.commit(report());
             this.shard.requestSchedule();
