--- a/packages/cell/test/scheduler/restarts.test.ts
+++ b/packages/cell/test/scheduler/restarts.test.ts
@@ -94,3 +94,18 @@
         }
     });
 });
+
+describe("a worker that the journal names without a life", () => {
+    it("is used as it is listed once the life that its entry names answers, though another one had answered before", () => {
+        const driver = new CellDriver();
+        driver.addWorkers(makeWorker("w"));
+        driver.takeOver();
+        driver.cell.changeWorkers([makeWorker("w", { life: presentLife })], []);
+        driver.look("w");
+        driver.cell.takeRestart(worker, presentLife);
+        driver.run();
+        driver.look("w");
+        driver.run();
+        expect(driver.cell.workers.get(worker)?.isOpen(driver.clock.monotonic())).toEqual(true);
+    });
+});
