A restarted worker keeps the entry that names its life, whenever that came

Only an entry that waited, or one without a life, was kept; one that had come while the life was not known was dropped, and the worker never used.

--- a/packages/cell/src/runs/worker-lives.ts
+++ b/packages/cell/src/runs/worker-lives.ts
@@ -44,8 +44,7 @@
             runs: runs.length,
             unsettled: worker.runs.size,
         });
-        // An entry that names no life may be of either: it does not change again only because its worker was started again.
-        return former.nextEntry ?? (former.entry?.life === undefined ? former.entry : undefined);
+        return former.nextEntry ?? former.entryOf(life);
     }
 
     /**
