--- a/packages/entry/test/explorer/faults.ts
+++ b/packages/entry/test/explorer/faults.ts
@@ -30,6 +30,8 @@
 const ownerReplaced = "the owner is replaced";
 /** How long a worker that is cut off stays so. */
 const cutTime: Milliseconds = 600;
+/** Time between a worker's word that it leaves and its crash. */
+const slotOfLeaving: Milliseconds = 100;
 /** A worker that a task took down is back after this long. */
 const returnTime: Milliseconds = 200;
 /** An entry of a worker that is gone for good stays for this long. */
@@ -53,11 +55,12 @@
     "nothing reaches it for 600 ms": (faults, machine) =>
         faults.cut(machine, { carriedOutAfter: undefined, isAnswered: false }),
     "is listed as it first was": (faults, machine) => faults.listAsAtFirst(machine),
+    "says that it leaves, crashes 100 ms later and is back after 250 ms": (faults, machine) => faults.leave(machine),
 };
 
 /** Where lives have no names a worker that starts again has another id. */
 const isUnderItsId = (blow: string): boolean =>
-    blow.startsWith("crashes and is back") || blow.startsWith("crashes, is back");
+    ["crashes and is back", "crashes, is back", "says that it leaves"].some(start => blow.startsWith(start));
 
 /** How a worker is back. */
 interface Return {
@@ -171,6 +174,12 @@
         this.#after(cutTime, () => this.world.list(machine));
     }
 
+    /** A worker says that it leaves, crashes before it has left, and is back to stay. */
+    leave(machine: Machine): void {
+        this.world.list(machine, machine, true);
+        this.#after(slotOfLeaving, () => machine.isUp && this.restart(machine, 250));
+    }
+
     /** What is to come, for telling states apart. */
     describe(): unknown {
         const now = this.world.clock.monotonic();
--- a/packages/entry/test/support/lives/world.ts
+++ b/packages/entry/test/support/lives/world.ts
@@ -232,7 +232,7 @@
     }
 
     /** Lists a worker as it is at the moment, or as another life of it. */
-    list(machine: Machine, { address, born }: ListedLife = machine): void {
+    list(machine: Machine, { address, born }: ListedLife = machine, isDraining = false): void {
         const { id } = machine;
         this.directory.put({
             worker: id,
@@ -244,8 +244,8 @@
             capacity: room,
             labels: ["a", "r1"],
             rack: "r1",
-            isDraining: false,
-            leavesIn: undefined,
+            isDraining,
+            leavesIn: isDraining ? 2_000 : undefined,
         });
     }
 
