--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -352,7 +352,8 @@
     async #answer(link: VmLink, request: number, body: OwnerRequest): Promise<void> {
         // While the cell is handed over the next owner is asked again by the front.
         const reply = this.#isHandingOver ? undefined : await this.#requests.reply(body);
-        if (reply !== undefined) {
+        const isForNext = this.#isHandingOver && reply?.kind === "uncertain";
+        if (reply !== undefined && !isForNext) {
             link.channel.send({ kind: "reply", request, reply });
         }
     }
--- a/packages/entry/src/owner/request-desk.ts
+++ b/packages/entry/src/owner/request-desk.ts
@@ -11,8 +11,8 @@
     readonly clock: Clock;
     /** Fires when the cell is lost to another owner. */
     readonly lost: AbortSignal;
-    /** Carries out what the inputs so far led to; resolves once the records are kept. */
-    readonly turn: () => Promise<void>;
+    /** Carries out what the inputs so far led to; resolves to whether all records so far are kept. */
+    readonly turn: () => Promise<boolean>;
     /** Whether nobody else can own the cell now. */
     readonly isConfirmed: () => boolean;
 }
@@ -76,7 +76,7 @@
     /** Whether all that was recorded so far is kept, waited for up to the limit. */
     async #untilKept(): Promise<boolean> {
         const { clock, lost, turn } = this.options;
-        const kept = turn().then(() => !lost.aborted);
+        const kept = turn().then(isKept => isKept && !lost.aborted);
         return Promise.race([kept, clock.sleep(recordLimit).then(() => false)]);
     }
 }
--- a/packages/entry/src/owner/turn-runner.ts
+++ b/packages/entry/src/owner/turn-runner.ts
@@ -69,8 +69,11 @@
         });
     }
 
-    /** Carries out what the inputs so far led to; resolves once the records are kept. */
-    async run(): Promise<void> {
+    /**
+     * Carries out what the inputs so far led to; resolves to whether all records so far are kept. They are not where the cell is handed over
+     * or lost meanwhile: what is not kept was not done, and no caller may be told otherwise.
+     */
+    async run(): Promise<boolean> {
         const { cell, advice, journal, assignments, lost } = this.options;
         if (this.#isInDoubt) {
             await this.#untilCertain();
@@ -78,7 +81,7 @@
         const turn = cell.drain();
         if (this.#isFrozen) {
             // What came since is seen by the next owner too: it is neither acted on nor acknowledged here.
-            return;
+            return false;
         }
         turn.commands.filter(command => command.kind !== "start").forEach(command => this.#send(command));
         advice.ask(...turn.questions);
@@ -92,7 +95,7 @@
         }
         catch (cause) {
             lost.abort(cause);
-            return;
+            return false;
         }
         if (this.#isInDoubt) {
             await this.#untilCertain();
@@ -109,6 +112,7 @@
         if (cell.wantsPass && !this.#isFrozen && !this.#isPassPlanned) {
             this.request();
         }
+        return !lost.signal.aborted;
     }
 
     /**
--- a/packages/entry/test/owner/request-desk.test.ts
+++ b/packages/entry/test/owner/request-desk.test.ts
@@ -23,7 +23,7 @@
         journal: {} as Journal,
         clock: new ManualClock(),
         lost: new AbortController().signal,
-        turn: () => Promise.resolve(),
+        turn: () => Promise.resolve(true),
         isConfirmed,
     });
 
--- a/packages/stand-ins/src/platform/store.ts
+++ b/packages/stand-ins/src/platform/store.ts
@@ -43,7 +43,7 @@
             .sort((left, right) => left.key < right.key ? -1 : 1);
     }
 
-    /** Compare-and-swap. */
+    /** Compare-and-swap. The key goes with the lease of its last write, and with no earlier one. */
     swap(key: string, expected: number, value: string, lease?: PlatformLeaseId): SwapOutcome {
         const current = this.#entries.get(key);
         if ((current?.version ?? 0) !== expected) {
@@ -53,6 +53,7 @@
         if (lease !== undefined && holder === undefined) {
             return { kind: "conflict", current };
         }
+        this.#leases.forEach(other => other.keys.delete(key));
         holder?.keys.add(key);
         const version = ++this.#lastVersion as KeyVersion;
         this.#entries.set(key, { key, value, version });
@@ -66,6 +67,7 @@
         if (current !== undefined && current.version !== expected) {
             return false;
         }
+        this.#leases.forEach(lease => lease.keys.delete(key));
         this.#entries.delete(key);
         this.#changed(key);
         return true;
