--- a/packages/entry/test/support/lives/world.ts
+++ b/packages/entry/test/support/lives/world.ts
@@ -134,6 +134,8 @@
     readonly network = new Network(this.clock, this.machines);
     readonly log = new KeptLog();
     readonly directory = new ListedWorkers(this.clock);
+    /** When the store last renewed the owner's key. */
+    keyConfirmedAt: () => Milliseconds = () => this.clock.monotonic();
     /** Called in each step of time. */
     onStep: () => void = () => undefined;
     readonly #journal: CellRecord[] = [];
@@ -215,6 +217,7 @@
             configuration,
             formerLeases: longestLease,
             confirmedAt: () => this.clock.monotonic(),
+            ...({ keyConfirmedAt: () => this.keyConfirmedAt() } as object),
             ownerLease: 1_000,
             confirm: () => undefined,
             lost,
@@ -297,6 +300,13 @@
         return (await this.#vm.ask({ kind: "submit", definition }))?.kind;
     }
 
+    /** What a caller is told that asks for a job's state. */
+    async askState(name: string): Promise<string | undefined> {
+        const reply = this.#vm.ask({ kind: "state", job: name as JobDefinition["job"] });
+        await this.pass(50);
+        return (await reply)?.kind;
+    }
+
     /** The state that the caller of a job is told. */
     stateOf(name: string): string | undefined {
         return this.owner.cell.stateOf(name as JobDefinition["job"]);
