--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -96,7 +96,7 @@
             clock,
             lost: options.lost.signal,
             turn: () => this.#turns.run(),
-            isConfirmed: () => this.#isConfirmedWithin(options.ownerLease),
+            isConfirmed: () => this.#doesKeyStand,
         });
         this.#upkeep = options.upkeep && new UpkeepKeeper({
             ...options.upkeep,
@@ -152,6 +152,12 @@
         return clock.monotonic() - confirmedAt() < time && confirmedAt() >= clock.countedSince();
     }
 
+    /** Whether nobody else can have claimed the cell: its key has surely not run out. */
+    get #doesKeyStand(): boolean {
+        const { clock, keyConfirmedAt, ownerLease } = this.options;
+        return clock.monotonic() - keyConfirmedAt() < ownerLease && keyConfirmedAt() >= clock.countedSince();
+    }
+
     #tellSummary(): void {
         const { logger, journal, metrics } = this.options;
         const summary = this.cell.summary();
--- a/packages/entry/src/owner/types.ts
+++ b/packages/entry/src/owner/types.ts
@@ -21,6 +21,11 @@
     readonly formerLeases: Milliseconds;
     /** When the store last confirmed that this VM owns the cell, by the monotonic clock. */
     readonly confirmedAt: () => Milliseconds;
+    /**
+     * When the store last renewed the owner's key, by the monotonic clock. Other confirmations prove that nobody else had the cell by then;
+     * only this keeps others from claiming it for a while.
+     */
+    readonly keyConfirmedAt: () => Milliseconds;
     /** How long its key outlives the last confirmation: before that nobody else owns the cell. */
     readonly ownerLease: Milliseconds;
     /** Has the store asked whether this VM owns the cell. */
--- a/packages/entry/src/ownership/candidate.ts
+++ b/packages/entry/src/ownership/candidate.ts
@@ -256,6 +256,7 @@
                 formerLeases: this.options.formerLeases,
                 lost,
                 confirmedAt: () => Math.max(journal.lastContact, key.confirmedAt),
+                keyConfirmedAt: () => key.confirmedAt,
                 confirm: () => key.confirm(lost.signal),
                 ownerLease: this.options.leaseLength,
                 onSilentVm: name => dialer.noteSilence(name),
--- a/packages/entry/src/ownership/owner-key.ts
+++ b/packages/entry/src/ownership/owner-key.ts
@@ -23,13 +23,19 @@
     readonly leaseLength: Milliseconds;
 }
 
+/** A lease that was asked for. It runs from when the call arrived, which is not before it was sent. */
+interface PreparedLease {
+    readonly sentAt: Milliseconds;
+    readonly granted: Promise<PlatformLeaseId>;
+}
+
 /** See the module's comment. */
 export class OwnerKey {
     readonly #watch: DependencyWatch;
     #lease: PlatformLeaseId | undefined;
     #confirmedAt = -Infinity;
     /** A lease that was asked for ahead of a claim. */
-    #prepared: Promise<PlatformLeaseId> | undefined;
+    #prepared: PreparedLease | undefined;
     /** The claim of a key whose lease has ended, while it is on its way. */
     #claiming: Promise<unknown> | undefined;
 
@@ -39,29 +45,34 @@
         this.#watch = new DependencyWatch({ logger, clock, lost, regained });
     }
 
-    /** When the store last confirmed the key, by the monotonic clock: when the call that did was sent. */
+    /**
+     * When the store last confirmed the key, by the monotonic clock: when the call that did was sent, and for a claim when its lease was
+     * asked for. Nobody else can claim for the length of the lease from then on.
+     */
     get confirmedAt(): Milliseconds {
         return this.#confirmedAt;
     }
 
     /** Asks for the lease of a claim that may follow: a slow store answers meanwhile. */
     prepare(): void {
-        const { store, leaseLength } = this.options;
-        this.#prepared = store.grantLease(leaseLength);
+        this.#prepared = this.#askForLease();
         // A failure counts once the lease is used.
-        this.#prepared.catch(() => undefined);
+        this.#prepared.granted.catch(() => undefined);
     }
 
     /** Claims the key if its version is still `expected`; false when another process was faster. */
     async claim(expected: KeyVersion): Promise<boolean> {
-        const { store, value, leaseLength } = this.options;
-        const prepared = this.#prepared;
+        const { store, value } = this.options;
+        const { sentAt, granted } = this.#prepared ?? this.#askForLease();
         this.#prepared = undefined;
-        const lease = await (prepared ?? store.grantLease(leaseLength));
+        const lease = await granted;
         const outcome = await store.compareAndSwap(ownerKey, expected, value, lease);
         // A conflict with our own value: the first answer was lost.
         const isOwn = outcome.kind === "swapped" || outcome.current?.value === value;
         this.#lease = isOwn ? lease : undefined;
+        if (outcome.kind === "swapped") {
+            this.#confirmedAt = Math.max(this.#confirmedAt, sentAt);
+        }
         return isOwn;
     }
 
@@ -87,6 +98,11 @@
         void this.#renew(signal).then(() => this.#watch.noteAnswer(), cause => this.#watch.noteFailure(cause));
     }
 
+    #askForLease(): PreparedLease {
+        const { store, clock, leaseLength } = this.options;
+        return { sentAt: clock.monotonic(), granted: store.grantLease(leaseLength) };
+    }
+
     /** Renews the lease. One that ended is replaced, unless another process has the key: the journal then decides. */
     async #renew(signal: AbortSignal): Promise<void> {
         const sentAt = this.options.clock.monotonic();
@@ -97,6 +113,7 @@
         }
         if (lease === this.#lease && !signal.aborted) {
             this.#lease = undefined;
+            this.#confirmedAt = -Infinity;
             this.#claiming ??= this.claim(absentVersion).finally(() => this.#claiming = undefined);
         }
         await this.#claiming;
--- a/packages/entry/test/support/lives/world.ts
+++ b/packages/entry/test/support/lives/world.ts
@@ -217,7 +217,7 @@
             configuration,
             formerLeases: longestLease,
             confirmedAt: () => this.clock.monotonic(),
-            ...({ keyConfirmedAt: () => this.keyConfirmedAt() } as object),
+            keyConfirmedAt: () => this.keyConfirmedAt(),
             ownerLease: 1_000,
             confirm: () => undefined,
             lost,
