--- a/packages/entry/src/owner/turn-runner.ts
+++ b/packages/entry/src/owner/turn-runner.ts
@@ -71,7 +71,7 @@
 
     /**
      * Carries out what the inputs so far led to; resolves to whether all records so far are kept. They are not where the cell is handed over
-     * or lost meanwhile: what is not kept was not done, and no caller may be told otherwise.
+     * or lost meanwhile: no caller may then be told that its request was done.
      */
     async run(): Promise<boolean> {
         const { cell, advice, journal, assignments, lost } = this.options;
