Organisations: callers show a key, and each organisation's work stays under its limit

Cause: the configuration names organisations with keys, weights and limits, and nothing read them: calls without a key or with one that was taken away were served, and organisations started more than they may.

Keys: the adapter decodes them into digests; an entry VM judges by the newest configuration that it knows, which never goes back. A key that is not known is refused with 401, or with 503 while the configuration was not heard of for 2.5 s, as it may be newer (weighed: 401 at once is untrue for a key of a version that this VM has not heard of; asking the owner costs a call a refusal).

Limits: a run counts for its organisation from its order until it is surely over, in the span in which it holds its worker's room, so that stops, silences, late answers and changes of owner are covered by what already keeps rooms. A step at the limit keeps no room and asks no advice. A gang that waits for its limit for 1 s gets it free of less urgent work of its own.

--- a/packages/cell/src/configuration/queue-directory.ts
+++ b/packages/cell/src/configuration/queue-directory.ts
@@ -1,5 +1,6 @@
 /** Finds the queue that a caller's request names. */
 import type { QueueName } from "@pebbledale/core";
+import { KeyRing } from "../organisations/index.js";
 import type { CellConfiguration, QueueConfiguration } from "./types.js";
 
 /** A queue with the part of the path that follows its prefix. */
@@ -10,10 +11,13 @@
 
 /** Looks queues up by host and longest path prefix. */
 export class QueueDirectory {
+    /** Who may show which key. */
+    readonly keys: KeyRing;
     readonly #byHost = new Map<string, QueueConfiguration[]>();
     readonly #byName = new Map<QueueName, QueueConfiguration>();
 
     constructor(readonly configuration: CellConfiguration) {
+        this.keys = new KeyRing(configuration.organisations);
         for (const queue of configuration.queues) {
             this.#byName.set(queue.name, queue);
             const atHost = this.#byHost.get(queue.host) ?? [];
--- a/packages/cell/src/configuration/types.ts
+++ b/packages/cell/src/configuration/types.ts
@@ -1,6 +1,7 @@
 /** What operators configure for a cell. */
 import type { Milliseconds, QueueName, ServiceName } from "@pebbledale/core";
 import type { AdvicePolicy } from "../advice/index.js";
+import type { Organisation } from "../organisations/index.js";
 import type { UpkeepWave } from "../upkeep/index.js";
 
 /** A queue that callers hand jobs to. */
@@ -21,6 +22,8 @@
     /** How long a caller's request may take. */
     readonly timeout: Milliseconds;
     readonly advice: AdvicePolicy | undefined;
+    /** Whether its callers have to show a key of an organisation. */
+    readonly needsKey: boolean;
 }
 
 /** A service: a pool of workers. */
@@ -39,6 +42,8 @@
     readonly version: number;
     readonly queues: readonly QueueConfiguration[];
     readonly services: readonly ServiceConfiguration[];
+    /** Who shares the cell; empty where nobody is told apart. */
+    readonly organisations: readonly Organisation[];
     /** Largest body of a caller's request, in bytes. */
     readonly bodyLimit: number;
 }
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -3,6 +3,7 @@
 export { AdviceDispatcher, type Questioner } from "./advising/index.js";
 export * from "./configuration/index.js";
 export type { CrashSummary } from "./crashes/index.js";
+export * from "./organisations/index.js";
 export * from "./scheduler/index.js";
 export * from "./state/index.js";
 export * from "./task-worker/index.js";
--- a/packages/cell/src/load/constants.ts
+++ b/packages/cell/src/load/constants.ts
@@ -20,3 +20,8 @@
  * (mean of four replays of load), with 0.5 no more than with this.
  */
 export const mostFreeShare = 0.35;
+/**
+ * A gang that its organisation's limit has no place for waits this long, in milliseconds; then what is less urgent of the same organisation
+ * starts nothing, so that the limit gets free. A mean gang takes some seconds: by then some of that work has ended by itself.
+ */
+export const limitPatience: Milliseconds = 1_000;
--- a/packages/cell/src/placing/placer.ts
+++ b/packages/cell/src/placing/placer.ts
@@ -14,7 +14,7 @@
     type Share,
 } from "../choosing/index.js";
 import { type CrashWatch, isPastStart, riskCost } from "../crashes/index.js";
-import { HoldBack } from "../load/index.js";
+import { HoldBack, OrganisationLimits } from "../load/index.js";
 import type { Mover } from "../moving/index.js";
 import type { OrderTerms, RunBook } from "../runs/index.js";
 import { addressOf, type CellContext, type Step, type Task, type WorkerState } from "../state/index.js";
@@ -42,6 +42,7 @@
     readonly #reservations: Reservations;
     readonly #preemption: Preemption;
     readonly #holdBack = new HoldBack();
+    readonly #limits: OrganisationLimits;
     /** Workers that may be ordered in this pass. */
     #open: readonly WorkerState[] = [];
     #index = new RoomIndex([]);
@@ -51,6 +52,7 @@
         const { context, runs, yields } = parts;
         this.#reservations = new Reservations(context, yields);
         this.#preemption = new Preemption(context, runs, yields);
+        this.#limits = new OrganisationLimits(context.usage);
     }
 
     /** Steps that have tasks to place. */
@@ -81,7 +83,8 @@
             .filter(step => step.hasWaitingTask || step.definition.allowsCopies)
             .map(step => rank(this.parts.context, step, now))
             .sort(compareRanks);
-        this.#reservations.begin(ranked.map(({ step }) => step), now);
+        this.#limits.begin();
+        this.#reservations.begin(ranked.map(({ step }) => step).filter(step => !this.#limits.isAtLimit(step)), now);
         this.#holdBack.begin(this.#open);
         this.#heldBack = 0;
         this.#index = new RoomIndex(this.#open);
@@ -91,7 +94,8 @@
 
     #placeStep(ranked: RankedStep, now: Milliseconds): void {
         const { step } = ranked;
-        const waiting = [...step.waitingTasks(), ...this.parts.mover.tasksToCopy(step, now)];
+        const wanted = [...step.waitingTasks(), ...this.parts.mover.tasksToCopy(step, now)];
+        const waiting = this.#limits.within(step, wanted, now);
         if (waiting.length === 0) {
             return;
         }
--- a/packages/cell/src/runs/run-book.ts
+++ b/packages/cell/src/runs/run-book.ts
@@ -323,12 +323,15 @@
             task.phase = TaskPhase.Active;
         }
         worker.charge(entry);
+        this.context.usage.add(task.step.job.organisation, task.step.definition.size);
         return entry;
     }
 
     #remove(run: TaskRun): void {
-        run.worker.discharge(run);
-        const { runs } = run.task;
+        const { runs, step } = run.task;
+        if (run.worker.discharge(run)) {
+            this.context.usage.remove(step.job.organisation, step.definition.size);
+        }
         const at = runs.indexOf(run);
         if (at >= 0) {
             runs.splice(at, 1);
--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -140,6 +140,7 @@
             table.restore(snapshot);
         }
         records.forEach(record => table.apply(record));
+        table.jobs.forEach(job => this.#context.usage.recoverLimit(job.organisation, job.terms.organisationLimit));
         this.#crashes.recover();
         this.#pool.recover();
         for (const job of table.jobs.values()) {
@@ -157,7 +158,7 @@
 
     /**
      * Takes a job, which is known from then on; its caller is told once the record is kept. Undefined when the
-     * configuration that this owner knows does not name its queue.
+     * configuration that this owner knows does not name its queue or its organisation.
      */
     submit(definition: JobDefinition): Job | undefined {
         const { table, outbox, options } = this.#context;
@@ -166,7 +167,7 @@
             options.log.log(logEvents.jobRepeated, { job: known.id, state: known.state });
             return known;
         }
-        const terms = this.#context.termsOf(definition.queue);
+        const terms = this.#context.termsOf(definition.queue, definition.organisation);
         if (terms === undefined) {
             return undefined;
         }
@@ -175,6 +176,7 @@
         options.log.log(logEvents.jobAccepted, {
             job: job.id,
             queue: job.queue,
+            organisation: job.organisation,
             steps: definition.steps.length,
             tasks: definition.steps.reduce((sum, step) => sum + step.taskCount, 0),
         });
--- a/packages/cell/src/state/cell-context.ts
+++ b/packages/cell/src/state/cell-context.ts
@@ -1,6 +1,7 @@
 /** What the parts of a cell's owner share. */
-import type { Clock, LogEvent, Milliseconds, QueueName, WorkerId } from "@pebbledale/core";
+import type { Clock, LogEvent, Milliseconds, OrganisationName, QueueName, WorkerId } from "@pebbledale/core";
 import { type CellConfiguration, QueueDirectory } from "../configuration/index.js";
+import { UsageBook } from "../organisations/index.js";
 import type { JobTerms } from "./definition.js";
 import { JobTable } from "./job-table.js";
 import { Outbox } from "./outbox.js";
@@ -26,6 +27,7 @@
     readonly table: JobTable;
     readonly workers = new Map<WorkerId, WorkerState>();
     readonly outbox = new Outbox();
+    readonly usage = new UsageBook();
     queues: QueueDirectory | undefined;
 
     constructor(readonly options: CellOptions) {
@@ -57,14 +59,19 @@
     /** Takes a newer configuration. */
     configure(configuration: CellConfiguration): void {
         this.queues = new QueueDirectory(configuration);
+        this.usage.configure(configuration.organisations);
         for (const job of this.table.jobs.values()) {
-            job.terms = this.termsOf(job.queue) ?? job.terms;
+            job.terms = this.termsOf(job.queue, job.organisation) ?? job.terms;
         }
     }
 
-    /** What a queue asks for; undefined when the configuration does not name it. */
-    termsOf(queue: QueueName): JobTerms | undefined {
+    /** What a queue asks for of an organisation's jobs; undefined when no configuration has named both. */
+    termsOf(queue: QueueName, organisation: OrganisationName | undefined): JobTerms | undefined {
         const configured = this.queues?.named(queue);
+        const organisationLimit = organisation && this.usage.limitOf(organisation);
+        if (organisation !== undefined && organisationLimit === undefined) {
+            return undefined;
+        }
         return configured && {
             service: configured.service,
             priority: configured.priority,
@@ -72,6 +79,7 @@
             extension: configured.extension,
             latencyTarget: configured.latencyTarget,
             advice: configured.advice,
+            ...(organisationLimit === undefined ? {} : { organisationLimit }),
         };
     }
 
--- a/packages/cell/src/state/definition.ts
+++ b/packages/cell/src/state/definition.ts
@@ -2,6 +2,7 @@
 import {
     type JobId,
     type Milliseconds,
+    type OrganisationName,
     type QueueName,
     type RunNumber,
     type ServiceName,
@@ -58,6 +59,8 @@
 export interface JobDefinition {
     readonly job: JobId;
     readonly queue: QueueName;
+    /** Whose job it is; undefined where its queue needs no key. Left out by programs that did not know of organisations. */
+    readonly organisation?: OrganisationName;
     /** Passed on to each task as it is. */
     readonly payload: string;
     readonly steps: readonly StepDefinition[];
@@ -72,6 +75,8 @@
     readonly extension: number;
     readonly latencyTarget: Milliseconds;
     readonly advice: AdvicePolicy | undefined;
+    /** What its organisation may have at work; left out where that has no limit. */
+    readonly organisationLimit?: TaskSize;
 }
 
 /** State of a job as callers are told it. */
--- a/packages/cell/src/state/entities.ts
+++ b/packages/cell/src/state/entities.ts
@@ -1,5 +1,14 @@
 /** The owner's view of jobs, their steps and tasks, and the runs of these. */
-import type { JobId, Milliseconds, QueueName, RunNumber, TaskAddress, WorkerId, WorkerLife } from "@pebbledale/core";
+import type {
+    JobId,
+    Milliseconds,
+    OrganisationName,
+    QueueName,
+    RunNumber,
+    TaskAddress,
+    WorkerId,
+    WorkerLife,
+} from "@pebbledale/core";
 import {
     addressOf,
     CellJobState,
@@ -219,6 +228,8 @@
         public terms: JobTerms,
         /** By the owner's monotonic clock; of a job of an earlier owner the time at which it was read. */
         readonly acceptedSteady: Milliseconds,
+        /** Whose it is, also once its definition is let go of; undefined where nobody is told apart. */
+        readonly organisation: OrganisationName | undefined,
     ) {
         this.#definition = definition;
     }
--- a/packages/cell/src/state/job-table.ts
+++ b/packages/cell/src/state/job-table.ts
@@ -1,5 +1,5 @@
 /** All jobs of a cell, changed only by records, so that a replay of the journal gives the same. */
-import type { JobId, Milliseconds, RunNumber, WorkerId, WorkerLife } from "@pebbledale/core";
+import type { JobId, Milliseconds, OrganisationName, RunNumber, WorkerId, WorkerLife } from "@pebbledale/core";
 import { RunEnd } from "../task-worker/index.js";
 import { CellJobState, type JobDefinition, type JobTerms, placeOf } from "./definition.js";
 import { Job, Occurrence, type Step, type Task, TaskPhase } from "./entities.js";
@@ -28,6 +28,8 @@
 export interface JobSnapshot {
     readonly id: JobId;
     readonly queue: Job["queue"];
+    /** Left out where it has none, and by programs that did not know of organisations. */
+    readonly organisation?: OrganisationName;
     readonly acceptedAt: number;
     readonly endedAt: number | undefined;
     readonly state: CellJobState;
@@ -138,7 +140,8 @@
     }
 
     #accept({ at, definition, terms }: AcceptedRecord): void {
-        const job = new Job(definition.job, definition.queue, at, definition, terms, this.now());
+        const { queue, organisation } = definition;
+        const job = new Job(definition.job, queue, at, definition, terms, this.now(), organisation);
         this.jobs.set(job.id, job);
         if (definition.timetable === undefined) {
             this.occurrenceOf(job, 0);
@@ -242,7 +245,8 @@
     }
 
     #restoreJob(saved: JobSnapshot): void {
-        const job = new Job(saved.id, saved.queue, saved.acceptedAt, saved.definition, saved.terms, this.now());
+        const { id, queue, acceptedAt, definition, terms, organisation } = saved;
+        const job = new Job(id, queue, acceptedAt, definition, terms, this.now(), organisation);
         job.state = saved.state;
         job.endedAt = saved.endedAt;
         saved.doneOccurrences.forEach(number => job.doneOccurrences.add(number));
@@ -263,6 +267,7 @@
 const snapshotOf = (job: Job): JobSnapshot => ({
     id: job.id,
     queue: job.queue,
+    ...(job.organisation === undefined ? {} : { organisation: job.organisation }),
     acceptedAt: job.acceptedAt,
     endedAt: job.endedAt,
     state: job.state,
--- a/packages/cell/test/support/builders.ts
+++ b/packages/cell/test/support/builders.ts
@@ -1,8 +1,10 @@
 /** Makes what tests of the cell hand in. */
-import { jobId, queueName, serviceName, type WorkerId, workerId } from "@pebbledale/core";
+import { jobId, organisationName, queueName, serviceName, type WorkerId, workerId } from "@pebbledale/core";
 import {
     type CellConfiguration,
+    digestOf,
     type JobDefinition,
+    type Organisation,
     type QueueConfiguration,
     type StepDefinition,
     vmId,
@@ -24,17 +26,36 @@
     latencyTarget: 1_000,
     timeout: 3_000,
     advice: undefined,
+    needsKey: false,
     ...changes,
 });
 
 /** A configuration of these queues. */
-export const makeConfiguration = (version: number, queues: readonly QueueConfiguration[]): CellConfiguration => ({
+export const makeConfiguration = (
+    version: number,
+    queues: readonly QueueConfiguration[],
+    organisations: readonly Organisation[] = [],
+): CellConfiguration => ({
     version,
     queues,
+    organisations,
     services: [{ name: service, guardsRoom: false, isHeadroom: false, healthPath: "/health" }],
     bodyLimit: 262_144,
 });
 
+/** An organisation that may have so many cores at work; `changes` replaces parts. */
+export const makeOrganisation = (
+    name: string,
+    cores: number,
+    changes: Partial<Organisation> = {},
+): Organisation => ({
+    name: organisationName(name),
+    keys: [digestOf(`key of ${name}`)],
+    weight: 1,
+    limit: { processorThousandths: cores * 1_000, memoryMebibytes: 0, accelerators: 0 },
+    ...changes,
+});
+
 /** A step of tasks that each take 1 core and 1 GB. */
 export const makeStep = (changes: Partial<StepDefinition> = {}): StepDefinition => ({
     taskCount: 1,
--- a/packages/core/src/ids/index.ts
+++ b/packages/core/src/ids/index.ts
@@ -30,6 +30,10 @@
 export type QueueName = Branded<string, "QueueName">;
 /** Names a service: the pool of workers that a queue's tasks run on. */
 export type ServiceName = Branded<string, "ServiceName">;
+/** Names an organisation that shares a cell with others. */
+export type OrganisationName = Branded<string, "OrganisationName">;
+/** Digest of a key that an organisation's callers show. The key itself is kept nowhere. */
+export type KeyDigest = Branded<string, "KeyDigest">;
 /** Names one entry VM, the same over restarts of its process. */
 export type EntryVmName = Branded<string, "EntryVmName">;
 /** Counts the starts of a task, from 1; members of a gang share it. */
@@ -59,6 +63,10 @@
 export const queueName = (text: string): QueueName => text as QueueName;
 /** Makes a service name from text that is known to be one. */
 export const serviceName = (text: string): ServiceName => text as ServiceName;
+/** Makes the name of an organisation from text that is known to be one. */
+export const organisationName = (text: string): OrganisationName => text as OrganisationName;
+/** Makes a digest of a key from text that is known to be one. */
+export const keyDigest = (text: string): KeyDigest => text as KeyDigest;
 /** Makes the name of an entry VM from text that is known to be one. */
 export const entryVmName = (text: string): EntryVmName => text as EntryVmName;
 /** Makes a run number from a whole number. */
--- a/packages/entry/src/configuration/watch.ts
+++ b/packages/entry/src/configuration/watch.ts
@@ -79,6 +79,13 @@
             version: configuration.version,
             source,
             queues: configuration.queues.length,
+            organisations: configuration.organisations.map(({ name, keys, weight, limit }) => [
+                name,
+                keys.length,
+                weight,
+                limit.processorThousandths,
+                limit.memoryMebibytes,
+            ]),
         });
         this.options.onChange(configuration);
     }
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -170,6 +170,11 @@
         return this.#configuration.queues;
     }
 
+    /** How long ago this VM last heard what is configured; undefined before it first did. */
+    get configurationAge(): Milliseconds | undefined {
+        return this.#configuration.age;
+    }
+
     /** Why this VM is not ready for callers; undefined when it is. */
     get notReady(): string | undefined {
         return this.queues === undefined ? "no configuration yet" : undefined;
--- /dev/null
+++ b/packages/entry/src/front/caller-check.ts
@@ -0,0 +1,51 @@
+/** Decides whose a caller's request is, by the key that it shows. */
+import type { QueueConfiguration, QueueDirectory } from "@pebbledale/cell";
+import type { Milliseconds, OrganisationName } from "@pebbledale/core";
+
+/**
+ * A key that is not known may be of a version that this VM has not heard of, once it has not heard of the configuration for this long, in
+ * milliseconds: what is followed is heard of every two seconds at the most while the store answers.
+ */
+export const trustedAge: Milliseconds = 2_500;
+
+/** HTTP's scheme for keys that are shown as they are (RFC 6750). */
+const credentials = /^Bearer +([\x21-\x7e]+) *$/i;
+
+/** Whose a request is, or why it is turned away. */
+export type CallerCheck =
+    /** `organisation`: undefined where the queue needs no key. */
+    | { readonly kind: "allowed"; readonly organisation: OrganisationName | undefined; }
+    | { readonly kind: "refused"; readonly reason: string; }
+    /** The key may be newer than the configuration that is known here. */
+    | { readonly kind: "unsure"; readonly reason: string; };
+
+/**
+ * Checks a request.
+ * `shown`: the values of its headers that carry credentials.
+ * `age`: how long ago the configuration was last heard of; undefined before it first was.
+ */
+export const checkCaller = (
+    { needsKey }: QueueConfiguration,
+    { keys }: QueueDirectory,
+    shown: readonly string[],
+    age: Milliseconds | undefined,
+): CallerCheck => {
+    if (!needsKey) {
+        return { kind: "allowed", organisation: undefined };
+    }
+    if (shown.length !== 1) {
+        const reason = shown.length === 0 ? "a key of an organisation is needed" : "more than one key is shown";
+        return { kind: "refused", reason };
+    }
+    const key = credentials.exec(shown[0])?.[1];
+    if (key === undefined) {
+        return { kind: "refused", reason: "the credentials are not a bearer key" };
+    }
+    const organisation = keys.holderOf(key);
+    if (organisation !== undefined) {
+        return { kind: "allowed", organisation };
+    }
+    return age === undefined || age > trustedAge
+        ? { kind: "unsure", reason: "the key is not known here, and the configuration was not heard of lately" }
+        : { kind: "refused", reason: "nobody has this key" };
+};
--- a/packages/entry/src/front/job-service.ts
+++ b/packages/entry/src/front/job-service.ts
@@ -1,6 +1,6 @@
 /** What a front does for callers: passes requests to the owner and answers each as truly as it can. */
 import type { JobDefinition } from "@pebbledale/cell";
-import type { Clock, JobId, Milliseconds, QueueName } from "@pebbledale/core";
+import type { Clock, JobId, Milliseconds, OrganisationName, QueueName } from "@pebbledale/core";
 import { NotNowReason, type OwnerReply, type OwnerRequest } from "../protocol/index.js";
 import { answerMargin, noOwnerRetryAfter, ownerWait, pendingAge, shortestAsk } from "./constants.js";
 import type { RequestLog } from "./request-log.js";
@@ -21,14 +21,14 @@
         return this.#ask({ kind: "submit", definition }, within);
     }
 
-    /** The state of a job. */
-    state(job: JobId, within: Milliseconds): Promise<JobAnswer> {
-        return this.#ask({ kind: "state", job }, within);
+    /** The state of a job, for a caller of an organisation. */
+    state(job: JobId, organisation: OrganisationName | undefined, within: Milliseconds): Promise<JobAnswer> {
+        return this.#ask({ kind: "state", job, organisation }, within);
     }
 
-    /** Cancels a job. */
-    cancel(job: JobId, within: Milliseconds): Promise<JobAnswer> {
-        return this.#ask({ kind: "cancel", job }, within);
+    /** Cancels a job, for a caller of an organisation. */
+    cancel(job: JobId, organisation: OrganisationName | undefined, within: Milliseconds): Promise<JobAnswer> {
+        return this.#ask({ kind: "cancel", job, organisation }, within);
     }
 
     /** How many jobs of a queue wait. */
@@ -105,7 +105,7 @@
 
 const notNowReasons: Readonly<Record<NotNowReason, string>> = {
     [NotNowReason.JournalStalled]: "the store keeps no records now",
-    [NotNowReason.QueueUnknown]: "the owner does not know the queue yet",
+    [NotNowReason.QueueUnknown]: "the owner does not know the queue or the organisation yet",
     [NotNowReason.OwnerUnconfirmed]: "the owner does not know the job and is not confirmed to own the cell",
     [NotNowReason.NotKeptYet]: "the job's acceptance is not kept yet",
 };
--- a/packages/entry/src/front/types.ts
+++ b/packages/entry/src/front/types.ts
@@ -10,6 +10,8 @@
     | { readonly kind: "state"; readonly state: CellJobState; }
     | { readonly kind: "pending"; readonly count: number; }
     | { readonly kind: "unknown-job"; }
+    /** Another organisation has a job of this id; nothing was taken. */
+    | { readonly kind: "id-taken"; }
     /** It was not done and will not be; come back after a while. */
     | { readonly kind: "refused"; readonly retryAfter: Milliseconds; readonly reason: string; }
     /** Whether it was done is not known; the same request may be sent again. */
--- a/packages/entry/src/owner/request-desk.ts
+++ b/packages/entry/src/owner/request-desk.ts
@@ -1,6 +1,6 @@
 /** Answers what fronts ask for their callers, each as truly as the owner knows at the moment. */
 import type { CellScheduler, JobDefinition } from "@pebbledale/cell";
-import type { Clock, JobId, Journal } from "@pebbledale/core";
+import type { Clock, JobId, Journal, OrganisationName } from "@pebbledale/core";
 import { NotNowReason, type OwnerReply, type OwnerRequest } from "../protocol/index.js";
 import { recordLimit, stalledAfter, stalledRetryAfter } from "./constants.js";
 
@@ -28,16 +28,30 @@
             case "pending":
                 return { kind: "pending", count: cell.pendingOf(request.queue) };
             case "state": {
+                if (!this.#isOpenTo(request)) {
+                    return { kind: "unknown-job" };
+                }
                 const state = cell.stateOf(request.job);
                 return state === undefined ? this.#unknown(request.job) : { kind: "state", state };
             }
             case "submit":
                 return this.#submit(request.definition);
             case "cancel":
-                return this.#cancel(request.job);
+                return this.#isOpenTo(request) ? this.#cancel(request.job) : { kind: "unknown-job" };
         }
     }
 
+    /**
+     * Whether a caller of an organisation may see and cancel a job. To others it is a job that is not there: they learn of no ids. One that
+     * was handed in without a key is everyone's.
+     */
+    #isOpenTo(
+        { job, organisation }: { readonly job: JobId; readonly organisation?: OrganisationName | undefined; },
+    ): boolean {
+        const owner = this.options.cell.jobs.get(job)?.organisation;
+        return owner === undefined || owner === organisation;
+    }
+
     /**
      * A job whose acceptance is not kept yet is neither known nor unknown. That there is none is said only while nobody else can own
      * the cell: an owner that stood still was replaced meanwhile, and denied jobs that the next one had taken.
@@ -51,6 +65,9 @@
 
     async #submit(definition: JobDefinition): Promise<OwnerReply> {
         const { cell, journal } = this.options;
+        if (!this.#isOpenTo(definition)) {
+            return { kind: "id-taken" };
+        }
         const known = cell.jobs.get(definition.job);
         if (known?.isKept === true) {
             cell.submit(definition);
--- a/packages/entry/src/protocol/messages.ts
+++ b/packages/entry/src/protocol/messages.ts
@@ -13,6 +13,7 @@
     Epoch,
     FencingToken,
     JobId,
+    OrganisationName,
     QueueName,
     RunNumber,
     TaskAddress,
@@ -281,8 +282,8 @@
 /** What a front asks of the owner for a caller. */
 export type OwnerRequest =
     | { readonly kind: "submit"; readonly definition: JobDefinition; }
-    | { readonly kind: "state"; readonly job: JobId; }
-    | { readonly kind: "cancel"; readonly job: JobId; }
+    | { readonly kind: "state"; readonly job: JobId; readonly organisation?: OrganisationName | undefined; }
+    | { readonly kind: "cancel"; readonly job: JobId; readonly organisation?: OrganisationName | undefined; }
     | { readonly kind: "pending"; readonly queue: QueueName; };
 
 /** Why an owner does nothing for a request now. */
@@ -304,6 +305,8 @@
     | { readonly kind: "state"; readonly state: CellJobState; }
     | { readonly kind: "pending"; readonly count: number; }
     | { readonly kind: "unknown-job"; }
+    /** Another organisation has a job of this id. */
+    | { readonly kind: "id-taken"; }
     /** Nothing was done; come back after a while. */
     | { readonly kind: "not-now"; readonly retryAfter: Milliseconds; readonly reason: NotNowReason; }
     /** Whether it was done is not known. */
--- /dev/null
+++ b/packages/entry/test/front/caller-check.test.ts
@@ -0,0 +1,69 @@
+/** Whose a caller's request is: keys that are known, taken away, malformed, or newer than what is known here. */
+import { digestOf, QueueDirectory } from "@pebbledale/cell";
+import { organisationName } from "@pebbledale/core";
+import { expect } from "earl";
+import * as fc from "fast-check";
+import { describe, it } from "node:test";
+import { checkCaller } from "../../src/front/index.js";
+import { configuration } from "../support/configuration.js";
+
+const north = organisationName("north");
+const limit = { processorThousandths: 0, memoryMebibytes: 0, accelerators: 0 };
+const directoryOf = (...keys: string[]) =>
+    new QueueDirectory({
+        ...configuration,
+        organisations: [{ name: north, keys: keys.map(digestOf), weight: 1, limit }],
+    });
+const [open] = configuration.queues;
+const closed = { ...open, needsKey: true };
+const checkAt = (shown: readonly string[], age: number | undefined) =>
+    checkCaller(closed, directoryOf("k3y-of.north"), shown, age);
+const check = (shown: readonly string[]) => checkAt(shown, 0);
+
+describe("a caller's key", () => {
+    it("names its organisation, however the scheme is written", () => {
+        const allowed = { kind: "allowed", organisation: north } as const;
+        expect(["Bearer k3y-of.north", "bearer k3y-of.north", "BEARER  k3y-of.north "].map(head => check([head])))
+            .toEqual([allowed, allowed, allowed]);
+    });
+
+    it("is not asked for where the queue needs none", () => {
+        expect(checkCaller(open, directoryOf(), [], 0)).toEqual({ kind: "allowed", organisation: undefined });
+    });
+
+    it("is refused when it is missing, doubled, malformed, of another scheme, or nobody's", () => {
+        const heads = [
+            [],
+            ["Bearer k3y-of.north", "Bearer k3y-of.north"],
+            ["Bearer "],
+            ["Bearerk3y-of.north"],
+            ["Bearer k3y-of.north extra"],
+            ["Basic k3y-of.north"],
+            ["k3y-of.north"],
+            ["Bearer K3Y-OF.NORTH"],
+            [`Bearer ${"k".repeat(16_000)}`],
+            ["Bearer kéy"],
+        ];
+        expect(heads.map(shown => check(shown).kind)).toEqual(heads.map(() => "refused"));
+    });
+
+    it("is not denied while the configuration was not heard of lately, as it may be newer", () => {
+        expect([checkAt(["Bearer new"], 10_000).kind, checkAt(["Bearer new"], undefined).kind]).toEqual([
+            "unsure",
+            "unsure",
+        ]);
+        expect(checkAt(["Bearer k3y-of.north"], 10_000).kind).toEqual("allowed");
+        expect(checkAt([], 10_000).kind).toEqual("refused");
+    });
+
+    it("never stands in a reason", () => {
+        fc.assert(fc.property(fc.string({ minLength: 8 }), key => {
+            const found = check([`Bearer ${key}`]);
+            return found.kind === "allowed" || !found.reason.includes(key.trim()) || key.trim().length < 8;
+        }));
+    });
+
+    it("of any form is refused unless it is one that is known", () => {
+        fc.assert(fc.property(fc.string(), head => check([head]).kind === "refused"));
+    });
+});
--- a/packages/entry/test/front/job-service.test.ts
+++ b/packages/entry/test/front/job-service.test.ts
@@ -58,17 +58,23 @@
     });
 
     it("refuses a question without an answer, as it changed nothing", async () => {
-        const answer = await accessOf(undefined).service.state(jobId("j"), 3_000);
+        const answer = await accessOf(undefined).service.state(jobId("j"), undefined, 3_000);
         expect(answer.kind).toEqual("refused");
     });
 
     it("says that there is no such job only on the owner's word", async () => {
-        expect((await accessOf({ kind: "unknown-job" }).service.state(jobId("j"), 3_000)).kind).toEqual("unknown-job");
-        expect((await accessOf().service.state(jobId("j"), 3_000)).kind).toEqual("refused");
+        expect((await accessOf({ kind: "unknown-job" }).service.state(jobId("j"), undefined, 3_000)).kind).toEqual(
+            "unknown-job",
+        );
+        expect((await accessOf().service.state(jobId("j"), undefined, 3_000)).kind).toEqual("refused");
     });
 
     it("passes a state on", async () => {
-        const answer = await accessOf({ kind: "state", state: CellJobState.Running }).service.state(jobId("j"), 3_000);
+        const answer = await accessOf({ kind: "state", state: CellJobState.Running }).service.state(
+            jobId("j"),
+            undefined,
+            3_000,
+        );
         expect(answer).toEqual({ kind: "state", state: CellJobState.Running });
     });
 
@@ -94,7 +100,7 @@
 
     it("logs each answer that leaves open whether a request was done", async () => {
         const { service, logged } = accessOf(undefined);
-        await service.cancel(jobId("j"), 3_000);
+        await service.cancel(jobId("j"), undefined, 3_000);
         expect(logged.map(({ event }) => event)).toEqual([logEvents.callerUncertain]);
     });
 });
--- a/packages/entry/test/support/configuration.ts
+++ b/packages/entry/test/support/configuration.ts
@@ -21,7 +21,9 @@
         latencyTarget: 1_000,
         timeout: 3_000,
         advice: undefined,
+        needsKey: false,
     }],
+    organisations: [],
     services: [{ name: service, guardsRoom: false, isHeadroom: false, healthPath: "/health" }],
     bodyLimit: 262_144,
 };
