--- a/packages/cell/src/runs/worker-looks.ts
+++ b/packages/cell/src/runs/worker-looks.ts
@@ -100,6 +100,10 @@
                 // The first order to stop may have been lost.
                 this.runs.sendStop(worker, entry.task, entry.run);
             }
+            else if (isLeftOver(run.task)) {
+                // A former owner cancelled its job; whether it had the run stopped is not known.
+                this.runs.stop(run, "its job is over");
+            }
         }
         worker.strangers = strangers;
         this.progress.note(worker, progress);
@@ -151,6 +155,9 @@
     return isSent && (formerLife === undefined ? sentAt < settledBefore : settledBefore > -Infinity);
 };
 
+/** Whether a task's job is over and it will not end by itself, as the members of a gang that is done do. */
+const isLeftOver = ({ step }: Task): boolean => step.job.isOver && !(step.definition.isGang && step.isDone);
+
 /** Whether a task is to be at work. */
 const isWanted = (task: Task): boolean =>
     !task.step.job.isOver && task.phase !== TaskPhase.Done && task.phase !== TaskPhase.Failed;
--- a/packages/cell/src/state/job-table.ts
+++ b/packages/cell/src/state/job-table.ts
@@ -2,7 +2,7 @@
 import type { JobId, Milliseconds, OrganisationName, RunNumber, WorkerId, WorkerLife } from "@pebbledale/core";
 import { RunEnd } from "../task-worker/index.js";
 import { CellJobState, type JobDefinition, type JobTerms, placeOf } from "./definition.js";
-import { Job, Occurrence, type Step, type Task, TaskPhase } from "./entities.js";
+import { Job, Occurrence, type Step, type Task, TaskPhase, tasksOf } from "./entities.js";
 import type { AcceptedRecord, CellRecord, EndedRecord, GivenUpRecord, LostRecord, StartedRecord } from "./records.js";
 import type { Strike } from "./strikes.js";
 
@@ -264,6 +264,12 @@
     }
 }
 
+/**
+ * Whether a job's tasks are still of use: also of one that is over while runs of it are, as they hold their workers' room and count for their
+ * organisation until they have ended.
+ */
+const isHeld = (job: Job): boolean => !job.isOver || tasksOf(job).some(task => task.openRuns.size > 0);
+
 const snapshotOf = (job: Job): JobSnapshot => ({
     id: job.id,
     queue: job.queue,
@@ -272,10 +278,10 @@
     endedAt: job.endedAt,
     state: job.state,
     doneOccurrences: [...job.doneOccurrences],
-    definition: job.isOver ? undefined : job.definition,
+    definition: isHeld(job) ? job.definition : undefined,
     terms: job.terms,
-    occurrences: job.isOver ? [] : [...job.occurrences.values()].map(snapshotOfOccurrence),
-    strikes: job.isOver ? [] : job.strikes.all(),
+    occurrences: isHeld(job) ? [...job.occurrences.values()].map(snapshotOfOccurrence) : [],
+    strikes: isHeld(job) ? job.strikes.all() : [],
 });
 
 const snapshotOfOccurrence = (occurrence: Occurrence): OccurrenceSnapshot => [
