A calm VM looks for its chance to own the cell when something changes, not 20 times a second

Cause: the campaign looked at its state each 50 ms on every VM. While there is an owner nothing but news (the owner's key, its end, its request) can change what the look finds, so these now wake it.

--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -108,7 +108,10 @@
             logger,
             leaseLength: settings.bounds.longestLease,
             store,
-            onHandOver: () => this.#isAsked = true,
+            onHandOver: () => {
+                this.#isAsked = true;
+                this.#candidate.poke();
+            },
             configuration: () => this.#configuration.configuration,
             onConfiguration: configuration => this.#configuration.take(configuration, "owner"),
             onOwner: hasOwner => this.#noteOwner(hasOwner),
@@ -189,7 +192,10 @@
             followed: new FollowedKeys(store, cellPrefix, this.#view),
             clock,
             limits: this.#followLimits,
-            onAnswer: () => members.noteAnswer(),
+            onAnswer: () => {
+                members.noteAnswer();
+                this.#candidate.poke();
+            },
             onFailure: (cause, age) => members.noteFailure(cause, age),
         });
         metrics.noteAges({ configuration: () => this.#configuration.age, members: () => following.age });
@@ -219,6 +225,7 @@
             return;
         }
         this.#logger.log(logEvents.ownerLost, { epoch: this.#session.epoch });
+        this.#candidate.poke();
         void this.#checkOwner();
     }
 
@@ -227,6 +234,7 @@
         const owner = this.#view.owner;
         if (owner !== undefined && await isRefused(owner.address, refusalLimit)) {
             this.#deadOwner = owner.process;
+            this.#candidate.poke();
         }
     }
 
--- a/packages/entry/src/ownership/campaign.ts
+++ b/packages/entry/src/ownership/campaign.ts
@@ -72,6 +72,10 @@
 export const isGathering = ({ view, now, isAsked }: CampaignInput): boolean =>
     !isAsked && now - view.grownAt < gatheringPause;
 
+/** Whether a claim can only become due by something that is told: no time that passes makes it so. */
+export const isCalm = ({ view, heardSilence }: CampaignInput): boolean =>
+    view.owner !== undefined && heardSilence === undefined;
+
 /** How long a VM leaves the claim to those before it: larger ones first, then by name. */
 export const claimDelay = ({ view, self, isAsked }: CampaignInput): Milliseconds => {
     if (isAsked) {
--- a/packages/entry/src/ownership/candidate.ts
+++ b/packages/entry/src/ownership/candidate.ts
@@ -27,9 +27,10 @@
 } from "../owner/constants.js";
 import { OwnerSession, type OwnerUpkeep } from "../owner/index.js";
 import { VmDialer } from "../peers/index.js";
-import { type CampaignInput, claimDelay, isGathering, ownerIsSilent, reasonToClaim } from "./campaign.js";
+import { type CampaignInput, claimDelay, isCalm, isGathering, ownerIsSilent, reasonToClaim } from "./campaign.js";
 import {
     agreedSilence,
+    calmCampaignInterval,
     campaignInterval,
     claimRetryDelay,
     firstMessagesTime,
@@ -87,6 +88,8 @@
     /** Suspicions are not followed before this: the other VMs did not share the last one. */
     #trustsOwnerUntil = -Infinity;
 
+    #poked = createAbortController();
+
     constructor(private readonly options: CandidateOptions) {}
 
     /** The owner's work, while this VM is the owner. */
@@ -109,7 +112,10 @@
             const reason = reasonToClaim(input);
             if (reason === undefined || !this.#hasWaited(input) || isGathering(input)) {
                 this.#wantsSince = reason === undefined ? undefined : this.#wantsSince;
-                await clock.sleep(campaignInterval, stop);
+                await this.#pause(
+                    reason === undefined && isCalm(input) ? calmCampaignInterval : campaignInterval,
+                    stop,
+                );
                 continue;
             }
             this.#wantsSince = undefined;
@@ -122,6 +128,20 @@
         }
     }
 
+    /** What may lead to a claim has changed. */
+    poke(): void {
+        this.#poked.abort();
+    }
+
+    /** Waits until something changes, or for `duration`. */
+    async #pause(duration: Milliseconds, stop: AbortSignal): Promise<void> {
+        this.#poked = createAbortController();
+        const end = () => this.poke();
+        stop.addEventListener("abort", end, { once: true });
+        await this.options.clock.sleep(stop.aborted ? 0 : duration, this.#poked.signal);
+        stop.removeEventListener("abort", end);
+    }
+
     /** How long to wait after a claim that came to nothing. */
     #pauseAfter(cause: unknown): Milliseconds {
         if (cause instanceof ClaimAbandonedError) {
--- a/packages/entry/src/ownership/constants.ts
+++ b/packages/entry/src/ownership/constants.ts
@@ -3,6 +3,11 @@
 
 /** Time between two looks at whether this VM is to claim the cell. */
 export const campaignInterval: Milliseconds = 50;
+/**
+ * The same while there is an owner and nothing speaks against it: what could is told at once. An idle VM wakes 20 times a second less, which is
+ * half of all its wake-ups (counted by hand from its loops).
+ */
+export const calmCampaignInterval: Milliseconds = 1_000;
 /** Each larger VM makes a candidate wait this long more: a larger one serves the cell better. */
 export const largerCandidateDelay: Milliseconds = 120;
 /**
--- a/packages/entry/test/ownership/campaign.test.ts
+++ b/packages/entry/test/ownership/campaign.test.ts
@@ -5,6 +5,7 @@
     type CampaignInput,
     CellView,
     claimDelay,
+    isCalm,
     isGathering,
     ownerIsSilent,
     ownerKey,
@@ -64,6 +65,12 @@
         expect(reasonToClaim(input({ view: viewOf(owner, "a", "b") }))).toEqual(undefined);
     });
 
+    it("by the passing of time alone only without an owner, or with one that may be silent", () => {
+        const view = viewOf(owner, "a", "b");
+        expect([isCalm(input({ view })), isCalm(input({})), isCalm(input({ view, heardSilence: 200 }))])
+            .toEqual([true, false, false]);
+    });
+
     it("when another that was heard is silent, and then only if the other VMs do not hear it either", () => {
         const view = viewOf(owner, "a", "b");
         expect(reasonToClaim(input({ view, heardSilence: 200 }))).toEqual(undefined);
