--- a/packages/cell/src/advising/advice-desk.ts
+++ b/packages/cell/src/advising/advice-desk.ts
@@ -18,6 +18,7 @@
     firstPermittedShare,
     gangRoomMargin,
     leastPermittedShare,
+    renewedShare,
     roomMargin,
     shareWeight,
     ticketLead,
@@ -182,7 +183,12 @@
             return permits.isAsking ? [] : this.#notAsked(step, count);
         }
         const needed = this.context.now() + callDuration(policy, roomy.length) + ticketLead;
-        return roomy.filter(worker => permits.ticketOf(worker.id, needed) === undefined);
+        const isFresh = (worker: WorkerState) => permits.ticketOf(worker.id, needed) !== undefined;
+        if (permits.isAsking || roomy.every(isFresh)) {
+            return [];
+        }
+        const wanted = needed + policy.validity * renewedShare;
+        return roomy.filter(worker => permits.ticketOf(worker.id, wanted) === undefined);
     }
 
     /**
--- a/packages/cell/src/advising/constants.ts
+++ b/packages/cell/src/advising/constants.ts
@@ -20,3 +20,5 @@
 export const adviceInterval = 100;
 /** Tickets for room that is expected are asked for this much earlier than the question takes. */
 export const ticketLead = 80;
+/** Of a gang's tickets those that hold for less than this share of their time are renewed with the first that runs out. */
+export const renewedShare = 0.5;
--- a/packages/cell/test/support/load/main.ts
+++ b/packages/cell/test/support/load/main.ts
@@ -2,11 +2,21 @@
 import { SystemClock } from "@pebbledale/core";
 import type { Outcome, Served } from "./outcome.js";
 import type { LoadPattern } from "./pattern.js";
-import { backlogLoad, crashingLoad, grownLoad, smallLoad, steadyLoad, worstLoad } from "./patterns.js";
+import {
+    backlogLoad,
+    crashingLoad,
+    grownLoad,
+    narrowBacklogLoad,
+    narrowLoad,
+    smallLoad,
+    steadyLoad,
+    worstLoad,
+} from "./patterns.js";
 import { Replay } from "./replay.js";
 
 const patterns = new Map(
-    [steadyLoad, worstLoad, grownLoad, smallLoad, backlogLoad, crashingLoad].map(load => [load.name, load]),
+    [steadyLoad, worstLoad, grownLoad, smallLoad, backlogLoad, crashingLoad, narrowLoad, narrowBacklogLoad]
+        .map(load => [load.name, load]),
 );
 
 const percent = (share: number): string => `${(100 * share).toFixed(1)}%`;
--- a/packages/cell/test/support/load/patterns.ts
+++ b/packages/cell/test/support/load/patterns.ts
@@ -199,3 +199,57 @@
     departures: [],
     pauses: [{ at: 5_000, lasts: 3_000 }],
 };
+
+/**
+ * Workers of 16 cores that hold three wide tasks each, a quarter of which may run a gang; questions about gangs take half a second.
+ * Urgent jobs come at twice their load, then wide gangs.
+ */
+export const narrowLoad: LoadPattern = {
+    ...worstLoad,
+    name: "narrow",
+    workers: 245,
+    capacity: { processorThousandths: 16_000, memoryMebibytes: 32_768, accelerators: 0 },
+    workersPerRack: 12,
+    askers: 30,
+    queues: [
+        {
+            ...urgent,
+            perSecond: 72,
+            width: { mean: 3.2, spread: 0.8, most: 19 },
+            processorThousandths: { mean: 2_500, spread: 0.45, most: 7_400 },
+            memoryMebibytes: { mean: 2_500, spread: 0.6, most: 7_600 },
+            work: { mean: 640, spread: 0.5, most: 1_600 },
+            advice: { decision: 9.4, eachWorker: 0.13, validity: 1_500, permittedShare: 0.7 },
+            worth: 0.39,
+        },
+        {
+            ...patient,
+            perSecond: 7.2,
+            width: { mean: 25, spread: 0.8, most: 150 },
+            processorThousandths: { mean: 1_700, spread: 0.45, most: 5_200 },
+            memoryMebibytes: { mean: 2_500, spread: 0.6, most: 7_500 },
+            work: { mean: 3_400, spread: 0.5, most: 8_400 },
+            estimateError: 0.9,
+            advice: { decision: 156, eachWorker: 2.34, validity: 1_500, permittedShare: 0.45 },
+            worth: 4.86,
+        },
+        {
+            ...wide,
+            perSecond: 3.1,
+            processorThousandths: { mean: 4_500, spread: 0.4, most: 7_600 },
+            memoryMebibytes: { mean: 4_500, spread: 0.5, most: 9_100 },
+            work: { mean: 4_000, spread: 0.5, most: 10_000 },
+            failingShare: 0.005,
+            advice: { decision: 455, eachWorker: 6.5, validity: 1_500, permittedShare: 0.25 },
+            worth: 10.4,
+        },
+    ],
+    departures: [],
+};
+
+/** The same, and in the middle six seconds without an owner: all that came meanwhile waits with what comes. */
+export const narrowBacklogLoad: LoadPattern = {
+    ...narrowLoad,
+    name: "narrow-backlog",
+    pauses: [{ at: 12_000, lasts: 6_000 }],
+};
--- a/packages/entry/src/ownership/candidate.ts
+++ b/packages/entry/src/ownership/candidate.ts
@@ -4,6 +4,7 @@
     absentVersion,
     type GapClock,
     JournalFencedError,
+    type KeyVersion,
     logEvents,
     type Milliseconds,
     openJournal,
@@ -179,11 +180,15 @@
         const dialer = new VmDialer(view, self, clock);
         const dialing = dialer.run(released.signal);
         let keeping: Promise<void> | undefined;
-        const claimed = this.#claim(dialer, key, reason).then(() => {
+        const reached = this.#reach(dialer, key, reason);
+        const claimed = reached.then(expected => this.#claim(key, expected)).then(() => {
             logger.log(logEvents.ownershipClaimed, { reason });
             keeping = key.keep(released.signal);
         });
         try {
+            // Candidates that come after another one find its claim by now: in a start of 30 VMs each of them read the whole journal
+            // (counted by their calls of the store), and the owner's small VMs had nothing left for callers.
+            await Promise.race([reached, claimed]);
             await this.#serve({ dialer, key, claimed }, stop);
         }
         finally {
@@ -193,8 +198,8 @@
         }
     }
 
-    /** Claims the owner's key; rejects when this VM is not to have it. */
-    async #claim(dialer: VmDialer, key: OwnerKey, reason: string): Promise<void> {
+    /** Reaches the other VMs; resolves to the version of the owner's key that is to be replaced, rejects when this VM is not to have it. */
+    async #reach(dialer: VmDialer, key: OwnerKey, reason: string): Promise<KeyVersion> {
         const expected = this.options.view.ownerVersion ?? absentVersion;
         key.prepare();
         if (reason === ownerIsSilent && !await this.#othersAgree(dialer)) {
@@ -203,6 +208,14 @@
         if (!await this.#reachesOthers(dialer)) {
             throw new ClaimAbandonedError("too few of the others are reached");
         }
+        if ((this.options.view.ownerVersion ?? absentVersion) !== expected) {
+            throw new ClaimAbandonedError("another VM was faster");
+        }
+        return expected;
+    }
+
+    /** Claims the owner's key; rejects when another VM has it. */
+    async #claim(key: OwnerKey, expected: KeyVersion): Promise<void> {
         if (!await key.claim(expected)) {
             throw new ClaimAbandonedError("another VM was faster");
         }
