--- a/packages/cell/src/scheduler/cell-summary.ts
+++ b/packages/cell/src/scheduler/cell-summary.ts
@@ -1,4 +1,5 @@
 /** How a cell stands, in a few figures, for logs and metrics. */
+import type { OrganisationName } from "@pebbledale/core";
 import { type CellContext, type Step, TaskPhase } from "../state/index.js";
 
 /** See the module's comment. */
@@ -18,8 +19,25 @@
     readonly waiting: Readonly<Record<string, { readonly tasks: number; readonly processor: number; }>>;
     /** Of these the tasks that the last pass held back, as a gang of a more urgent queue is short of room. */
     readonly heldBack: number;
+    /** Organisations whose work waits for their own limit, those with the most of it first; at most {@link mostToldOrganisations}. */
+    readonly atLimit: readonly WaitingOrganisation[];
 }
 
+/** An organisation some of whose work would start, were its limit higher. */
+export interface WaitingOrganisation {
+    readonly organisation: OrganisationName;
+    /** Tasks that wait for the limit. */
+    readonly tasks: number;
+    /** Thousandths of processors and mebibytes that it has at work, and that it may have; 0 stands for no limit. */
+    readonly processor: number;
+    readonly mostProcessor: number;
+    readonly memory: number;
+    readonly mostMemory: number;
+}
+
+/** Most organisations that one summary tells of: the line stays below two kilobytes. */
+const mostToldOrganisations = 10;
+
 /** Works the figures out. */
 export const summarize = (context: CellContext, ready: ReadonlySet<Step>, heldBack: number): CellSummary => {
     const now = context.now();
@@ -36,9 +54,36 @@
         openJobs: [...context.table.jobs.values()].filter(job => !job.isOver).length,
         heldBack,
         waiting: waitingByPriority(ready),
+        atLimit: waitingForLimits(context, ready),
     };
 };
 
+const waitingForLimits = ({ usage }: CellContext, ready: ReadonlySet<Step>): WaitingOrganisation[] => {
+    const tasks = new Map<OrganisationName, number>();
+    for (const step of ready) {
+        const { job: { organisation }, definition: { size, isGang }, tasks: { length } } = step;
+        const waiting = step.waitingTasks().length;
+        const left = usage.countLeft(organisation, size);
+        if (organisation !== undefined && waiting > 0 && left < (isGang ? length : waiting)) {
+            tasks.set(organisation, (tasks.get(organisation) ?? 0) + waiting - (isGang ? 0 : left));
+        }
+    }
+    return [...tasks].sort(([, left], [, right]) => right - left).slice(0, mostToldOrganisations).map(
+        ([organisation, count]) => {
+            const used = usage.usedBy(organisation);
+            const limit = usage.limitOf(organisation);
+            return {
+                organisation,
+                tasks: count,
+                processor: used.processorThousandths,
+                mostProcessor: limit?.processorThousandths ?? 0,
+                memory: used.memoryMebibytes,
+                mostMemory: limit?.memoryMebibytes ?? 0,
+            };
+        },
+    );
+};
+
 const waitingByPriority = (ready: ReadonlySet<Step>): CellSummary["waiting"] => {
     const waiting: Record<string, { tasks: number; processor: number; }> = {};
     for (const { tasks, job, definition } of ready) {
--- a/packages/cell/test/organisations/limits.test.ts
+++ b/packages/cell/test/organisations/limits.test.ts
@@ -41,6 +41,14 @@
         expect(driver.run().starts.length).toEqual(1);
     });
 
+    it("is told of with what it has, what it may have and what waits", () => {
+        const driver = makeDriver(makeOrganisation("north", 2), makeOrganisation("south", 24));
+        driver.cell.submit(makeJob("n", [makeStep({ taskCount: 20 })], { organisation: north }));
+        driver.run();
+        const told = { processor: 2_000, mostProcessor: 2_000, memory: 2_048, mostMemory: 0 };
+        expect(driver.cell.summary().atLimit).toEqual([{ organisation: north, tasks: 18, ...told }]);
+    });
+
     it("takes nothing from others", () => {
         const driver = makeDriver(makeOrganisation("north", 2), makeOrganisation("south", 24));
         driver.cell.submit(makeJob("n", [makeStep({ taskCount: 20 })], { organisation: north }));
--- a/packages/entry/src/observation/entry-metrics.ts
+++ b/packages/entry/src/observation/entry-metrics.ts
@@ -58,6 +58,11 @@
         ofCell("pebbledale_free_cores", "Free cores of these", summary => summary.freeProcessor / 1_000);
         ofCell("pebbledale_runs", "Runs that are not over", summary => summary.runs);
         ofCell("pebbledale_held_back_tasks", "Patient tasks that wait for a gang's room", ({ heldBack }) => heldBack);
+        ofCell(
+            "pebbledale_organisations_at_limit",
+            "Organisations whose work waits for their own limit (ten at most are counted)",
+            ({ atLimit }) => atLimit.length,
+        );
         ofCell("pebbledale_suspect_tasks", "Tasks under which workers may have crashed", ({ suspects }) => suspects);
         ofCell("pebbledale_trial_runs", "Runs that are tried apart from others", ({ trials }) => trials);
         ofCell("pebbledale_open_jobs", "Jobs that are not over", summary => summary.openJobs);
