--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -185,6 +185,19 @@
         return job;
     }
 
+    /** Whether the configuration that this owner knows names the queue and the organisation of a job. */
+    knowsTermsOf({ queue, organisation }: JobDefinition): boolean {
+        return this.#context.termsOf(queue, organisation) !== undefined;
+    }
+
+    /** Whether a job has a step that its organisation's limit can never hold: a gang as a whole, of other steps one task. */
+    isBeyondLimit({ organisation, steps }: JobDefinition): boolean {
+        const { usage } = this.#context;
+        return steps.some(({ size, isGang, taskCount }) =>
+            usage.countWhenIdle(organisation, size) < (isGang ? taskCount : 1)
+        );
+    }
+
     /** Cancels a job; false when it is not known. Its caller is told once the record is kept. */
     cancel(id: JobId): boolean {
         const job = this.#context.table.jobs.get(id);
--- a/packages/cell/test/support/load/draw.ts
+++ b/packages/cell/test/support/load/draw.ts
@@ -1,6 +1,5 @@
 /** Draws the jobs of a load pattern, alike for the same seed. */
-import { type Milliseconds, SeededRandom } from "@pebbledale/core";
-import { queueName } from "@pebbledale/core";
+import { type Milliseconds, organisationName, queueName, SeededRandom } from "@pebbledale/core";
 import type { JobDefinition, StepDefinition } from "../../../src/index.js";
 import { makeJob, makeStep } from "../builders.js";
 import type { Burst, LoadPattern, QueueLoad, Spread } from "./pattern.js";
@@ -81,7 +80,28 @@
             }
         }
     }
-    return jobs.sort((left, right) => left.at - right.at);
+    return dealToOrganisations(pattern, jobs.sort((left, right) => left.at - right.at));
+};
+
+/** Gives each job to an organisation by the weights; those beyond the usual ones of a burst to the one that sends it. */
+const dealToOrganisations = (
+    { organisations = [], bursts, seed }: LoadPattern,
+    jobs: readonly LoadJob[],
+): LoadJob[] => {
+    const drawer = new Drawer(new SeededRandom(seed + 104_729));
+    const weights = organisations.reduce((sum, { weight }) => sum + weight, 0);
+    return jobs.map(job => {
+        const burst = bursts.find(({ queue, organisation, at, lasts }) =>
+            organisation !== undefined && queue === job.load.name && job.at >= at && job.at < at + lasts
+        );
+        const isOfBurst = burst !== undefined && drawer.happens(1 - 1 / burst.factor);
+        let place = drawer.below(weights);
+        const drawn = organisations.find(({ weight }) => (place -= weight) < 0)?.name;
+        const name = isOfBurst ? burst.organisation : drawn;
+        return name === undefined
+            ? job
+            : { ...job, definition: { ...job.definition, organisation: organisationName(name) } };
+    });
 };
 
 const factorAt = (bursts: readonly Burst[], { name }: QueueLoad, at: Milliseconds): number =>
--- a/packages/cell/test/support/load/main.ts
+++ b/packages/cell/test/support/load/main.ts
@@ -8,6 +8,7 @@
     grownLoad,
     narrowBacklogLoad,
     narrowLoad,
+    sharedLoad,
     smallLoad,
     steadyLoad,
     worstLoad,
@@ -15,7 +16,7 @@
 import { Replay } from "./replay.js";
 
 const patterns = new Map(
-    [steadyLoad, worstLoad, grownLoad, smallLoad, backlogLoad, crashingLoad, narrowLoad, narrowBacklogLoad]
+    [steadyLoad, worstLoad, grownLoad, smallLoad, backlogLoad, crashingLoad, narrowLoad, narrowBacklogLoad, sharedLoad]
         .map(load => [load.name, load]),
 );
 
@@ -45,6 +46,11 @@
         console.log(servedLine(`${name}, largest tenth`, largestTenth));
         console.log(servedLine(`${name}, fifth beneath`, fifthBeneath));
     }
+    if (outcome.worstOrganisations !== undefined) {
+        console.log(
+            `  the worst-served tenth of the organisations: ${percent(outcome.worstOrganisations)} of its worth`,
+        );
+    }
     console.log(passLine(outcome.passes));
     if (outcome.mostCrashes > 0) {
         console.log(`  workers crashed under one task: ${outcome.mostCrashes} at most`);
--- a/packages/cell/test/support/load/outcome.ts
+++ b/packages/cell/test/support/load/outcome.ts
@@ -31,6 +31,8 @@
 export interface Outcome {
     readonly total: number;
     readonly queues: Readonly<Record<string, QueueOutcome>>;
+    /** Worth earned as a share of worth asked, of the tenth of the organisations that has the least; undefined without any. */
+    readonly worstOrganisations: number | undefined;
     /** Share of the processors that was free while tasks waited that would have fitted somewhere. */
     readonly idleShare: number;
     /** Core-seconds of work that was thrown away, as a share of all that was done. */
@@ -91,6 +93,30 @@
     return earned / Math.max(1e-9, asked);
 };
 
+/** What the worst-served tenth of the organisations had of the worth that it asked for. */
+export const worstOrganisations = (queues: ReadonlyMap<string, readonly JobOutcome[]>): number | undefined => {
+    const byOrganisation = new Map<string, { asked: number; earned: number; }>();
+    for (const jobs of queues.values()) {
+        const mean = jobs.reduce((sum, { job }) => sum + job.size, 0) / Math.max(1, jobs.length);
+        for (const outcome of jobs) {
+            const { organisation } = outcome.job.definition;
+            if (organisation !== undefined) {
+                const entry = byOrganisation.get(organisation) ?? { asked: 0, earned: 0 };
+                const worth = worthOf(outcome.job, mean);
+                byOrganisation.set(organisation, {
+                    asked: entry.asked + worth,
+                    earned: entry.earned + worth * gradeOf(outcome),
+                });
+            }
+        }
+    }
+    const shares = [...byOrganisation.values()].map(({ asked, earned }) => earned / asked).sort((left, right) =>
+        left - right
+    );
+    const worst = shares.slice(0, Math.ceil(shares.length / 10));
+    return worst.length === 0 ? undefined : worst.reduce((sum, share) => sum + share, 0) / worst.length;
+};
+
 const gradeOf = ({ job, took }: JobOutcome): number => {
     const objective = job.load.extension * job.chain + job.load.latencyTarget;
     if (took === undefined || took > lateFactor * objective) {
--- a/packages/cell/test/support/load/pattern.ts
+++ b/packages/cell/test/support/load/pattern.ts
@@ -44,9 +44,19 @@
     readonly worth: number;
 }
 
+/** One of those that share the cell; jobs are of it in the share of its weight. */
+export interface LoadOrganisation {
+    readonly name: string;
+    readonly weight: number;
+    /** Cores that it may have at work. */
+    readonly cores: number;
+}
+
 /** A queue's load multiplied for a while. */
 export interface Burst {
     readonly queue: string;
+    /** Whose the jobs beyond the usual ones are; left out where they are everyone's. */
+    readonly organisation?: string;
     readonly at: Milliseconds;
     readonly lasts: Milliseconds;
     readonly factor: number;
@@ -95,6 +105,8 @@
     readonly drains: Milliseconds;
     readonly queues: readonly QueueLoad[];
     readonly bursts: readonly Burst[];
+    /** Left out where nobody is told apart. */
+    readonly organisations?: readonly LoadOrganisation[];
     readonly departures: readonly Departure[];
     /** Left out where only tasks crash workers, or nothing does. */
     readonly crashes?: readonly CrashWave[];
--- a/packages/cell/test/support/load/patterns.ts
+++ b/packages/cell/test/support/load/patterns.ts
@@ -253,3 +253,26 @@
     name: "narrow-backlog",
     pauses: [{ at: 12_000, lasts: 6_000 }],
 };
+
+/** Weights of twenty organisations, a few of them large; each may have 39.6 cores at work for each of its weight. */
+const weights = [33, 19, 14, 11, 9, 8, 7, 7, 6, 6, 5, 5, 5, 4, 4, 4, 4, 4, 4, 3];
+const coresPerWeight = 39.6;
+
+/**
+ * The cell of workers of 16 cores shared by twenty organisations, each with a limit of 1.9 times its usual work; a small one sends eight
+ * times its usual urgent jobs for ten seconds and one of the largest sends twice its usual patient ones.
+ */
+export const sharedLoad: LoadPattern = {
+    ...narrowLoad,
+    name: "shared",
+    organisations: weights.map((weight, index) => ({
+        name: `organisation-${index + 1}`,
+        weight,
+        cores: weight * coresPerWeight,
+    })),
+    bursts: [
+        ...narrowLoad.bursts,
+        { queue: "urgent", organisation: "organisation-10", at: 2_000, lasts: 10_000, factor: 1.3 },
+        { queue: "patient", organisation: "organisation-2", at: 12_000, lasts: 8_000, factor: 1.3 },
+    ],
+};
--- a/packages/cell/test/support/load/replay.ts
+++ b/packages/cell/test/support/load/replay.ts
@@ -32,11 +32,11 @@
     type StopCommand,
     type Turn,
 } from "../../../src/index.js";
-import { makeConfiguration, makeQueue, makeWorker } from "../builders.js";
+import { makeConfiguration, makeOrganisation, makeQueue, makeWorker } from "../builders.js";
 import { Drawer, drawJobs, type LoadJob } from "./draw.js";
 import { LoadAdvice } from "./load-advice.js";
 import { type LoadRun, LoadWorker, shareDone } from "./load-worker.js";
-import { type JobOutcome, type Outcome, queueOutcome, totalShare } from "./outcome.js";
+import { type JobOutcome, type Outcome, queueOutcome, totalShare, worstOrganisations } from "./outcome.js";
 import type { CrashWave, Departure, LoadPattern, QueueLoad } from "./pattern.js";
 
 const stepTime: Milliseconds = 5;
@@ -100,7 +100,11 @@
             clock: this.#clock,
             log: { log: (event, fields) => this.#note(event, fields) },
         });
-        this.#cell.configure(makeConfiguration(1, pattern.queues.map(load => makeQueue(load.name, termsOf(load)))));
+        const organisations = (pattern.organisations ?? []).map(({ name, cores, weight }) =>
+            makeOrganisation(name, cores, { weight })
+        );
+        const queues = pattern.queues.map(load => makeQueue(load.name, termsOf(load)));
+        this.#cell.configure(makeConfiguration(1, queues, organisations));
         this.#dispatcher = new AdviceDispatcher(() => this.#clock.monotonic(), this.#cell);
         this.#addWorkers();
         this.#addAskers();
@@ -501,6 +505,7 @@
         }
         return {
             total: totalShare(outcomes),
+            worstOrganisations: worstOrganisations(outcomes),
             queues: Object.fromEntries([...outcomes].map(([name, jobs]) => [name, queueOutcome(jobs)])),
             idleShare: this.#idle / Math.max(1, this.#samples),
             wastedShare: this.#wasted / Math.max(1, this.#worked),
--- a/packages/entry/src/front/request-log.ts
+++ b/packages/entry/src/front/request-log.ts
@@ -52,6 +52,10 @@
             case "uncertain":
                 logger.log(logEvents.callerUncertain, { ...fields(), reason: answer.reason });
                 break;
+            case "id-taken":
+            case "beyond-limit":
+                logger.log(logEvents.callerTurnedAway, { ...fields(), outcome: answer.kind });
+                break;
             case "unknown-job":
                 logger.log(logEvents.callerUnknownJob, fields());
                 break;
--- a/packages/entry/src/front/types.ts
+++ b/packages/entry/src/front/types.ts
@@ -12,6 +12,8 @@
     | { readonly kind: "unknown-job"; }
     /** Another organisation has a job of this id; nothing was taken. */
     | { readonly kind: "id-taken"; }
+    /** Its organisation's limit can never hold one of its steps; nothing was taken. */
+    | { readonly kind: "beyond-limit"; }
     /** It was not done and will not be; come back after a while. */
     | { readonly kind: "refused"; readonly retryAfter: Milliseconds; readonly reason: string; }
     /** Whether it was done is not known; the same request may be sent again. */
--- a/packages/entry/src/owner/request-desk.ts
+++ b/packages/entry/src/owner/request-desk.ts
@@ -76,10 +76,14 @@
         if (known === undefined && journal.silentFor() > stalledAfter) {
             return notNow(NotNowReason.JournalStalled);
         }
-        if (cell.submit(definition) === undefined) {
+        if (known === undefined && !cell.knowsTermsOf(definition)) {
             // The VM that asks knows a newer configuration; this owner will in a moment.
             return notNow(NotNowReason.QueueUnknown);
         }
+        if (known === undefined && cell.isBeyondLimit(definition)) {
+            return { kind: "beyond-limit" };
+        }
+        cell.submit(definition);
         return await this.#untilKept() ? { kind: "accepted" } : { kind: "uncertain" };
     }
 
--- a/packages/entry/src/protocol/messages.ts
+++ b/packages/entry/src/protocol/messages.ts
@@ -307,6 +307,8 @@
     | { readonly kind: "unknown-job"; }
     /** Another organisation has a job of this id. */
     | { readonly kind: "id-taken"; }
+    /** Its organisation's limit can never hold one of its steps; nothing was taken. */
+    | { readonly kind: "beyond-limit"; }
     /** Nothing was done; come back after a while. */
     | { readonly kind: "not-now"; readonly retryAfter: Milliseconds; readonly reason: NotNowReason; }
     /** Whether it was done is not known. */
--- a/packages/entry/test/owner/organisations.test.ts
+++ b/packages/entry/test/owner/organisations.test.ts
@@ -5,6 +5,7 @@
 import { describe, it } from "node:test";
 import { RequestDesk } from "../../src/owner/request-desk.js";
 import { configuration, queue } from "../support/configuration.js";
+import { makeStep } from "../support/steps.js";
 
 const north = organisationName("north");
 const south = organisationName("south");
@@ -59,6 +60,24 @@
         expect((await desk.reply({ kind: "submit", definition: unknown })).kind).toEqual("not-now");
     });
 
+    it("that its limit can never hold is refused at once, and nothing of it is kept", async () => {
+        const { cell, desk } = begin();
+        const size = { processorThousandths: 1_000, memoryMebibytes: 0, accelerators: 0 };
+        const limits = { processorThousandths: 3_000, memoryMebibytes: 0, accelerators: 0 };
+        cell.configure({
+            ...configuration,
+            version: 2,
+            organisations: [{ name: north, keys: [], weight: 1, limit: limits }],
+        });
+        const gang = (taskCount: number) => ({ ...definition, steps: [makeStep({ taskCount, size, isGang: true })] });
+        const wide = { ...definition, steps: [makeStep({ taskCount: 40, size })] };
+        expect(await desk.reply({ kind: "submit", definition: gang(4) })).toEqual({ kind: "beyond-limit" });
+        expect(cell.jobs.size).toEqual(0);
+        expect(await desk.reply({ kind: "submit", definition: wide })).toEqual({ kind: "accepted" });
+        expect(await desk.reply({ kind: "submit", definition: { ...gang(3), job: jobId("0123456789abcdee") } }))
+            .toEqual({ kind: "accepted" });
+    });
+
     it("that came without a key is everyone's", async () => {
         const { desk } = begin();
         const { organisation, ...open } = definition;
--- a/packages/entry/test/support/lives/world.ts
+++ b/packages/entry/test/support/lives/world.ts
@@ -34,11 +34,11 @@
 import { configuration, queue, service } from "../configuration.js";
 import { makeVm, settle } from "../index.js";
 import { KeptLog, type LoggedEvent } from "../observation.js";
+import { makeStep, smallTask } from "../steps.js";
 import { longestLease, Machine, type MachineStart } from "./machine.js";
 import { Network } from "./network.js";
 import { describeRepeat, RunRecord } from "./record.js";
 
-const smallTask = { processorThousandths: 1_000, memoryMebibytes: 1_024, accelerators: 0 };
 /** What a worker has. */
 const room = { processorThousandths: 8_000, memoryMebibytes: 32_768, accelerators: 0 };
 /** Time is moved on in steps of this length. */
@@ -254,25 +254,7 @@
             job: name as JobDefinition["job"],
             queue,
             payload,
-            steps: [{
-                taskCount: tasks,
-                size: smallTask,
-                estimate: 1_000,
-                after: [],
-                savesProgress: false,
-                isGang: false,
-                wantsOneRack: false,
-                requiredLabel: undefined,
-                dataRack: undefined,
-                mostPerWorker: undefined,
-                allowsCopies: false,
-                isLasting: false,
-                mayBeAway: undefined,
-                image: undefined,
-                latencyTarget: undefined,
-                fills: false,
-                ...changes,
-            }],
+            steps: [makeStep({ taskCount: tasks, ...changes })],
             timetable: undefined,
         };
         return (await this.#vm.ask({ kind: "submit", definition }))?.kind;
