--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -25,6 +25,7 @@
 } from "./constants.js";
 import { FollowedWorkers } from "./followed-workers.js";
 import { Interval } from "./interval.js";
+import { relayOrder } from "./relay-order.js";
 import { RequestDesk } from "./request-desk.js";
 import { TurnRunner } from "./turn-runner.js";
 import type { OwnerSessionOptions } from "./types.js";
@@ -226,11 +227,7 @@
     /** VMs that can make calls of the store for this one, those first whose last call was answered. */
     storeRelays(): StoreRelay[] {
         const others = [...this.#vms.values()].filter(link => link.vm.name !== this.options.name);
-        const first = this.#nextRelay++;
-        const inTurn = others.map((_, index) => others[(first + index) % others.length]);
-        const trusted = inTurn.filter(link => !link.isStoreDoubtful);
-        const doubtful = inTurn.filter(link => link.isStoreDoubtful);
-        return [...trusted, ...doubtful].map(link => operation => link.callStore(operation));
+        return relayOrder(others, this.#nextRelay++).map(link => operation => link.callStore(operation));
     }
 
     /** Gives the cell to another VM once all that was accepted is kept; false when there is none. */
