--- a/packages/cell/test/support/load/patterns.ts
+++ b/packages/cell/test/support/load/patterns.ts
@@ -276,3 +276,16 @@
         { queue: "patient", organisation: "organisation-2", at: 12_000, lasts: 8_000, factor: 1.3 },
     ],
 };
+
+/** The largest organisation sends three and a half times its usual of all for sixteen seconds. */
+export const hotLoad: LoadPattern = {
+    ...sharedLoad,
+    name: "hot",
+    bursts: ["urgent", "patient", "wide"].map(queue => ({
+        queue,
+        organisation: "organisation-1",
+        at: 2_000,
+        lasts: 16_000,
+        factor: 1.5,
+    })),
+};
