--- a/packages/cell/test/organisations/limits.test.ts
+++ b/packages/cell/test/organisations/limits.test.ts
@@ -2,7 +2,7 @@
 import { organisationName } from "@pebbledale/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import type { Organisation, StartCommand } from "../../src/index.js";
+import type { Organisation, StartCommand, WorkerEntry } from "../../src/index.js";
 import {
     CellDriver,
     fakePolicy,
@@ -174,6 +174,14 @@
 });
 
 describe("a new owner", () => {
+    const names = ["w1", "w2", "w3"];
+    const listAgain = (driver: CellDriver, ...others: WorkerEntry[]): void =>
+        driver.cell.listWorkers([...names.map(name => makeWorker(name)), ...others]);
+    /** Each worker answers its first look with what was started there. */
+    const lookAtAll = (driver: CellDriver, starts: readonly StartCommand[]): void =>
+        names.forEach(name =>
+            driver.look(name, starts.filter(({ worker }) => worker as string === name).map(start => running(start)))
+        );
     const begin = (): { driver: CellDriver; starts: readonly StartCommand[]; } => {
         const driver = makeDriver(makeOrganisation("north", 4));
         driver.cell.submit(makeJob("n", [makeStep({ taskCount: 8 })], { organisation: north }));
@@ -186,23 +194,19 @@
         const { driver, starts } = begin();
         driver.takeOver();
         const idle = makeWorker("w4");
-        driver.cell.listWorkers([makeWorker("w1"), makeWorker("w2"), makeWorker("w3"), idle]);
+        listAgain(driver, idle);
         driver.run();
         driver.look("w4");
         expect(driver.run().starts).toEqual([]);
-        for (const worker of ["w1", "w2", "w3"]) {
-            driver.look(worker, starts.filter(start => start.worker as string === worker).map(start => running(start)));
-        }
+        lookAtAll(driver, starts);
         expect(driver.run().starts).toEqual([]);
     });
 
     it("keeps the limit of the record while it knows no configuration", () => {
         const { driver, starts } = begin();
         driver.takeOver(undefined, false);
-        driver.cell.listWorkers([makeWorker("w1"), makeWorker("w2"), makeWorker("w3")]);
-        for (const worker of ["w1", "w2", "w3"]) {
-            driver.look(worker, starts.filter(start => start.worker as string === worker).map(start => running(start)));
-        }
+        listAgain(driver);
+        lookAtAll(driver, starts);
         expect(driver.run().starts).toEqual([]);
         driver.end(starts[0]);
         expect(driver.run().starts.length).toEqual(1);
@@ -216,13 +220,11 @@
         driver.run();
         driver.takeOver(JSON.parse(JSON.stringify(driver.cell.snapshot())) as ReturnType<typeof driver.cell.snapshot>);
         const idle = makeWorker("w4");
-        driver.cell.listWorkers([makeWorker("w1"), makeWorker("w2"), makeWorker("w3"), idle]);
+        listAgain(driver, idle);
         driver.run();
         driver.look("w4");
         expect(driver.run().starts).toEqual([]);
-        for (const worker of ["w1", "w2", "w3"]) {
-            driver.look(worker, starts.filter(start => start.worker as string === worker).map(start => running(start)));
-        }
+        lookAtAll(driver, starts);
         expect(driver.run().starts).toEqual([]);
         starts.forEach(start => driver.end(start));
         expect(jobsOf(driver.run().starts)).toEqual(Array(4).fill("next"));
@@ -235,10 +237,8 @@
         driver.decide();
         driver.keep();
         driver.takeOver();
-        driver.cell.listWorkers([makeWorker("w1"), makeWorker("w2"), makeWorker("w3")]);
-        for (const worker of ["w1", "w2", "w3"]) {
-            driver.look(worker, starts.filter(start => start.worker as string === worker).map(start => running(start)));
-        }
+        listAgain(driver);
+        lookAtAll(driver, starts);
         expect(driver.run().stops.length).toEqual(4);
     });
 
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -143,20 +143,24 @@
     }
 
     #sendBeats(): void {
-        const mayLease = this.#isConfirmedWithin(confirmationHorizon);
+        const mayLease = this.#isConfirmed;
         this.#vms.forEach(vm => vm.channel.send({ kind: "beat", mayLease }));
     }
 
-    /** Whether the store has confirmed within a time, all of which was counted, that this VM owns the cell. */
-    #isConfirmedWithin(time: Milliseconds): boolean {
-        const { clock, confirmedAt } = this.options;
-        return clock.monotonic() - confirmedAt() < time && confirmedAt() >= clock.countedSince();
+    /** Whether the store has confirmed lately that this VM owns the cell. */
+    get #isConfirmed(): boolean {
+        return this.#isWithin(this.options.confirmedAt(), confirmationHorizon);
     }
 
     /** Whether nobody else can have claimed the cell: its key has surely not run out. */
     get #doesKeyStand(): boolean {
-        const { clock, keyConfirmedAt, ownerLease } = this.options;
-        return clock.monotonic() - keyConfirmedAt() < ownerLease && keyConfirmedAt() >= clock.countedSince();
+        return this.#isWithin(this.options.keyConfirmedAt(), this.options.ownerLease);
+    }
+
+    /** Whether less than a time, all of which was counted, has passed since a moment. */
+    #isWithin(moment: Milliseconds, time: Milliseconds): boolean {
+        const { clock } = this.options;
+        return clock.monotonic() - moment < time && moment >= clock.countedSince();
     }
 
     #tellSummary(): void {
