--- a/packages/cell/test/scheduler/fuzz.test.ts
+++ b/packages/cell/test/scheduler/fuzz.test.ts
@@ -44,6 +44,17 @@
         fail: 0.1,
         advice: 0.1,
     },
+    "limits that fall and rise": { ...noFaults, limits: 0.02 },
+    "limits, and all else at once": {
+        crash: 0.002,
+        cut: 0.005,
+        takeOver: 0.01,
+        cancel: 0.01,
+        start: 0.1,
+        fail: 0.1,
+        advice: 0.1,
+        limits: 0.02,
+    },
     "all at once": { ...noFaults, crash: 0.002, cut: 0.005, takeOver: 0.01, cancel: 0.01, start: 0.1, fail: 0.1 },
 };
 
--- a/packages/cell/test/support/world.ts
+++ b/packages/cell/test/support/world.ts
@@ -7,12 +7,14 @@
     jobId,
     ManualClock,
     type Milliseconds,
+    organisationName,
     SeededRandom,
     type TaskAddress,
     type WorkerLife,
     workerLife,
 } from "@pebbledale/core";
 import {
+    type CellConfiguration,
     type EndedRun,
     isEndState,
     type JobDefinition,
@@ -25,7 +27,7 @@
     type TaskSize,
     type WorkerEntry,
 } from "../../src/index.js";
-import { makeConfiguration, makeJob, makeQueue, makeStep, makeWorker } from "./builders.js";
+import { makeConfiguration, makeJob, makeOrganisation, makeQueue, makeStep, makeWorker } from "./builders.js";
 import { CellDriver } from "./cell-driver.js";
 import { FakeAdvice, fakePolicy } from "./fake-advice.js";
 import { type FakeTask, FakeWorker } from "./fake-worker.js";
@@ -50,6 +52,8 @@
     readonly fail: number;
     /** A worker's room shrinks or grows. Undefined where it never does. */
     readonly resize?: number;
+    /** The limit of an organisation falls or rises. Undefined where nobody is told apart. */
+    readonly limits?: number;
     /** Of each question to the advice service: it gets no answer. Undefined where nothing is advised on. */
     readonly advice: number | undefined;
 }
@@ -57,6 +61,19 @@
 /** No faults. */
 export const noFaults: Faults = { crash: 0, cut: 0, takeOver: 0, cancel: 0, start: 0, fail: 0, advice: undefined };
 
+/** What an organisation may have at work, in cores: as it begins and ends, the least, and by how much it may be more. */
+const usualLimit = 24;
+const leastLimit = 4;
+const limitRange = 36;
+/** A start that is carried out late was decided on so long ago at the most. */
+const latestStart: Milliseconds = 3 * lease;
+
+/** What an organisation may have at work, and until when what it might have before still counts. */
+interface Limit {
+    cores: number;
+    former: { readonly cores: number; readonly until: Milliseconds; }[];
+}
+
 interface Link {
     worker: FakeWorker;
     /** What the worker says of its room, and until when what it said before still counts. */
@@ -96,6 +113,8 @@
     readonly #noted = new Set<string>();
     readonly #failures = new Map<TaskAddress, number>();
     readonly #cancelled = new Set<string>();
+    readonly #limits = new Map<string, Limit>();
+    #version = 1;
     #late: LateStart[] = [];
     #epoch = 1;
     #nextWorker = 1;
@@ -107,8 +126,10 @@
         this.#advice = faults.advice === undefined
             ? undefined
             : new FakeAdvice(new SeededRandom(seed + 1), faults.advice);
-        const advice = this.#advice && fakePolicy;
-        this.driver = new CellDriver(this.clock, makeConfiguration(1, [makeQueue("work", { advice })]));
+        if (faults.limits !== undefined) {
+            ["north", "south"].forEach(name => this.#limits.set(name, { cores: usualLimit, former: [] }));
+        }
+        this.driver = new CellDriver(this.clock, this.#configuration());
         for (let index = 0; index < workers; index++) {
             this.#addWorker();
         }
@@ -132,7 +153,12 @@
         const id = `job${this.#nextJob++}`;
         const count = 1 + this.#below(3);
         const steps = Array.from({ length: count }, (_, index) => this.#randomStep(index));
-        const definition = makeJob(id, steps);
+        const organisation = [...this.#limits.keys()][this.#jobs.size % 2];
+        const definition = makeJob(
+            id,
+            steps,
+            organisation === undefined ? {} : { organisation: organisationName(organisation) },
+        );
         this.#jobs.set(id, definition);
         this.driver.cell.submit(definition);
     }
@@ -148,6 +174,7 @@
         }
         else {
             this.#restoreRooms(now);
+            this.#limits.forEach((_, name) => this.#changeLimit(name, usualLimit));
         }
         this.#links.forEach(link => this.#look(link, now));
         this.#advice?.answer(this.driver.cell, now);
@@ -213,6 +240,11 @@
                 this.#resize(link, now);
             }
         }
+        for (const name of this.#limits.keys()) {
+            if (this.#happens(this.faults.limits ?? 0)) {
+                this.#changeLimit(name, leastLimit + this.#below(limitRange));
+            }
+        }
         const ids = [...this.#jobs.keys()];
         if (ids.length > 0 && this.#happens(this.faults.cancel)) {
             const id = ids[this.#below(ids.length)];
@@ -222,6 +254,47 @@
         }
     }
 
+    #configuration(): CellConfiguration {
+        const advice = this.#advice && fakePolicy;
+        const organisations = [...this.#limits].map(([name, { cores }]) => makeOrganisation(name, cores));
+        return makeConfiguration(this.#version, [makeQueue("work", { advice })], organisations);
+    }
+
+    #changeLimit(name: string, cores: number): void {
+        const limit = this.#limits.get(name)!;
+        if (limit.cores !== cores) {
+            limit.former.push({ cores: limit.cores, until: this.clock.monotonic() + latestStart });
+            limit.cores = cores;
+            this.#version++;
+            this.driver.cell.configure(this.#configuration());
+        }
+    }
+
+    /** Whether the organisation of a task has more at work, as the workers have it, than it might have of late. */
+    #checkLimit(task: TaskAddress): void {
+        const name = this.#organisationOf(task);
+        const limit = name === undefined ? undefined : this.#limits.get(name);
+        if (limit === undefined) {
+            return;
+        }
+        const now = this.clock.monotonic();
+        const most = Math.max(
+            limit.cores,
+            ...limit.former.filter(({ until }) => until >= now).map(({ cores }) => cores),
+        );
+        const runs = [...this.#links.values()].flatMap(({ worker }) => worker.isUp ? worker.runs : []);
+        const used = runs
+            .filter(run => this.#organisationOf(run.task) === name)
+            .reduce((sum, { size }) => sum + size.processorThousandths, 0);
+        if (used > most * 1_000) {
+            this.broken.push(`${name} has ${used} of ${most * 1_000} at work`);
+        }
+    }
+
+    #organisationOf(task: TaskAddress): string | undefined {
+        return this.#jobs.get(placeOf(task)!.job)?.organisation;
+    }
+
     #resize(link: Link, now: Milliseconds): void {
         link.former.push({ room: link.room, until: now + shrinkTime });
         const processorThousandths = 2_000 + this.#below(10_000);
@@ -257,6 +330,7 @@
         this.#epoch++;
         this.#advice?.forget();
         this.driver.takeOver();
+        this.driver.cell.configure(this.#configuration());
         for (const link of this.#links.values()) {
             link.token = this.#tokenBase();
             link.isAssigned = true;
@@ -375,6 +449,7 @@
         const refusal = worker.start(command, fencingToken(token), this.#taskOf(definition), this.clock.monotonic());
         if (worker.runs.length > before) {
             this.#check(worker, command, definition);
+            this.#checkLimit(command.task);
         }
         if (isAnswered && refusal === undefined) {
             this.driver.cell.startTaken(command.worker, command.task, command.run);
