--- a/packages/cell/src/choosing/urgency.ts
+++ b/packages/cell/src/choosing/urgency.ts
@@ -22,6 +22,8 @@
     readonly step: Step;
     readonly prospect: Prospect;
     readonly priority: number;
+    /** Its place between organisations among steps of one prospect and priority; lower goes first. */
+    readonly standing: number;
     /** The latest time, by the owner's monotonic clock, at which it can begin and its job be on time. */
     readonly latestStart: Milliseconds;
 }
@@ -33,7 +35,7 @@
 };
 
 /** Ranks one step. */
-export const rank = (context: CellContext, step: Step, now: Milliseconds): RankedStep => {
+export const rank = (context: CellContext, step: Step, now: Milliseconds, standing = 0): RankedStep => {
     const { job, occurrence, definition } = step;
     const { extension, latencyTarget, priority } = job.terms;
     const began = beganAt(context, job, occurrence);
@@ -41,17 +43,20 @@
     const remaining = occurrence.chains[step.index];
     const latestStart = began + objective - remaining;
     if (definition.isLasting) {
-        return { step, prospect: Prospect.Lasting, priority, latestStart };
+        return { step, prospect: Prospect.Lasting, priority, standing, latestStart };
     }
     const isLate = now > latestStart;
     const isOverdue = now > began + lateFactor * objective - remaining;
     const prospect = isOverdue ? Prospect.Overdue : isLate ? Prospect.Late : Prospect.OnTime;
-    return { step, prospect, priority, latestStart };
+    return { step, prospect, priority, standing, latestStart };
 };
 
 /** Negative when `left` goes first. */
 export const compareRanks = (left: RankedStep, right: RankedStep): number =>
-    left.prospect - right.prospect || left.priority - right.priority || left.latestStart - right.latestStart;
+    left.prospect - right.prospect
+    || left.priority - right.priority
+    || left.standing - right.standing
+    || left.latestStart - right.latestStart;
 
 /** Queues have a handful of priorities; a job's prospect counts for more than any of them. */
 const prioritiesPerProspect = 4;
--- a/packages/cell/src/placing/placer.ts
+++ b/packages/cell/src/placing/placer.ts
@@ -14,9 +14,11 @@
     type Share,
 } from "../choosing/index.js";
 import { type CrashWatch, isPastStart, riskCost } from "../crashes/index.js";
+import type { Headroom } from "../headroom/index.js";
 import { HoldBack, OrganisationLimits } from "../load/index.js";
 import type { Mover } from "../moving/index.js";
 import type { OrderTerms, RunBook } from "../runs/index.js";
+import type { ShareOrder } from "../shares/index.js";
 import { addressOf, type CellContext, type Step, type Task, type WorkerState } from "../state/index.js";
 import type { HealthWatch } from "../watching/index.js";
 import { rackPatience, wideTaskPatience } from "./constants.js";
@@ -33,6 +35,8 @@
     readonly mover: Mover;
     readonly crashes: CrashWatch;
     readonly yields: YieldPolicy;
+    readonly shares: ShareOrder;
+    readonly headroom: Headroom;
 }
 
 /** See the module's comment. */
@@ -77,19 +81,29 @@
 
     /** One pass. */
     place(): void {
-        const now = this.parts.context.now();
-        this.#open = [...this.parts.context.workers.values()].filter(worker => worker.isOpen(now));
-        const ranked = [...this.#ready]
-            .filter(step => step.hasWaitingTask || step.definition.allowsCopies)
-            .map(step => rank(this.parts.context, step, now))
-            .sort(compareRanks);
-        this.#limits.begin(this.parts.context.queues?.mostUrgent ?? Infinity);
+        const { context, headroom } = this.parts;
+        const now = context.now();
+        this.#open = [...context.workers.values()].filter(worker => worker.isOpen(now));
+        const ranked = this.#inOrder(now);
+        this.#limits.begin(context.queues?.mostUrgent ?? Infinity);
         this.#reservations.begin(ranked.map(({ step }) => step).filter(step => !this.#limits.isAtLimit(step)), now);
         this.#holdBack.begin(this.#open);
         this.#heldBack = 0;
         this.#index = new RoomIndex(this.#open);
         this.parts.advice.begin(this.#index);
+        headroom.begin(ranked, this.#open, now);
         ranked.forEach(entry => this.#placeStep(entry, now));
+        headroom.end(now);
+    }
+
+    /** The ready steps, those that go first in front. */
+    #inOrder(now: Milliseconds): RankedStep[] {
+        const { context, shares } = this.parts;
+        shares.begin(now);
+        return [...this.#ready]
+            .filter(step => step.hasWaitingTask || step.definition.allowsCopies)
+            .map(step => rank(context, step, now, shares.standingOf(step)))
+            .sort(compareRanks);
     }
 
     #placeStep(ranked: RankedStep, now: Milliseconds): void {
@@ -109,7 +123,7 @@
         }
         const { trusted, suspects, hasHeld } = this.parts.crashes.sort(step, waiting, now);
         if (!step.definition.isGang) {
-            this.#placeTrusted(step, trusted, now);
+            this.#placeTrusted(ranked, trusted, now);
             this.#placeTrial(step, suspects, now);
         }
         else if (!hasHeld) {
@@ -126,7 +140,7 @@
             service: step.job.terms.service,
             index: this.#index,
             now,
-            limit: worker => this.#reservations.limitFor(worker, step, now),
+            limit: worker => this.#limitFor(worker, step, now),
             doubt: worker => this.parts.health.costOf(worker, step) + this.#reservations.costOf(worker, step, now),
         };
     }
@@ -137,9 +151,9 @@
         return { ...usual, doubt: worker => usual.doubt(worker) + worker.runs.size * riskCost };
     }
 
-    #placeTrusted(step: Step, tasks: readonly Task[], now: Milliseconds): void {
+    #placeTrusted(ranked: RankedStep, tasks: readonly Task[], now: Milliseconds): void {
         if (tasks.length > 0) {
-            this.#placeTasks(step, tasks, candidatesFor(this.#choiceOf(step, now), tasks.length), now);
+            this.#placeTasks(ranked, tasks, candidatesFor(this.#choiceOf(ranked.step, now), tasks.length), now);
         }
     }
 
@@ -163,7 +177,13 @@
         this.parts.advice.wantRoom(step, suspects.length, this.#roomOf(step, suspects.length, now));
     }
 
-    #placeTasks(step: Step, waiting: readonly Task[], candidates: readonly Share[], now: Milliseconds): void {
+    #placeTasks(
+        ranked: RankedStep,
+        waiting: readonly Task[],
+        candidates: readonly Share[],
+        now: Milliseconds,
+    ): void {
+        const { step } = ranked;
         let next = 0;
         for (const { worker, count, ticket } of candidates) {
             const taken = waiting.slice(next, next + count);
@@ -177,6 +197,7 @@
             return;
         }
         const left = waiting.length - next;
+        this.parts.headroom.noteShortage(ranked, left, now);
         // However full the service is, tasks that last are owed a place; wide ones find none by chance.
         if (step.definition.isLasting || this.#isStarving(step, now)) {
             this.#keepRoom(step, left, now);
@@ -254,7 +275,15 @@
 
     /** Room of a worker for a step, without what is kept there for others. */
     #roomOf(step: Step, count: number, now: Milliseconds): RoomOf {
-        return worker => Math.min(worker.countFitting(step, count), this.#reservations.limitFor(worker, step, now));
+        return worker => Math.min(worker.countFitting(step, count), this.#limitFor(worker, step, now));
+    }
+
+    /** How many tasks of a step a worker takes at most, so that what is kept there for others stays kept. */
+    #limitFor(worker: WorkerState, step: Step, now: Milliseconds): number {
+        return Math.min(
+            this.#reservations.limitFor(worker, step, now),
+            this.parts.headroom.limitFor(worker, step, now),
+        );
     }
 
     /** Orders tasks of one step at one worker. `run`: their common number, if they are of a gang. */
@@ -262,6 +291,7 @@
         const now = this.parts.context.now();
         const { step } = tasks[0];
         this.#reservations.take(worker, step, tasks.length, now);
+        this.parts.headroom.take(worker, step, tasks.length);
         for (const task of tasks) {
             const entry = this.parts.runs.order(task, run ?? this.parts.runs.nextRunOf(step, task), worker, terms);
             if (terms.isTrial) {
--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -14,14 +14,18 @@
     type WorkerId,
     type WorkerLife,
 } from "@pebbledale/core";
+import { type AdmissionPolicy, type AdmissionVerdict, AdmitAll } from "../admission/index.js";
 import type { AdviceAnswer } from "../advice/index.js";
 import { AdviceDesk } from "../advising/index.js";
 import type { CellConfiguration } from "../configuration/index.js";
 import { type CrashSummary, CrashWatch, SilenceLog } from "../crashes/index.js";
+import { NoHeadroom } from "../headroom/index.js";
 import { mayLoseOne, Mover } from "../moving/index.js";
 import { PaceKeeper } from "../pacing/index.js";
 import { Placer, SavedProgressYields } from "../placing/index.js";
 import { RunBook, type Silence, WorkerPool } from "../runs/index.js";
+import { EqualStanding } from "../shares/index.js";
+import { EqualSpeeds, type WorkerSpeeds } from "../speeds/index.js";
 import {
     CellContext,
     CellJobState,
@@ -34,7 +38,8 @@
     type Turn,
     type WorkerState,
 } from "../state/index.js";
-import { type Look, OrderRefusal, type RunEnd } from "../task-worker/index.js";
+import { type Look, OrderRefusal, RunEnd } from "../task-worker/index.js";
+import { EstimatedTimes, type TaskTimes } from "../times/index.js";
 import type { PlannedWorker } from "../upkeep/index.js";
 import { HealthWatch, ProgressWatch } from "../watching/index.js";
 import type { WorkerEntry } from "../worker-directory/index.js";
@@ -59,6 +64,9 @@
     readonly #starts: StartDesk;
     readonly #flow: JobFlow;
     readonly #crashes: CrashWatch;
+    readonly #admission: AdmissionPolicy = new AdmitAll();
+    readonly #times: TaskTimes = new EstimatedTimes();
+    readonly #speeds: WorkerSpeeds = new EqualSpeeds();
     #wantsPass = false;
 
     constructor(options: CellOptions) {
@@ -92,6 +100,7 @@
                 workerGone: worker => {
                     this.#health.forgetWorker(worker);
                     this.#advice.forgetWorker(worker.id);
+                    this.#speeds.forgetWorker(worker);
                 },
             },
         });
@@ -105,6 +114,8 @@
             mover: this.#mover,
             crashes: this.#crashes,
             yields,
+            shares: new EqualStanding(),
+            headroom: new NoHeadroom(),
         });
         this.#flow = new JobFlow(
             this.#context,
@@ -185,6 +196,14 @@
         return job;
     }
 
+    /** Whether a job that is not known yet is to be taken in. */
+    admit(definition: JobDefinition): AdmissionVerdict {
+        const terms = this.#context.termsOf(definition.queue, definition.organisation);
+        return terms === undefined
+            ? { kind: "admitted" }
+            : this.#admission.judge(definition, terms, this.#context.now());
+    }
+
     /** Whether the configuration that this owner knows names the queue and the organisation of a job. */
     knowsTermsOf({ queue, organisation }: JobDefinition): boolean {
         return this.#context.termsOf(queue, organisation) !== undefined;
@@ -393,10 +412,14 @@
     #runEnded(run: TaskRun, end: RunEnd): void {
         const { step } = run.task;
         this.#health.noteEnd(run, end);
-        if (end !== "done" && step.definition.isGang && !step.isDone) {
+        if (end === RunEnd.Done) {
+            this.#times.noteDone(run, this.#context.now());
+            this.#speeds.noteDone(run, this.#context.now());
+        }
+        if (end !== RunEnd.Done && step.definition.isGang && !step.isDone) {
             this.#starts.stopMembers(step, "another member of its gang ended");
         }
-        if (end === "failed") {
+        if (end === RunEnd.Failed) {
             step.notBefore = Math.max(step.notBefore, this.#context.now() + failedRunPause);
         }
     }
--- a/packages/cell/src/scheduler/cell-summary.ts
+++ b/packages/cell/src/scheduler/cell-summary.ts
@@ -1,6 +1,6 @@
 /** How a cell stands, in a few figures, for logs and metrics. */
-import type { OrganisationName } from "@pebbledale/core";
-import { type CellContext, type Step, TaskPhase } from "../state/index.js";
+import type { Milliseconds, OrganisationName, ServiceName } from "@pebbledale/core";
+import { type CellContext, type Step, TaskPhase, type WorkerState } from "../state/index.js";
 
 /** See the module's comment. */
 export interface CellSummary {
@@ -19,10 +19,30 @@
     readonly waiting: Readonly<Record<string, { readonly tasks: number; readonly processor: number; }>>;
     /** Of these the tasks that the last pass held back, as a gang of a more urgent queue is short of room. */
     readonly heldBack: number;
+    /** How each service stands. */
+    readonly services: Readonly<Record<ServiceName, ServiceSummary>>;
     /** Organisations whose work waits for their own limit, those with the most of it first; at most {@link mostToldOrganisations}. */
     readonly atLimit: readonly WaitingOrganisation[];
 }
 
+/** How one service stands: what of its room is free on workers that may be ordered, and what waits for it. */
+export interface ServiceSummary {
+    readonly workers: number;
+    readonly openWorkers: number;
+    /** Workers that take nothing new as their runs make little progress. */
+    readonly slowWorkers: number;
+    /** Thousandths of processors, mebibytes and accelerators. */
+    readonly processor: number;
+    readonly freeProcessor: number;
+    readonly memory: number;
+    readonly freeMemory: number;
+    readonly accelerators: number;
+    readonly freeAccelerators: number;
+    /** Tasks that wait, and thousandths of processors that they ask for. */
+    readonly waitingTasks: number;
+    readonly waitingProcessor: number;
+}
+
 /** An organisation some of whose work would start, were its limit higher. */
 export interface WaitingOrganisation {
     readonly organisation: OrganisationName;
@@ -54,10 +74,56 @@
         openJobs: [...context.table.jobs.values()].filter(job => !job.isOver).length,
         heldBack,
         waiting: waitingByPriority(ready),
+        services: summarizeServices(workers, ready, now),
         atLimit: waitingForLimits(context, ready),
     };
 };
 
+const noService = {
+    workers: 0,
+    openWorkers: 0,
+    slowWorkers: 0,
+    processor: 0,
+    freeProcessor: 0,
+    memory: 0,
+    freeMemory: 0,
+    accelerators: 0,
+    freeAccelerators: 0,
+    waitingTasks: 0,
+    waitingProcessor: 0,
+};
+
+const summarizeServices = (
+    workers: readonly WorkerState[],
+    ready: ReadonlySet<Step>,
+    now: Milliseconds,
+): CellSummary["services"] => {
+    const services: Record<ServiceName, { -readonly [figure in keyof ServiceSummary]: number; }> = {};
+    for (const worker of workers) {
+        if (worker.entry !== undefined) {
+            const { service, capacity } = worker.entry;
+            const figures = services[service] ??= { ...noService };
+            const isOpen = worker.isOpen(now);
+            figures.workers++;
+            figures.openWorkers += isOpen ? 1 : 0;
+            figures.slowWorkers += worker.slowUntil > now ? 1 : 0;
+            figures.processor += capacity.processorThousandths;
+            figures.memory += capacity.memoryMebibytes;
+            figures.accelerators += capacity.accelerators;
+            figures.freeProcessor += isOpen ? Math.max(0, worker.freeProcessor) : 0;
+            figures.freeMemory += isOpen ? Math.max(0, worker.freeMemory) : 0;
+            figures.freeAccelerators += isOpen ? Math.max(0, worker.freeAccelerators) : 0;
+        }
+    }
+    for (const step of ready) {
+        const figures = services[step.job.terms.service] ??= { ...noService };
+        const waiting = step.waitingTasks().length;
+        figures.waitingTasks += waiting;
+        figures.waitingProcessor += waiting * step.definition.size.processorThousandths;
+    }
+    return services;
+};
+
 const waitingForLimits = ({ usage }: CellContext, ready: ReadonlySet<Step>): WaitingOrganisation[] => {
     const tasks = new Map<OrganisationName, number>();
     for (const step of ready) {
--- /dev/null
+++ b/packages/cell/test/support/load/kiosk-patterns.ts
@@ -0,0 +1,215 @@
+/**
+ * Load patterns of a cell of two services: workers of three sizes that urgent small jobs share with patient ones and with tasks that
+ * last, and workers with accelerators that wide gangs share with small tasks.
+ */
+import type { LoadPattern, LoadService, QueueLoad } from "./pattern.js";
+
+const accelerated = "accelerated";
+
+/** Urgent jobs of narrow steps whose estimates are far off. */
+const quotes: QueueLoad = {
+    name: "urgent",
+    priority: 0,
+    perSecond: 29,
+    extension: 1.5,
+    latencyTarget: 250,
+    steps: { mean: 1.5, spread: 0.4, most: 4 },
+    width: { mean: 9.5, spread: 0.8, most: 57 },
+    processorThousandths: { mean: 11_000, spread: 0.45, most: 32_000 },
+    memoryMebibytes: { mean: 39_000, spread: 0.6, most: 120_000 },
+    work: { mean: 560, spread: 0.5, most: 1_400 },
+    unevenness: 0.15,
+    estimateError: 0.9,
+    gangShare: 0,
+    savesShare: 0,
+    failingShare: 0.005,
+    advice: { decision: 16, eachWorker: 0.22, validity: 2_000, permittedShare: 0.7 },
+    worth: 0.46,
+};
+
+/** Patient jobs of many tasks, most of which save their progress; they would fill the service by themselves. */
+const settlements: QueueLoad = {
+    name: "patient",
+    priority: 2,
+    perSecond: 2.1,
+    extension: 4,
+    latencyTarget: 3_000,
+    steps: { mean: 2, spread: 0.4, most: 5 },
+    width: { mean: 22, spread: 0.6, most: 110 },
+    processorThousandths: { mean: 18_000, spread: 0.4, most: 30_000 },
+    memoryMebibytes: { mean: 66_000, spread: 0.5, most: 130_000 },
+    work: { mean: 4_500, spread: 0.5, most: 11_000 },
+    unevenness: 0.3,
+    estimateError: 0.9,
+    gangShare: 0,
+    savesShare: 0.8,
+    failingShare: 0.005,
+    advice: { decision: 208, eachWorker: 3, validity: 2_000, permittedShare: 0.45 },
+    worth: 3.9,
+};
+
+/** Tasks that last. */
+const monitors: QueueLoad = {
+    ...settlements,
+    name: "lasting",
+    priority: 1,
+    perSecond: 0.22,
+    extension: 2.2,
+    latencyTarget: 2_500,
+    steps: { mean: 1, spread: 0, most: 1 },
+    width: { mean: 15, spread: 0.8, most: 90 },
+    memoryMebibytes: { mean: 52_000, spread: 0.5, most: 100_000 },
+    savesShare: 0,
+    stay: { mean: 45_000, spread: 0.7, most: 140_000 },
+    advice: { decision: 728, eachWorker: 10.4, validity: 2_000, permittedShare: 0.3 },
+};
+
+/** Gangs that want two, four or all eight accelerators of each worker. */
+const screenings: QueueLoad = {
+    ...settlements,
+    name: "gangs",
+    service: accelerated,
+    priority: 1,
+    perSecond: 2.3,
+    extension: 2.2,
+    latencyTarget: 1_000,
+    steps: { mean: 1, spread: 0, most: 1 },
+    width: { mean: 3.3, spread: 0.6, most: 16 },
+    processorThousandths: { mean: 62_000, spread: 0, most: 62_000 },
+    memoryMebibytes: { mean: 130_000, spread: 0, most: 130_000 },
+    accelerators: [2, 4, 8, 8],
+    work: { mean: 5_600, spread: 0.5, most: 14_000 },
+    unevenness: 0.15,
+    estimateError: 0.5,
+    gangShare: 1,
+    savesShare: 0.9,
+    failingShare: 0.05,
+    advice: { decision: 715, eachWorker: 10.3, validity: 2_000, permittedShare: 0.3 },
+    worth: 3.3,
+};
+
+/** Tasks of one accelerator on the same workers. */
+const readings: QueueLoad = {
+    ...settlements,
+    name: "small",
+    service: accelerated,
+    perSecond: 2.6,
+    steps: { mean: 1, spread: 0, most: 1 },
+    width: { mean: 16, spread: 0.6, most: 80 },
+    processorThousandths: { mean: 11_000, spread: 0, most: 11_000 },
+    memoryMebibytes: { mean: 16_000, spread: 0, most: 16_000 },
+    accelerators: [1],
+    work: { mean: 3_000, spread: 0.5, most: 7_500 },
+    advice: { decision: 195, eachWorker: 2.7, validity: 2_000, permittedShare: 0.45 },
+    worth: 1.8,
+};
+
+const acceleratedWorkers: LoadService = {
+    name: accelerated,
+    workers: 70,
+    capacity: { processorThousandths: 128_000, memoryMebibytes: 262_144, accelerators: 8 },
+    workersPerRack: 12,
+    slowness: [1, 1, 1.3],
+};
+
+/** A service that patient work fills beyond its room while urgent narrow jobs come, in their middle at twice their rate. */
+export const fullKioskLoad: LoadPattern = {
+    name: "full-kiosk",
+    seed: 1,
+    workers: 176,
+    capacity: { processorThousandths: 64_000, memoryMebibytes: 262_144, accelerators: 0 },
+    sizes: [1, 1, 0.5, 2],
+    workersPerRack: 8,
+    slowness: [1, 1, 1.3],
+    otherServices: [acceleratedWorkers],
+    askers: 32,
+    lasts: 34_000,
+    drains: 60_000,
+    queues: [quotes, settlements, monitors, screenings, readings],
+    bursts: [{ queue: "urgent", at: 20_000, lasts: 4_000, factor: 2.2 }],
+    departures: [],
+    slowStores: [],
+    pauses: [],
+};
+
+/** Jobs a second that twenty organisations are owed; limits do not bind. */
+const weights = [22, 14, 11, 9, 8, 7, 6, 6, 5, 5, 4, 4, 4, 4, 3, 3, 3, 3, 2, 2];
+const coresPerWeight = 200;
+
+/** The same, shared by twenty organisations of which one of a middle size sends so much that urgent work doubles. */
+export const hotKioskLoad: LoadPattern = {
+    ...fullKioskLoad,
+    name: "hot-kiosk",
+    organisations: weights.map((weight, index) => ({
+        name: `organisation-${index + 1}`,
+        weight,
+        cores: weight * coresPerWeight,
+    })),
+    bursts: [
+        { queue: "urgent", organisation: "organisation-5", at: 8_000, lasts: 8_000, factor: 1.45 },
+        { queue: "urgent", organisation: "organisation-9", at: 10_000, lasts: 5_000, factor: 1.3 },
+    ],
+};
+
+/** Demand that swings by more than half, on small workers of three sizes and two speeds. */
+export const wavesLoad: LoadPattern = {
+    ...fullKioskLoad,
+    name: "waves",
+    capacity: { processorThousandths: 16_000, memoryMebibytes: 65_536, accelerators: 0 },
+    workersPerRack: 20,
+    slowness: [0.55, 1.2, 1.2, 1.2],
+    askers: 43,
+    swing: { share: 0.55, period: 15_000 },
+    queues: [
+        {
+            ...quotes,
+            perSecond: 25,
+            latencyTarget: 300,
+            processorThousandths: { mean: 2_700, spread: 0.45, most: 8_000 },
+            memoryMebibytes: { mean: 7_600, spread: 0.6, most: 23_000 },
+            work: { mean: 600, spread: 0.5, most: 6_300 },
+            failingShare: 0.02,
+        },
+        {
+            ...settlements,
+            perSecond: 1.45,
+            width: { mean: 18, spread: 0.6, most: 88 },
+            processorThousandths: { mean: 4_500, spread: 0.4, most: 7_600 },
+            memoryMebibytes: { mean: 16_000, spread: 0.5, most: 32_000 },
+            work: { mean: 4_800, spread: 0.5, most: 50_000 },
+            estimateError: 0.5,
+            failingShare: 0.02,
+        },
+        {
+            ...monitors,
+            perSecond: 0.15,
+            processorThousandths: { mean: 4_500, spread: 0.4, most: 7_600 },
+            memoryMebibytes: { mean: 9_500, spread: 0.5, most: 19_000 },
+        },
+        {
+            ...screenings,
+            perSecond: 2.8,
+            width: { mean: 5.1, spread: 0.6, most: 26 },
+            memoryMebibytes: { mean: 250_000, spread: 0, most: 250_000 },
+            work: { mean: 3_100, spread: 0.5, most: 32_000 },
+            estimateError: 0.2,
+            failingShare: 0.02,
+        },
+        {
+            ...readings,
+            perSecond: 3.1,
+            width: { mean: 20, spread: 0.8, most: 120 },
+            memoryMebibytes: { mean: 59_000, spread: 0, most: 59_000 },
+            work: { mean: 2_000, spread: 0.5, most: 22_000 },
+            estimateError: 0.5,
+            failingShare: 0.05,
+        },
+    ],
+    otherServices: [{
+        ...acceleratedWorkers,
+        workers: 68,
+        capacity: { processorThousandths: 128_000, memoryMebibytes: 524_288, accelerators: 8 },
+        workersPerRack: 16,
+    }],
+    bursts: [{ queue: "urgent", at: 18_000, lasts: 4_000, factor: 1.6 }],
+};
--- a/packages/cell/test/support/load/pattern.ts
+++ b/packages/cell/test/support/load/pattern.ts
@@ -26,6 +26,12 @@
     readonly width: Spread;
     readonly processorThousandths: Spread;
     readonly memoryMebibytes: Spread;
+    /** Accelerators of a task, one of these for each job; left out where tasks want none. */
+    readonly accelerators?: readonly number[];
+    /** The service whose workers run it; left out for the pattern's first one. */
+    readonly service?: string;
+    /** Its tasks last until the caller cancels the job after this time; left out where they end by themselves. */
+    readonly stay?: Spread;
     /** Work of one task on a worker of full speed. */
     readonly work: Spread;
     /** How far tasks of one step differ, as a share of their mean. */
@@ -52,6 +58,21 @@
     readonly cores: number;
 }
 
+/** Demand that rises and falls: by this share of the mean, once in each period. */
+export interface Swing {
+    readonly share: number;
+    readonly period: Milliseconds;
+}
+
+/** Workers of a further service. */
+export interface LoadService {
+    readonly name: string;
+    readonly workers: number;
+    readonly capacity: TaskSize;
+    readonly workersPerRack: number;
+    readonly slowness: readonly number[];
+}
+
 /** A queue's load multiplied for a while. */
 export interface Burst {
     readonly queue: string;
@@ -95,8 +116,14 @@
     readonly workers: number;
     readonly capacity: TaskSize;
     readonly workersPerRack: number;
+    /** Workers have this many times the capacity, by worker in turn; left out where all are alike. */
+    readonly sizes?: readonly number[];
     /** Tasks take this many times their work, by worker in turn. */
     readonly slowness: readonly number[];
+    /** Services beside the first. */
+    readonly otherServices?: readonly LoadService[];
+    /** Left out where demand is even. */
+    readonly swing?: Swing;
     /** VMs that ask the advice service, one call at a time each. */
     readonly askers: number;
     /** Jobs come for so long. */
--- a/packages/entry/src/protocol/messages.ts
+++ b/packages/entry/src/protocol/messages.ts
@@ -1,5 +1,6 @@
 /** Messages between the owner and the entry VMs. Both sides send them in bundles over one connection. */
 import type {
+    AdmissionReason,
     AdviceAnswer,
     CellConfiguration,
     CellJobState,
@@ -311,5 +312,7 @@
     | { readonly kind: "beyond-limit"; }
     /** Nothing was done; come back after a while. */
     | { readonly kind: "not-now"; readonly retryAfter: Milliseconds; readonly reason: NotNowReason; }
+    /** There is no room for the job in time; nothing was taken. */
+    | { readonly kind: "not-admitted"; readonly retryAfter: Milliseconds; readonly reason: AdmissionReason; }
     /** Whether it was done is not known. */
     | { readonly kind: "uncertain"; };
