Room is left free for urgent narrow work, and late urgent steps go before patient work that can wait

Cause: once a service is full, each urgent step waits for a patient run's end; steps of late urgent jobs went behind all patient work that is on time, and earned nothing in the end. Late narrow steps of the most urgent queues go before patient steps with slack.

--- a/packages/cell/src/choosing/constants.ts
+++ b/packages/cell/src/choosing/constants.ts
@@ -15,3 +15,10 @@
 export const choiceFactor = 3;
 /** Fewest workers that are found before the others are left out. */
 export const fewestCandidates = 16;
+/**
+ * Work can wait only while it has this much more time than it needs, in milliseconds: for a start that takes a while, and for
+ * a change of owner or workers that leave meanwhile.
+ */
+export const leastSlack = 4_000;
+/** The same for callers' estimates that are too short, as a share of the work that is left. */
+export const slackOfWork = 0.5;
--- a/packages/cell/src/choosing/urgency.ts
+++ b/packages/cell/src/choosing/urgency.ts
@@ -1,6 +1,7 @@
 /** The order in which ready steps are placed. */
 import type { Milliseconds } from "@pebbledale/core";
 import type { CellContext, Job, Occurrence, Step } from "../state/index.js";
+import { leastSlack, slackOfWork } from "./constants.js";
 
 /** What a step can still earn. */
 export enum Prospect {
@@ -17,10 +18,24 @@
 /** A job that takes more than this many times its objective earns nothing (the users' rules). */
 const lateFactor = 3;
 
+/**
+ * The order of steps by what they can still earn. Late narrow steps of the most urgent queues go before patient work that can wait:
+ * both earn something that way, whereas behind it late steps would become worthless.
+ */
+enum Tier {
+    Lasting = 0,
+    OnTime = 1,
+    LateUrgent = 2,
+    OnTimeWithSlack = 3,
+    Late = 4,
+    Overdue = 5,
+}
+
 /** A ready step with what decides its place. */
 export interface RankedStep {
     readonly step: Step;
     readonly prospect: Prospect;
+    readonly tier: number;
     readonly priority: number;
     /** Its place between organisations among steps of one prospect and priority; lower goes first. */
     readonly standing: number;
@@ -43,17 +58,37 @@
     const remaining = occurrence.chains[step.index];
     const latestStart = began + objective - remaining;
     if (definition.isLasting) {
-        return { step, prospect: Prospect.Lasting, priority, standing, latestStart };
+        return { step, prospect: Prospect.Lasting, tier: Tier.Lasting, priority, standing, latestStart };
     }
     const isLate = now > latestStart;
     const isOverdue = now > began + lateFactor * objective - remaining;
     const prospect = isOverdue ? Prospect.Overdue : isLate ? Prospect.Late : Prospect.OnTime;
-    return { step, prospect, priority, standing, latestStart };
+    const tier = tierOf(context, step, prospect, latestStart - now);
+    return { step, prospect, tier, priority, standing, latestStart };
 };
 
+const tierOf = (context: CellContext, step: Step, prospect: Prospect, slack: Milliseconds): Tier => {
+    const { definition, job: { terms: { priority } } } = step;
+    const isMostUrgent = priority === context.queues?.mostUrgent;
+    switch (prospect) {
+        case Prospect.Lasting:
+            return Tier.Lasting;
+        case Prospect.OnTime:
+            return isMostUrgent || definition.isGang || !hasSlack(step, slack) ? Tier.OnTime : Tier.OnTimeWithSlack;
+        case Prospect.Late:
+            return isMostUrgent && !definition.isGang ? Tier.LateUrgent : Tier.Late;
+        case Prospect.Overdue:
+            return Tier.Overdue;
+    }
+};
+
+/** Whether a step can wait and its job be on time all the same, also when its estimates are too short. */
+export const hasSlack = ({ occurrence, index }: Step, slack: Milliseconds): boolean =>
+    slack > leastSlack + slackOfWork * occurrence.chains[index];
+
 /** Negative when `left` goes first. */
 export const compareRanks = (left: RankedStep, right: RankedStep): number =>
-    left.prospect - right.prospect
+    left.tier - right.tier
     || left.priority - right.priority
     || left.standing - right.standing
     || left.latestStart - right.latestStart;
--- /dev/null
+++ b/packages/cell/src/headroom/urgent-headroom.ts
@@ -0,0 +1,111 @@
+/**
+ * Keeps room for the urgent narrow work that is to be reckoned with soon.
+ *
+ * The load that it answers: patient work fills a service, and urgent steps of well under a second wait for its runs to end. It acts where
+ * urgent steps and a less urgent queue share workers and no gangs do. Patient steps that can wait leave as much free as urgent
+ * work had lately beyond what it has now.
+ */
+import type { Milliseconds, ServiceName } from "@pebbledale/core";
+import { hasSlack, Prospect, type RankedStep } from "../choosing/index.js";
+import type { CellContext, Step, WorkerState } from "../state/index.js";
+import { ServiceRoom } from "./service-room.js";
+import type { Headroom } from "./types.js";
+
+/** See the module's comment. */
+export class UrgentHeadroom implements Headroom {
+    readonly #services = new Map<ServiceName, ServiceRoom>();
+    /** Steps of this pass that leave room free. */
+    readonly #held = new Set<Step>();
+
+    constructor(private readonly context: CellContext) {}
+
+    /** See {@link Headroom.begin}. */
+    begin(ranked: readonly RankedStep[], open: readonly WorkerState[], now: Milliseconds): void {
+        this.#held.clear();
+        this.#services.forEach(room => room.begin());
+        this.context.workers.forEach(worker => this.#addRuns(worker));
+        ranked.forEach(entry => this.#addStep(entry, now));
+        this.#services.forEach(room => room.settleDemand(now));
+        for (const worker of open) {
+            const room = worker.entry && this.#services.get(worker.entry.service);
+            room?.addWorker(worker, room.fittingAt(worker));
+        }
+    }
+
+    /** See {@link Headroom.limitFor}. */
+    limitFor(worker: WorkerState, step: Step): number {
+        const room = this.#held.has(step) ? this.#services.get(step.job.terms.service) : undefined;
+        if (room === undefined || room.hasGangs) {
+            return Infinity;
+        }
+        let count = worker.countFitting(step, step.tasks.length);
+        while (count > 0 && !room.leavesEnough(worker, step, count)) {
+            count--;
+        }
+        return count;
+    }
+
+    /** See {@link Headroom.take}. */
+    take(worker: WorkerState, step: Step, count: number): void {
+        const room = this.#services.get(step.job.terms.service);
+        if (room === undefined) {
+            return;
+        }
+        room.take(worker, step, count);
+        if (this.#isUrgent(step)) {
+            room.addRunning(step, count);
+        }
+    }
+
+    /** See {@link Headroom.noteShortage}. */
+    noteShortage(): void {
+        // No room is made.
+    }
+
+    /** See {@link Headroom.end}. */
+    end(): void {
+        // No room is made.
+    }
+
+    #addRuns(worker: WorkerState): void {
+        for (const { task: { step } } of worker.runs.values()) {
+            const { definition, job } = step;
+            if (definition.isGang) {
+                this.#roomOf(job.terms.service).hasGangs = true;
+            }
+            else if (this.#isUrgent(step)) {
+                this.#roomOf(job.terms.service).addRunning(step, 1);
+            }
+        }
+    }
+
+    #addStep({ step, prospect, latestStart }: RankedStep, now: Milliseconds): void {
+        const { definition, job } = step;
+        const room = this.#roomOf(job.terms.service);
+        if (definition.isGang) {
+            room.hasGangs = true;
+        }
+        else if (this.#isUrgent(step)) {
+            if (prospect !== Prospect.Overdue) {
+                const left = this.context.usage.countLeft(job.organisation, definition.size);
+                room.addWaiting(step, Math.min(left, step.waitingTasks().length));
+            }
+        }
+        else if (prospect === Prospect.Overdue || prospect === Prospect.OnTime && hasSlack(step, latestStart - now)) {
+            this.#held.add(step);
+        }
+    }
+
+    #isUrgent({ definition, job }: Step): boolean {
+        return job.terms.priority === this.context.queues?.mostUrgent && !definition.isLasting && !definition.isGang;
+    }
+
+    #roomOf(service: ServiceName): ServiceRoom {
+        let room = this.#services.get(service);
+        if (room === undefined) {
+            room = new ServiceRoom();
+            this.#services.set(service, room);
+        }
+        return room;
+    }
+}
--- a/packages/cell/src/load/constants.ts
+++ b/packages/cell/src/load/constants.ts
@@ -6,14 +6,6 @@
  * others have started.
  */
 export const gangPatience: Milliseconds = 1_500;
-/**
- * Patient work is held back only while it has this much more time than it needs: for a start that takes a while, and for a
- * change of owner or workers that leave meanwhile. With 1.5 s one patient job in twelve was late on a day with two changes of
- * owner; wide gangs gain nothing by it (0.86 of their worth in replays of load with either).
- */
-export const leastSlack: Milliseconds = 4_000;
-/** The same for callers' estimates that are too short, as a share of the work that is left. */
-export const slackOfWork = 0.5;
 /**
  * With more than this share of a service's processors free nothing is held back: it is not room that is short, and a cell that
  * is half idle while work waits serves nobody. With 0.25 in its place 78% of the worth of wide gangs is served instead of 83%
--- a/packages/cell/src/load/hold-back.ts
+++ b/packages/cell/src/load/hold-back.ts
@@ -8,9 +8,9 @@
  * 87% instead of 77%, and patient jobs are on time as before (means of four replays of load).
  */
 import type { Milliseconds, ServiceName } from "@pebbledale/core";
-import { Prospect, type RankedStep } from "../choosing/index.js";
+import { hasSlack, Prospect, type RankedStep } from "../choosing/index.js";
 import type { WorkerState } from "../state/index.js";
-import { gangPatience, leastSlack, mostFreeShare, slackOfWork } from "./constants.js";
+import { gangPatience, mostFreeShare } from "./constants.js";
 
 /** Room of one service. */
 interface ServiceRoom {
@@ -48,10 +48,9 @@
     /** Whether tasks of a step are to wait, though there may be room for them. */
     holds({ step, prospect, priority, latestStart }: RankedStep, now: Milliseconds): boolean {
         const { processor, freeProcessor, shortPriority } = this.#roomOf(step.job.terms.service);
-        const needed = leastSlack + slackOfWork * step.occurrence.chains[step.index];
         return prospect === Prospect.OnTime
             && priority > shortPriority
-            && latestStart - now > needed
+            && hasSlack(step, latestStart - now)
             && freeProcessor <= processor * mostFreeShare;
     }
 
--- a/packages/cell/src/placing/placer.ts
+++ b/packages/cell/src/placing/placer.ts
@@ -186,18 +186,18 @@
         const { step } = ranked;
         let next = 0;
         for (const { worker, count, ticket } of candidates) {
-            const taken = waiting.slice(next, next + count);
-            if (taken.length === 0) {
-                return;
+            // What is kept for urgent steps is kept in the service as a whole: each order leaves less to spare.
+            const taken = waiting.slice(next, next + Math.min(count, this.parts.headroom.limitFor(worker, step)));
+            if (taken.length > 0) {
+                this.#order(taken, worker, { ticket, isTrial: false });
             }
-            this.#order(taken, worker, { ticket, isTrial: false });
             next += taken.length;
-        }
-        if (next === waiting.length) {
-            return;
+            if (next === waiting.length) {
+                return;
+            }
         }
         const left = waiting.length - next;
-        this.parts.headroom.noteShortage(ranked, left, now);
+        this.parts.headroom.noteShortage(ranked, left);
         // However full the service is, tasks that last are owed a place; wide ones find none by chance.
         if (step.definition.isLasting || this.#isStarving(step, now)) {
             this.#keepRoom(step, left, now);
@@ -282,7 +282,7 @@
     #limitFor(worker: WorkerState, step: Step, now: Milliseconds): number {
         return Math.min(
             this.#reservations.limitFor(worker, step, now),
-            this.parts.headroom.limitFor(worker, step, now),
+            this.parts.headroom.limitFor(worker, step),
         );
     }
 
--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -19,7 +19,7 @@
 import { AdviceDesk } from "../advising/index.js";
 import type { CellConfiguration } from "../configuration/index.js";
 import { type CrashSummary, CrashWatch, SilenceLog } from "../crashes/index.js";
-import { NoHeadroom } from "../headroom/index.js";
+import { UrgentHeadroom } from "../headroom/index.js";
 import { mayLoseOne, Mover } from "../moving/index.js";
 import { PaceKeeper } from "../pacing/index.js";
 import { Placer, SavedProgressYields } from "../placing/index.js";
@@ -115,7 +115,7 @@
             crashes: this.#crashes,
             yields,
             shares: new EqualStanding(),
-            headroom: new NoHeadroom(),
+            headroom: new UrgentHeadroom(this.#context),
         });
         this.#flow = new JobFlow(
             this.#context,
--- /dev/null
+++ b/packages/cell/test/scheduler/late-jobs.test.ts
@@ -0,0 +1,47 @@
+import { queueName } from "@pebbledale/core";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import type { JobDefinition } from "../../src/index.js";
+import { CellDriver, makeConfiguration, makeJob, makeQueue, makeStep, makeWorker } from "../support/index.js";
+
+const queues = [
+    makeQueue("urgent", { priority: 0, extension: 1, latencyTarget: 500 }),
+    makeQueue("patient", { priority: 2, extension: 10 }),
+];
+/** Takes all of a worker. */
+const whole = makeStep({
+    size: { processorThousandths: 8_000, memoryMebibytes: 1, accelerators: 0 },
+    estimate: 2_000,
+});
+
+const jobOf = (queue: string, id: string, step = whole): JobDefinition =>
+    makeJob(id, [step], { queue: queueName(queue) });
+
+/** One worker whose room opens once an urgent job and a patient one have waited for it for so long. */
+const nextAfter = (waits: number, patient = whole, urgent = whole): string => {
+    const driver = new CellDriver(undefined, makeConfiguration(1, queues));
+    driver.addWorkers(makeWorker("w1"));
+    driver.cell.submit(jobOf("urgent", "holder"));
+    const [holder] = driver.run().starts;
+    driver.confirm(holder);
+    driver.cell.submit(jobOf("patient", "patient", patient));
+    driver.cell.submit(jobOf("urgent", "urgent", urgent));
+    driver.run();
+    driver.clock.advance(waits);
+    driver.end(holder);
+    return driver.run().starts[0].task.split("/")[0];
+};
+
+describe("a late job of the most urgent queue", () => {
+    it("goes before patient work that can wait", () => {
+        expect(nextAfter(1_000)).toEqual("urgent");
+    });
+
+    it("goes behind patient work that would be late otherwise", () => {
+        expect(nextAfter(1_000, { ...whole, estimate: 200 })).toEqual("patient");
+    });
+
+    it("goes behind all that is on time once it earns nothing", () => {
+        expect(nextAfter(8_000)).toEqual("patient");
+    });
+});
