Runs that lose nothing are stopped for urgent narrow steps that found no room

Cause: runs were stopped for gangs, lasting and wide tasks only; urgent narrow steps waited for a natural end in a burst. Change: for urgent steps short of room, runs of less urgent queues with saved progress and ample time are stopped, eight a pass at most, less what comes free by itself within a stop's time. The policy of what gives way is a folder of its own.

--- a/packages/cell/src/headroom/constants.ts
+++ b/packages/cell/src/headroom/constants.ts
@@ -12,3 +12,5 @@
 export const mostFreeShare = 0.35;
 /** Most that is kept, as a share of a service's processors. */
 export const mostKeptShare = 0.2;
+/** Most runs of a service that one pass stops for urgent work: what they free is seen before more are stopped. */
+export const mostStops = 8;
--- /dev/null
+++ b/packages/cell/src/headroom/room-maker.ts
@@ -0,0 +1,78 @@
+/**
+ * Stops runs of less urgent queues for urgent work that is short of room: those whose progress is saved and whose jobs have ample time.
+ * What comes free by itself within the time of a stop is waited for.
+ */
+import type { Milliseconds } from "@pebbledale/core";
+import { expectedEnd, type Room, roomOf, roomOfRun, stopTime, sumOf } from "../choosing/index.js";
+import { RunPhase, type TaskRun, type WorkerState } from "../state/index.js";
+import type { RunStopper, YieldPolicy } from "../yielding/index.js";
+import { mostStops } from "./constants.js";
+import type { ServiceRoom } from "./service-room.js";
+
+/** A run that may be stopped. */
+interface Victim {
+    readonly run: TaskRun;
+    /** How many more usual urgent tasks fit its worker without it. */
+    readonly gain: number;
+    /** How many for each core that it holds. */
+    readonly worth: number;
+}
+
+/** See the module's comment. */
+export class RoomMaker {
+    constructor(private readonly policy: YieldPolicy, private readonly stopper: RunStopper) {}
+
+    /** Makes room for `needed` usual urgent tasks of a priority in all; returns how many runs were stopped. */
+    make(
+        workers: readonly WorkerState[],
+        room: ServiceRoom,
+        needed: number,
+        priority: number,
+        now: Milliseconds,
+    ): number {
+        let missing = needed;
+        const victims: Victim[] = [];
+        for (const worker of workers) {
+            const soon = roomSoon(worker, priority, now);
+            missing -= room.countUsual(soon);
+            victims.push(...this.#victimsAt(worker, soon, room, priority, now));
+        }
+        let stops = 0;
+        for (const { run, gain } of victims.sort(byWorth)) {
+            if (missing <= 0 || stops >= mostStops) {
+                break;
+            }
+            this.stopper.stop(run, "urgent work that is short of room");
+            missing -= gain;
+            stops++;
+        }
+        return stops;
+    }
+
+    /** One run of a worker at most: how much another would add depends on the first. */
+    #victimsAt(worker: WorkerState, soon: Room, room: ServiceRoom, priority: number, now: Milliseconds): Victim[] {
+        const fitting = room.countUsual(soon);
+        return [...worker.runs.values()]
+            .filter(run => expectedEnd(run, now) > now + stopTime && this.policy.yieldsToPriority(run, priority, now))
+            .map(run => {
+                const freed = roomOfRun(run);
+                const gain = room.countUsual(sumOf(soon, freed)) - fitting;
+                return { run, gain, worth: gain / Math.max(1, freed.processor) };
+            })
+            .filter(({ gain }) => gain > 0)
+            .sort(byWorth)
+            .slice(0, 1);
+    }
+}
+
+const byWorth = (left: Victim, right: Victim): number =>
+    right.worth - left.worth || left.run.percent - right.run.percent;
+
+/** What a worker has free, and will have within the time that a stop takes: urgent runs that end are followed by others. */
+const roomSoon = (worker: WorkerState, priority: number, now: Milliseconds): Room =>
+    [...worker.runs.values()]
+        .filter(run =>
+            run.phase === RunPhase.Stopping
+            || run.task.step.job.terms.priority > priority && expectedEnd(run, now) <= now + stopTime
+        )
+        .reduce((sum, run) => sumOf(sum, roomOfRun(run)), roomOf(worker));
--- a/packages/cell/src/headroom/service-room.ts
+++ b/packages/cell/src/headroom/service-room.ts
@@ -28,6 +28,8 @@
     #sizedAt: Milliseconds = 0;
     #running = noLoad();
     #waiting = noLoad();
+    /** Of those that wait, what found no room. */
+    #short = 0;
     #processor = 0;
     #freeProcessor = 0;
     /** How many usual urgent tasks the free room holds. */
@@ -37,6 +39,7 @@
     begin(): void {
         this.#running = noLoad();
         this.#waiting = noLoad();
+        this.#short = 0;
         this.#processor = 0;
         this.#freeProcessor = 0;
         this.#fitting = 0;
@@ -52,6 +55,16 @@
         add(this.#waiting, step, count);
     }
 
+    /** Tasks of an urgent step found no room. */
+    addShort({ definition: { size } }: Step, count: number): void {
+        this.#short += count * size.processorThousandths;
+    }
+
+    /** How many usual urgent tasks found no room. */
+    get short(): number {
+        return this.#short / Math.max(1, this.#usual?.processor ?? 1);
+    }
+
     /** Works the demand out, once all urgent tasks are added. */
     settleDemand(now: Milliseconds): void {
         this.#forecast.note(this.#running.processor + this.#waiting.processor, now);
@@ -67,11 +80,19 @@
 
     /** How many usual urgent tasks fit a worker's free room once `count` tasks of a step have theirs. */
     fittingAt(worker: WorkerState, step?: Step, count = 0): number {
-        if (this.#usual === undefined) {
-            return 0;
-        }
         const free = roomOf(worker);
-        return countUsual(step === undefined ? free : roomWithout(free, step, count), this.#usual);
+        return this.countUsual(step === undefined ? free : roomWithout(free, step, count));
+    }
+
+    /** How many usual urgent tasks some room holds. */
+    countUsual({ processor, memory }: Room): number {
+        const usual = this.#usual;
+        return usual === undefined
+            ? 0
+            : Math.max(
+                0,
+                Math.floor(Math.min(processor / Math.max(1, usual.processor), memory / Math.max(1, usual.memory))),
+            );
     }
 
     /** Tasks of a step take their room at a worker. */
@@ -123,6 +144,3 @@
     load.processor += count * size.processorThousandths;
     load.memory += count * size.memoryMebibytes;
 };
-
-const countUsual = ({ processor, memory }: Room, usual: Room): number =>
-    Math.max(0, Math.floor(Math.min(processor / Math.max(1, usual.processor), memory / Math.max(1, usual.memory))));
--- a/packages/cell/src/headroom/urgent-headroom.ts
+++ b/packages/cell/src/headroom/urgent-headroom.ts
@@ -8,6 +8,8 @@
 import type { Milliseconds, ServiceName } from "@pebbledale/core";
 import { hasSlack, Prospect, type RankedStep } from "../choosing/index.js";
 import type { CellContext, Step, WorkerState } from "../state/index.js";
+import type { RunStopper, YieldPolicy } from "../yielding/index.js";
+import { RoomMaker } from "./room-maker.js";
 import { ServiceRoom } from "./service-room.js";
 import type { Headroom } from "./types.js";
 
@@ -17,11 +19,17 @@
     /** Steps of this pass that leave room free. */
     readonly #held = new Set<Step>();
 
-    constructor(private readonly context: CellContext) {}
+    readonly #maker: RoomMaker;
+    #open: readonly WorkerState[] = [];
+
+    constructor(private readonly context: CellContext, policy: YieldPolicy, stopper: RunStopper) {
+        this.#maker = new RoomMaker(policy, stopper);
+    }
 
     /** See {@link Headroom.begin}. */
     begin(ranked: readonly RankedStep[], open: readonly WorkerState[], now: Milliseconds): void {
         this.#held.clear();
+        this.#open = open;
         this.#services.forEach(room => room.begin());
         this.context.workers.forEach(worker => this.#addRuns(worker));
         ranked.forEach(entry => this.#addStep(entry, now));
@@ -58,13 +66,21 @@
     }
 
     /** See {@link Headroom.noteShortage}. */
-    noteShortage(): void {
-        // No room is made.
+    noteShortage({ step, prospect }: RankedStep, count: number): void {
+        if (this.#isUrgent(step) && prospect !== Prospect.Overdue) {
+            this.#services.get(step.job.terms.service)?.addShort(step, count);
+        }
     }
 
     /** See {@link Headroom.end}. */
-    end(): void {
-        // No room is made.
+    end(now: Milliseconds): void {
+        const priority = this.context.queues?.mostUrgent ?? 0;
+        for (const [service, room] of this.#services) {
+            if (!room.hasGangs && room.short > 0) {
+                const workers = this.#open.filter(({ entry }) => entry?.service === service);
+                this.#maker.make(workers, room, room.short, priority, now);
+            }
+        }
     }
 
     #addRuns(worker: WorkerState): void {
--- a/packages/cell/src/placing/constants.ts
+++ b/packages/cell/src/placing/constants.ts
@@ -1,10 +1,4 @@
 /** Times, sizes and weights of placing that are not settings. Times are in milliseconds. */
-/** A run is stopped for others only if more than this share of it, in percent, is left: else it is about to end. */
-export const fewestPercentLeft = 15;
-/** A run gives way only if its job has this much time to spare, in milliseconds: to be stopped, placed again, restored. */
-export const preemptedSlack = 2_500;
-/** A task gives way at most this often. */
-export const mostPreemptions = 3;
 /** Runs are stopped for a step only if that gives it its room this much earlier, in milliseconds. */
 export const leastPreemptionGain = 600;
 /**
--- a/packages/cell/src/placing/index.ts
+++ b/packages/cell/src/placing/index.ts
@@ -2,4 +2,3 @@
 export * from "./placer.js";
 export * from "./preemption.js";
 export * from "./reservations.js";
-export * from "./yield-policy.js";
--- a/packages/cell/src/placing/placer.ts
+++ b/packages/cell/src/placing/placer.ts
@@ -21,10 +21,10 @@
 import type { ShareOrder } from "../shares/index.js";
 import { addressOf, type CellContext, type Step, type Task, type WorkerState } from "../state/index.js";
 import type { HealthWatch } from "../watching/index.js";
+import { RunStopper, type YieldPolicy } from "../yielding/index.js";
 import { rackPatience, wideTaskPatience } from "./constants.js";
 import { Preemption } from "./preemption.js";
 import { Reservations } from "./reservations.js";
-import type { YieldPolicy } from "./yield-policy.js";
 
 /** What a placer is made from. */
 export interface PlacerParts {
@@ -55,7 +55,7 @@
     constructor(private readonly parts: PlacerParts) {
         const { context, runs, yields } = parts;
         this.#reservations = new Reservations(context, yields);
-        this.#preemption = new Preemption(context, runs, yields);
+        this.#preemption = new Preemption(new RunStopper(context, runs), yields);
         this.#limits = new OrganisationLimits(context.usage);
     }
 
--- a/packages/cell/src/placing/preemption.ts
+++ b/packages/cell/src/placing/preemption.ts
@@ -2,19 +2,14 @@
  * Lets more urgent work have the room of runs that lose nothing by being stopped: their progress is saved at the stop, and
  * their jobs have the time to go on elsewhere or later.
  */
-import { logEvents, type Milliseconds } from "@pebbledale/core";
+import type { Milliseconds } from "@pebbledale/core";
 import { countIn, type Room, roomOf, roomOfRun, type RoomPlan, stopTime, sumOf } from "../choosing/index.js";
-import type { RunBook } from "../runs/index.js";
-import { type CellContext, RunPhase, type Step, type TaskRun, type WorkerState } from "../state/index.js";
-import type { YieldPolicy } from "./yield-policy.js";
+import { RunPhase, type Step, type TaskRun, type WorkerState } from "../state/index.js";
+import type { RunStopper, YieldPolicy } from "../yielding/index.js";
 
 /** See the module's comment. */
 export class Preemption {
-    constructor(
-        private readonly context: CellContext,
-        private readonly runs: RunBook,
-        private readonly policy: YieldPolicy,
-    ) {}
+    constructor(private readonly stopper: RunStopper, private readonly policy: YieldPolicy) {}
 
     /** Stops what stands in the way of a plan, once all that is to end by itself has ended and tickets are there. */
     makeRoom(step: Step, plan: RoomPlan, now: Milliseconds): void {
@@ -45,21 +40,9 @@
             room = sumOf(room, roomOfRun(run));
         }
         if (countIn(room, step) >= tasks) {
-            victims.forEach(victim => this.#stop(victim, step));
+            victims.forEach(victim => this.stopper.stop(victim, step.address));
         }
     }
-
-    #stop(run: TaskRun, step: Step): void {
-        run.task.preemptions++;
-        this.runs.stop(run, "more urgent work needs its room");
-        this.context.options.log.log(logEvents.runPreempted, {
-            task: run.task.address,
-            run: run.run,
-            worker: run.worker.id,
-            percent: run.percent,
-            by: step.address,
-        });
-    }
 }
 
 /** Runs that have the most left go first: the others are about to end by themselves. */
--- a/packages/cell/src/placing/reservations.ts
+++ b/packages/cell/src/placing/reservations.ts
@@ -19,6 +19,7 @@
     roomWithout,
 } from "../choosing/index.js";
 import type { CellContext, Step, WorkerState } from "../state/index.js";
+import type { YieldPolicy } from "../yielding/index.js";
 import {
     attemptsPerReservation,
     fewestReservations,
@@ -27,7 +28,6 @@
     planLife,
     workersPerReservation,
 } from "./constants.js";
-import type { YieldPolicy } from "./yield-policy.js";
 
 /** Room of one worker that is kept. */
 interface Reservation {
--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -22,7 +22,7 @@
 import { UrgentHeadroom } from "../headroom/index.js";
 import { mayLoseOne, Mover } from "../moving/index.js";
 import { PaceKeeper } from "../pacing/index.js";
-import { Placer, SavedProgressYields } from "../placing/index.js";
+import { Placer } from "../placing/index.js";
 import { RunBook, type Silence, WorkerPool } from "../runs/index.js";
 import { EqualStanding } from "../shares/index.js";
 import { EqualSpeeds, type WorkerSpeeds } from "../speeds/index.js";
@@ -43,6 +43,7 @@
 import type { PlannedWorker } from "../upkeep/index.js";
 import { HealthWatch, ProgressWatch } from "../watching/index.js";
 import type { WorkerEntry } from "../worker-directory/index.js";
+import { RunStopper, SavedProgressYields } from "../yielding/index.js";
 import { type CellSummary, summarize } from "./cell-summary.js";
 import { failedRunPause } from "./constants.js";
 import { JobFlow } from "./job-flow.js";
@@ -115,7 +116,7 @@
             crashes: this.#crashes,
             yields,
             shares: new EqualStanding(),
-            headroom: new UrgentHeadroom(this.#context),
+            headroom: new UrgentHeadroom(this.#context, yields, new RunStopper(this.#context, this.#runs)),
         });
         this.#flow = new JobFlow(
             this.#context,
