Watch on slow workers compares runs with their peers and their own past

Samples are taken by the worker's own clock, as looks may come late and two at once. The log line tells the ground, the speed and the deviations.

--- a/packages/cell/src/runs/run-book.ts
+++ b/packages/cell/src/runs/run-book.ts
@@ -124,6 +124,7 @@
         run.worker.discharge(run);
         run.worker = worker;
         run.confirmedAt = undefined;
+        run.marks = undefined;
         worker.charge(run);
     }
 
@@ -308,8 +309,7 @@
             percent: 0,
             progressedAt: now,
             firstSeen: undefined,
-            sampledPercent: 0,
-            sampledAt: now,
+            marks: undefined,
             checkpoint: "",
             pace: fullPace,
             stopReason: undefined,
--- a/packages/cell/src/runs/worker-looks.ts
+++ b/packages/cell/src/runs/worker-looks.ts
@@ -39,7 +39,7 @@
         this.crashes.noteAnswer(id, worker.life);
         this.#noteAnswer(worker);
         this.takeEnds(id, look.ended);
-        this.#compare(worker, look.running, sentAt, settledBefore);
+        this.#compare(worker, look, sentAt, settledBefore);
         if (isFirst) {
             this.context.options.log.log(logEvents.workerSeen, {
                 worker: id,
@@ -78,7 +78,7 @@
     /** Compares what a worker has with what is thought to run there. */
     #compare(
         worker: WorkerState,
-        running: readonly WorkerRun[],
+        { running, clock }: Look,
         sentAt: Milliseconds,
         settledBefore: Milliseconds,
     ): void {
@@ -106,7 +106,7 @@
             }
         }
         worker.strangers = strangers;
-        this.progress.note(worker, progress);
+        this.progress.note(worker, progress, clock);
         this.paces.note(worker, progress);
         for (const run of [...worker.runs.values()]) {
             if (seen.has(run)) {
--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -57,6 +57,7 @@
     readonly #runs: RunBook;
     readonly #advice: AdviceDesk;
     readonly #health: HealthWatch;
+    readonly #progress: ProgressWatch;
     readonly #mover: Mover;
     readonly #placer: Placer;
     readonly #timetables: TimetableWatch;
@@ -82,12 +83,12 @@
         this.#crashes = new CrashWatch(this.#context, task => this.#runs.giveUp(task));
         this.#advice = new AdviceDesk(this.#context);
         this.#health = new HealthWatch(this.#context);
-        const progress = new ProgressWatch(this.#context);
-        this.#mover = new Mover(this.#context, this.#runs, progress, this.#crashes);
+        this.#progress = new ProgressWatch(this.#context);
+        this.#mover = new Mover(this.#context, this.#runs, this.#progress, this.#crashes);
         this.#pool = new WorkerPool({
             context: this.#context,
             runs: this.#runs,
-            progress,
+            progress: this.#progress,
             paces: new PaceKeeper(this.#context),
             crashes: this.#crashes,
             silences,
@@ -415,6 +416,7 @@
         if (end === RunEnd.Done) {
             this.#times.noteDone(run, this.#context.now());
             this.#speeds.noteDone(run, this.#context.now());
+            this.#progress.noteDone(run);
         }
         if (end !== RunEnd.Done && step.definition.isGang && !step.isDone) {
             this.#starts.stopMembers(step, "another member of its gang ended");
--- a/packages/cell/src/state/entities.ts
+++ b/packages/cell/src/state/entities.ts
@@ -51,6 +51,18 @@
     readonly wasLeaving: boolean;
 }
 
+/** Progress of a run, in percent, at a time by its worker's clock. */
+export interface ProgressMark {
+    readonly percent: number;
+    readonly at: Milliseconds;
+}
+
+/** Progress of a run from when it is watched, and at the latest sample. */
+export interface ProgressMarks {
+    readonly origin: ProgressMark;
+    readonly last: ProgressMark;
+}
+
 /** One run of a task at a worker. */
 export interface TaskRun {
     readonly task: Task;
@@ -67,9 +79,8 @@
     progressedAt: Milliseconds;
     /** Progress when this owner first saw some, and when that was. */
     firstSeen: { readonly percent: number; readonly at: Milliseconds; } | undefined;
-    /** Progress when it was last sampled for its worker's speed, and when that was. */
-    sampledPercent: number;
-    sampledAt: Milliseconds;
+    /** Its progress as it is sampled for its worker's speed; undefined while nothing was sampled. */
+    marks: ProgressMarks | undefined;
     checkpoint: string;
     /** Share of its speed at which it may work, in percent. */
     pace: number;
--- a/packages/cell/src/watching/constants.ts
+++ b/packages/cell/src/watching/constants.ts
@@ -19,15 +19,42 @@
 export const quarantineShare = 0.34;
 /** Least time between two samples of a run's progress. A look reports it about twice a second. */
 export const progressInterval = 300;
-/** A run gets this long to get going before its progress counts: restoring saved progress takes up to 600 ms. */
+/** A sample waits for so much progress, in percent, as that is told in whole ones. */
+export const fewestPercentPerSample = 3;
+/** A sample waits no longer than this. */
+export const longestSample = 700;
+/** Progress of a run that shows none, in percent: it may have made this much. */
+export const leastProgress = 0.5;
+/** A run gets this long to get going before its progress counts. */
 export const startingTime = 300;
-/** Fewest runs whose progress tells a worker's speed. */
+/** The same for a run that goes on from saved progress: restoring it takes up to 600 ms. */
+export const restoringTime = 900;
+/** Fewest runs that tell a worker's speed beside those of their steps elsewhere. */
 export const fewestSpeedSamples = 4;
-/**
- * A worker is slow when the middle one of its runs makes less progress than this share of what the callers' estimates
- * say. Estimates are off by up to a factor of two, the slowest sound workers by 1.3; slow ones are four times as slow.
- */
-export const slowSpeed = 0.28;
+/** Fewest runs that tell it beside what they did before; fewer will do if they are of so many jobs. */
+export const fewestChangeSamples = 3;
+/** See {@link fewestChangeSamples}. */
+export const fewestJobs = 2;
+/** Paces are natural logarithms. Away from their data tasks take 1.5 to 2 times as long. */
+export const farPace = Math.log(1.75);
+/** Variance of the error of callers' estimates: one in twenty is off by more than a factor of seven. */
+export const estimateVariance = 1;
+/** Variance of a step's pace on one sound worker: these differ in speed, and tasks of a step in their work. */
+export const peerVariance = 0.12;
+/** Variance of one run's pace among those of its step: tasks of a step differ by up to a third. */
+export const runVariance = 0.06;
+/** Variance of the change of one run's pace on a sound worker, which goes on as it was. */
+export const steadyVariance = 0.02;
+/** The slowest sound workers have a bit less than half the speed of the usual ones. */
+export const slowestSoundPace = Math.log(0.42);
+/** A run that does less than this share of what it did before is held up by its worker. */
+export const slowestSteadyPace = Math.log(0.5);
+/** A worker is taken for slow if it is this many standard deviations below the slowest sound one. */
+export const certainDeviations = 2.5;
+/** The middle of several values deviates this much more than their mean does. */
+export const middleFactor = 1.25;
+/** Most other workers whose paces are kept for a step. */
+export const mostPeers = 24;
 /** A worker that was slow is taken for slow for this long after the last sample. */
 export const slowFor = 1_500;
 /** Most workers that are taken for slow at once, as a share of all. */
--- a/packages/cell/src/watching/progress-watch.ts
+++ b/packages/cell/src/watching/progress-watch.ts
@@ -1,40 +1,47 @@
 /**
- * Finds workers on which tasks stand still or are slow, by comparing their progress with the callers' estimates.
+ * Finds workers on which tasks stand still or are slow.
  *
- * One estimate may be far off; the middle one of several runs is not. A worker that is slow takes nothing new while it
- * is, and what runs there is moved where that loses nothing: tasks that save their progress are stopped and go on
- * elsewhere, tasks that may have copies get one.
+ * A worker that is slow takes nothing new while it is, and what runs there is moved where that loses nothing: tasks that save their
+ * progress are stopped and go on elsewhere, tasks that may have copies get one.
  */
 import { logEvents, type Milliseconds } from "@pebbledale/core";
-import { type CellContext, RunPhase, type TaskRun, type WorkerState } from "../state/index.js";
+import type { CellContext, Step, TaskRun, WorkerState } from "../state/index.js";
 import type { WorkerRun } from "../task-worker/index.js";
-import { fewestSpeedSamples, progressInterval, slowFor, slowShare, slowSpeed, startingTime } from "./constants.js";
-
-const middleOf = (values: readonly number[]): number =>
-    [...values].sort((left, right) => left - right)[Math.floor(values.length / 2)];
+import { slowFor, slowShare } from "./constants.js";
+import { middleOf } from "./middle.js";
+import { paceOfDone, type RunPace, sampleRun } from "./run-paces.js";
+import { findSpeed, isSlow, type SpeedFinding, type StepSamples } from "./slowness.js";
+import { StepPaces } from "./step-paces.js";
 
 /** See the module's comment. */
 export class ProgressWatch {
+    readonly #paces = new StepPaces();
+
     constructor(private readonly context: CellContext) {}
 
-    /** Takes in how far the runs of a worker are. */
-    note(worker: WorkerState, seen: readonly (readonly [TaskRun, WorkerRun])[]): void {
+    /** Takes in how far the runs of a worker are. `clock`: the worker's own, when it said so. */
+    note(worker: WorkerState, seen: readonly (readonly [TaskRun, WorkerRun])[], clock: Milliseconds): void {
         const now = this.context.now();
-        const samples: number[] = [];
-        for (const [run, { percent }] of seen) {
-            const elapsed = now - run.sampledAt;
-            if (elapsed < progressInterval) {
-                continue;
+        const samples = new Map<Step, RunPace[]>();
+        for (const [run, progress] of seen) {
+            const sample = sampleRun(run, progress, clock, now);
+            const { step } = run.task;
+            if (sample !== undefined) {
+                samples.set(step, [...samples.get(step) ?? [], sample]);
             }
-            const speed = this.#speedOf(run, percent, elapsed, now);
-            if (speed !== undefined) {
-                samples.push(speed);
-            }
-            run.sampledAt = now;
-            run.sampledPercent = percent;
         }
-        if (samples.length >= fewestSpeedSamples) {
-            this.#judge(worker, middleOf(samples), now);
+        const finding = findSpeed([...samples].map(([step, paces]) => this.#samplesOf(worker, step, paces)));
+        samples.forEach((paces, step) => this.#paces.note(step, worker.id, middleOf(paces.map(({ pace }) => pace))));
+        if (finding !== undefined) {
+            this.#judge(worker, finding, now);
+        }
+    }
+
+    /** Takes in that a run has ended well: its time tells of its step's tasks elsewhere. */
+    noteDone(run: TaskRun): void {
+        const pace = paceOfDone(run, this.context.now());
+        if (pace !== undefined) {
+            this.#paces.note(run.task.step, run.worker.id, pace);
         }
     }
 
@@ -43,35 +50,46 @@
         return worker.slowUntil > now || worker.silentSince !== undefined;
     }
 
-    /** Progress since the last sample as a multiple of what the estimate says. */
-    #speedOf(run: TaskRun, percent: number, elapsed: Milliseconds, now: Milliseconds): number | undefined {
-        const { estimate, isLasting } = run.task.step.definition;
-        const isStarting = run.confirmedAt === undefined || run.sampledAt < run.confirmedAt + startingTime;
-        const isEnding = percent >= 99;
-        if (run.phase !== RunPhase.AtWork || isLasting || isStarting || isEnding || estimate <= 0 || now === 0) {
-            return undefined;
-        }
-        return (percent - run.sampledPercent) / 100 * estimate / elapsed;
+    #samplesOf(worker: WorkerState, step: Step, paces: readonly RunPace[]): StepSamples {
+        return {
+            job: step.job.id,
+            paces: paces.map(({ pace }) => pace),
+            // Members of a gang may hold each other up.
+            changes: step.definition.isGang
+                ? []
+                : paces.flatMap(({ pace, formerPace }) => formerPace === undefined ? [] : [pace - formerPace]),
+            roundingVariance: Math.max(...paces.map(({ roundingVariance }) => roundingVariance)),
+            expected: this.#paces.expectedOf(step, worker.id),
+        };
     }
 
-    #judge(worker: WorkerState, speed: number, now: Milliseconds): void {
+    #judge(worker: WorkerState, finding: SpeedFinding, now: Milliseconds): void {
         const wasSlow = worker.slowUntil > now;
-        if (speed >= slowSpeed) {
+        if (!isSlow(finding)) {
             worker.slowUntil = 0;
             if (wasSlow) {
-                this.context.options.log.log(logEvents.workerFast, { worker: worker.id, speed });
+                this.context.options.log.log(logEvents.workerFast, { worker: worker.id, ...told(finding) });
             }
             return;
         }
         const all = [...this.context.workers.values()];
         const slow = all.filter(other => other !== worker && other.slowUntil > now).length;
         if (slow + 1 > all.length * slowShare) {
-            // That many at once are no outliers: the estimates are off.
+            // That many at once are no outliers.
             return;
         }
         worker.slowUntil = now + slowFor;
         if (!wasSlow) {
-            this.context.options.log.log(logEvents.workerSlow, { worker: worker.id, speed, runs: worker.runs.size });
+            const { size: runs } = worker.runs;
+            this.context.options.log.log(logEvents.workerSlow, { worker: worker.id, ...told(finding), runs });
         }
     }
 }
+
+/** A finding as log lines tell it. */
+const told = ({ ground, speed, deviations, samples }: SpeedFinding) => ({
+    ground,
+    speed: Number(speed.toFixed(3)),
+    deviations: Number(deviations.toFixed(1)),
+    samples,
+});
--- a/packages/cell/test/support/index.ts
+++ b/packages/cell/test/support/index.ts
@@ -4,4 +4,5 @@
 export * from "./crashing-cell.js";
 export * from "./fake-advice.js";
 export * from "./fake-worker.js";
+export * from "./fleet.js";
 export * from "./world.js";
--- a/packages/cell/test/support/load/main.ts
+++ b/packages/cell/test/support/load/main.ts
@@ -55,7 +55,9 @@
             percent(outcome.idleShare)
         } idle while work waits; ${
             percent(outcome.wastedShare)
-        } of the work thrown away; ${outcome.questions} questions; worst windows ${percent(outcome.worstWindows)}`,
+        } of the work thrown away; ${outcome.questions} questions; ${outcome.slowJudgements} workers judged slow; worst windows ${
+            percent(outcome.worstWindows)
+        }`,
     );
     const idle = Object.entries(outcome.idleShares).map(([name, share]) => `${name} ${percent(share)}`);
     console.log(`  idle by service: ${idle.join(", ")}`);
--- a/packages/cell/test/support/load/outcome.ts
+++ b/packages/cell/test/support/load/outcome.ts
@@ -46,6 +46,8 @@
     readonly wastedShare: number;
     /** Runs stopped, by reason. */
     readonly stops: Readonly<Record<string, number>>;
+    /** How often a worker was judged slow. */
+    readonly slowJudgements: number;
     readonly questions: number;
     /** What passes over what waits took; empty without a stopwatch. */
     readonly passes: readonly Milliseconds[];
--- a/packages/cell/test/support/load/replay.ts
+++ b/packages/cell/test/support/load/replay.ts
@@ -94,6 +94,7 @@
     readonly #crashesBy = new Map<TaskAddress, number>();
     readonly #stops: Record<string, number> = {};
     readonly #passes: Milliseconds[] = [];
+    #slowJudgements = 0;
     #questions = 0;
     /** Jobs that end by themselves. */
     readonly #endingJobs: number;
@@ -544,6 +545,7 @@
     }
 
     #note(event: LogEvent, fields: Readonly<Record<string, unknown>> = {}): void {
+        this.#slowJudgements += event === logEvents.workerSlow ? 1 : 0;
         if (event === logEvents.runStopped) {
             const reason = String(fields["reason"]);
             this.#stops[reason] = (this.#stops[reason] ?? 0) + 1;
@@ -603,6 +605,7 @@
             idleShare: [...this.#idle.values()].reduce((sum, idle) => sum + idle, 0) / Math.max(1, this.#samples),
             wastedShare: this.#wasted / Math.max(1, this.#worked),
             stops: this.#stops,
+            slowJudgements: this.#slowJudgements,
             questions: this.#questions,
             passes: this.#passes,
             mostCrashes: Math.max(0, ...this.#crashesBy.values()),
