--- a/packages/cell/test/support/load/kiosk-patterns.ts
+++ b/packages/cell/test/support/load/kiosk-patterns.ts
@@ -132,6 +132,14 @@
     pauses: [],
 };
 
+/** The same with four times the urgent jobs for seven seconds: more than fits beside tasks that last, were there no patient work. */
+export const floodedKioskLoad: LoadPattern = {
+    ...fullKioskLoad,
+    name: "flooded-kiosk",
+    lasts: 20_000,
+    bursts: [{ queue: "urgent", at: 5_000, lasts: 7_000, factor: 4 }],
+};
+
 /** Jobs a second that twenty organisations are owed; limits do not bind. */
 const weights = [22, 14, 11, 9, 8, 7, 6, 6, 5, 5, 4, 4, 4, 4, 3, 3, 3, 3, 2, 2];
 const coresPerWeight = 200;
--- a/packages/cell/test/support/load/main.ts
+++ b/packages/cell/test/support/load/main.ts
@@ -1,6 +1,6 @@
 /** Plays load patterns by hand and prints what callers had: `npm run replay -- PATTERN SEED...`. */
 import { SystemClock } from "@pebbledale/core";
-import { fullKioskLoad, hotKioskLoad, wavesLoad } from "./kiosk-patterns.js";
+import { floodedKioskLoad, fullKioskLoad, hotKioskLoad, wavesLoad } from "./kiosk-patterns.js";
 import type { Outcome, Served } from "./outcome.js";
 import type { LoadPattern } from "./pattern.js";
 import {
@@ -30,6 +30,7 @@
         sharedLoad,
         hotLoad,
         fullKioskLoad,
+        floodedKioskLoad,
         hotKioskLoad,
         wavesLoad,
     ]
