Urgent steps that are on time only if their estimate is right go behind those that surely can be; small ones first

Cause: with urgent work beyond all room, jobs started at the last moment by an estimate that is off by up to 2.5 times, and all were late together. Change: an urgent step counts as late from 0.4 of its time to spare beyond its latency target; among the others each core-second puts a step back by 10 ms, a second at most.

--- a/packages/cell/src/choosing/constants.ts
+++ b/packages/cell/src/choosing/constants.ts
@@ -22,3 +22,9 @@
 export const leastSlack = 4_000;
 /** The same for callers' estimates that are too short, as a share of the work that is left. */
 export const slackOfWork = 0.5;
+/** Share of the time to spare of an urgent job that it has only if its estimate is right: an objective grows with the real work. */
+export const doubtedShare = 0.4;
+/** An urgent step goes behind those that must start this much earlier for each core-second that it asks for, in milliseconds. */
+export const handicapPerCoreSecond = 10;
+/** Most that its size puts an urgent step back, in milliseconds. */
+export const mostHandicap = 1_000;
--- a/packages/cell/src/choosing/urgency.ts
+++ b/packages/cell/src/choosing/urgency.ts
@@ -1,7 +1,7 @@
 /** The order in which ready steps are placed. */
 import type { Milliseconds } from "@pebbledale/core";
 import type { CellContext, Job, Occurrence, Step } from "../state/index.js";
-import { leastSlack, slackOfWork } from "./constants.js";
+import { doubtedShare, handicapPerCoreSecond, leastSlack, mostHandicap, slackOfWork } from "./constants.js";
 
 /** What a step can still earn. */
 export enum Prospect {
@@ -41,6 +41,8 @@
     readonly standing: number;
     /** The latest time, by the owner's monotonic clock, at which it can begin and its job be on time. */
     readonly latestStart: Milliseconds;
+    /** Its place among steps of one tier, priority and standing; lower goes first. */
+    readonly turn: Milliseconds;
 }
 
 /** When an occurrence of a job began to count, by the owner's monotonic clock. */
@@ -58,30 +60,57 @@
     const remaining = occurrence.chains[step.index];
     const latestStart = began + objective - remaining;
     if (definition.isLasting) {
-        return { step, prospect: Prospect.Lasting, tier: Tier.Lasting, priority, standing, latestStart };
+        return {
+            step,
+            prospect: Prospect.Lasting,
+            tier: Tier.Lasting,
+            priority,
+            standing,
+            latestStart,
+            turn: latestStart,
+        };
     }
     const isLate = now > latestStart;
     const isOverdue = now > began + lateFactor * objective - remaining;
     const prospect = isOverdue ? Prospect.Overdue : isLate ? Prospect.Late : Prospect.OnTime;
     const tier = tierOf(context, step, prospect, latestStart - now);
-    return { step, prospect, tier, priority, standing, latestStart };
+    const turn = latestStart + (isUrgentNarrow(context, step) ? handicapOf(step) : 0);
+    return { step, prospect, tier, priority, standing, latestStart, turn };
+};
+
+const isUrgentNarrow = ({ queues }: CellContext, { definition, job }: Step): boolean =>
+    job.terms.priority === queues?.mostUrgent && !definition.isGang;
+
+/** Where not all urgent jobs can be on time, small ones earn more for the room that they take. */
+const handicapOf = ({ definition: { estimate, size, taskCount } }: Step): Milliseconds => {
+    const coreSeconds = taskCount * size.processorThousandths * estimate / 1e6;
+    return Math.min(mostHandicap, coreSeconds * handicapPerCoreSecond);
 };
 
 const tierOf = (context: CellContext, step: Step, prospect: Prospect, slack: Milliseconds): Tier => {
-    const { definition, job: { terms: { priority } } } = step;
-    const isMostUrgent = priority === context.queues?.mostUrgent;
+    const isUrgent = isUrgentNarrow(context, step);
     switch (prospect) {
         case Prospect.Lasting:
             return Tier.Lasting;
         case Prospect.OnTime:
-            return isMostUrgent || definition.isGang || !hasSlack(step, slack) ? Tier.OnTime : Tier.OnTimeWithSlack;
+            return isUrgent ? urgentTier(step, slack) : patientTier(context, step, slack);
         case Prospect.Late:
-            return isMostUrgent && !definition.isGang ? Tier.LateUrgent : Tier.Late;
+            return isUrgent ? Tier.LateUrgent : Tier.Late;
         case Prospect.Overdue:
             return Tier.Overdue;
     }
 };
 
+/** An urgent step that is on time only if its estimate is right takes no room from one that surely can be. */
+const urgentTier = ({ occurrence, job }: Step, slack: Milliseconds): Tier =>
+    slack < doubtedShare * (job.terms.extension - 1) * occurrence.longestChain ? Tier.LateUrgent : Tier.OnTime;
+
+const patientTier = ({ queues }: CellContext, step: Step, slack: Milliseconds): Tier => {
+    const { definition, job: { terms: { priority } } } = step;
+    const canWait = priority !== queues?.mostUrgent && !definition.isGang && hasSlack(step, slack);
+    return canWait ? Tier.OnTimeWithSlack : Tier.OnTime;
+};
+
 /** Whether a step can wait and its job be on time all the same, also when its estimates are too short. */
 export const hasSlack = ({ occurrence, index }: Step, slack: Milliseconds): boolean =>
     slack > leastSlack + slackOfWork * occurrence.chains[index];
@@ -91,7 +120,7 @@
     left.tier - right.tier
     || left.priority - right.priority
     || left.standing - right.standing
-    || left.latestStart - right.latestStart;
+    || left.turn - right.turn;
 
 /** Queues have a handful of priorities; a job's prospect counts for more than any of them. */
 const prioritiesPerProspect = 4;
