--- a/packages/cell/src/placing/placer.ts
+++ b/packages/cell/src/placing/placer.ts
@@ -21,10 +21,10 @@
 import type { ShareOrder } from "../shares/index.js";
 import { addressOf, type CellContext, type Step, type Task, type WorkerState } from "../state/index.js";
 import type { HealthWatch } from "../watching/index.js";
+import { RunStopper, type YieldPolicy } from "../yielding/index.js";
 import { rackPatience, wideTaskPatience } from "./constants.js";
 import { Preemption } from "./preemption.js";
 import { Reservations } from "./reservations.js";
-import type { YieldPolicy } from "./yield-policy.js";
 
 /** What a placer is made from. */
 export interface PlacerParts {
@@ -55,7 +55,7 @@
     constructor(private readonly parts: PlacerParts) {
         const { context, runs, yields } = parts;
         this.#reservations = new Reservations(context, yields);
-        this.#preemption = new Preemption(context, runs, yields);
+        this.#preemption = new Preemption(new RunStopper(context, runs), yields);
         this.#limits = new OrganisationLimits(context.usage);
     }
 
@@ -186,18 +186,18 @@
         const { step } = ranked;
         let next = 0;
         for (const { worker, count, ticket } of candidates) {
-            const taken = waiting.slice(next, next + count);
-            if (taken.length === 0) {
-                return;
+            // What is kept for urgent steps is kept in the service as a whole: each order leaves less to spare.
+            const taken = waiting.slice(next, next + Math.min(count, this.parts.headroom.limitFor(worker, step)));
+            if (taken.length > 0) {
+                this.#order(taken, worker, { ticket, isTrial: false });
             }
-            this.#order(taken, worker, { ticket, isTrial: false });
             next += taken.length;
-        }
-        if (next === waiting.length) {
-            return;
+            if (next === waiting.length) {
+                return;
+            }
         }
         const left = waiting.length - next;
-        this.parts.headroom.noteShortage(ranked, left, now);
+        this.parts.headroom.noteShortage(ranked, left);
         // However full the service is, tasks that last are owed a place; wide ones find none by chance.
         if (step.definition.isLasting || this.#isStarving(step, now)) {
             this.#keepRoom(step, left, now);
@@ -282,7 +282,7 @@
     #limitFor(worker: WorkerState, step: Step, now: Milliseconds): number {
         return Math.min(
             this.#reservations.limitFor(worker, step, now),
-            this.parts.headroom.limitFor(worker, step, now),
+            this.parts.headroom.limitFor(worker, step),
         );
     }
 
--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -19,10 +19,10 @@
 import { AdviceDesk } from "../advising/index.js";
 import type { CellConfiguration } from "../configuration/index.js";
 import { type CrashSummary, CrashWatch, SilenceLog } from "../crashes/index.js";
-import { NoHeadroom } from "../headroom/index.js";
+import { UrgentHeadroom } from "../headroom/index.js";
 import { mayLoseOne, Mover } from "../moving/index.js";
 import { PaceKeeper } from "../pacing/index.js";
-import { Placer, SavedProgressYields } from "../placing/index.js";
+import { Placer } from "../placing/index.js";
 import { RunBook, type Silence, WorkerPool } from "../runs/index.js";
 import { HandInRate, OwedFirst } from "../shares/index.js";
 import { EqualSpeeds, type WorkerSpeeds } from "../speeds/index.js";
@@ -43,6 +43,7 @@
 import type { PlannedWorker } from "../upkeep/index.js";
 import { HealthWatch, ProgressWatch } from "../watching/index.js";
 import type { WorkerEntry } from "../worker-directory/index.js";
+import { RunStopper, SavedProgressYields } from "../yielding/index.js";
 import { type CellSummary, summarize } from "./cell-summary.js";
 import { failedRunPause } from "./constants.js";
 import { JobFlow } from "./job-flow.js";
@@ -57,6 +58,7 @@
     readonly #runs: RunBook;
     readonly #advice: AdviceDesk;
     readonly #health: HealthWatch;
+    readonly #progress: ProgressWatch;
     readonly #mover: Mover;
     readonly #placer: Placer;
     readonly #timetables: TimetableWatch;
@@ -84,12 +86,12 @@
         this.#crashes = new CrashWatch(this.#context, task => this.#runs.giveUp(task));
         this.#advice = new AdviceDesk(this.#context);
         this.#health = new HealthWatch(this.#context);
-        const progress = new ProgressWatch(this.#context);
-        this.#mover = new Mover(this.#context, this.#runs, progress, this.#crashes);
+        this.#progress = new ProgressWatch(this.#context);
+        this.#mover = new Mover(this.#context, this.#runs, this.#progress, this.#crashes);
         this.#pool = new WorkerPool({
             context: this.#context,
             runs: this.#runs,
-            progress,
+            progress: this.#progress,
             paces: new PaceKeeper(this.#context),
             crashes: this.#crashes,
             silences,
@@ -117,7 +119,7 @@
             crashes: this.#crashes,
             yields,
             shares: new OwedFirst(this.#entitlements),
-            headroom: new NoHeadroom(),
+            headroom: new UrgentHeadroom(this.#context, yields, new RunStopper(this.#context, this.#runs)),
         });
         this.#flow = new JobFlow(
             this.#context,
@@ -419,6 +421,7 @@
         if (end === RunEnd.Done) {
             this.#times.noteDone(run, this.#context.now());
             this.#speeds.noteDone(run, this.#context.now());
+            this.#progress.noteDone(run);
         }
         if (end !== RunEnd.Done && step.definition.isGang && !step.isDone) {
             this.#starts.stopMembers(step, "another member of its gang ended");
