--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -24,7 +24,7 @@
 import { PaceKeeper } from "../pacing/index.js";
 import { Placer } from "../placing/index.js";
 import { RunBook, type Silence, WorkerPool } from "../runs/index.js";
-import { EqualStanding } from "../shares/index.js";
+import { HandInRate, OwedFirst } from "../shares/index.js";
 import { EqualSpeeds, type WorkerSpeeds } from "../speeds/index.js";
 import {
     CellContext,
@@ -58,6 +58,7 @@
     readonly #runs: RunBook;
     readonly #advice: AdviceDesk;
     readonly #health: HealthWatch;
+    readonly #progress: ProgressWatch;
     readonly #mover: Mover;
     readonly #placer: Placer;
     readonly #timetables: TimetableWatch;
@@ -66,12 +67,14 @@
     readonly #flow: JobFlow;
     readonly #crashes: CrashWatch;
     readonly #admission: AdmissionPolicy = new AdmitAll();
+    readonly #entitlements: HandInRate;
     readonly #times: TaskTimes = new EstimatedTimes();
     readonly #speeds: WorkerSpeeds = new EqualSpeeds();
     #wantsPass = false;
 
     constructor(options: CellOptions) {
         this.#context = new CellContext(options);
+        this.#entitlements = new HandInRate(organisation => this.#context.queues?.rateOf(organisation));
         const silences = new SilenceLog();
         this.#runs = new RunBook(this.#context, {
             stepChanged: step => this.#flow.stepChanged(step),
@@ -83,12 +86,12 @@
         this.#crashes = new CrashWatch(this.#context, task => this.#runs.giveUp(task));
         this.#advice = new AdviceDesk(this.#context);
         this.#health = new HealthWatch(this.#context);
-        const progress = new ProgressWatch(this.#context);
-        this.#mover = new Mover(this.#context, this.#runs, progress, this.#crashes);
+        this.#progress = new ProgressWatch(this.#context);
+        this.#mover = new Mover(this.#context, this.#runs, this.#progress, this.#crashes);
         this.#pool = new WorkerPool({
             context: this.#context,
             runs: this.#runs,
-            progress,
+            progress: this.#progress,
             paces: new PaceKeeper(this.#context),
             crashes: this.#crashes,
             silences,
@@ -115,7 +118,7 @@
             mover: this.#mover,
             crashes: this.#crashes,
             yields,
-            shares: new EqualStanding(),
+            shares: new OwedFirst(this.#entitlements),
             headroom: new UrgentHeadroom(this.#context, yields, new RunStopper(this.#context, this.#runs)),
         });
         this.#flow = new JobFlow(
@@ -153,6 +156,7 @@
         }
         records.forEach(record => table.apply(record));
         table.jobs.forEach(job => this.#context.usage.recoverLimit(job.organisation, job.terms.organisationLimit));
+        inOrderOfAcceptance(table.jobs.values()).forEach(job => this.#entitlements.noteJob(job));
         this.#crashes.recover();
         this.#pool.recover();
         for (const job of table.jobs.values()) {
@@ -185,6 +189,7 @@
         }
         this.#context.record({ kind: "accepted", at: this.#context.wallClock(), definition, terms });
         const job = table.jobs.get(definition.job)!;
+        this.#entitlements.noteJob(job);
         options.log.log(logEvents.jobAccepted, {
             job: job.id,
             queue: job.queue,
@@ -416,6 +421,7 @@
         if (end === RunEnd.Done) {
             this.#times.noteDone(run, this.#context.now());
             this.#speeds.noteDone(run, this.#context.now());
+            this.#progress.noteDone(run);
         }
         if (end !== RunEnd.Done && step.definition.isGang && !step.isDone) {
             this.#starts.stopMembers(step, "another member of its gang ended");
@@ -425,3 +431,6 @@
         }
     }
 }
+
+const inOrderOfAcceptance = (jobs: Iterable<Job>): Job[] =>
+    [...jobs].sort((left, right) => left.acceptedAt - right.acceptedAt);
--- a/packages/cell/test/support/load/main.ts
+++ b/packages/cell/test/support/load/main.ts
@@ -1,6 +1,6 @@
 /** Plays load patterns by hand and prints what callers had: `npm run replay -- PATTERN SEED...`. */
 import { SystemClock } from "@pebbledale/core";
-import { fullKioskLoad, hotKioskLoad, wavesLoad } from "./kiosk-patterns.js";
+import { floodedKioskLoad, fullKioskLoad, hotKioskLoad, wavesLoad } from "./kiosk-patterns.js";
 import type { Outcome, Served } from "./outcome.js";
 import type { LoadPattern } from "./pattern.js";
 import {
@@ -30,6 +30,7 @@
         sharedLoad,
         hotLoad,
         fullKioskLoad,
+        floodedKioskLoad,
         hotKioskLoad,
         wavesLoad,
     ]
@@ -55,7 +56,9 @@
             percent(outcome.idleShare)
         } idle while work waits; ${
             percent(outcome.wastedShare)
-        } of the work thrown away; ${outcome.questions} questions; worst windows ${percent(outcome.worstWindows)}`,
+        } of the work thrown away; ${outcome.questions} questions; ${outcome.slowJudgements} workers judged slow; worst windows ${
+            percent(outcome.worstWindows)
+        }`,
     );
     const idle = Object.entries(outcome.idleShares).map(([name, share]) => `${name} ${percent(share)}`);
     console.log(`  idle by service: ${idle.join(", ")}`);
--- a/packages/cell/test/support/load/replay.ts
+++ b/packages/cell/test/support/load/replay.ts
@@ -43,10 +43,11 @@
 import { type LoadRun, LoadWorker, shareDone } from "./load-worker.js";
 import {
     type JobOutcome,
+    organisationShares,
     type Outcome,
     queueOutcome,
     totalShare,
-    worstOrganisations,
+    worstTenth,
     worstWindows,
 } from "./outcome.js";
 import type { CrashWave, Departure, LoadPattern, LoadService, QueueLoad } from "./pattern.js";
@@ -94,6 +95,7 @@
     readonly #crashesBy = new Map<TaskAddress, number>();
     readonly #stops: Record<string, number> = {};
     readonly #passes: Milliseconds[] = [];
+    #slowJudgements = 0;
     #questions = 0;
     /** Jobs that end by themselves. */
     readonly #endingJobs: number;
@@ -544,6 +546,7 @@
     }
 
     #note(event: LogEvent, fields: Readonly<Record<string, unknown>> = {}): void {
+        this.#slowJudgements += event === logEvents.workerSlow ? 1 : 0;
         if (event === logEvents.runStopped) {
             const reason = String(fields["reason"]);
             this.#stops[reason] = (this.#stops[reason] ?? 0) + 1;
@@ -591,9 +594,11 @@
             jobs.push({ job, took: endedAt === undefined ? undefined : endedAt - job.at });
             outcomes.set(job.load.name, jobs);
         }
+        const organisations = organisationShares(outcomes);
         return {
             total: totalShare(outcomes),
-            worstOrganisations: worstOrganisations(outcomes),
+            organisations,
+            worstOrganisations: worstTenth(organisations),
             queues: Object.fromEntries([...outcomes].map(([name, jobs]) => [name, queueOutcome(jobs)])),
             worstWindows: worstWindows(outcomes),
             lastingShare: this.#lastingTasks === 0 ? undefined : this.#lastingAtWork / this.#lastingTasks,
@@ -603,6 +608,7 @@
             idleShare: [...this.#idle.values()].reduce((sum, idle) => sum + idle, 0) / Math.max(1, this.#samples),
             wastedShare: this.#wasted / Math.max(1, this.#worked),
             stops: this.#stops,
+            slowJudgements: this.#slowJudgements,
             questions: this.#questions,
             passes: this.#passes,
             mostCrashes: Math.max(0, ...this.#crashesBy.values()),
