--- a/packages/cell/src/choosing/urgency.ts
+++ b/packages/cell/src/choosing/urgency.ts
@@ -73,7 +73,7 @@
     const isLate = now > latestStart;
     const isOverdue = now > began + lateFactor * objective - remaining;
     const prospect = isOverdue ? Prospect.Overdue : isLate ? Prospect.Late : Prospect.OnTime;
-    const tier = tierOf(context, step, prospect, latestStart - now);
+    const tier = tierOf(context, step, prospect, latestStart - now, standing);
     const turn = latestStart + (isUrgentNarrow(context, step) ? handicapOf(step) : 0);
     return { step, prospect, tier, priority, standing, latestStart, turn };
 };
@@ -87,13 +87,19 @@
     return Math.min(mostHandicap, coreSeconds * handicapPerCoreSecond);
 };
 
-const tierOf = (context: CellContext, step: Step, prospect: Prospect, slack: Milliseconds): Tier => {
+const tierOf = (
+    context: CellContext,
+    step: Step,
+    prospect: Prospect,
+    slack: Milliseconds,
+    standing: number,
+): Tier => {
     const isUrgent = isUrgentNarrow(context, step);
     switch (prospect) {
         case Prospect.Lasting:
             return Tier.Lasting;
         case Prospect.OnTime:
-            return isUrgent ? urgentTier(step, slack) : patientTier(context, step, slack);
+            return isUrgent ? urgentTier(step, slack, standing) : patientTier(context, step, slack);
         case Prospect.Late:
             return isUrgent ? Tier.LateUrgent : Tier.Late;
         case Prospect.Overdue:
@@ -101,9 +107,14 @@
     }
 };
 
-/** An urgent step that is on time only if its estimate is right takes no room from one that surely can be. */
-const urgentTier = ({ occurrence, job }: Step, slack: Milliseconds): Tier =>
-    slack < doubtedShare * (job.terms.extension - 1) * occurrence.longestChain ? Tier.LateUrgent : Tier.OnTime;
+/**
+ * An urgent step that is on time only if its estimate is right takes no room from one that surely can be, nor does one beyond what its
+ * organisation is owed from late ones that are owed.
+ */
+const urgentTier = ({ occurrence, job }: Step, slack: Milliseconds, standing: number): Tier => {
+    const isDoubted = slack < doubtedShare * (job.terms.extension - 1) * occurrence.longestChain;
+    return isDoubted || standing > 0 ? Tier.LateUrgent : Tier.OnTime;
+};
 
 const patientTier = ({ queues }: CellContext, step: Step, slack: Milliseconds): Tier => {
     const { definition, job: { terms: { priority } } } = step;
--- a/packages/cell/src/headroom/urgent-headroom.ts
+++ b/packages/cell/src/headroom/urgent-headroom.ts
@@ -66,8 +66,9 @@
     }
 
     /** See {@link Headroom.noteShortage}. */
-    noteShortage({ step, prospect }: RankedStep, count: number): void {
-        if (this.#isUrgent(step) && prospect !== Prospect.Overdue) {
+    noteShortage(ranked: RankedStep, count: number): void {
+        const { step } = ranked;
+        if (this.#isUrgent(step) && isWorthRoom(ranked)) {
             this.#services.get(step.job.terms.service)?.addShort(step, count);
         }
     }
@@ -95,14 +96,15 @@
         }
     }
 
-    #addStep({ step, prospect, latestStart }: RankedStep, now: Milliseconds): void {
+    #addStep(ranked: RankedStep, now: Milliseconds): void {
+        const { step, prospect, latestStart } = ranked;
         const { definition, job } = step;
         const room = this.#roomOf(job.terms.service);
         if (definition.isGang) {
             room.hasGangs = true;
         }
         else if (this.#isUrgent(step)) {
-            if (prospect !== Prospect.Overdue) {
+            if (isWorthRoom(ranked)) {
                 const left = this.context.usage.countLeft(job.organisation, definition.size);
                 room.addWaiting(step, Math.min(left, step.waitingTasks().length));
             }
@@ -125,3 +127,6 @@
         return room;
     }
 }
+
+/** Whether others leave room for an urgent step: its job is owed and can still earn something. */
+const isWorthRoom = ({ prospect, standing }: RankedStep): boolean => prospect !== Prospect.Overdue && standing === 0;
