--- a/packages/cell/src/headroom/constants.ts
+++ b/packages/cell/src/headroom/constants.ts
@@ -12,5 +12,11 @@
 export const mostFreeShare = 0.35;
 /** Most that is kept, as a share of a service's processors. */
 export const mostKeptShare = 0.2;
+/** A change of the room that is kept is logged from this many usual urgent tasks on. */
+export const leastLoggedChange = 4;
+/** It is logged from this share of what was logged last on. */
+export const loggedShare = 0.5;
+/** It is logged at most this often for a service, in milliseconds. */
+export const loggedEvery: Milliseconds = 500;
 /** Most runs of a service that one pass stops for urgent work: what they free is seen before more are stopped. */
 export const mostStops = 8;
--- /dev/null
+++ b/packages/cell/src/headroom/headroom-log.ts
@@ -0,0 +1,30 @@
+/** Notes in the log what is kept for urgent work, each time that changes by much. */
+import { logEvents, type Milliseconds, type ServiceName } from "@pebbledale/core";
+import type { DecisionLog } from "../state/index.js";
+import { leastLoggedChange, loggedEvery, loggedShare } from "./constants.js";
+import type { ServiceRoom } from "./service-room.js";
+
+/** What was logged last of a service. */
+interface Logged {
+    readonly kept: number;
+    readonly at: Milliseconds;
+}
+
+const nothing: Logged = { kept: 0, at: -Infinity };
+
+/** See the module's comment. */
+export class HeadroomLog {
+    readonly #logged = new Map<ServiceName, Logged>();
+
+    constructor(private readonly log: DecisionLog) {}
+
+    /** A pass has ended. */
+    note(service: ServiceName, room: ServiceRoom, now: Milliseconds): void {
+        const { kept, at } = this.#logged.get(service) ?? nothing;
+        const change = Math.abs(room.kept - kept);
+        if (change >= leastLoggedChange && change >= kept * loggedShare && now - at >= loggedEvery) {
+            this.#logged.set(service, { kept: room.kept, at: now });
+            this.log.log(logEvents.roomKept, { service, ...room.figures });
+        }
+    }
+}
--- a/packages/cell/src/headroom/no-headroom.ts
+++ b/packages/cell/src/headroom/no-headroom.ts
@@ -23,6 +23,11 @@
         // No room is made.
     }
 
+    /** See {@link Headroom.keptIn}. */
+    keptIn(): number {
+        return 0;
+    }
+
     /** See {@link Headroom.end}. */
     end(): void {
         // No room is made.
--- a/packages/cell/src/headroom/service-room.ts
+++ b/packages/cell/src/headroom/service-room.ts
@@ -121,6 +121,24 @@
         return Math.max(0, Math.round(missing / Math.max(1, this.#usual?.processor ?? 1)));
     }
 
+    /** What is kept, in thousandths of a processor. */
+    get keptProcessor(): number {
+        return Math.round(this.kept * (this.#usual?.processor ?? 0));
+    }
+
+    /** What the decision was made from, for the log: thousandths of a processor, and how many usual urgent tasks fit. */
+    get figures(): Readonly<Record<string, number>> {
+        return {
+            atWork: this.#running.processor,
+            waiting: this.#waiting.processor,
+            short: this.#short,
+            expected: Math.round(this.#forecast.expected),
+            kept: this.kept,
+            keptProcessor: this.keptProcessor,
+            fitting: this.#fitting,
+        };
+    }
+
     #learnSize(now: Milliseconds): void {
         const tasks = this.#running.tasks + this.#waiting.tasks;
         if (tasks === 0) {
--- a/packages/cell/src/headroom/types.ts
+++ b/packages/cell/src/headroom/types.ts
@@ -1,5 +1,5 @@
 /** Room that is kept free for urgent work of few cores. */
-import type { Milliseconds } from "@pebbledale/core";
+import type { Milliseconds, ServiceName } from "@pebbledale/core";
 import type { RankedStep } from "../choosing/index.js";
 import type { Step, WorkerState } from "../state/index.js";
 
@@ -15,6 +15,8 @@
     noteShortage(ranked: RankedStep, count: number): void;
     /** Ends a pass: room is made for what is short of it. */
     end(now: Milliseconds): void;
+    /** What the last pass kept free in a service, in thousandths of a processor. */
+    keptIn(service: ServiceName): number;
 }
 
 /** Foresees how much urgent work of a service is at work or waits at one time, from what was seen. */
--- a/packages/cell/src/headroom/urgent-headroom.ts
+++ b/packages/cell/src/headroom/urgent-headroom.ts
@@ -9,6 +9,7 @@
 import { hasSlack, Prospect, type RankedStep } from "../choosing/index.js";
 import type { CellContext, Step, WorkerState } from "../state/index.js";
 import type { RunStopper, YieldPolicy } from "../yielding/index.js";
+import { HeadroomLog } from "./headroom-log.js";
 import { RoomMaker } from "./room-maker.js";
 import { ServiceRoom } from "./service-room.js";
 import type { Headroom } from "./types.js";
@@ -20,10 +21,12 @@
     readonly #held = new Set<Step>();
 
     readonly #maker: RoomMaker;
+    readonly #log: HeadroomLog;
     #open: readonly WorkerState[] = [];
 
     constructor(private readonly context: CellContext, policy: YieldPolicy, stopper: RunStopper) {
         this.#maker = new RoomMaker(policy, stopper);
+        this.#log = new HeadroomLog(context.options.log);
     }
 
     /** See {@link Headroom.begin}. */
@@ -77,13 +80,23 @@
     end(now: Milliseconds): void {
         const priority = this.context.queues?.mostUrgent ?? 0;
         for (const [service, room] of this.#services) {
-            if (!room.hasGangs && room.short > 0) {
+            if (room.hasGangs) {
+                continue;
+            }
+            if (room.short > 0) {
                 const workers = this.#open.filter(({ entry }) => entry?.service === service);
                 this.#maker.make(workers, room, room.short, priority, now);
             }
+            this.#log.note(service, room, now);
         }
     }
 
+    /** See {@link Headroom.keptIn}. */
+    keptIn(service: ServiceName): number {
+        const room = this.#services.get(service);
+        return room === undefined || room.hasGangs ? 0 : room.keptProcessor;
+    }
+
     #addRuns(worker: WorkerState): void {
         for (const { task: { step } } of worker.runs.values()) {
             const { definition, job } = step;
--- a/packages/cell/src/placing/placer.ts
+++ b/packages/cell/src/placing/placer.ts
@@ -1,5 +1,5 @@
 /** Places what waits: goes through the ready steps in the order of their urgency and orders what fits. */
-import { logEvents, type Milliseconds, type RunNumber } from "@pebbledale/core";
+import { logEvents, type Milliseconds, type RunNumber, type ServiceName } from "@pebbledale/core";
 import type { AdviceDesk, RoomOf } from "../advising/index.js";
 import {
     candidatesFor,
@@ -69,6 +69,11 @@
         return this.#heldBack;
     }
 
+    /** What the last pass kept free in a service for urgent work, in thousandths of a processor. */
+    keptIn(service: ServiceName): number {
+        return this.parts.headroom.keptIn(service);
+    }
+
     /** Adds a step whose tasks may be placed. */
     add(step: Step): void {
         this.#ready.add(step);
@@ -309,6 +314,7 @@
             tasks: tasks.length,
             run: tasks[0].lastRun,
             worker: worker.id,
+            priority: step.job.terms.priority,
             freeAfter: worker.freeProcessor,
             waited: Math.round(now - (step.readyAt ?? now)),
         });
--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -395,7 +395,12 @@
     /** How the cell stands, in figures. */
     summary(): CellSummary & CrashSummary {
         return {
-            ...summarize(this.#context, this.#placer.readySteps, this.#placer.heldBack),
+            ...summarize(
+                this.#context,
+                this.#placer.readySteps,
+                this.#placer.heldBack,
+                service => this.#placer.keptIn(service),
+            ),
             ...this.#crashes.summary(),
         };
     }
--- a/packages/cell/src/scheduler/cell-summary.ts
+++ b/packages/cell/src/scheduler/cell-summary.ts
@@ -40,6 +40,8 @@
     readonly freeAccelerators: number;
     /** Tasks that wait, and thousandths of processors that they ask for. */
     readonly waitingTasks: number;
+    /** Thousandths of processors that patient work leaves free for urgent work. */
+    readonly keptProcessor: number;
     readonly waitingProcessor: number;
 }
 
@@ -59,7 +61,12 @@
 const mostToldOrganisations = 10;
 
 /** Works the figures out. */
-export const summarize = (context: CellContext, ready: ReadonlySet<Step>, heldBack: number): CellSummary => {
+export const summarize = (
+    context: CellContext,
+    ready: ReadonlySet<Step>,
+    heldBack: number,
+    keptIn: (service: ServiceName) => number,
+): CellSummary => {
     const now = context.now();
     const workers = [...context.workers.values()];
     const open = workers.filter(worker => worker.isOpen(now));
@@ -74,7 +81,7 @@
         openJobs: [...context.table.jobs.values()].filter(job => !job.isOver).length,
         heldBack,
         waiting: waitingByPriority(ready),
-        services: summarizeServices(workers, ready, now),
+        services: summarizeServices(workers, ready, keptIn, now),
         atLimit: waitingForLimits(context, ready),
     };
 };
@@ -90,19 +97,21 @@
     accelerators: 0,
     freeAccelerators: 0,
     waitingTasks: 0,
+    keptProcessor: 0,
     waitingProcessor: 0,
 };
 
 const summarizeServices = (
     workers: readonly WorkerState[],
     ready: ReadonlySet<Step>,
+    keptIn: (service: ServiceName) => number,
     now: Milliseconds,
 ): CellSummary["services"] => {
     const services: Record<ServiceName, { -readonly [figure in keyof ServiceSummary]: number; }> = {};
     for (const worker of workers) {
         if (worker.entry !== undefined) {
             const { service, capacity } = worker.entry;
-            const figures = services[service] ??= { ...noService };
+            const figures = services[service] ??= { ...noService, keptProcessor: keptIn(service) };
             const isOpen = worker.isOpen(now);
             figures.workers++;
             figures.openWorkers += isOpen ? 1 : 0;
--- a/packages/cell/test/headroom/urgent-headroom.test.ts
+++ b/packages/cell/test/headroom/urgent-headroom.test.ts
@@ -1,8 +1,8 @@
-import { queueName } from "@pebbledale/core";
+import { logEvents, queueName } from "@pebbledale/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import type { JobDefinition } from "../../src/index.js";
-import { CellDriver, makeConfiguration, makeJob, makeQueue, makeStep, makeWorker } from "../support/index.js";
+import { CellDriver, makeConfiguration, makeJob, makeQueue, makeStep, makeWorker, service } from "../support/index.js";
 
 const queues = [makeQueue("urgent", { priority: 0 }), makeQueue("patient", { priority: 2, extension: 10 })];
 const patientStep = makeStep({ taskCount: 20, estimate: 10_000 });
@@ -39,6 +39,22 @@
         expect(patientStarts(driver)).toEqual(13);
     });
 
+    it("is told of in the summary, and in the log once it is a change", () => {
+        const driver = new CellDriver(undefined, makeConfiguration(1, queues));
+        driver.addWorkers(...Array.from({ length: 8 }, (_, index) => makeWorker(`w${index}`)));
+        driver.cell.submit(jobOf("urgent", "urgent", makeStep({ taskCount: 12, estimate: 300 })));
+        const { starts } = driver.run();
+        driver.confirm(...starts);
+        starts.forEach(start => driver.end(start));
+        driver.cell.submit(jobOf("patient", "patient", { ...patientStep, taskCount: 80 }));
+        driver.run();
+        expect(driver.cell.summary().services[service].keptProcessor).toEqual(12_000);
+        driver.clock.advance(1_000);
+        driver.run();
+        const lines = driver.logged.filter(({ event }) => event === logEvents.roomKept);
+        expect(lines.map(({ fields }) => fields["kept"])).toEqual([12]);
+    });
+
     it("takes the room once no urgent work has come for a while", () => {
         const driver = afterUrgent(3);
         driver.cell.submit(jobOf("patient", "patient", patientStep));
--- a/packages/core/src/log-events/index.ts
+++ b/packages/core/src/log-events/index.ts
@@ -115,6 +115,7 @@
         "Tell the job's owner; the line names the workers and how long each run stood.",
     ),
     silenceExplained: define(4213, "info", "it is known now whether a silent worker crashed under a run", nothing),
+    roomKept: define(4215, "info", "the room that is kept for urgent work has changed", nothing),
     runPreempted: define(4209, "info", "a run is stopped so that more urgent work has its room", nothing),
     answersLost: define(
         4208,
--- a/packages/entry/src/observation/entry-metrics.ts
+++ b/packages/entry/src/observation/entry-metrics.ts
@@ -42,7 +42,7 @@
     readonly #taskWait = this.metrics.waiting(
         "pebbledale_task_wait_seconds",
         "Time from a step's being ready to its tasks' being ordered",
-        [],
+        ["priority"],
     );
     readonly #adviceTime = this.metrics.waiting("pebbledale_advice_seconds", "Time of an answer to a question", []);
     readonly #jobTime = this.metrics.waiting("pebbledale_job_seconds", "Time from acceptance to the end", ["state"]);
@@ -58,6 +58,12 @@
         ofCell("pebbledale_free_cores", "Free cores of these", summary => summary.freeProcessor / 1_000);
         ofCell("pebbledale_runs", "Runs that are not over", summary => summary.runs);
         ofCell("pebbledale_held_back_tasks", "Patient tasks that wait for a gang's room", ({ heldBack }) => heldBack);
+        ofCell(
+            "pebbledale_kept_cores",
+            "Cores that patient work leaves free for urgent work",
+            ({ services }) =>
+                Object.values(services).reduce((sum, { keptProcessor }) => sum + keptProcessor, 0) / 1_000,
+        );
         ofCell(
             "pebbledale_organisations_at_limit",
             "Organisations whose work waits for their own limit (ten at most are counted)",
@@ -99,9 +105,9 @@
         this.#events.inc({ event: String(event) });
     }
 
-    /** Tasks were ordered. */
-    noteTaskWait(waited: Milliseconds): void {
-        this.#taskWait.observe(waited / millisecondsPerSecond);
+    /** Tasks of a queue of a priority were ordered. */
+    noteTaskWait(priority: number, waited: Milliseconds): void {
+        this.#taskWait.observe({ priority: String(priority) }, waited / millisecondsPerSecond);
     }
 
     /** The advice service answered. */
--- a/packages/entry/src/observation/measured-logger.ts
+++ b/packages/entry/src/observation/measured-logger.ts
@@ -14,9 +14,9 @@
         this.logger.log(event, fields);
     }
 
-    #measure(event: LogEvent, { waited, took, state }: Readonly<Record<string, unknown>>): void {
-        if (event === logEvents.runsOrdered && typeof waited === "number") {
-            this.metrics.noteTaskWait(waited);
+    #measure(event: LogEvent, { waited, priority, took, state }: Readonly<Record<string, unknown>>): void {
+        if (event === logEvents.runsOrdered && typeof waited === "number" && typeof priority === "number") {
+            this.metrics.noteTaskWait(priority, waited);
         }
         else if (event === logEvents.stepAdvised && typeof took === "number") {
             this.metrics.noteAdvice(took);
