--- a/packages/cell/src/headroom/urgent-headroom.ts
+++ b/packages/cell/src/headroom/urgent-headroom.ts
@@ -9,6 +9,7 @@
 import { hasSlack, Prospect, type RankedStep } from "../choosing/index.js";
 import type { CellContext, Step, WorkerState } from "../state/index.js";
 import type { RunStopper, YieldPolicy } from "../yielding/index.js";
+import { HeadroomLog } from "./headroom-log.js";
 import { RoomMaker } from "./room-maker.js";
 import { ServiceRoom } from "./service-room.js";
 import type { Headroom } from "./types.js";
@@ -20,10 +21,12 @@
     readonly #held = new Set<Step>();
 
     readonly #maker: RoomMaker;
+    readonly #log: HeadroomLog;
     #open: readonly WorkerState[] = [];
 
     constructor(private readonly context: CellContext, policy: YieldPolicy, stopper: RunStopper) {
         this.#maker = new RoomMaker(policy, stopper);
+        this.#log = new HeadroomLog(context.options.log);
     }
 
     /** See {@link Headroom.begin}. */
@@ -66,8 +69,9 @@
     }
 
     /** See {@link Headroom.noteShortage}. */
-    noteShortage({ step, prospect }: RankedStep, count: number): void {
-        if (this.#isUrgent(step) && prospect !== Prospect.Overdue) {
+    noteShortage(ranked: RankedStep, count: number): void {
+        const { step } = ranked;
+        if (this.#isUrgent(step) && isWorthRoom(ranked)) {
             this.#services.get(step.job.terms.service)?.addShort(step, count);
         }
     }
@@ -76,13 +80,23 @@
     end(now: Milliseconds): void {
         const priority = this.context.queues?.mostUrgent ?? 0;
         for (const [service, room] of this.#services) {
-            if (!room.hasGangs && room.short > 0) {
+            if (room.hasGangs) {
+                continue;
+            }
+            if (room.short > 0) {
                 const workers = this.#open.filter(({ entry }) => entry?.service === service);
                 this.#maker.make(workers, room, room.short, priority, now);
             }
+            this.#log.note(service, room, now);
         }
     }
 
+    /** See {@link Headroom.keptIn}. */
+    keptIn(service: ServiceName): number {
+        const room = this.#services.get(service);
+        return room === undefined || room.hasGangs ? 0 : room.keptProcessor;
+    }
+
     #addRuns(worker: WorkerState): void {
         for (const { task: { step } } of worker.runs.values()) {
             const { definition, job } = step;
@@ -95,14 +109,15 @@
         }
     }
 
-    #addStep({ step, prospect, latestStart }: RankedStep, now: Milliseconds): void {
+    #addStep(ranked: RankedStep, now: Milliseconds): void {
+        const { step, prospect, latestStart } = ranked;
         const { definition, job } = step;
         const room = this.#roomOf(job.terms.service);
         if (definition.isGang) {
             room.hasGangs = true;
         }
         else if (this.#isUrgent(step)) {
-            if (prospect !== Prospect.Overdue) {
+            if (isWorthRoom(ranked)) {
                 const left = this.context.usage.countLeft(job.organisation, definition.size);
                 room.addWaiting(step, Math.min(left, step.waitingTasks().length));
             }
@@ -125,3 +140,6 @@
         return room;
     }
 }
+
+/** Whether others leave room for an urgent step: its job is owed and can still earn something. */
+const isWorthRoom = ({ prospect, standing }: RankedStep): boolean => prospect !== Prospect.Overdue && standing === 0;
