Patient work is held back by what a gang can use of the free room

Change: of tasks with accelerators the share of their places that is free counts; of others processors as before.

--- a/packages/cell/src/load/hold-back.ts
+++ b/packages/cell/src/load/hold-back.ts
@@ -8,14 +8,17 @@
  * 87% instead of 77%, and patient jobs are on time as before (means of four replays of load).
  */
 import type { Milliseconds, ServiceName } from "@pebbledale/core";
-import { Prospect, type RankedStep } from "../choosing/index.js";
-import type { WorkerState } from "../state/index.js";
+import { countIn, Prospect, type RankedStep, roomOf } from "../choosing/index.js";
+import type { Step, WorkerState } from "../state/index.js";
 import { gangPatience, leastSlack, mostFreeShare, slackOfWork } from "./constants.js";
 
 /** Room of one service. */
 interface ServiceRoom {
+    readonly open: WorkerState[];
     processor: number;
     freeProcessor: number;
+    /** Share of it that is free for a gang that is short of room. */
+    freeShare: number;
     /** The most urgent priority of which a gang is short of room; lower figures are more urgent. */
     shortPriority: number;
 }
@@ -27,9 +30,11 @@
     /** Begins a pass over what waits. `open`: workers that may be ordered. */
     begin(open: readonly WorkerState[]): void {
         this.#services.clear();
-        for (const { entry, freeProcessor } of open) {
+        for (const worker of open) {
+            const { entry, freeProcessor } = worker;
             if (entry !== undefined) {
                 const room = this.#roomOf(entry.service);
+                room.open.push(worker);
                 room.processor += entry.capacity.processorThousandths;
                 room.freeProcessor += Math.max(0, freeProcessor);
             }
@@ -42,22 +47,37 @@
         if (hasWaited && prospect === Prospect.OnTime) {
             const room = this.#roomOf(step.job.terms.service);
             room.shortPriority = Math.min(room.shortPriority, priority);
+            room.freeShare = Math.min(room.freeShare, freeShareFor(step, room));
         }
     }
 
     /** Whether tasks of a step are to wait, though there may be room for them. */
     holds({ step, prospect, priority, latestStart }: RankedStep, now: Milliseconds): boolean {
-        const { processor, freeProcessor, shortPriority } = this.#roomOf(step.job.terms.service);
+        const { shortPriority, freeShare } = this.#roomOf(step.job.terms.service);
         const needed = leastSlack + slackOfWork * step.occurrence.chains[step.index];
         return prospect === Prospect.OnTime
             && priority > shortPriority
             && latestStart - now > needed
-            && freeProcessor <= processor * mostFreeShare;
+            && freeShare <= mostFreeShare;
     }
 
     #roomOf(service: ServiceName): ServiceRoom {
-        const room = this.#services.get(service) ?? { processor: 0, freeProcessor: 0, shortPriority: Infinity };
+        const room = this.#services.get(service) ?? { open: [], processor: 0, freeProcessor: 0, freeShare: 1, shortPriority: Infinity };
         this.#services.set(service, room);
         return room;
     }
 }
+
+/** Of tasks with accelerators, how many fit as a share of those that would fit idle workers: processors alone may be free in plenty. */
+const freeShareFor = (step: Step, { open, processor, freeProcessor }: ServiceRoom): number => {
+    if (step.definition.size.accelerators === 0) {
+        return freeProcessor / processor;
+    }
+    let places = 0;
+    let free = 0;
+    for (const worker of open) {
+        places += worker.countWhenEmpty(step);
+        free += countIn(roomOf(worker), step);
+    }
+    return free / Math.max(1, places);
+};
