--- a/packages/cell/src/load/hold-back.ts
+++ b/packages/cell/src/load/hold-back.ts
@@ -62,7 +62,8 @@
     }
 
     #roomOf(service: ServiceName): ServiceRoom {
-        const room = this.#services.get(service) ?? { open: [], processor: 0, freeProcessor: 0, freeShare: 1, shortPriority: Infinity };
+        const room = this.#services.get(service)
+            ?? { open: [], processor: 0, freeProcessor: 0, freeShare: 1, shortPriority: Infinity };
         this.#services.set(service, room);
         return room;
     }
