--- a/packages/cell/src/placing/placer.ts
+++ b/packages/cell/src/placing/placer.ts
@@ -8,6 +8,7 @@
     dealAll,
     dealInOneRack,
     isWide,
+    Prospect,
     rank,
     type RankedStep,
     RoomIndex,
@@ -221,7 +222,7 @@
             if (this.#mayEverFit(step, waiting.length)) {
                 this.#holdBack.noteShortage(ranked, now);
             }
-            this.#keepRoom(step, waiting.length, now);
+            this.#keepRoom(step, waiting.length, now, ranked.prospect === Prospect.OnTime ? ranked.latestStart : Infinity);
             this.parts.advice.wantRoom(step, waiting.length, this.#roomOf(step, waiting.length, now));
             return;
         }
@@ -263,8 +264,8 @@
     }
 
     /** Keeps room for tasks that do not fit yet, and has their tickets renewed in time. */
-    #keepRoom(step: Step, count: number, now: Milliseconds): void {
-        const plan = this.#reservations.plan(step, count, now);
+    #keepRoom(step: Step, count: number, now: Milliseconds, notAfter = Infinity): void {
+        const plan = this.#reservations.plan(step, count, now, notAfter);
         if (plan !== undefined) {
             this.parts.advice.wantTickets(step, plan, this.#roomOf(step, count, now));
             if (plan.preempts) {
--- a/packages/cell/src/placing/reservations.ts
+++ b/packages/cell/src/placing/reservations.ts
@@ -75,8 +75,8 @@
     }
 
     /** Keeps room for `count` tasks of a step where they will fit first; undefined when they nowhere will. */
-    plan(step: Step, count: number, now: Milliseconds): RoomPlan | undefined {
-        return this.#plans.get(step) ?? this.#make(step, count, now);
+    plan(step: Step, count: number, now: Milliseconds, notAfter = Infinity): RoomPlan | undefined {
+        return this.#plans.get(step) ?? this.#make(step, count, now, notAfter);
     }
 
     /** How many tasks of a step a worker takes at most, so that what is kept there stays kept. */
@@ -110,7 +110,7 @@
         return (this.#places.get(step) ?? Infinity) < (this.#places.get(other) ?? Infinity);
     }
 
-    #make(step: Step, count: number, now: Milliseconds): StandingPlan | undefined {
+    #make(step: Step, count: number, now: Milliseconds, notAfter: Milliseconds): StandingPlan | undefined {
         if (!this.#mayKeepMore()) {
             return undefined;
         }
@@ -119,6 +119,9 @@
         const stopping = this.#draft(step, count, now, true);
         const isWorthStops = (stopping?.from ?? Infinity) + leastPreemptionGain < (waiting?.from ?? Infinity);
         const plan = isWorthStops ? stopping : waiting;
+        if (plan !== undefined && plan.from > notAfter) {
+            return undefined;
+        }
         if (plan !== undefined) {
             this.#keep(step, plan, now);
         }
