Gangs: no room is kept for what comes too late, and none against one that can be on time

Half of their passes found no plan, as 44 of 68 workers were kept for others, half of these gangs that were late already or would be by the time of the room. Change: a gang that can be on time gets no plan whose time is after its latest start; one that can be on time, or is more urgent, plans with room that is kept for one that it outranks, and what is kept for such counts not against the limits.

--- a/packages/cell/src/placing/placer.ts
+++ b/packages/cell/src/placing/placer.ts
@@ -87,7 +87,7 @@
         this.#open = [...context.workers.values()].filter(worker => worker.isOpen(now));
         const ranked = this.#inOrder(now);
         this.#limits.begin(context.queues?.mostUrgent ?? Infinity);
-        this.#reservations.begin(ranked.map(({ step }) => step).filter(step => !this.#limits.isAtLimit(step)), now);
+        this.#reservations.begin(ranked.filter(({ step }) => !this.#limits.isAtLimit(step)), now);
         this.#holdBack.begin(this.#open);
         this.#heldBack = 0;
         this.#index = new RoomIndex(this.#open);
@@ -222,7 +222,7 @@
             if (this.#mayEverFit(step, waiting.length)) {
                 this.#holdBack.noteShortage(ranked, now);
             }
-            this.#keepRoom(step, waiting.length, now, ranked.prospect === Prospect.OnTime ? ranked.latestStart : Infinity);
+            this.#keepRoom(step, waiting.length, now, latestUsefulStart(ranked));
             this.parts.advice.wantRoom(step, waiting.length, this.#roomOf(step, waiting.length, now));
             return;
         }
@@ -263,7 +263,7 @@
         return inOneRack ?? (isPatienceOver ? dealAll(candidates, count) : undefined);
     }
 
-    /** Keeps room for tasks that do not fit yet, and has their tickets renewed in time. */
+    /** Keeps room for tasks that do not fit yet, unless that comes after `notAfter`, and has their tickets renewed in time. */
     #keepRoom(step: Step, count: number, now: Milliseconds, notAfter = Infinity): void {
         const plan = this.#reservations.plan(step, count, now, notAfter);
         if (plan !== undefined) {
@@ -315,3 +315,7 @@
         });
     }
 }
+
+/** While a gang can be on time, room that comes later is of use to others sooner. */
+const latestUsefulStart = ({ prospect, latestStart }: RankedStep): Milliseconds =>
+    prospect === Prospect.OnTime ? latestStart : Infinity;
--- a/packages/cell/src/placing/reservations.ts
+++ b/packages/cell/src/placing/reservations.ts
@@ -13,6 +13,7 @@
     isEligible,
     type IsStopped,
     type Opening,
+    type RankedStep,
     type Room,
     RoomForecast,
     type RoomPlan,
@@ -43,6 +44,11 @@
     readonly madeAt: Milliseconds;
 }
 
+/** A step's place in the order of a pass. */
+interface PlacedRank extends RankedStep {
+    readonly place: number;
+}
+
 /** Added to the cost of a worker whose room is kept for a step further behind. */
 const keptCost = 400;
 
@@ -50,23 +56,23 @@
 export class Reservations {
     readonly #forecast = new RoomForecast();
     readonly #kept = new Map<WorkerState, Reservation>();
-    /** Place of each step in the order of this pass. */
-    readonly #places = new Map<Step, number>();
+    /** The steps of this pass with what decides their order, and their places in it. */
+    readonly #ranks = new Map<Step, PlacedRank>();
     #plans = new Map<Step, StandingPlan>();
     #attempts = 0;
 
     constructor(private readonly context: CellContext, private readonly policy: YieldPolicy) {}
 
     /** Begins a pass over steps in their order: plans that can still be kept stand. */
-    begin(steps: readonly Step[], now: Milliseconds): void {
+    begin(ranked: readonly RankedStep[], now: Milliseconds): void {
         this.#forecast.clear();
         this.#kept.clear();
-        this.#places.clear();
+        this.#ranks.clear();
         this.#attempts = 0;
         const former = this.#plans;
         this.#plans = new Map();
-        steps.forEach((step, place) => this.#places.set(step, place));
-        for (const step of steps) {
+        ranked.forEach((entry, place) => this.#ranks.set(entry.step, { ...entry, place }));
+        for (const { step } of ranked) {
             const plan = former.get(step);
             if (plan !== undefined && this.#stands(step, plan, now)) {
                 this.#keep(step, { ...plan, from: this.#timeOf(step, plan, now) }, now);
@@ -74,7 +80,10 @@
         }
     }
 
-    /** Keeps room for `count` tasks of a step where they will fit first; undefined when they nowhere will. */
+    /**
+     * Keeps room for `count` tasks of a step where they will fit first; undefined when they nowhere will, or not in time. `notAfter`: by
+     * when they have to begin to be of use.
+     */
     plan(step: Step, count: number, now: Milliseconds, notAfter = Infinity): RoomPlan | undefined {
         return this.#plans.get(step) ?? this.#make(step, count, now, notAfter);
     }
@@ -107,11 +116,19 @@
     }
 
     #goesBefore(step: Step, other: Step): boolean {
-        return (this.#places.get(step) ?? Infinity) < (this.#places.get(other) ?? Infinity);
+        return (this.#ranks.get(step)?.place ?? Infinity) < (this.#ranks.get(other)?.place ?? Infinity);
+    }
+
+    /** Whether a step may have room that is kept for another: it can earn more, or is more urgent. */
+    #outranks(step: Step, other: Step): boolean {
+        const rank = this.#ranks.get(step);
+        const otherRank = this.#ranks.get(other);
+        return rank !== undefined && otherRank !== undefined
+            && (rank.prospect - otherRank.prospect || rank.priority - otherRank.priority) < 0;
     }
 
     #make(step: Step, count: number, now: Milliseconds, notAfter: Milliseconds): StandingPlan | undefined {
-        if (!this.#mayKeepMore()) {
+        if (!this.#mayKeepMore(step)) {
             return undefined;
         }
         this.#attempts++;
@@ -143,14 +160,16 @@
 
     /**
      * Whether room may be kept for one more step: beyond these limits the cell would idle. A plan at one worker is limited
-     * by the share of kept workers alone.
+     * by the share of kept workers alone. What is kept for steps that this one outranks does not count: it may have that.
      */
-    #mayKeepMore(): boolean {
+    #mayKeepMore(step: Step): boolean {
         const { size } = this.context.workers;
         const most = Math.max(fewestReservations, Math.floor(size / workersPerReservation));
-        const isShareKept = this.#kept.size > size * keptShare;
-        const wide = [...this.#plans.values()].filter(plan => plan.shares.size > 1).length;
-        return !isShareKept && wide < most && this.#attempts < most * attemptsPerReservation;
+        const kept = [...this.#kept.values()].filter(({ step: other }) => !this.#outranks(step, other)).length;
+        const wide = [...this.#plans]
+            .filter(([other, plan]) => plan.shares.size > 1 && !this.#outranks(step, other))
+            .length;
+        return kept <= size * keptShare && wide < most && this.#attempts < most * attemptsPerReservation;
     }
 
     /** Times at which single tasks of a step will fit, the earliest first. */
@@ -175,7 +194,9 @@
 
     #isPossible(worker: WorkerState, step: Step, now: Milliseconds): boolean {
         const isPermitted = step.permits === undefined || step.permits.isPermitted(worker.id);
-        return isPermitted && !this.#kept.has(worker) && isEligible(worker, step, step.job.terms.service, now);
+        const kept = this.#kept.get(worker);
+        const isOpen = kept === undefined || this.#outranks(step, kept.step);
+        return isPermitted && isOpen && isEligible(worker, step, step.job.terms.service, now);
     }
 
     /** Whether a plan of an earlier pass can still be kept. */
@@ -201,10 +222,24 @@
     #keep(step: Step, plan: StandingPlan, now: Milliseconds): void {
         this.#plans.set(step, plan);
         for (const [worker, tasks] of plan.shares) {
+            this.#release(worker);
             const spare = roomWithout(this.#forecast.roomAt(worker, plan.from, now), step, tasks);
             this.#kept.set(worker, { step, from: plan.from, spare });
         }
     }
+
+    /** Drops the plan that keeps room of a worker: the step may have another. */
+    #release(worker: WorkerState): void {
+        const kept = this.#kept.get(worker);
+        if (kept === undefined) {
+            return;
+        }
+        const plan = this.#plans.get(kept.step);
+        this.#plans.delete(kept.step);
+        for (const other of plan?.shares.keys() ?? []) {
+            this.#kept.delete(other);
+        }
+    }
 }
 
 /** Whether tasks of a step that start now will have ended when the kept room is needed. */
--- a/packages/cell/test/load/hold-back.test.ts
+++ b/packages/cell/test/load/hold-back.test.ts
@@ -1,7 +1,7 @@
 import { queueName } from "@pebbledale/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import type { StartCommand } from "../../src/index.js";
+import type { StartCommand, StepDefinition } from "../../src/index.js";
 import { CellDriver, makeConfiguration, makeJob, makeQueue, makeStep, makeWorker } from "../support/index.js";
 
 const sizeOf = (processorThousandths: number) => ({ processorThousandths, memoryMebibytes: 1, accelerators: 0 });
@@ -10,9 +10,13 @@
 const gang = makeStep({ taskCount: 2, isGang: true, size: sizeOf(6_000), estimate: 30_000 });
 const small = makeStep({ size: sizeOf(1_000), estimate: 2_000 });
 
+const configuration = makeConfiguration(1, [
+    makeQueue("work", { priority: 1 }),
+    makeQueue("patient", { priority: 2, extension: 6 }),
+]);
+
 const makeDriver = (workers: number): CellDriver => {
-    const queues = [makeQueue("work", { priority: 1 }), makeQueue("patient", { priority: 2, extension: 6 })];
-    const driver = new CellDriver(undefined, makeConfiguration(1, queues));
+    const driver = new CellDriver(undefined, configuration);
     driver.addWorkers(...Array.from({ length: workers }, (_, index) => makeWorker(`w${index}`)));
     return driver;
 };
@@ -80,4 +84,21 @@
         driver.cell.submit(makeJob("small", [small]));
         expect(startedJobs(driver)).toEqual(["small"]);
     });
+
+    it("leaves accelerators that are short, however many processors are free", () => {
+        const driver = new CellDriver(undefined, configuration);
+        const capacity = { processorThousandths: 8_000, memoryMebibytes: 32_768, accelerators: 4 };
+        driver.addWorkers(...["w1", "w2"].map(id => makeWorker(id, { capacity })));
+        const withAccelerators = (accelerators: number, changes: Partial<StepDefinition>) =>
+            makeStep({ ...changes, size: { ...sizeOf(1_000), accelerators } });
+        const holder = withAccelerators(2, { taskCount: 2, mostPerWorker: 1, estimate: 60_000 });
+        driver.cell.submit(makeJob("holder", [holder]));
+        driver.confirm(...driver.run().starts);
+        const wide = withAccelerators(4, { taskCount: 2, isGang: true, estimate: 30_000 });
+        driver.cell.submit(makeJob("gang", [wide]));
+        driver.run();
+        driver.clock.advance(1_600);
+        driver.cell.submit(makeJob("small", [withAccelerators(1, { estimate: 2_000 })], patient));
+        expect(startedJobs(driver)).toEqual([]);
+    });
 });
--- a/packages/cell/test/scheduler/reservations.test.ts
+++ b/packages/cell/test/scheduler/reservations.test.ts
@@ -1,7 +1,8 @@
+import { queueName } from "@pebbledale/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import type { StartCommand } from "../../src/index.js";
-import { CellDriver, makeJob, makeStep, makeWorker, running } from "../support/index.js";
+import { CellDriver, makeConfiguration, makeJob, makeQueue, makeStep, makeWorker, running } from "../support/index.js";
 
 const sizeOf = (processorThousandths: number) => ({ processorThousandths, memoryMebibytes: 1, accelerators: 0 });
 /** A gang that needs all of a worker's eight cores. */
@@ -102,3 +103,44 @@
         expect(startedJobs(driver)).toEqual(["wide"]);
     });
 });
+
+/** Two workers that are full until two and sixty seconds from now, with two queues. */
+const unevenlyFull = (): { driver: CellDriver; holders: readonly StartCommand[]; } => {
+    const queues = [makeQueue("work", { priority: 1 }), makeQueue("patient", { priority: 2, extension: 6 })];
+    const driver = new CellDriver(undefined, makeConfiguration(1, queues));
+    driver.addWorkers(makeWorker("w1"), makeWorker("w2"));
+    for (const [id, estimate] of [["first", 2_000], ["second", 60_000]] as const) {
+        driver.cell.submit(makeJob(id, [makeStep({ size: sizeOf(8_000), estimate })]));
+    }
+    const holders = driver.run().starts;
+    driver.confirm(...holders);
+    return { driver, holders };
+};
+
+/** A gang that needs both of these workers. */
+const gangOfBoth = (estimate: number) => makeStep({ taskCount: 2, isGang: true, size: sizeOf(8_000), estimate });
+const longPatient = () => makeJob("patient", [makeStep({ estimate: 100_000 })], { queue: queueName("patient") });
+
+describe("room of several workers for gangs that can't all be on time", () => {
+    it("is kept for one that can be, before one that is late already", () => {
+        const { driver, holders } = unevenlyFull();
+        driver.cell.submit(makeJob("late", [gangOfBoth(100)]));
+        driver.run();
+        driver.clock.advance(1_300);
+        driver.run();
+        driver.cell.submit(makeJob("timely", [gangOfBoth(80_000)]));
+        driver.run();
+        driver.end(holders[0]);
+        driver.cell.submit(longPatient());
+        expect(startedJobs(driver)).toEqual([]);
+    });
+
+    it("is not kept for one that would be late by then", () => {
+        const { driver, holders } = unevenlyFull();
+        driver.cell.submit(makeJob("hopeless", [gangOfBoth(100)]));
+        driver.run();
+        driver.end(holders[0]);
+        driver.cell.submit(longPatient());
+        expect(startedJobs(driver)).toEqual(["patient"]);
+    });
+});
