--- a/packages/cell/src/load/hold-back.ts
+++ b/packages/cell/src/load/hold-back.ts
@@ -8,9 +8,9 @@
  * 87% instead of 77%, and patient jobs are on time as before (means of four replays of load).
  */
 import type { Milliseconds, ServiceName } from "@pebbledale/core";
-import { countIn, Prospect, type RankedStep, roomOf } from "../choosing/index.js";
+import { countIn, hasSlack, Prospect, type RankedStep, roomOf } from "../choosing/index.js";
 import type { Step, WorkerState } from "../state/index.js";
-import { gangPatience, leastSlack, mostFreeShare, slackOfWork } from "./constants.js";
+import { gangPatience, mostFreeShare } from "./constants.js";
 
 /** Room of one service. */
 interface ServiceRoom {
@@ -54,10 +54,9 @@
     /** Whether tasks of a step are to wait, though there may be room for them. */
     holds({ step, prospect, priority, latestStart }: RankedStep, now: Milliseconds): boolean {
         const { shortPriority, freeShare } = this.#roomOf(step.job.terms.service);
-        const needed = leastSlack + slackOfWork * step.occurrence.chains[step.index];
         return prospect === Prospect.OnTime
             && priority > shortPriority
-            && latestStart - now > needed
+            && hasSlack(step, latestStart - now)
             && freeShare <= mostFreeShare;
     }
 
