--- a/packages/core/src/journal/open.ts
+++ b/packages/core/src/journal/open.ts
@@ -25,6 +25,7 @@
         const { pointer, segments, versions } = chain;
         const snapshot = pointer === undefined ? undefined : await readSnapshot(store, shard, pointer);
         await maySeal;
+        signal.throwIfAborted();
         const seal = await chain.seal();
         if (seal === undefined) {
             continue;
--- a/packages/core/src/log-events/index.ts
+++ b/packages/core/src/log-events/index.ts
@@ -38,6 +38,12 @@
         "the metrics address cannot be listened at; the process goes on without",
         "Free the address.",
     ),
+    stoppedWaiting: define(
+        1007,
+        "warn",
+        "the process ends as it would be killed soon; something still waited",
+        "Look at this VM's way to the store; report it if the store answers.",
+    ),
     settingsApplied: define(1101, "info", "settings revision applied", nothing),
     settingsRefused: define(
         1102,
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -14,7 +14,7 @@
     type PlatformStore,
     type Random,
 } from "@pebbledale/core";
-import { createAbortController, type EventLogger } from "@pebbledale/runtime";
+import { createAbortController, type EventLogger, untilAborted } from "@pebbledale/runtime";
 import { ConfigurationWatch } from "./configuration/index.js";
 import { type FollowLimits, followLimitsOf, FollowLoop, longestUnheard } from "./following/index.js";
 import { JobService, RequestLog } from "./front/index.js";
@@ -26,6 +26,7 @@
 import { isRefused, listenForOwners } from "./peers/index.js";
 import { createMemoryChannel, type OwnerMessage, type VmMessage } from "./protocol/index.js";
 import type { EntrySettings } from "./settings/index.js";
+import { stopTimesOf } from "./stop-times.js";
 import { RelayedStore } from "./store-relay/index.js";
 
 const millisecondsPerSecond = 1_000;
@@ -207,13 +208,20 @@
             following.run(background.signal),
             this.#session.run(background.signal),
         ];
-        stop.addEventListener("abort", () => this.#session.leave());
-        await this.#candidate.run(stop);
-        await drained();
+        const leaving = untilAborted(stop).then(() => this.#leave(drained));
+        await Promise.all([this.#candidate.run(stop), leaving]);
         background.abort();
         await Promise.all(running);
     }
 
+    /** Callers are served on while the cell and the links go to others. */
+    async #leave(drained: () => Promise<void>): Promise<void> {
+        const { settings, clock } = this.options;
+        this.#session.leave();
+        this.jobs.answerBy(clock.monotonic() + stopTimesOf(settings.bounds.stopWithin).answersWithin);
+        await drained();
+    }
+
     #noteOwner(hasOwner: boolean): void {
         if (hasOwner) {
             this.#logger.log(logEvents.ownerConnected, { epoch: this.#session.epoch });
--- a/packages/entry/src/front/job-service.ts
+++ b/packages/entry/src/front/job-service.ts
@@ -1,6 +1,7 @@
 /** What a front does for callers: passes requests to the owner and answers each as truly as it can. */
 import { AdmissionReason, type JobDefinition } from "@pebbledale/cell";
 import type { Clock, JobId, Milliseconds, OrganisationName, QueueName } from "@pebbledale/core";
+import { createAbortController } from "@pebbledale/runtime";
 import { NotNowReason, type OwnerReply, type OwnerRequest } from "../protocol/index.js";
 import { answerMargin, noOwnerRetryAfter, ownerWait, pendingAge, shortestAsk } from "./constants.js";
 import type { RequestLog } from "./request-log.js";
@@ -8,6 +9,8 @@
 
 /** See the module's comment. */
 export class JobService {
+    /** Requests have their answers by this moment, by the monotonic clock: the process ends soon after. */
+    #answerBy: Milliseconds = Infinity;
     readonly #pending = new Map<QueueName, { readonly at: Milliseconds; readonly count: number; }>();
 
     constructor(
@@ -16,6 +19,11 @@
         private readonly log: RequestLog,
     ) {}
 
+    /** This VM stops: requests that come from now on have their answers by a moment of the monotonic clock. */
+    answerBy(moment: Milliseconds): void {
+        this.#answerBy = moment;
+    }
+
     /** Hands a job in. `within`: how long the caller waits. */
     submit(definition: JobDefinition, within: Milliseconds): Promise<JobAnswer> {
         return this.#ask({ kind: "submit", definition }, within);
@@ -56,7 +64,7 @@
 
     /** Asks until there is an answer: each request may be sent to the owner again without harm. */
     async #askOwner(body: OwnerRequest, within: Milliseconds): Promise<JobAnswer> {
-        const deadline = this.clock.monotonic() + within - answerMargin;
+        const deadline = Math.min(this.clock.monotonic() + within, this.#answerBy) - answerMargin;
         let wasSent = false;
         for (;;) {
             const left = deadline - this.clock.monotonic();
@@ -80,18 +88,19 @@
         }
     }
 
-    #withLimit(
+    async #withLimit(
         asked: Promise<OwnerReply | undefined>,
         deadline: Milliseconds,
     ): Promise<OwnerReply | undefined | "late"> {
+        const answered = createAbortController();
         const left = Math.max(0, deadline - this.clock.monotonic());
-        return new Promise(resolve => {
-            const timer = setTimeout(() => resolve("late"), left);
-            void asked.then(reply => {
-                clearTimeout(timer);
-                resolve(reply);
-            });
-        });
+        const late = this.clock.sleep(left, answered.signal).then(() => "late" as const);
+        try {
+            return await Promise.race([asked, late]);
+        }
+        finally {
+            answered.abort();
+        }
     }
 }
 
--- a/packages/entry/src/membership/registration.ts
+++ b/packages/entry/src/membership/registration.ts
@@ -8,7 +8,7 @@
     type PlatformLeaseId,
     type PlatformStore,
 } from "@pebbledale/core";
-import type { EventLogger } from "@pebbledale/runtime";
+import { type EventLogger, unlessAborted } from "@pebbledale/runtime";
 import { DependencyWatch } from "../observation/index.js";
 
 /** What a registration needs. */
@@ -22,6 +22,8 @@
     readonly leaseLength: Milliseconds;
 }
 
+/** Longest wait for the end of a lease when a VM stops: a slow store answers in up to 0.4 s. */
+export const revokeLimit: Milliseconds = 400;
 /** A lease is renewed this many times in its length. */
 const renewalsPerLease = 3;
 
@@ -45,12 +47,14 @@
     async run(signal: AbortSignal): Promise<void> {
         const { store, clock, leaseLength } = this.options;
         while (!signal.aborted) {
-            await this.#keep().then(() => this.#watch.noteAnswer(), cause => this.#watch.noteFailure(cause));
+            const kept = this.#keep().then(() => this.#watch.noteAnswer(), cause => this.#watch.noteFailure(cause));
+            await unlessAborted(kept, signal);
             await clock.sleep(leaseLength / renewalsPerLease, signal);
         }
         if (this.#lease !== undefined) {
+            const revoked = store.revokeLease(this.#lease).catch((cause: unknown) => this.#watch.noteFailure(cause));
             // Without an answer the lease runs out by itself.
-            await store.revokeLease(this.#lease).catch((cause: unknown) => this.#watch.noteFailure(cause));
+            await Promise.race([revoked, clock.sleep(revokeLimit)]);
         }
     }
 
--- a/packages/entry/src/owner/constants.ts
+++ b/packages/entry/src/owner/constants.ts
@@ -53,6 +53,10 @@
 export const muchLarger = 1.5;
 /** How long a much larger VM is connected before it is offered the cell. */
 export const offerAfter: Milliseconds = 3_000;
+/** An owner that is to hand over serves on for so long while the store is silent: a stop takes at most six seconds. */
+export const storeWaitBeforeHandOver: Milliseconds = 4_500;
+/** Longest wait for the last records to be kept, in which no caller is answered: three answers of a slow store. */
+export const longestFreeze: Milliseconds = 1_000;
 /** How often the state of the cell is logged, in milliseconds. */
 export const summaryInterval: Milliseconds = 1_000;
 /**
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -16,9 +16,12 @@
 import { Assignments } from "./assignments.js";
 import {
     confirmationHorizon,
+    longestFreeze,
     muchLarger,
     offerAfter,
     ownerBeatInterval,
+    stalledAfter,
+    storeWaitBeforeHandOver,
     summaryInterval,
     tickInterval,
     vmSilence,
@@ -47,6 +50,9 @@
     readonly #summary: Interval;
     readonly #workerEntries: FollowLoop;
     readonly #workerInbox: WorkerInbox;
+    /** Whether the cell is given up, at once or when the store answers. */
+    #isOffered = false;
+    /** Whether it is being handed over: nothing is answered any more. */
     #isHandingOver = false;
     #nextRelay = 0;
 
@@ -234,8 +240,16 @@
         return relayOrder(others, this.#nextRelay++).map(link => operation => link.callStore(operation));
     }
 
-    /** Gives the cell to another VM once all that was accepted is kept; false when there is none. */
+    /**
+     * Gives the cell to another VM once all that was accepted is kept; false when there is none. While the store is silent nobody
+     * could claim the cell, so it is served on for some time.
+     */
     async handOver(): Promise<boolean> {
+        this.#isOffered = true;
+        await this.#untilStoreAnswers(storeWaitBeforeHandOver);
+        if (this.#isStoreSilent) {
+            return false;
+        }
         const candidates = [...this.#vms.values()].filter(link =>
             link.vm.name !== this.options.name && !link.isLeaving
         );
@@ -245,11 +259,25 @@
         );
         this.#isHandingOver = true;
         this.#turns.freeze();
-        await this.#turns.untilKept();
+        // A record that is not kept by then may be found by the next owner; no caller was told that it is.
+        const kept = this.#turns.untilKept().catch((cause: unknown) => this.options.lost.abort(cause));
+        await Promise.race([kept, this.options.clock.sleep(longestFreeze, this.options.lost.signal)]);
         successor?.channel.send({ kind: "hand-over" });
         return successor !== undefined;
     }
 
+    get #isStoreSilent(): boolean {
+        return this.options.journal.silentFor() > stalledAfter;
+    }
+
+    async #untilStoreAnswers(limit: Milliseconds): Promise<void> {
+        const { clock, lost } = this.options;
+        const until = clock.monotonic() + limit;
+        while (this.#isStoreSilent && clock.monotonic() < until && !lost.signal.aborted) {
+            await clock.sleep(tickInterval, lost.signal);
+        }
+    }
+
     /** A VM knows a newer configuration: it is asked for it, unless the store shows it meanwhile. */
     async #wantConfiguration(link: VmLink, version: number): Promise<void> {
         await this.options.clock.sleep(configurationGrace, this.options.lost.signal);
@@ -300,7 +328,7 @@
         const own = this.#vms.get(this.options.name)?.vm.processorShare ?? Infinity;
         const isLarger = (link: VmLink) =>
             !link.isLeaving && link.vm.processorShare >= own * muchLarger && now - link.connectedAt > offerAfter;
-        if (!this.#isHandingOver && [...this.#vms.values()].some(isLarger)) {
+        if (!this.#isOffered && !this.#isStoreSilent && [...this.#vms.values()].some(isLarger)) {
             this.options.onLargerVm();
         }
     }
--- a/packages/entry/src/ownership/candidate.ts
+++ b/packages/entry/src/ownership/candidate.ts
@@ -13,7 +13,7 @@
     type Random,
     shardId,
 } from "@pebbledale/core";
-import { createAbortController, type EventLogger } from "@pebbledale/runtime";
+import { createAbortController, type EventLogger, unlessAborted } from "@pebbledale/runtime";
 import type { FollowLimits } from "../following/index.js";
 import { type CellView, type EntryVm } from "../membership/index.js";
 import type { EntryMetrics } from "../observation/index.js";
@@ -257,8 +257,11 @@
         const onStop = () => void this.#handOver(lost, "the process stops");
         stop.addEventListener("abort", onStop);
         claimed.catch((cause: unknown) => lost.abort(cause));
+        if (stop.aborted) {
+            lost.abort(new ClaimAbandonedError("the process stops"));
+        }
         try {
-            const { journal, contents } = await openJournal({
+            const opened = openJournal({
                 store,
                 clock,
                 random,
@@ -275,6 +278,10 @@
                     largestBytes: journalLargestBytes,
                 },
             }, claimed);
+            // A silent store would keep a process that stops for as long as its calls take.
+            await unlessAborted(opened, lost.signal);
+            lost.signal.throwIfAborted();
+            const { journal, contents } = await opened;
             logger.log(logEvents.ownershipBegun, { epoch: journal.epoch, records: contents.records.length });
             const session = new OwnerSession({
                 journal,
--- a/packages/entry/src/ownership/owner-key.ts
+++ b/packages/entry/src/ownership/owner-key.ts
@@ -9,7 +9,7 @@
     type PlatformStore,
 } from "@pebbledale/core";
 import type { EventLogger } from "@pebbledale/runtime";
-import { ownerKey } from "../membership/index.js";
+import { ownerKey, revokeLimit } from "../membership/index.js";
 import { DependencyWatch } from "../observation/index.js";
 import { renewalsPerLease } from "./constants.js";
 
@@ -78,7 +78,7 @@
 
     /** Keeps the key until `signal` fires, then gives it up. */
     async keep(signal: AbortSignal): Promise<void> {
-        const { store, clock, leaseLength } = this.options;
+        const { clock, leaseLength } = this.options;
         while (!signal.aborted) {
             await clock.sleep(leaseLength / renewalsPerLease, signal);
             if (!signal.aborted) {
@@ -86,9 +86,14 @@
                 this.confirm(signal);
             }
         }
+        // Without an answer the lease runs out by itself.
+        await Promise.race([this.#giveUp(), clock.sleep(revokeLimit)]);
+    }
+
+    async #giveUp(): Promise<void> {
+        const { store } = this.options;
         await this.#claiming?.catch((cause: unknown) => this.#watch.noteFailure(cause));
         if (this.#lease !== undefined) {
-            // Without an answer the lease runs out by itself.
             await store.revokeLease(this.#lease).catch((cause: unknown) => this.#watch.noteFailure(cause));
         }
     }
--- /dev/null
+++ b/packages/entry/src/stop-times.ts
@@ -0,0 +1,28 @@
+/** When a VM that was told to stop does what. */
+import type { Milliseconds } from "@pebbledale/core";
+
+/** The platform asks once a second whether a VM is ready; two misses take it out. In milliseconds. */
+const unreadyFor: Milliseconds = 2_300;
+/** New connections are taken for this share of the time at most, however short that is. */
+const mostUnreadyShare = 0.5;
+/** Kept back from the time after which the process is killed: open requests have their answers by then. */
+const answerReserve: Milliseconds = 900;
+/** The same for the end of the process, which must come by itself. */
+const endReserve: Milliseconds = 300;
+
+/** Times after the word to stop, in milliseconds. */
+export interface StopTimes {
+    /** New connections are taken until then. */
+    readonly closesAfter: Milliseconds;
+    /** Every request has its answer by then. */
+    readonly answersWithin: Milliseconds;
+    /** The process ends by then, whatever still waits. */
+    readonly endsWithin: Milliseconds;
+}
+
+/** The times of a VM that is killed after `stopWithin`. */
+export const stopTimesOf = (stopWithin: Milliseconds): StopTimes => ({
+    closesAfter: Math.min(unreadyFor, stopWithin * mostUnreadyShare),
+    answersWithin: Math.max(0, stopWithin - answerReserve),
+    endsWithin: Math.max(0, stopWithin - endReserve),
+});
--- a/packages/entry/test/front/job-service.test.ts
+++ b/packages/entry/test/front/job-service.test.ts
@@ -3,7 +3,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { JobService, NotNowReason, type OwnerAccess, type OwnerReply, type OwnerRequest } from "../../src/index.js";
-import { makeRequestLog } from "../support/index.js";
+import { makeRequestLog, pass } from "../support/index.js";
 
 const definition = {
     job: jobId("j"),
@@ -51,6 +51,23 @@
         expect((await service.submit(definition, 100)).kind).toEqual("accepted");
     });
 
+    it("answers what comes while its VM stops before the process ends", async () => {
+        const clock = new ManualClock();
+        const access: OwnerAccess = {
+            hasOwner: () => true,
+            ask: () => new Promise(() => undefined),
+            untilOwner: () => Promise.resolve(),
+        };
+        const service = new JobService(access, clock, makeRequestLog(clock).log);
+        service.answerBy(1_000);
+        let answer: string | undefined;
+        void service.submit(definition, 3_000).then(({ kind }) => answer = kind);
+        await pass(clock, 900);
+        expect(answer).toEqual(undefined);
+        await pass(clock, 100);
+        expect(answer).toEqual("uncertain");
+    });
+
     it("asks the next owner again", async () => {
         const { service, asked } = accessOf(undefined, { kind: "accepted" });
         expect((await service.submit(definition, 3_000)).kind).toEqual("accepted");
--- a/packages/entry/test/membership/registration.test.ts
+++ b/packages/entry/test/membership/registration.test.ts
@@ -36,6 +36,9 @@
     }
 
     async revokeLease(): Promise<void> {
+        if (this.isSilent) {
+            return new Promise(() => undefined);
+        }
         this.entry = undefined;
     }
 
@@ -93,6 +96,58 @@
     });
 });
 
+/** Runs until `stop`, and tells whether the run has ended. */
+const watchEnd = (run: (signal: AbortSignal) => Promise<void>) => {
+    const stop = new AbortController();
+    const watched = { stop: () => stop.abort(), hasEnded: false };
+    void run(stop.signal).then(() => watched.hasEnded = true);
+    return watched;
+};
+
+describe("a VM that stops while the store is silent", () => {
+    for (const isBusy of [false, true]) {
+        it(`does not wait long for the end of its lease${isBusy ? ", nor for a renewal that is out" : ""}`, async () => {
+            const store = new OneKeyStore();
+            const clock = new ManualClock();
+            const logger = new KeptLog();
+            const registration = new Registration({
+                store: asStore(store),
+                clock,
+                logger,
+                key: "cell/nodes/a",
+                value: "a",
+                leaseLength: 3_000,
+            });
+            const watched = watchEnd(signal => registration.run(signal));
+            await settle();
+            store.isSilent = true;
+            await pass(clock, isBusy ? 1_100 : 100);
+            watched.stop();
+            await pass(clock, 500);
+            expect(watched.hasEnded).toEqual(true);
+        });
+    }
+
+    it("does not wait long for the end of the owner's key", async () => {
+        const store = new OneKeyStore();
+        const clock = new ManualClock();
+        const key = new OwnerKey({
+            store: asStore(store),
+            clock,
+            logger: new KeptLog(),
+            value: "a",
+            leaseLength: 1_000,
+        });
+        expect(await key.claim(absentVersion)).toEqual(true);
+        const watched = watchEnd(signal => key.keep(signal));
+        store.isSilent = true;
+        await pass(clock, 500);
+        watched.stop();
+        await pass(clock, 500);
+        expect(watched.hasEnded).toEqual(true);
+    });
+});
+
 describe("the owner's key", () => {
     const make = (store: OneKeyStore) =>
         new OwnerKey({
--- /dev/null
+++ b/packages/entry/test/owner/stop-without-store.test.ts
@@ -0,0 +1,61 @@
+/*
+ * While the store is silent no other VM can claim the cell. An owner that was told to stop then waited for its last records to be kept, without
+ * end and without answering anybody, until its process was killed: callers were told after their whole deadline that nothing is known.
+ */
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { stopTimesOf } from "../../src/index.js";
+import { LivesWorld } from "../support/lives/index.js";
+
+describe("an owner that is told to stop while the store is silent", () => {
+    const begin = async () => {
+        const world = await LivesWorld.begin({ workers: 2 });
+        await world.submit("a", "1000");
+        const heard = world.connectListener("vm-1");
+        world.storeSilentSince = world.clock.monotonic() - 1_000;
+        let isOffered: boolean | undefined;
+        void world.owner.handOver().then(offered => isOffered = offered);
+        await world.pass(500);
+        return { world, heard, isOffered: () => isOffered };
+    };
+
+    it("tells callers how their jobs stand, and refuses new ones, for as long as it serves", async () => {
+        const { world, isOffered } = await begin();
+        expect(await world.askState("a")).toEqual("state");
+        const reply = world.handIn("b", "1000");
+        await world.pass(50);
+        expect(await reply).toEqual("not-now");
+        expect(isOffered()).toEqual(undefined);
+        world.end();
+    });
+
+    it("hands the cell over as soon as the store is back", async () => {
+        const { world, heard, isOffered } = await begin();
+        world.storeSilentSince = undefined;
+        await world.pass(200);
+        expect(isOffered()).toEqual(true);
+        expect(heard.includes("hand-over")).toEqual(true);
+        world.end();
+    });
+
+    it("gives it up to nobody, in time for its process to end by itself, when the store stays silent", async () => {
+        const { world, heard, isOffered } = await begin();
+        await world.pass(stopTimesOf(6_000).answersWithin - 500);
+        expect(isOffered()).toEqual(false);
+        expect(heard.includes("hand-over")).toEqual(false);
+        world.end();
+    });
+});
+
+describe("the times of a VM that stops", () => {
+    it("leave two questions of the platform before its door closes, and end before it is killed, in this order", () => {
+        const { closesAfter, answersWithin, endsWithin } = stopTimesOf(6_000);
+        expect(closesAfter > 2_000 && closesAfter < answersWithin).toEqual(true);
+        expect(answersWithin < endsWithin && endsWithin < 6_000).toEqual(true);
+    });
+
+    it("are in this order also where little time is given", () => {
+        const { closesAfter, answersWithin, endsWithin } = stopTimesOf(2_000);
+        expect(closesAfter < answersWithin && answersWithin < endsWithin).toEqual(true);
+    });
+});
--- a/packages/entry/test/support/lives/world.ts
+++ b/packages/entry/test/support/lives/world.ts
@@ -114,6 +114,8 @@
     readonly directory = new ListedWorkers(this.clock);
     /** When the store last renewed the owner's key. */
     keyConfirmedAt: () => Milliseconds = () => this.clock.monotonic();
+    /** Since when the store has been silent; undefined while it answers. */
+    storeSilentSince: Milliseconds | undefined;
     /** Called in each step of time. */
     onStep: () => void = () => undefined;
     readonly #journal: CellRecord[] = [];
@@ -212,6 +214,15 @@
         owner.connect(makeVm("vm-0"), ownerEnd);
     }
 
+    /** Connects a VM that takes nothing but the owner's words; resolves to their kinds, as they come. */
+    connectListener(name: string): string[] {
+        const [ownerEnd, vmEnd] = createMemoryChannel<OwnerMessage, VmMessage>();
+        const heard: string[] = [];
+        vmEnd.onMessage = ({ kind }) => void heard.push(kind);
+        this.owner.connect(makeVm(name), ownerEnd);
+        return heard;
+    }
+
     /** Lists a worker as it is at the moment, or as another life of it. */
     list(machine: Machine, { address, born }: ListedLife = machine, isDraining = false): void {
         const { id } = machine;
@@ -321,13 +332,16 @@
             epoch: epoch(this.#epoch),
             append: async (records: readonly CellRecord[]) => {
                 await this.clock.sleep(this.options.journalTime ?? 0);
+                while (this.storeSilentSince !== undefined) {
+                    await this.clock.sleep(step);
+                }
                 if (!signal.aborted) {
                     this.#journal.push(...records);
                 }
             },
             setSnapshotSource: () => undefined,
             waitingFor: () => 0,
-            silentFor: () => 0,
+            silentFor: () => this.clock.monotonic() - (this.storeSilentSince ?? this.clock.monotonic()),
             stalledFor: () => 0,
         };
         return journal as unknown as Journal;
--- a/packages/runtime/src/abort/index.ts
+++ b/packages/runtime/src/abort/index.ts
@@ -60,3 +60,17 @@
         linked.release();
     }
 };
+
+/** Resolves once a promise has settled well or a signal fires; rejects as the promise does. */
+export const unlessAborted = (settled: Promise<unknown>, signal: AbortSignal): Promise<void> =>
+    withLinkedSignal([signal], undefined, async linked => {
+        await Promise.race([
+            settled,
+            new Promise<void>(resolve => {
+                if (linked.aborted) {
+                    resolve();
+                }
+                linked.addEventListener("abort", () => resolve(), { once: true });
+            }),
+        ]);
+    });
