A VM that starts while the store is silent goes on within 0.3 s of its return

Each VM's first reading of the configuration and of the VMs' keys waited for its limit of 2 s (4603 at 38.01 to 38.05 s on all 43 VMs), as a call that reaches a silent store is never answered; the claim followed at 38.25 s. A VM's key that could not be written was tried again after 1.3 s (4609 at 38.31 s). Change: beside a reading that is out, small calls every 0.15 s while no owner is heard; one that is answered after one that was not shows that the store is back, and the reading is begun anew. A reading that is only slow goes on. A key that could not be kept is tried again after 0.25 s. Ruled out: shorter limits of the reading itself, as a page takes 1.2 s on the slowest links. Tests: follow-loop (0.3 s after a return at 0.7, 1.9 and 3.1 s; nothing could tell before).

--- a/packages/entry/src/configuration/watch.ts
+++ b/packages/entry/src/configuration/watch.ts
@@ -8,7 +8,13 @@
 } from "@pebbledale/cell";
 import { type Clock, logEvents, type Milliseconds } from "@pebbledale/core";
 import type { EventLogger } from "@pebbledale/runtime";
-import { type Followed, type FollowedNews, type FollowLimits, FollowLoop } from "../following/index.js";
+import {
+    type Followed,
+    type FollowedNews,
+    type FollowLimits,
+    FollowLoop,
+    type StoreProbe,
+} from "../following/index.js";
 import { DependencyWatch } from "../observation/index.js";
 
 /**
@@ -24,6 +30,7 @@
     readonly logger: EventLogger;
     /** How long the store may go unheard. */
     readonly limits: FollowLimits;
+    readonly probe: StoreProbe;
     /** Told of each newer version. */
     readonly onChange: (configuration: CellConfiguration) => void;
     /** Told of waves of upkeep. */
@@ -37,13 +44,14 @@
     readonly #loop: FollowLoop;
 
     constructor(private readonly options: ConfigurationWatchOptions) {
-        const { logger, clock, limits } = options;
+        const { logger, clock, limits, probe } = options;
         const { storeUnreachable: lost, storeReachable: regained } = logEvents;
         const store = new DependencyWatch({ logger, clock, lost, regained });
         this.#loop = new FollowLoop({
             followed: this,
             clock,
             limits,
+            probe,
             onAnswer: () => store.noteAnswer(),
             onFailure: (cause, age) => store.noteFailure(cause, age),
         });
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -16,10 +16,10 @@
 } from "@pebbledale/core";
 import { createAbortController, type EventLogger, untilAborted } from "@pebbledale/runtime";
 import { ConfigurationWatch } from "./configuration/index.js";
-import { type FollowLimits, followLimitsOf, FollowLoop, longestUnheard } from "./following/index.js";
+import { type FollowLimits, followLimitsOf, FollowLoop, longestUnheard, StoreProbe } from "./following/index.js";
 import { JobService, RequestLog } from "./front/index.js";
 import { clockDrift, ownerHorizon, VmSession } from "./links/index.js";
-import { cellPrefix, CellView, type EntryVm, FollowedKeys, Registration, vmKey } from "./membership/index.js";
+import { cellPrefix, CellView, type EntryVm, FollowedKeys, ownerKey, Registration, vmKey } from "./membership/index.js";
 import { DependencyWatch, type EntryMetrics, MeasuredLogger, MeasuredWorkers } from "./observation/index.js";
 import { confirmationHorizon, type OwnerSession, type OwnerUpkeep } from "./owner/index.js";
 import { Candidate, ownerLease, vmLease } from "./ownership/index.js";
@@ -66,6 +66,7 @@
     readonly #registration: Registration;
     readonly #candidate: Candidate;
     readonly #store: RelayedStore;
+    readonly #probe: StoreProbe;
     #deadOwner: string | undefined;
     /** Whether the owner asked this VM to take the cell over. */
     #isAsked = false;
@@ -91,11 +92,17 @@
             clock,
             logger,
         });
+        this.#probe = new StoreProbe({
+            clock,
+            call: () => store.get(ownerKey),
+            isWanted: () => !this.#session.hasOwner,
+        });
         this.#configuration = new ConfigurationWatch({
             feed: options.configuration,
             clock,
             logger,
             limits: this.#followLimits,
+            probe: this.#probe,
             onChange: configuration => {
                 this.#session.tellConfiguration(configuration.version);
                 this.#candidate.session?.configure(configuration);
@@ -193,6 +200,7 @@
             followed: new FollowedKeys(store, cellPrefix, this.#view),
             clock,
             limits: this.#followLimits,
+            probe: this.#probe,
             onAnswer: () => {
                 members.noteAnswer();
                 this.#candidate.poke();
--- a/packages/entry/src/following/follow-loop.ts
+++ b/packages/entry/src/following/follow-loop.ts
@@ -16,6 +16,7 @@
     shortestSlack,
 } from "./constants.js";
 import type { FollowLimits } from "./limits.js";
+import type { StoreProbe } from "./store-probe.js";
 
 /** What one call brought. */
 export interface FollowedNews {
@@ -38,12 +39,19 @@
     readonly followed: Followed;
     readonly clock: Clock;
     readonly limits: FollowLimits;
+    /** Tells when a store that has been silent answers again; left out where a call may wait until it is given up. */
+    readonly probe?: StoreProbe;
     /** Told of each answer, after it was taken in. */
     readonly onAnswer: () => void;
     /** Told of each call without an answer, and how long ago the last one came; undefined when there was none yet. */
     readonly onFailure: (cause: unknown, age: Milliseconds | undefined) => void;
 }
 
+/** Thrown when a call is given up as the store, silent when it was made, answers again. */
+class StoreBackError extends Error {
+    override readonly name = "StoreBackError";
+}
+
 /** See the module's comment. */
 export class FollowLoop {
     #answeredAt: Milliseconds | undefined;
@@ -74,7 +82,7 @@
                 onAnswer();
             }
             catch (cause) {
-                if (!signal.aborted) {
+                if (!signal.aborted && !(cause instanceof StoreBackError)) {
                     onFailure(cause, this.age);
                     this.#failuresInARow++;
                     await clock.sleep(this.#failuresInARow > 1 ? repeatedRetryDelay : followRetryDelay, signal);
@@ -126,6 +134,9 @@
         const givenUp = new Promise<never>((_resolve, reject) =>
             ended.signal.addEventListener("abort", () => reject(ended.signal.reason as Error))
         );
+        void this.#untilBack(finished.signal).then(isBack =>
+            isBack ? ended.abort(new StoreBackError("the store answers again")) : undefined
+        );
         void this.options.clock.sleep(limit, finished.signal).then(() =>
             finished.signal.aborted ? undefined : ended.abort(new NoAnswerError(`no answer in ${Math.round(limit)} ms`))
         );
@@ -137,4 +148,10 @@
             signal.removeEventListener("abort", end);
         }
     }
+
+    /** Whether the store came back while a call was out. A call that waits for news is given up soon in any case. */
+    async #untilBack(signal: AbortSignal): Promise<boolean> {
+        const isReadingAll = this.#answeredAt === undefined;
+        return (isReadingAll || this.#failuresInARow > 0) && await this.options.probe?.untilBack(signal) === true;
+    }
 }
--- a/packages/entry/src/following/index.ts
+++ b/packages/entry/src/following/index.ts
@@ -2,3 +2,4 @@
 export * from "./constants.js";
 export * from "./follow-loop.js";
 export * from "./limits.js";
+export * from "./store-probe.js";
--- a/packages/entry/src/membership/registration.ts
+++ b/packages/entry/src/membership/registration.ts
@@ -24,6 +24,8 @@
 
 /** Longest wait for the end of a lease when a VM stops: a slow store answers in up to 0.4 s. */
 export const revokeLimit: Milliseconds = 400;
+/** Wait after a call without an answer: no owner finds a VM whose key has run out. */
+const retryDelay: Milliseconds = 250;
 /** A lease is renewed this many times in its length. */
 const renewalsPerLease = 3;
 
@@ -47,9 +49,16 @@
     async run(signal: AbortSignal): Promise<void> {
         const { store, clock, leaseLength } = this.options;
         while (!signal.aborted) {
-            const kept = this.#keep().then(() => this.#watch.noteAnswer(), cause => this.#watch.noteFailure(cause));
+            let isKept = false;
+            const kept = this.#keep().then(
+                () => {
+                    isKept = true;
+                    this.#watch.noteAnswer();
+                },
+                cause => this.#watch.noteFailure(cause),
+            );
             await unlessAborted(kept, signal);
-            await clock.sleep(leaseLength / renewalsPerLease, signal);
+            await clock.sleep(isKept ? leaseLength / renewalsPerLease : retryDelay, signal);
         }
         if (this.#lease !== undefined) {
             const revoked = store.revokeLease(this.#lease).catch((cause: unknown) => this.#watch.noteFailure(cause));
--- a/packages/entry/test/following/follow-loop.test.ts
+++ b/packages/entry/test/following/follow-loop.test.ts
@@ -8,7 +8,14 @@
 import { ManualClock, type Milliseconds } from "@pebbledale/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { type Followed, type FollowedNews, followLimitsOf, FollowLoop, longestUnheard } from "../../src/index.js";
+import {
+    type Followed,
+    type FollowedNews,
+    followLimitsOf,
+    FollowLoop,
+    longestUnheard,
+    StoreProbe,
+} from "../../src/index.js";
 import { pass } from "../support/index.js";
 
 /** The least time within which the users want a change to be acted on. */
@@ -159,3 +166,62 @@
         stop.abort();
     });
 });
+
+describe("a VM that starts while the store is silent", () => {
+    /** A store that is silent until a moment; calls that come before are never answered. */
+    const begin = ({ backAt, answerTime = 4 }: { backAt: Milliseconds; answerTime?: Milliseconds; }) => {
+        const clock = new ManualClock();
+        let calls = 0;
+        const call = async (time: Milliseconds) => {
+            calls++;
+            if (clock.monotonic() < backAt) {
+                await new Promise(() => undefined);
+            }
+            await clock.sleep(time);
+        };
+        const probe = new StoreProbe({ clock, call: () => call(4), isWanted: () => true });
+        const stop = new AbortController();
+        const loop = new FollowLoop({
+            followed: {
+                readAll: async () => {
+                    await call(answerTime);
+                    return { cursor: "cursor", take: () => undefined };
+                },
+                changes: async (_cursor, wait) => {
+                    await clock.sleep(wait);
+                    return { cursor: "cursor", take: () => undefined };
+                },
+            },
+            clock,
+            limits: followLimitsOf({
+                drainWithin: boundOfUsers,
+                configurationWithin: boundOfUsers,
+                contact: boundOfUsers,
+            }),
+            probe,
+            onAnswer: () => undefined,
+            onFailure: () => undefined,
+        });
+        void loop.run(stop.signal);
+        return { clock, loop, stop, calls: () => calls };
+    };
+
+    for (const backAt of [700, 1_900, 3_100]) {
+        it(`has read all within 0.3 s of its return after ${backAt} ms`, async () => {
+            const { clock, loop, stop } = begin({ backAt });
+            await pass(clock, backAt + 300);
+            expect(loop.age !== undefined).toEqual(true);
+            stop.abort();
+        });
+    }
+
+    it("leaves a page that takes long to come to its end", async () => {
+        const { clock, loop, stop, calls } = begin({ backAt: 0, answerTime: 1_200 });
+        await pass(clock, 1_300);
+        expect(loop.age !== undefined).toEqual(true);
+        const callsBefore = calls();
+        await pass(clock, 500);
+        expect(calls()).toEqual(callsBefore);
+        stop.abort();
+    });
+});
