--- a/packages/core/src/journal/repeated-swap.ts
+++ b/packages/core/src/journal/repeated-swap.ts
@@ -3,7 +3,8 @@
  *
  * A write that stays without an answer is sent again beside the first one, not after it: while the store is silent each call
  * waits for its time to be over, and the write is to be answered as soon as the store is back. Of several that wait only the
- * oldest is repeated; the others once a later call than theirs was answered, so that a slow store gets few calls twice.
+ * oldest is repeated; the others once a later call than theirs was answered, so that a slow store gets few calls twice, and one that
+ * turns calls away is not flooded.
  */
 import { type KeyVersion, type PlatformStore, PlatformUnavailableError, type SwapOutcome } from "../platform/index.js";
 import { AnswerTimes, type Clock, type Milliseconds } from "../time/index.js";
@@ -96,7 +97,7 @@
     }
 
     async #repeat(swap: OpenSwap): Promise<AnsweredSwap> {
-        const { clock, options, signal } = this.needs;
+        const { options, signal } = this.needs;
         const pending = new Map<number, Promise<readonly [number, CallEnd]>>();
         for (let call = 0;; call++) {
             signal.throwIfAborted();
@@ -106,7 +107,7 @@
                 return answer;
             }
             if (pending.size === 0) {
-                await clock.sleep(options.retryDelay, signal);
+                await this.#untilItsTurn(swap, () => options.retryDelay);
             }
         }
     }
@@ -116,7 +117,8 @@
         swap: OpenSwap,
         pending: Map<number, Promise<readonly [number, CallEnd]>>,
     ): Promise<AnsweredSwap | undefined> {
-        const due = this.#answerTimes === undefined ? [] : [this.#untilRepeated(swap, this.#answerTimes)];
+        const times = this.#answerTimes;
+        const due = times === undefined ? [] : [this.#untilItsTurn(swap, () => times.limit)];
         while (pending.size > 0) {
             const ended = await Promise.race([...pending.values(), ...due]);
             if (ended === undefined) {
@@ -134,11 +136,11 @@
         return undefined;
     }
 
-    /** Resolves when a write is to be sent again, or is over. */
-    async #untilRepeated(swap: OpenSwap, times: AnswerTimes): Promise<undefined> {
+    /** Resolves when a write is to be sent again, or is over; looks after each `pause`. */
+    async #untilItsTurn(swap: OpenSwap, pause: () => Milliseconds): Promise<undefined> {
         const { clock, signal } = this.needs;
         do {
-            await clock.sleep(times.limit, signal);
+            await clock.sleep(pause(), signal);
         }
         while (this.#open.has(swap) && !signal.aborted && !this.#mayRepeat(swap));
     }
