An owner that hands the cell over says so: what it did not take in is asked of the next one, or refused truly

Change: a reply of its own; after one wait for the next owner the caller is refused and may come back. Tests: job-service (three; the first two failed before by type and by outcome).

--- a/packages/entry/src/front/job-service.ts
+++ b/packages/entry/src/front/job-service.ts
@@ -66,6 +66,7 @@
     async #askOwner(body: OwnerRequest, within: Milliseconds): Promise<JobAnswer> {
         const deadline = Math.min(this.clock.monotonic() + within, this.#answerBy) - answerMargin;
         let wasSent = false;
+        let hasAskedNext = false;
         for (;;) {
             const left = deadline - this.clock.monotonic();
             if (!this.owner.hasOwner() && left > 0) {
@@ -77,14 +78,23 @@
             if (deadline - this.clock.monotonic() < shortestAsk) {
                 return unanswered(body, wasSent, "too little of the caller's time is left");
             }
-            wasSent = true;
             const reply = await this.#withLimit(this.owner.ask(body), deadline);
             if (reply === "late") {
-                return unanswered(body, wasSent, "the owner gave no answer in time");
+                return unanswered(body, true, "the owner gave no answer in time");
             }
-            if (reply !== undefined) {
+            if (reply?.kind === "handing-over") {
+                if (hasAskedNext) {
+                    return unanswered(body, wasSent, "the cell is being handed over");
+                }
+                hasAskedNext = true;
+                await this.owner.untilOwner(Math.min(deadline - this.clock.monotonic(), ownerWait));
+            }
+            else if (reply !== undefined) {
                 return answerOf(reply);
             }
+            else {
+                wasSent = true;
+            }
         }
     }
 
@@ -124,7 +134,7 @@
     [AdmissionReason.BeyondShare]: "its organisation hands in more than its share while others wait",
 };
 
-const answerOf = (reply: OwnerReply): JobAnswer => {
+const answerOf = (reply: Exclude<OwnerReply, { readonly kind: "handing-over"; }>): JobAnswer => {
     switch (reply.kind) {
         case "not-now":
             return { kind: "refused", retryAfter: reply.retryAfter, reason: notNowReasons[reply.reason] };
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -11,7 +11,13 @@
 import { configurationGrace } from "../configuration/index.js";
 import { FollowLoop } from "../following/index.js";
 import type { EntryVm } from "../membership/index.js";
-import { type Channel, type OwnerMessage, type OwnerRequest, type VmMessage } from "../protocol/index.js";
+import {
+    type Channel,
+    type OwnerMessage,
+    type OwnerReply,
+    type OwnerRequest,
+    type VmMessage,
+} from "../protocol/index.js";
 import type { StoreRelay } from "../store-relay/index.js";
 import { Assignments } from "./assignments.js";
 import {
@@ -385,10 +391,11 @@
     }
 
     async #answer(link: VmLink, request: number, body: OwnerRequest): Promise<void> {
-        // While the cell is handed over the next owner is asked again by the front.
-        const reply = this.#isHandingOver ? undefined : await this.#requests.reply(body);
-        const isForNext = this.#isHandingOver && reply?.kind === "uncertain";
-        if (reply !== undefined && !isForNext) {
+        const reply: OwnerReply = this.#isHandingOver
+            ? { kind: "handing-over" }
+            : await this.#requests.reply(body);
+        // What is uncertain as the cell is handed over meanwhile is asked of the next owner again by the front.
+        if (!this.#isHandingOver || reply.kind !== "uncertain") {
             link.channel.send({ kind: "reply", request, reply });
         }
     }
--- a/packages/entry/src/protocol/messages.ts
+++ b/packages/entry/src/protocol/messages.ts
@@ -314,5 +314,7 @@
     | { readonly kind: "not-now"; readonly retryAfter: Milliseconds; readonly reason: NotNowReason; }
     /** There is no room for the job in time; nothing was taken. */
     | { readonly kind: "not-admitted"; readonly retryAfter: Milliseconds; readonly reason: AdmissionReason; }
+    /** Nothing was done: the cell is handed over, and the next owner is to be asked. */
+    | { readonly kind: "handing-over"; }
     /** Whether it was done is not known. */
     | { readonly kind: "uncertain"; };
--- a/packages/entry/test/front/job-service.test.ts
+++ b/packages/entry/test/front/job-service.test.ts
@@ -74,6 +74,23 @@
         expect(asked.length).toEqual(2);
     });
 
+    it("asks the next owner what the former one did not take in as it handed the cell over", async () => {
+        const { service, asked } = accessOf({ kind: "handing-over" }, { kind: "accepted" });
+        expect((await service.submit(definition, 3_000)).kind).toEqual("accepted");
+        expect(asked.length).toEqual(2);
+    });
+
+    it("refuses truly what no owner has taken in, and keeps nobody waiting for long", async () => {
+        const { service, asked } = accessOf({ kind: "handing-over" }, { kind: "handing-over" }, { kind: "accepted" });
+        expect((await service.submit(definition, 3_000)).kind).toEqual("refused");
+        expect(asked.length).toEqual(2);
+    });
+
+    it("does not know what became of a job that an owner took in before the cell was handed over", async () => {
+        const { service } = accessOf(undefined, { kind: "handing-over" }, { kind: "handing-over" });
+        expect((await service.submit(definition, 3_000)).kind).toEqual("uncertain");
+    });
+
     it("refuses a question without an answer, as it changed nothing", async () => {
         const answer = await accessOf(undefined).service.state(jobId("j"), undefined, 3_000);
         expect(answer.kind).toEqual("refused");
