--- a/packages/core/src/log-events/index.ts
+++ b/packages/core/src/log-events/index.ts
@@ -241,6 +241,7 @@
         "a call had no answer; what follows at its address goes over new connections",
         "Look at the network between this VM and the address if it lasts.",
     ),
+    journalResumed: define(4611, "info", "records are kept again; the line tells how callers were answered", nothing),
     settingsReloaded: define(4605, "info", "the settings file was read again", nothing),
     settingsUnreadable: define(
         4607,
--- a/packages/entry/src/owner/constants.ts
+++ b/packages/entry/src/owner/constants.ts
@@ -55,6 +55,8 @@
 export const offerAfter: Milliseconds = 3_000;
 /** An owner that is to hand over serves on for so long while the store is silent: a stop takes at most six seconds. */
 export const storeWaitBeforeHandOver: Milliseconds = 4_500;
+/** Time between two looks at whether the store has answered by then. */
+export const storeAnswerLook: Milliseconds = 20;
 /** Longest wait for the last records to be kept, in which no caller is answered: three answers of a slow store. */
 export const longestFreeze: Milliseconds = 1_000;
 /** How often the state of the cell is logged, in milliseconds. */
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -26,7 +26,7 @@
     muchLarger,
     offerAfter,
     ownerBeatInterval,
-    stalledAfter,
+    storeAnswerLook,
     storeWaitBeforeHandOver,
     summaryInterval,
     tickInterval,
@@ -34,10 +34,11 @@
 } from "./constants.js";
 import { FollowedWorkers } from "./followed-workers.js";
 import { Interval } from "./interval.js";
+import { OutageLog } from "./outage-log.js";
 import { relayOrder } from "./relay-order.js";
 import { RequestDesk } from "./request-desk.js";
 import { TurnRunner } from "./turn-runner.js";
-import type { OwnerSessionOptions } from "./types.js";
+import { HandOverOutcome, type OwnerSessionOptions } from "./types.js";
 import { UpkeepKeeper } from "./upkeep-keeper.js";
 import { VmLink } from "./vm-link.js";
 import { WorkerInbox } from "./worker-inbox.js";
@@ -49,6 +50,7 @@
     readonly #assignments: Assignments;
     readonly #advice: AdviceDispatcher;
     readonly #requests: RequestDesk;
+    readonly #outages: OutageLog;
     readonly #upkeep: UpkeepKeeper | undefined;
     #configuration: CellConfiguration | undefined;
     readonly #turns: TurnRunner;
@@ -103,6 +105,7 @@
             onAnswer: () => this.#turns.request(),
             onFailure: (cause, age) => this.#noteEntriesUnheard(cause, age),
         });
+        this.#outages = new OutageLog({ journal, clock, logger });
         this.#requests = new RequestDesk({
             cell: this.cell,
             journal,
@@ -110,6 +113,7 @@
             lost: options.lost.signal,
             turn: () => this.#turns.run(),
             isConfirmed: () => this.#doesKeyStand,
+            outages: this.#outages,
         });
         this.#upkeep = options.upkeep && new UpkeepKeeper({
             ...options.upkeep,
@@ -143,6 +147,7 @@
             this.cell.tick();
             this.#dropSilentVms();
             this.#lookForLarger();
+            this.#outages.look();
             this.#beat.runIfDue(() => this.#sendBeats());
             this.#summary.runIfDue(() => this.#tellSummary());
             this.#turns.request();
@@ -247,14 +252,14 @@
     }
 
     /**
-     * Gives the cell to another VM once all that was accepted is kept; false when there is none. While the store is silent nobody
-     * could claim the cell, so it is served on for some time.
+     * Gives the cell to another VM once all that was accepted is kept. While the store is silent nobody could claim the cell, so it
+     * is served on for some time, and nothing has changed where the store stays silent.
      */
-    async handOver(): Promise<boolean> {
+    async handOver(): Promise<HandOverOutcome> {
         this.#isOffered = true;
-        await this.#untilStoreAnswers(storeWaitBeforeHandOver);
-        if (this.#isStoreSilent) {
-            return false;
+        if (!await this.#doesStoreAnswer(storeWaitBeforeHandOver)) {
+            this.#isOffered = false;
+            return HandOverOutcome.StoreSilent;
         }
         const candidates = [...this.#vms.values()].filter(link =>
             link.vm.name !== this.options.name && !link.isLeaving
@@ -269,19 +274,18 @@
         const kept = this.#turns.untilKept().catch((cause: unknown) => this.options.lost.abort(cause));
         await Promise.race([kept, this.options.clock.sleep(longestFreeze, this.options.lost.signal)]);
         successor?.channel.send({ kind: "hand-over" });
-        return successor !== undefined;
+        return successor === undefined ? HandOverOutcome.NoSuccessor : HandOverOutcome.Offered;
     }
 
-    get #isStoreSilent(): boolean {
-        return this.options.journal.silentFor() > stalledAfter;
-    }
-
-    async #untilStoreAnswers(limit: Milliseconds): Promise<void> {
-        const { clock, lost } = this.options;
-        const until = clock.monotonic() + limit;
-        while (this.#isStoreSilent && clock.monotonic() < until && !lost.signal.aborted) {
-            await clock.sleep(tickInterval, lost.signal);
+    /** Whether the store answers a call that is made from now on, waited for up to a limit. */
+    async #doesStoreAnswer(limit: Milliseconds): Promise<boolean> {
+        const { clock, lost, confirm, confirmedAt } = this.options;
+        const since = clock.monotonic();
+        confirm();
+        while (confirmedAt() < since && clock.monotonic() - since < limit && !lost.signal.aborted) {
+            await clock.sleep(storeAnswerLook, lost.signal);
         }
+        return confirmedAt() >= since;
     }
 
     /** A VM knows a newer configuration: it is asked for it, unless the store shows it meanwhile. */
@@ -334,7 +338,7 @@
         const own = this.#vms.get(this.options.name)?.vm.processorShare ?? Infinity;
         const isLarger = (link: VmLink) =>
             !link.isLeaving && link.vm.processorShare >= own * muchLarger && now - link.connectedAt > offerAfter;
-        if (!this.#isOffered && !this.#isStoreSilent && [...this.#vms.values()].some(isLarger)) {
+        if (!this.#isOffered && this.#isConfirmed && [...this.#vms.values()].some(isLarger)) {
             this.options.onLargerVm();
         }
     }
--- a/packages/entry/src/owner/request-desk.ts
+++ b/packages/entry/src/owner/request-desk.ts
@@ -3,6 +3,7 @@
 import type { Clock, JobId, Journal, OrganisationName } from "@pebbledale/core";
 import { NotNowReason, type OwnerReply, type OwnerRequest } from "../protocol/index.js";
 import { recordLimit, stalledAfter, stalledRetryAfter } from "./constants.js";
+import type { OutageLog } from "./outage-log.js";
 
 /** What a desk needs. */
 export interface RequestDeskOptions {
@@ -15,6 +16,8 @@
     readonly turn: () => Promise<boolean>;
     /** Whether nobody else can own the cell now. */
     readonly isConfirmed: () => boolean;
+    /** Told how callers are answered while no record is kept. */
+    readonly outages?: Pick<OutageLog, "noteRefused" | "noteUncertain">;
 }
 
 /** See the module's comment. */
@@ -64,7 +67,7 @@
     }
 
     async #submit(definition: JobDefinition): Promise<OwnerReply> {
-        const { cell, journal } = this.options;
+        const { cell, journal, outages } = this.options;
         if (!this.#isOpenTo(definition)) {
             return { kind: "id-taken" };
         }
@@ -74,6 +77,7 @@
             return { kind: "accepted" };
         }
         if (known === undefined && journal.silentFor() > stalledAfter) {
+            outages?.noteRefused();
             return notNow(NotNowReason.JournalStalled);
         }
         if (known === undefined && !cell.knowsTermsOf(definition)) {
@@ -100,9 +104,13 @@
 
     /** Whether all that was recorded so far is kept, waited for up to the limit. */
     async #untilKept(): Promise<boolean> {
-        const { clock, lost, turn } = this.options;
+        const { clock, lost, turn, outages } = this.options;
         const kept = turn().then(isKept => isKept && !lost.aborted);
-        return Promise.race([kept, clock.sleep(recordLimit).then(() => false)]);
+        const isKept = await Promise.race([kept, clock.sleep(recordLimit).then(() => false)]);
+        if (!isKept) {
+            outages?.noteUncertain();
+        }
+        return isKept;
     }
 }
 
--- a/packages/entry/src/owner/types.ts
+++ b/packages/entry/src/owner/types.ts
@@ -51,3 +51,13 @@
     readonly upkeepTime: Milliseconds;
     readonly turnLength: Milliseconds;
 }
+
+/** What came of handing the cell over. */
+export enum HandOverOutcome {
+    /** Another VM was asked to claim it. */
+    Offered = "offered",
+    /** Nobody is there to take it. */
+    NoSuccessor = "no-successor",
+    /** The store, by which it would be claimed, does not answer. */
+    StoreSilent = "store-silent",
+}
--- a/packages/entry/src/ownership/candidate.ts
+++ b/packages/entry/src/ownership/candidate.ts
@@ -26,7 +26,7 @@
     journalRingSize,
     journalSnapshotEvery,
 } from "../owner/constants.js";
-import { OwnerSession, type OwnerUpkeep } from "../owner/index.js";
+import { HandOverOutcome, OwnerSession, type OwnerUpkeep } from "../owner/index.js";
 import { VmDialer } from "../peers/index.js";
 import { type CampaignInput, claimDelay, isCalm, isGathering, ownerIsSilent, reasonToClaim } from "./campaign.js";
 import {
@@ -254,7 +254,7 @@
     async #serve({ dialer, key, claimed }: Claim, stop: AbortSignal): Promise<void> {
         const { store, clock, random, logger, self, directory } = this.options;
         const lost = createAbortController();
-        const onStop = () => void this.#handOver(lost, "the process stops");
+        const onStop = () => void this.#handOver(lost, "the process stops", stop);
         stop.addEventListener("abort", onStop);
         claimed.catch((cause: unknown) => lost.abort(cause));
         if (stop.aborted) {
@@ -303,7 +303,7 @@
                 isCutOff: () => dialer.hasBeenCutOff,
                 onConfiguration: this.options.onConfiguration,
                 upkeep: this.options.upkeep,
-                onLargerVm: () => void this.#handOver(lost, "a much larger VM is connected"),
+                onLargerVm: () => void this.#handOver(lost, "a much larger VM is connected", stop),
             });
             session.addWaves(this.options.waves());
             dialer.use(session);
@@ -327,11 +327,14 @@
     }
 
     /** Gives the cell to another VM, and goes on until that VM has it or the wait is over. */
-    async #handOver(lost: AbortController, reason: string): Promise<void> {
+    async #handOver(lost: AbortController, reason: string, stop: AbortSignal): Promise<void> {
         const { clock, logger } = this.options;
-        const isOffered = await this.#session?.handOver() ?? false;
-        logger.log(logEvents.ownershipOffered, { isOffered, reason });
-        await clock.sleep(isOffered ? handOverWait : 0, lost.signal);
+        const outcome = await this.#session?.handOver() ?? HandOverOutcome.NoSuccessor;
+        logger.log(logEvents.ownershipOffered, { outcome, reason });
+        if (outcome === HandOverOutcome.StoreSilent && !stop.aborted) {
+            return;
+        }
+        await clock.sleep(outcome === HandOverOutcome.Offered ? handOverWait : 0, lost.signal);
         lost.abort(new Error(reason));
     }
 }
--- a/packages/entry/test/owner/stop-without-store.test.ts
+++ b/packages/entry/test/owner/stop-without-store.test.ts
@@ -4,44 +4,51 @@
  */
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { stopTimesOf } from "../../src/index.js";
+import { HandOverOutcome, stopTimesOf } from "../../src/index.js";
 import { LivesWorld } from "../support/lives/index.js";
 
 describe("an owner that is told to stop while the store is silent", () => {
-    const begin = async () => {
+    const begin = async ({ silentFor = 1_000 } = {}) => {
         const world = await LivesWorld.begin({ workers: 2 });
         await world.submit("a", "1000");
         const heard = world.connectListener("vm-1");
-        world.storeSilentSince = world.clock.monotonic() - 1_000;
-        let isOffered: boolean | undefined;
-        void world.owner.handOver().then(offered => isOffered = offered);
+        world.storeSilentSince = world.clock.monotonic() - silentFor;
+        let outcome: HandOverOutcome | undefined;
+        void world.owner.handOver().then(ended => outcome = ended);
         await world.pass(500);
-        return { world, heard, isOffered: () => isOffered };
+        return { world, heard, outcome: () => outcome };
     };
 
     it("tells callers how their jobs stand, and refuses new ones, for as long as it serves", async () => {
-        const { world, isOffered } = await begin();
+        const { world, outcome } = await begin();
         expect(await world.askState("a")).toEqual("state");
         const reply = world.handIn("b", "1000");
         await world.pass(50);
         expect(await reply).toEqual("not-now");
-        expect(isOffered()).toEqual(undefined);
+        expect(outcome()).toEqual(undefined);
+        world.end();
+    });
+
+    it("does so also when the store has only just fallen silent", async () => {
+        const { world, outcome } = await begin({ silentFor: 10 });
+        expect(await world.askState("a")).toEqual("state");
+        expect(outcome()).toEqual(undefined);
         world.end();
     });
 
     it("hands the cell over as soon as the store is back", async () => {
-        const { world, heard, isOffered } = await begin();
+        const { world, heard, outcome } = await begin();
         world.storeSilentSince = undefined;
         await world.pass(200);
-        expect(isOffered()).toEqual(true);
+        expect(outcome()).toEqual(HandOverOutcome.Offered);
         expect(heard.includes("hand-over")).toEqual(true);
         world.end();
     });
 
     it("gives it up to nobody, in time for its process to end by itself, when the store stays silent", async () => {
-        const { world, heard, isOffered } = await begin();
+        const { world, heard, outcome } = await begin();
         await world.pass(stopTimesOf(6_000).answersWithin - 500);
-        expect(isOffered()).toEqual(false);
+        expect(outcome()).toEqual(HandOverOutcome.StoreSilent);
         expect(heard.includes("hand-over")).toEqual(false);
         world.end();
     });
--- a/packages/entry/test/support/lives/world.ts
+++ b/packages/entry/test/support/lives/world.ts
@@ -196,7 +196,7 @@
             name: "vm-0",
             configuration,
             formerLeases: longestLease,
-            confirmedAt: () => this.clock.monotonic(),
+            confirmedAt: () => this.storeSilentSince ?? this.clock.monotonic(),
             keyConfirmedAt: () => this.keyConfirmedAt(),
             ownerLease: 1_000,
             confirm: () => undefined,
