--- a/packages/entry/src/ownership/candidate.ts
+++ b/packages/entry/src/ownership/candidate.ts
@@ -13,7 +13,7 @@
     type Random,
     shardId,
 } from "@pebbledale/core";
-import { createAbortController, type EventLogger } from "@pebbledale/runtime";
+import { createAbortController, type EventLogger, unlessAborted } from "@pebbledale/runtime";
 import type { FollowLimits } from "../following/index.js";
 import { type CellView, type EntryVm } from "../membership/index.js";
 import type { EntryMetrics } from "../observation/index.js";
@@ -26,7 +26,7 @@
     journalRingSize,
     journalSnapshotEvery,
 } from "../owner/constants.js";
-import { OwnerSession, type OwnerUpkeep } from "../owner/index.js";
+import { HandOverOutcome, OwnerSession, type OwnerUpkeep } from "../owner/index.js";
 import { VmDialer } from "../peers/index.js";
 import { type CampaignInput, claimDelay, isCalm, isGathering, ownerIsSilent, reasonToClaim } from "./campaign.js";
 import {
@@ -254,11 +254,14 @@
     async #serve({ dialer, key, claimed }: Claim, stop: AbortSignal): Promise<void> {
         const { store, clock, random, logger, self, directory } = this.options;
         const lost = createAbortController();
-        const onStop = () => void this.#handOver(lost, "the process stops");
+        const onStop = () => void this.#handOver(lost, "the process stops", stop);
         stop.addEventListener("abort", onStop);
         claimed.catch((cause: unknown) => lost.abort(cause));
+        if (stop.aborted) {
+            lost.abort(new ClaimAbandonedError("the process stops"));
+        }
         try {
-            const { journal, contents } = await openJournal({
+            const opened = openJournal({
                 store,
                 clock,
                 random,
@@ -275,6 +278,10 @@
                     largestBytes: journalLargestBytes,
                 },
             }, claimed);
+            // A silent store would keep a process that stops for as long as its calls take.
+            await unlessAborted(opened, lost.signal);
+            lost.signal.throwIfAborted();
+            const { journal, contents } = await opened;
             logger.log(logEvents.ownershipBegun, { epoch: journal.epoch, records: contents.records.length });
             const session = new OwnerSession({
                 journal,
@@ -296,7 +303,7 @@
                 isCutOff: () => dialer.hasBeenCutOff,
                 onConfiguration: this.options.onConfiguration,
                 upkeep: this.options.upkeep,
-                onLargerVm: () => void this.#handOver(lost, "a much larger VM is connected"),
+                onLargerVm: () => void this.#handOver(lost, "a much larger VM is connected", stop),
             });
             session.addWaves(this.options.waves());
             dialer.use(session);
@@ -320,11 +327,14 @@
     }
 
     /** Gives the cell to another VM, and goes on until that VM has it or the wait is over. */
-    async #handOver(lost: AbortController, reason: string): Promise<void> {
+    async #handOver(lost: AbortController, reason: string, stop: AbortSignal): Promise<void> {
         const { clock, logger } = this.options;
-        const isOffered = await this.#session?.handOver() ?? false;
-        logger.log(logEvents.ownershipOffered, { isOffered, reason });
-        await clock.sleep(isOffered ? handOverWait : 0, lost.signal);
+        const outcome = await this.#session?.handOver() ?? HandOverOutcome.NoSuccessor;
+        logger.log(logEvents.ownershipOffered, { outcome, reason });
+        if (outcome === HandOverOutcome.StoreSilent && !stop.aborted) {
+            return;
+        }
+        await clock.sleep(outcome === HandOverOutcome.Offered ? handOverWait : 0, lost.signal);
         lost.abort(new Error(reason));
     }
 }
