Patient work is held back for gangs only in a service that is more than half busy

Cause (review of the hold-back by places for gangs): gangs of whole sets of accelerators may find no place while most of the service is free; patient jobs would then wait for longer than the users allow in a service that is less than half in use. Nothing showed it yet. Change: not held back with more than 45% of the service's processors free, whatever the places of gangs.

--- a/packages/cell/src/load/constants.ts
+++ b/packages/cell/src/load/constants.ts
@@ -12,6 +12,11 @@
  * (mean of four replays of load), with 0.5 no more than with this.
  */
 export const mostFreeShare = 0.35;
+/**
+ * Nothing is held back either with more than this share of a service's processors free, however few places a gang finds: work that
+ * waits while more than half of its service idles is owed a start (the users' rules).
+ */
+export const mostIdleShare = 0.45;
 /**
  * A gang that its organisation's limit has no place for waits this long, in milliseconds; then what is less urgent of the same organisation
  * starts nothing, so that the limit gets free. A mean gang takes some seconds: by then some of that work has ended by itself. 90.4% of the
--- a/packages/cell/src/load/hold-back.ts
+++ b/packages/cell/src/load/hold-back.ts
@@ -10,7 +10,7 @@
 import type { Milliseconds, ServiceName } from "@pebbledale/core";
 import { countIn, hasSlack, Prospect, type RankedStep, roomOf } from "../choosing/index.js";
 import type { Step, WorkerState } from "../state/index.js";
-import { gangPatience, mostFreeShare } from "./constants.js";
+import { gangPatience, mostFreeShare, mostIdleShare } from "./constants.js";
 
 /** Room of one service. */
 interface ServiceRoom {
@@ -53,11 +53,12 @@
 
     /** Whether tasks of a step are to wait, though there may be room for them. */
     holds({ step, prospect, priority, latestStart }: RankedStep, now: Milliseconds): boolean {
-        const { shortPriority, freeShare } = this.#roomOf(step.job.terms.service);
+        const { shortPriority, freeShare, processor, freeProcessor } = this.#roomOf(step.job.terms.service);
         return prospect === Prospect.OnTime
             && priority > shortPriority
             && hasSlack(step, latestStart - now)
-            && freeShare <= mostFreeShare;
+            && freeShare <= mostFreeShare
+            && freeProcessor <= processor * mostIdleShare;
     }
 
     #roomOf(service: ServiceName): ServiceRoom {
