Test of the hold-back by accelerators: in a service more than half of which is busy, and that nothing is held in one that is not

The test had seven of eight processors free and expected patient work to wait; the users owe such work a start. The check of the hold-back stands, with the service busy, and one of the opposite is added.

--- a/packages/cell/test/load/hold-back.test.ts
+++ b/packages/cell/test/load/hold-back.test.ts
@@ -1,7 +1,7 @@
 import { queueName } from "@pebbledale/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import type { StartCommand, StepDefinition } from "../../src/index.js";
+import type { StartCommand } from "../../src/index.js";
 import { CellDriver, makeConfiguration, makeJob, makeQueue, makeStep, makeWorker } from "../support/index.js";
 
 const sizeOf = (processorThousandths: number) => ({ processorThousandths, memoryMebibytes: 1, accelerators: 0 });
@@ -85,20 +85,39 @@
         expect(startedJobs(driver)).toEqual(["small"]);
     });
 
-    it("leaves accelerators that are short, however many processors are free", () => {
+    /** Accelerators of which half are taken, by tasks of so many thousandths of a processor; a gang that wants all has waited for a while. */
+    const shortOfAccelerators = (processorThousandths: number): CellDriver => {
         const driver = new CellDriver(undefined, configuration);
         const capacity = { processorThousandths: 8_000, memoryMebibytes: 32_768, accelerators: 4 };
         driver.addWorkers(...["w1", "w2"].map(id => makeWorker(id, { capacity })));
-        const withAccelerators = (accelerators: number, changes: Partial<StepDefinition>) =>
-            makeStep({ ...changes, size: { ...sizeOf(1_000), accelerators } });
-        const holder = withAccelerators(2, { taskCount: 2, mostPerWorker: 1, estimate: 60_000 });
-        driver.cell.submit(makeJob("holder", [holder]));
+        const size = { ...sizeOf(processorThousandths), accelerators: 2 };
+        driver.cell.submit(
+            makeJob("holder", [makeStep({ size, taskCount: 2, mostPerWorker: 1, estimate: 60_000 })]),
+        );
         driver.confirm(...driver.run().starts);
-        const wide = withAccelerators(4, { taskCount: 2, isGang: true, estimate: 30_000 });
+        const wide = makeStep({
+            size: { ...sizeOf(1_000), accelerators: 4 },
+            taskCount: 2,
+            isGang: true,
+            estimate: 30_000,
+        });
         driver.cell.submit(makeJob("gang", [wide]));
         driver.run();
         driver.clock.advance(1_600);
-        driver.cell.submit(makeJob("small", [withAccelerators(1, { estimate: 2_000 })], patient));
+        return driver;
+    };
+    const smallAccelerated = makeStep({ size: { ...sizeOf(1_000), accelerators: 1 }, estimate: 2_000 });
+
+    it("leaves accelerators that are short, also with more processors free than a gang could want", () => {
+        // Three of eight processors are free on each worker.
+        const driver = shortOfAccelerators(5_000);
+        driver.cell.submit(makeJob("small", [smallAccelerated], patient));
         expect(startedJobs(driver)).toEqual([]);
     });
+
+    it("starts in a service most of which is free, however short accelerators are", () => {
+        const driver = shortOfAccelerators(1_000);
+        driver.cell.submit(makeJob("small", [smallAccelerated], patient));
+        expect(startedJobs(driver)).toEqual(["small"]);
+    });
 });
