--- a/packages/cell/test/load/hold-back.test.ts
+++ b/packages/cell/test/load/hold-back.test.ts
@@ -10,9 +10,13 @@
 const gang = makeStep({ taskCount: 2, isGang: true, size: sizeOf(6_000), estimate: 30_000 });
 const small = makeStep({ size: sizeOf(1_000), estimate: 2_000 });
 
+const configuration = makeConfiguration(1, [
+    makeQueue("work", { priority: 1 }),
+    makeQueue("patient", { priority: 2, extension: 6 }),
+]);
+
 const makeDriver = (workers: number): CellDriver => {
-    const queues = [makeQueue("work", { priority: 1 }), makeQueue("patient", { priority: 2, extension: 6 })];
-    const driver = new CellDriver(undefined, makeConfiguration(1, queues));
+    const driver = new CellDriver(undefined, configuration);
     driver.addWorkers(...Array.from({ length: workers }, (_, index) => makeWorker(`w${index}`)));
     return driver;
 };
@@ -80,4 +84,40 @@
         driver.cell.submit(makeJob("small", [small]));
         expect(startedJobs(driver)).toEqual(["small"]);
     });
+
+    /** Accelerators of which half are taken, by tasks of so many thousandths of a processor; a gang that wants all has waited for a while. */
+    const shortOfAccelerators = (processorThousandths: number): CellDriver => {
+        const driver = new CellDriver(undefined, configuration);
+        const capacity = { processorThousandths: 8_000, memoryMebibytes: 32_768, accelerators: 4 };
+        driver.addWorkers(...["w1", "w2"].map(id => makeWorker(id, { capacity })));
+        const size = { ...sizeOf(processorThousandths), accelerators: 2 };
+        driver.cell.submit(
+            makeJob("holder", [makeStep({ size, taskCount: 2, mostPerWorker: 1, estimate: 60_000 })]),
+        );
+        driver.confirm(...driver.run().starts);
+        const wide = makeStep({
+            size: { ...sizeOf(1_000), accelerators: 4 },
+            taskCount: 2,
+            isGang: true,
+            estimate: 30_000,
+        });
+        driver.cell.submit(makeJob("gang", [wide]));
+        driver.run();
+        driver.clock.advance(1_600);
+        return driver;
+    };
+    const smallAccelerated = makeStep({ size: { ...sizeOf(1_000), accelerators: 1 }, estimate: 2_000 });
+
+    it("leaves accelerators that are short, also with more processors free than a gang could want", () => {
+        // Three of eight processors are free on each worker.
+        const driver = shortOfAccelerators(5_000);
+        driver.cell.submit(makeJob("small", [smallAccelerated], patient));
+        expect(startedJobs(driver)).toEqual([]);
+    });
+
+    it("starts in a service most of which is free, however short accelerators are", () => {
+        const driver = shortOfAccelerators(1_000);
+        driver.cell.submit(makeJob("small", [smallAccelerated], patient));
+        expect(startedJobs(driver)).toEqual(["small"]);
+    });
 });
--- a/packages/core/src/log-events/index.ts
+++ b/packages/core/src/log-events/index.ts
@@ -38,6 +38,12 @@
         "the metrics address cannot be listened at; the process goes on without",
         "Free the address.",
     ),
+    stoppedWaiting: define(
+        1007,
+        "warn",
+        "the process ends as it would be killed soon; something still waited",
+        "Look at this VM's way to the store; report it if the store answers.",
+    ),
     settingsApplied: define(1101, "info", "settings revision applied", nothing),
     settingsRefused: define(
         1102,
@@ -236,6 +242,7 @@
         "a call had no answer; what follows at its address goes over new connections",
         "Look at the network between this VM and the address if it lasts.",
     ),
+    journalResumed: define(4611, "info", "records are kept again; the line tells how callers were answered", nothing),
     settingsReloaded: define(4605, "info", "the settings file was read again", nothing),
     settingsUnreadable: define(
         4607,
