--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -37,6 +37,7 @@
 import { OutageLog } from "./outage-log.js";
 import { relayOrder } from "./relay-order.js";
 import { RequestDesk } from "./request-desk.js";
+import { chooseSuccessor } from "./successor.js";
 import { TurnRunner } from "./turn-runner.js";
 import { HandOverOutcome, type OwnerSessionOptions } from "./types.js";
 import { UpkeepKeeper } from "./upkeep-keeper.js";
@@ -261,13 +262,7 @@
             this.#isOffered = false;
             return HandOverOutcome.StoreSilent;
         }
-        const candidates = [...this.#vms.values()].filter(link =>
-            link.vm.name !== this.options.name && !link.isLeaving
-        );
-        const successor = candidates.reduce<VmLink | undefined>(
-            (best, link) => best === undefined || isBetterSuccessor(link, best) ? link : best,
-            undefined,
-        );
+        const successor = chooseSuccessor(this.#vms.values(), this.options.name);
         this.#isHandingOver = true;
         this.#turns.freeze();
         // A record that is not kept by then may be found by the next owner; no caller was told that it is.
@@ -404,9 +399,3 @@
         }
     }
 }
-
-/** The larger VM; among equals the one that started last, as it has been stopped already where all are in turn. */
-const isBetterSuccessor = ({ vm: left }: VmLink, { vm: right }: VmLink): boolean =>
-    left.processorShare !== right.processorShare
-        ? left.processorShare > right.processorShare
-        : left.startedAt > right.startedAt;
