--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -14,18 +14,19 @@
     type PlatformStore,
     type Random,
 } from "@pebbledale/core";
-import { createAbortController, type EventLogger } from "@pebbledale/runtime";
+import { createAbortController, type EventLogger, untilAborted } from "@pebbledale/runtime";
 import { ConfigurationWatch } from "./configuration/index.js";
-import { type FollowLimits, followLimitsOf, FollowLoop, longestUnheard } from "./following/index.js";
+import { type FollowLimits, followLimitsOf, FollowLoop, longestUnheard, StoreProbe } from "./following/index.js";
 import { JobService, RequestLog } from "./front/index.js";
 import { clockDrift, ownerHorizon, VmSession } from "./links/index.js";
-import { cellPrefix, CellView, type EntryVm, FollowedKeys, Registration, vmKey } from "./membership/index.js";
+import { cellPrefix, CellView, type EntryVm, FollowedKeys, ownerKey, Registration, vmKey } from "./membership/index.js";
 import { DependencyWatch, type EntryMetrics, MeasuredLogger, MeasuredWorkers } from "./observation/index.js";
 import { confirmationHorizon, type OwnerSession, type OwnerUpkeep } from "./owner/index.js";
 import { Candidate, ownerLease, vmLease } from "./ownership/index.js";
 import { isRefused, listenForOwners } from "./peers/index.js";
 import { createMemoryChannel, type OwnerMessage, type VmMessage } from "./protocol/index.js";
 import type { EntrySettings } from "./settings/index.js";
+import { stopTimesOf } from "./stop-times.js";
 import { RelayedStore } from "./store-relay/index.js";
 
 const millisecondsPerSecond = 1_000;
@@ -65,6 +66,7 @@
     readonly #registration: Registration;
     readonly #candidate: Candidate;
     readonly #store: RelayedStore;
+    readonly #probe: StoreProbe;
     #deadOwner: string | undefined;
     /** Whether the owner asked this VM to take the cell over. */
     #isAsked = false;
@@ -90,11 +92,17 @@
             clock,
             logger,
         });
+        this.#probe = new StoreProbe({
+            clock,
+            call: () => store.get(ownerKey),
+            isWanted: () => !this.#session.hasOwner,
+        });
         this.#configuration = new ConfigurationWatch({
             feed: options.configuration,
             clock,
             logger,
             limits: this.#followLimits,
+            probe: this.#probe,
             onChange: configuration => {
                 this.#session.tellConfiguration(configuration.version);
                 this.#candidate.session?.configure(configuration);
@@ -192,6 +200,7 @@
             followed: new FollowedKeys(store, cellPrefix, this.#view),
             clock,
             limits: this.#followLimits,
+            probe: this.#probe,
             onAnswer: () => {
                 members.noteAnswer();
                 this.#candidate.poke();
@@ -207,13 +216,20 @@
             following.run(background.signal),
             this.#session.run(background.signal),
         ];
-        stop.addEventListener("abort", () => this.#session.leave());
-        await this.#candidate.run(stop);
-        await drained();
+        const leaving = untilAborted(stop).then(() => this.#leave(drained));
+        await Promise.all([this.#candidate.run(stop), leaving]);
         background.abort();
         await Promise.all(running);
     }
 
+    /** Callers are served on while the cell and the links go to others. */
+    async #leave(drained: () => Promise<void>): Promise<void> {
+        const { settings, clock } = this.options;
+        this.#session.leave();
+        this.jobs.answerBy(clock.monotonic() + stopTimesOf(settings.bounds.stopWithin).answersWithin);
+        await drained();
+    }
+
     #noteOwner(hasOwner: boolean): void {
         if (hasOwner) {
             this.#logger.log(logEvents.ownerConnected, { epoch: this.#session.epoch });
