--- a/packages/cell/src/advising/advice-dispatcher.ts
+++ b/packages/cell/src/advising/advice-dispatcher.ts
@@ -3,9 +3,7 @@
  *
  * The service answers one call at a time for each VM that asks, so a quick question must not wait behind a slow one:
  * some VMs never get slow ones while there are others. A slow question that names many workers is put in parts to VMs that
- * are free, so that its answers come in little more than the time of one call and all of its tickets hold at one moment: at
- * three quarters of the room 97% of the worth of wide gangs is served instead of 86% (a replay of load, one question about 40
- * to 100 workers at a time before).
+ * are free, so that its answers come in little more than the time of one call and all of its tickets hold at one moment.
  */
 import type { Milliseconds, WorkerId } from "@pebbledale/core";
 import { type AdvicePolicy, callDuration, mostAdviceWorkers } from "../advice/index.js";
@@ -14,8 +12,7 @@
 /** Questions that take longer than this are slow ones: half of what an urgent job can lose without being late. */
 const slowQuestion: Milliseconds = 150;
 /**
- * VMs that get no slow questions: so many, and this share of all. Quick ones keep a third of a VM's turn busy at 33
- * workers and one turn at 245; some are to be free at any moment.
+ * VMs that get no slow questions: so many, and this share of all. Some of them are to be free at any moment.
  */
 const fewestQuick = 2;
 const quickShare = 0.06;
--- a/packages/cell/src/advising/constants.ts
+++ b/packages/cell/src/advising/constants.ts
@@ -21,8 +21,7 @@
 /** Tickets for room that is expected are asked for this much earlier than the question takes. */
 export const ticketLead = 80;
 /**
- * Of a gang's tickets those that hold for less than this share of their time are renewed with the first that runs out. When each was asked for by
- * itself, ten waiting gangs took 372 of 542 questions about one worker each within 16 s, their tickets hardly ever held at one moment, and
- * patient steps waited 7.4 s for an answer (logs of a cell after an outage).
+ * Of a gang's tickets those that hold for less than this share of their time are renewed with the first that runs out. Asked for one by
+ * one, they hardly ever hold at one moment, and other steps wait behind the questions.
  */
 export const renewedShare = 0.5;
--- a/packages/cell/src/load/constants.ts
+++ b/packages/cell/src/load/constants.ts
@@ -8,24 +8,21 @@
 export const gangPatience: Milliseconds = 1_500;
 /**
  * With more than this share of a service's processors free nothing is held back: it is not room that is short, and a cell that
- * is half idle while work waits serves nobody. With 0.25 in its place 78% of the worth of wide gangs is served instead of 83%
- * (mean of four replays of load), with 0.5 no more than with this.
+ * is half idle while work waits serves nobody.
  */
 export const mostFreeShare = 0.35;
 /**
  * A gang that its organisation's limit has no place for waits this long, in milliseconds; then what is less urgent of the same organisation
- * starts nothing, so that the limit gets free. A mean gang takes some seconds: by then some of that work has ended by itself. 90.4% of the
- * worth of all organisations is served instead of 89.8% (mean of eight replays of load).
+ * starts nothing, so that the limit gets free. A mean gang takes some seconds: by then some of that work has ended by itself.
  */
 export const limitPatience: Milliseconds = 1_000;
 /**
  * Patient work fills this share of its organisation's limit at most: one job of many tasks would fill all of it for seconds, and urgent jobs
- * of the same organisation, which take less than one, would wait behind it. 96.4% of the worth of urgent jobs is served instead of 94.9%, of all
- * 91.2% instead of 90.4% (means of eight replays of load).
+ * of the same organisation, which take less than one, would wait behind it.
  */
 export const patientShare = 0.8;
 /**
  * Below this share of its limit an organisation's work never waits for the sake of its other work: the users take a job for lost that has nothing at
- * work for three seconds while its organisation has less than half of its limit (the users' rules).
+ * work for three seconds while its organisation has less than half of its limit.
  */
 export const freelyUsedShare = 0.5;
--- a/packages/cell/src/load/hold-back.ts
+++ b/packages/cell/src/load/hold-back.ts
@@ -4,8 +4,7 @@
  * The load that it answers: a cell near its limits, in which gangs need the room of several workers at one moment, while
  * small tasks of less urgent queues take each bit of room as it opens, long before they have to. Such a task then waits
  * until its job could no longer be on time otherwise. Holding it to what a gang leaves over is no substitute: room adds up
- * only where nothing is put into the gaps meanwhile. Of the worth of wide gangs 83% is served instead of 75%, on 245 workers
- * 87% instead of 77%, and patient jobs are on time as before (means of four replays of load).
+ * only where nothing is put into the gaps meanwhile.
  */
 import type { Milliseconds, ServiceName } from "@pebbledale/core";
 import { countIn, hasSlack, Prospect, type RankedStep, roomOf } from "../choosing/index.js";
--- a/packages/cell/src/moving/constants.ts
+++ b/packages/cell/src/moving/constants.ts
@@ -3,8 +3,6 @@
 export const leastLeftToMove = 15;
 /**
  * A gang is stopped when it is expected to end this much after one of its workers leaves. Ends are expected from estimates
- * and progress that are rough, and workers may leave later than they say. Where 15% of the workers leave at a notice of 3 s,
- * 0.87 of the worth of wide gangs is served instead of 0.83, and 6.7% of the work is thrown away instead of 8.6% (mean of
- * four replays of load).
+ * and progress that are rough, and workers may leave later than they say.
  */
 export const leastLateToStop = 1_500;
--- a/packages/cell/test/load/replays.test.ts
+++ b/packages/cell/test/load/replays.test.ts
@@ -28,30 +28,24 @@
 };
 
 describe("load of urgent jobs, patient ones, and wide gangs that a quarter of the workers may run", () => {
-    // 0.86 with one question about 40 to 100 workers at a time, 0.99 with parts to the VMs that are free.
     it("at three quarters of the room: gangs learn in time which workers may run them", () => {
         const outcome = play(steadyLoad, 2);
         expect(outcome.queues["wide"].all.share).toBeGreaterThan(0.93);
         expectOthersServed(outcome);
     });
 
-    // 0.76 when patient work takes each bit of room as it opens, 0.84 when it is held back; 0.88 when gangs that would go with
-    // a worker that leaves are stopped at once.
     it("with bursts, and workers that leave: patient work leaves room for gangs, and those that are lost start again", () => {
         const outcomes = [play(worstLoad, 1), play(worstLoad, 2)];
         expect(meanOf(wideShares(outcomes))).toBeGreaterThan(0.85);
         outcomes.forEach(expectOthersServed);
     });
 
-    // 0.77 when patient work is not held back (four seeds), 0.87 when it is.
     it("with bursts on 245 workers: patient work leaves room for gangs while it has time", () => {
         const outcomes = [play(grownLoad, 1), play(grownLoad, 2)];
         expect(meanOf(wideShares(outcomes))).toBeGreaterThan(0.82);
         outcomes.forEach(expectOthersServed);
     });
 
-    // 8,100 questions and 0.74 of the worth of urgent jobs when all steps are asked about at the same few workers; 4,000 and 0.77
-    // when the workers with room are named in turn.
     it("after three seconds without an owner: hundreds of steps are not all asked about at the same workers", () => {
         const outcomes = [play(backlogLoad, 1), play(backlogLoad, 2)];
         expect(meanOf(outcomes.map(({ questions }) => questions))).toBeLessThan(5_500);
@@ -61,7 +55,6 @@
 });
 
 describe("load of twenty organisations, each under its limit, one of which sends eight times its usual urgent jobs", () => {
-    // 94.8% of the worth of urgent jobs when patient work may fill its organisation's limit, 97.2% when it leaves a fifth (seeds 1 and 2).
     it("serves urgent jobs beside patient ones of the same organisation, and never more than a limit holds", () => {
         const outcomes = [play(sharedLoad, 1), play(sharedLoad, 2)];
         outcomes.forEach(({ broken }) => expect(broken).toEqual([]));
@@ -70,7 +63,7 @@
 });
 
 describe("load of a small cell with tasks that crash their workers, while workers also crash for reasons of their own", () => {
-    // Without trials and a limit the same tasks crash a worker each three seconds until the end: 40 in two minutes, each.
+    // Without trials and a limit such a task crashes one worker after the other until the end.
     it("gives each of these tasks up after three workers, nothing else, and goes on serving urgent jobs", () => {
         const outcomes = [play(crashingLoad, 1), play(crashingLoad, 2)];
         for (const { queues, broken, mostCrashes } of outcomes) {
--- a/packages/core/src/time/gap-watch.ts
+++ b/packages/core/src/time/gap-watch.ts
@@ -5,7 +5,7 @@
  * day gets ahead of the monotonic clock, the process may have been suspended just now, or the time of day was set: which of the
  * two cannot be told here, so it is a sign on which to ask again, never a length of time to reckon with. The clock that counts
  * suspension (CLOCK_BOOTTIME) is not read: Node.js has it only through `os.uptime()`, and where the users run us that shows the
- * time of the host, which does not go with the clocks of the process (0.3 to 1.8 s of it a second of theirs, by the log of one run).
+ * time of the host, which does not go with the clocks of the process.
  */
 import type { Milliseconds } from "./milliseconds.js";
 
--- a/packages/entry/src/front/caller-check.ts
+++ b/packages/entry/src/front/caller-check.ts
@@ -5,10 +5,7 @@
 /** HTTP's scheme for keys that are shown as they are (RFC 6750). */
 const credentials = /^Bearer +([\x21-\x7e]+) *$/i;
 
-/**
- * Longest head that is looked at, in characters. A check takes 3.7 us of a core (3.6 us for a key that nobody has), and took 26 us for a head of 16 kB
- * without this bound (200,000 checks in a loop, 280 keys).
- */
+/** Longest head that is looked at, in characters: a caller's long head may not take a VM's time. */
 const longestCredentials = longestKey + "Bearer ".length;
 
 /** Whose a request is, or why it is turned away. */
--- a/packages/entry/src/links/constants.ts
+++ b/packages/entry/src/links/constants.ts
@@ -13,8 +13,7 @@
 /** How long a look waits for an end. The workers' protocol allows two seconds at most. */
 export const lookWait: Milliseconds = 600;
 /**
- * The same at a worker where nothing is at work: no end is to be seen there. In a cell of 245 workers with one second of work in 51 the workers
- * counted 8,794 looks in place of 14,031 (one play each).
+ * The same at a worker where nothing is at work: no end is to be seen there.
  */
 export const idleLookWait: Milliseconds = 2_000;
 /** A worker counts as idle after this: a start is settled by then, and what it runs is seen. Five usual looks. */
@@ -32,7 +31,7 @@
  * order unless it has heard of a higher token first: it hears of one 20 ms after its start, 120 ms with the longer wait (tests' time).
  */
 export const doubtfulRetryDelay: Milliseconds = 20;
-/** An order that got no answer may be carried out for so long: some were 12 s after they were sent (logs of workers). */
+/** An order that got no answer may be carried out for so long. */
 export const lateOrderTime: Milliseconds = 12_000;
 /** The owner is told how far the runs are at most this often. */
 export const progressInterval: Milliseconds = 500;
@@ -55,7 +54,7 @@
 export const oldMessagesTime: Milliseconds = 300;
 /**
  * Leases at a worker that leaves are at most this long. Nothing but the end of its leases proves that what was on it when it left
- * is over: that is known 3.2 s after its worker left, 10.5 s with leases of 10 s (logs of both). Three times the
+ * is over. Three times the
  * longest time for which renewals stay out while an owner is replaced.
  */
 export const leavingLease: Milliseconds = 3_000;
--- a/packages/entry/src/links/worker-link.ts
+++ b/packages/entry/src/links/worker-link.ts
@@ -197,8 +197,8 @@
 
     /**
      * A look that waits for an end. When its answer is lost it is repeated at once without a wait: only a worker that does
-     * not answer that one either is silent. Where one order in twenty is lost, this and the shorter wait bring the time in
-     * which no end of a worker is seen from 2 s to 0.3 s, by the logs of both.
+     * not answer that one either is silent. Where answers are lost now and then, ends are seen all
+     * the same.
      */
     async #lookForEnds(): Promise<boolean> {
         if (!this.#isSilent && this.#lease.hasClock) {
--- a/packages/entry/src/ownership/constants.ts
+++ b/packages/entry/src/ownership/constants.ts
@@ -4,8 +4,8 @@
 /** Time between two looks at whether this VM is to claim the cell. */
 export const campaignInterval: Milliseconds = 50;
 /**
- * The same while there is an owner and nothing speaks against it: what could is told at once. A VM wakes up to 19 times a second less, by these two
- * intervals; 30 VMs with one second of work in 51 took 66 s of processor time in place of 74 s (one play each, beside other work).
+ * The same while there is an owner and nothing speaks against it: what could is told at once. A VM without work
+ * wakes seldom.
  */
 export const calmCampaignInterval: Milliseconds = 1_000;
 /** Each larger VM makes a candidate wait this long more: a larger one serves the cell better. */
