--- a/packages/core/src/shard/shard-scheduler.ts
+++ b/packages/core/src/shard/shard-scheduler.ts
@@ -4,37 +4,29 @@
  * Each input changes the state by records and returns them with the effects that may be carried out once the records
  * are kept. The class reads time only through the clock it is given and reaches nothing outside.
  */
-import { type Attempt, indexOfTask, type JobId, jobId, jobOfTask, type TaskId, type WorkerId } from "../ids/index.js";
-import { isFinalState, JobState, type JobSubmission, type JobView, WorkloadClass } from "../jobs/index.js";
-import { type Resources } from "../resources/index.js";
+import { type Attempt, type JobId, jobId, type TaskId, type WorkerId } from "../ids/index.js";
+import { isFinalState, JobState, type JobSubmission, type JobView } from "../jobs/index.js";
 import type { Milliseconds } from "../time/index.js";
 import type { ListedWorker } from "../vm-list/index.js";
 import {
     type HeartbeatMessage,
     type RunningTask,
     type StartMessage,
-    WorkerRefusal,
+    type WorkerRefusal,
     type WorkerReport,
 } from "../worker/index.js";
 import { refusalOf } from "./admission.js";
-import { longestRetryAfter, passDepth, passInterval, rateWeight } from "./constants.js";
 import { JobBook } from "./job-book.js";
 import { JobLifecycle } from "./job-lifecycle.js";
-import { describeJob, isEnding, repeatedOutcome } from "./job-view.js";
-import { PendingQueue, type PendingUnit } from "./pending-queue.js";
-import { jobOfRecord, type RecordedPlacement, type ShardRecord } from "./records.js";
+import { describeJob, repeatedOutcome } from "./job-view.js";
+import { PendingQueue } from "./pending-queue.js";
+import { PlacementPass } from "./placement-pass.js";
+import { jobOfRecord, type ShardRecord } from "./records.js";
 import { ShardContext, type ShardSchedulerOptions } from "./shard-context.js";
 import { type SlotGrant, type SlotRequest } from "./slot-ledger.js";
-import { StepBuilder } from "./step-builder.js";
-import {
-    type JobEntry,
-    type OnceEntry,
-    type ShardSnapshot,
-    type Step,
-    type SubmitOutcome,
-    TaskPhase,
-} from "./types.js";
-import { type Choice, WorkerChooser } from "./worker-chooser.js";
+import { StartOrders } from "./start-orders.js";
+import { emptyStep } from "./step-builder.js";
+import { type OnceEntry, type ShardSnapshot, type Step, type SubmitOutcome } from "./types.js";
 import { WorkerReports } from "./worker-reports.js";
 import { WorkerTable } from "./worker-table.js";
 
@@ -44,27 +36,21 @@
     readonly digest: string;
 }
 
-const emptyStep: Step = { records: [], effects: [] };
-
 /** See the module's comment. */
 export class ShardScheduler {
     readonly #context: ShardContext;
     readonly #jobs: JobLifecycle;
     readonly #reports: WorkerReports;
-    readonly #chooser: WorkerChooser;
+    readonly #starts: StartOrders;
+    readonly #pass: PlacementPass;
     #nextJob = 1;
-    #startsSinceTick = 0;
-    #startsPerSecond = 0;
-    #lastTick: Milliseconds;
-    /** When the last pass was, and the room and the queue at its end. */
-    #lastPass = { at: -Infinity, room: -1, ticket: -1 };
 
     constructor(options: ShardSchedulerOptions) {
         this.#context = new ShardContext(options);
         this.#jobs = new JobLifecycle(this.#context);
         this.#reports = new WorkerReports(this.#context, this.#jobs);
-        this.#chooser = new WorkerChooser(this.#context.workers, this.#context.saver);
-        this.#lastTick = this.#context.openedAt;
+        this.#starts = new StartOrders(this.#context, this.#jobs, this.#reports);
+        this.#pass = new PlacementPass(this.#context, this.#jobs);
     }
 
     /** What is known of each worker. */
@@ -130,7 +116,7 @@
         const builder = this.#context.builder();
         const now = this.#context.now();
         const settings = this.#context.options.settings();
-        this.#measureRate(now);
+        this.#pass.measureRate(now);
         const terms = this.#context.terms.due(settings, now);
         if (terms !== undefined) {
             builder.record({ kind: "terms", terms });
@@ -153,7 +139,7 @@
             shapes: this.hasList ? this.workers.shapes() : undefined,
             queueLength: this.queue.length,
             settings: this.#context.options.settings(submission.class),
-            expectedWait: place => this.#expectedWait(place),
+            expectedWait: place => this.#pass.expectedWait(place),
         });
         if (refusal !== undefined) {
             return { step: emptyStep, outcome: { kind: "refused", refusal } };
@@ -199,7 +185,10 @@
         }
         const unit = job.state === JobState.Queued ? this.queue.unitOf(job.tasks[0].task) : undefined;
         const place = unit === undefined ? undefined : this.queue.placeOf(unit);
-        return describeJob(job, { place, expectedWait: place === undefined ? undefined : this.#expectedWait(place) });
+        return describeJob(job, {
+            place,
+            expectedWait: place === undefined ? undefined : this.#pass.expectedWait(place),
+        });
     }
 
     /** The job that a caller's key names. */
@@ -207,87 +196,24 @@
         return this.book.byKey(key)?.job;
     }
 
-    /**
-     * The message that starts an attempt, or undefined when it is no longer to be sent.
-     * `mayHaveArrived`: a copy of it was sent before and got no answer.
-     */
+    /** See {@link StartOrders.message}. */
     startMessage(id: TaskId, attempt: Attempt, mayHaveArrived: boolean): StartMessage | undefined {
-        const task = this.book.task(id);
-        const job = this.book.jobs.get(jobOfTask(id));
-        if (job === undefined || task?.attempt !== attempt || task.phase !== TaskPhase.Starting || !task.assignment) {
-            return undefined;
-        }
-        const entry = this.workers.get(task.assignment.worker);
-        if (entry === undefined || entry.incarnation !== task.assignment.incarnation || !this.#context.mayRenew()) {
-            return undefined;
-        }
-        if (isEnding(job) && !mayHaveArrived) {
-            return undefined;
-        }
-        const settings = this.#context.options.settings();
-        this.#context.noteLeases(entry);
-        return {
-            shard: this.#context.options.shard,
-            epoch: this.#context.options.epoch,
-            task: id,
-            attempt,
-            number: entry.number,
-            latestStart: settings.startWithin,
-            lease: this.#context.terms.inForce(settings).leaseDuration,
-            grant: task.assignment.grant,
-            payload: job.submission.payload,
-            checkpoint: task.checkpoint,
-            serves: job.submission.class === WorkloadClass.Service,
-        };
+        return this.#starts.message(id, attempt, mayHaveArrived);
     }
 
-    /** A worker accepted a start. */
+    /** See {@link StartOrders.accepted}. */
     startAccepted(id: TaskId, attempt: Attempt, running: RunningTask): Step {
-        const task = this.book.task(id);
-        if (task?.attempt !== attempt || task.phase !== TaskPhase.Starting) {
-            return emptyStep;
-        }
-        const builder = this.#context.builder();
-        this.#reports.confirm(task, running);
-        builder.changed(jobOfTask(id));
-        this.#jobs.stopIfUnwanted(task, builder);
-        return builder.step();
+        return this.#starts.accepted(id, attempt, running);
     }
 
-    /** A worker refused a start, or it was given up before it was ever sent: the attempt was not run. */
+    /** See {@link StartOrders.refused}. */
     startRefused(id: TaskId, attempt: Attempt, refusal: WorkerRefusal | undefined): Step {
-        const task = this.book.task(id);
-        if (task?.attempt !== attempt || task.phase !== TaskPhase.Starting || task.assignment === undefined) {
-            return emptyStep;
-        }
-        const builder = this.#context.builder();
-        const entry = this.workers.get(task.assignment.worker);
-        if (entry !== undefined && refusal === WorkerRefusal.Leaving) {
-            entry.saidLeaving = true;
-            this.#context.refresh(entry);
-        }
-        this.#jobs.notStarted(task, refusal === undefined ? "never sent" : `the worker refused: ${refusal}`, builder);
-        return builder.step();
+        return this.#starts.refused(id, attempt, refusal);
     }
 
     /** Places what fits. `mayRecord` is false while the journal takes no records: then nothing is placed. */
     schedule(mayRecord: boolean): Step {
-        const builder = this.#context.builder();
-        if (mayRecord && this.#context.mayRenew() && this.queue.length > 0) {
-            const now = this.#context.now();
-            if (this.#isPassDue(now)) {
-                this.#context.saver.refresh(now);
-                this.queue.offer(unit => this.#place(unit, now, builder), passDepth);
-                this.#lastPass = { at: now, room: this.workers.index.roomVersion, ticket: this.#jobs.nextTicket };
-            }
-        }
-        return builder.step();
-    }
-
-    /** What did not fit before can only fit now if room came free; the rest waits for the next regular pass. */
-    #isPassDue(now: Milliseconds): boolean {
-        const { at, room, ticket } = this.#lastPass;
-        return now - at >= passInterval || room !== this.workers.index.roomVersion || ticket !== this.#jobs.nextTicket;
+        return this.#pass.run(mayRecord);
     }
 
     /** Grants slots of a service's instances to a gateway. Undefined when no such service is known. */
@@ -342,68 +268,9 @@
         }
     }
 
-    /** Wait that is told to one who is refused or comes later, from the rate at which the queue drains. */
-    #expectedWait(place: number): Milliseconds {
-        const rate = Math.max(this.#startsPerSecond, 0.1);
-        return Math.min(longestRetryAfter, Math.ceil(place / rate * 1000));
-    }
-
-    #place(unit: PendingUnit, now: Milliseconds, builder: StepBuilder): boolean {
-        const job = this.#context.jobOf(unit.job);
-        const { size } = unit;
-        const { team } = job.submission;
-        if (
-            !this.#context.teams.isWithinQuota(team, size, unit.tasks.length, this.#context.options.settings().quotas)
-        ) {
-            return false;
-        }
-        const settings = this.#context.options.settings(job.submission.class);
-        const avoided = this.#context.health.failedWorkersOf(job.job);
-        const choice = this.#chooser.choose({ unit, job, settings, avoided, now });
-        if (choice === undefined) {
-            if (unit.tasks.length > 1 && now - unit.since >= settings.gangPatience) {
-                this.#context.saver.save(job.job, size, unit.tasks.length, now);
-            }
-            return false;
-        }
-        this.#context.saver.done(unit.job);
-        this.#recordPlacements(job, unit, choice, size, builder);
-        return true;
-    }
-
-    #recordPlacements(job: JobEntry, unit: PendingUnit, choice: Choice, grant: Resources, builder: StepBuilder): void {
-        const { workers, reason } = choice;
-        const tasks = unit.tasks.map(task => job.tasks[indexOfTask(task)]);
-        const placements = tasks.map((task, index): RecordedPlacement => ({
-            task: task.task,
-            attempt: (task.attempt + 1) as Attempt,
-            worker: workers[index].worker,
-            incarnation: workers[index].incarnation!,
-            grant,
-        }));
-        builder.record({ kind: "starting", at: this.#context.at(), job: job.job, placements, reason });
-        placements.forEach(({ worker, task, attempt }, index) => {
-            this.workers.charge(workers[index], tasks[index], grant);
-            this.#context.teams.take(job.submission.team, grant);
-            builder.effect({ kind: "start", worker, task, attempt });
-        });
-        this.#startsSinceTick += placements.length;
-    }
-
     /** Whether an attempt is the one that its task has now, and is charged to a worker. */
     isCurrent(id: TaskId, attempt: Attempt): boolean {
         const task = this.book.task(id);
         return task?.attempt === attempt && task.assignment !== undefined;
     }
-
-    #measureRate(now: Milliseconds): void {
-        const elapsed = now - this.#lastTick;
-        if (elapsed < 1000) {
-            return;
-        }
-        const rate = this.#startsSinceTick / elapsed * 1000;
-        this.#startsPerSecond += (rate - this.#startsPerSecond) * rateWeight;
-        this.#startsSinceTick = 0;
-        this.#lastTick = now;
-    }
 }
--- a/packages/core/src/shard/step-builder.ts
+++ b/packages/core/src/shard/step-builder.ts
@@ -4,6 +4,9 @@
 import { jobOfRecord, type ShardRecord } from "./records.js";
 import type { Effect, Step } from "./types.js";
 
+/** The step of an input that changes nothing. */
+export const emptyStep: Step = { records: [], effects: [] };
+
 /** Applies each record at once and keeps it for the journal. */
 export class StepBuilder {
     readonly #records: ShardRecord[] = [];
--- a/packages/core/src/shard/worker-reports.ts
+++ b/packages/core/src/shard/worker-reports.ts
@@ -11,15 +11,13 @@
     StopMode,
     type WorkerReport,
 } from "../worker/index.js";
-import { StepBuilder } from "./step-builder.js";
+import { emptyStep, StepBuilder } from "./step-builder.js";
 import { type JobEntry, type Step, type TaskEntry, TaskPhase } from "./types.js";
 import { isLeaving, type WorkerEntry } from "./worker-table.js";
 
 import type { JobLifecycle } from "./job-lifecycle.js";
 import type { ShardContext } from "./shard-context.js";
 
-const emptyStep: Step = { records: [], effects: [] };
-
 /** See the module's comment. */
 export class WorkerReports {
     /** Tasks of a journal whose worker has not been listed yet. */
