--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -24,7 +24,7 @@
 import { PaceKeeper } from "../pacing/index.js";
 import { Placer } from "../placing/index.js";
 import { RunBook, type Silence, WorkerPool } from "../runs/index.js";
-import { HandInRate, OwedFirst } from "../shares/index.js";
+import { Entitlement, HandInRate, OwedFirst } from "../shares/index.js";
 import { EqualSpeeds, type WorkerSpeeds } from "../speeds/index.js";
 import {
     CellContext,
@@ -194,6 +194,7 @@
             job: job.id,
             queue: job.queue,
             organisation: job.organisation,
+            isOwed: this.#entitlements.of(job) === Entitlement.Owed,
             steps: definition.steps.length,
             tasks: definition.steps.reduce((sum, step) => sum + step.taskCount, 0),
         });
--- a/packages/cell/test/shares/owed-first.test.ts
+++ b/packages/cell/test/shares/owed-first.test.ts
@@ -1,5 +1,5 @@
 /** Organisations that share a cell which is full: what each is owed goes first, and no room stays idle. */
-import { organisationName } from "@pebbledale/core";
+import { logEvents, organisationName } from "@pebbledale/core";
 import { expect } from "earl";
 import fc from "fast-check";
 import { describe, it } from "node:test";
@@ -60,6 +60,15 @@
         expect(jobsOf(driver.run().starts)).toEqual(["h4", "s1"]);
     });
 
+    it("can be told from the others by the lines of its jobs", () => {
+        const driver = makeDriver(1);
+        ["h1", "h2", "h3", "h4", "h5"].forEach(name => submit(driver, name, hot));
+        const owed = driver.logged
+            .filter(({ event }) => event === logEvents.jobAccepted)
+            .map(({ fields }) => fields["isOwed"]);
+        expect(owed).toEqual([true, true, true, true, false]);
+    });
+
     it("is counted the same by a new owner", () => {
         const driver = new CellDriver(undefined, configurationOf(1, weights));
         ["h1", "h2", "h3", "h4", "h5"].forEach(name => submit(driver, name, hot));
