Speeds of workers are learned: urgent tasks go to the fast, patient ones leave these free

Change: the times of a step's tasks on several workers are compared by pairs, by worker's life, bounded, with a prior of two samples; differences within a third count as none. The choice adds the logarithm to the cost; expected ends and uses of kept room count with it. Tests: alike workers, bounds, monotone in evidence, forgetting, another life, another owner, the choice.

--- a/packages/cell/src/choosing/constants.ts
+++ b/packages/cell/src/choosing/constants.ts
@@ -22,3 +22,5 @@
 export const leastSlack = 4_000;
 /** The same for callers' estimates that are too short, as a share of the work that is left. */
 export const slackOfWork = 0.5;
+/** Cost of a worker that takes e times as long, beside its processors that stay free: more than those of most workers. */
+export const slownessCost = 50;
--- a/packages/cell/src/choosing/expected-end.ts
+++ b/packages/cell/src/choosing/expected-end.ts
@@ -22,7 +22,7 @@
     const left = 100 - percent;
     const gained = firstSeen === undefined ? 0 : percent - firstSeen.percent;
     if (firstSeen === undefined || gained < enoughProgress) {
-        return Math.max(now + soon, progressedAt + definition.estimate * left / 100);
+        return Math.max(now + soon, progressedAt + definition.estimate * run.worker.slowness * left / 100);
     }
     // Progress was seen some time ago; it goes on at the speed it had until then. What it had done when it was first
     // seen, after a restore or under an earlier owner, says nothing of its speed.
--- a/packages/cell/src/choosing/worker-choice.ts
+++ b/packages/cell/src/choosing/worker-choice.ts
@@ -1,7 +1,7 @@
 /** Chooses workers for the tasks of one step. */
 import type { Milliseconds, ServiceName } from "@pebbledale/core";
 import type { Step, StepPermits, WorkerState } from "../state/index.js";
-import { choiceFactor, fewestCandidates, servingCost, wideTasksPerWorker } from "./constants.js";
+import { choiceFactor, fewestCandidates, servingCost, slownessCost, wideTasksPerWorker } from "./constants.js";
 import type { RoomIndex } from "./room-index.js";
 
 /** Some tasks of a step at one worker. */
@@ -27,6 +27,8 @@
     readonly now: Milliseconds;
     /** How many tasks a worker takes at most, so that room that is kept for others stays kept. */
     readonly limit: (worker: WorkerState) => number;
+    /** Whether the step's tasks go to the fastest workers, or leave these to others. */
+    readonly prefersFast: boolean;
     /** What speaks against a worker, added to its cost. */
     readonly doubt: (worker: WorkerState) => number;
 }
@@ -101,7 +103,7 @@
 const candidateAt = (
     worker: WorkerState,
     ticket: string | undefined,
-    { step, service, now, limit, doubt }: ChoiceInput,
+    { step, service, now, limit, prefersFast, doubt }: ChoiceInput,
     most: number,
 ): Candidate | undefined => {
     // Room first: of the checks it is the cheapest, and under load the one that most workers fail.
@@ -114,7 +116,8 @@
         return undefined;
     }
     const doubted = doubt(worker);
-    return { worker, count, ticket, cost: costOf(worker, step, count) + doubted, isDoubted: doubted > 0 };
+    const cost = costOf(worker, step, count) + slownessCostOf(worker, step, prefersFast) + doubted;
+    return { worker, count, ticket, cost, isDoubted: doubted > 0 };
 };
 
 /** Whether what a step's tasks want most of a worker is that little stays free there. */
@@ -134,6 +137,12 @@
     return (isFar ? farCost : 0) + processorsLeft + acceleratorsLeft * acceleratorCost;
 };
 
+/** Room for urgent tasks on fast workers is worth more than a good fit. A gang is as fast as its slowest member wherever the others are. */
+const slownessCostOf = ({ slowness }: WorkerState, { definition }: Step, prefersFast: boolean): number =>
+    slowness === 1 || definition.isGang || definition.fills
+        ? 0
+        : (prefersFast ? 1 : -1) * Math.log(slowness) * slownessCost;
+
 /** Deals `count` tasks to candidates in their order; undefined when they do not all fit. */
 export const dealAll = (candidates: readonly Share[], count: number): Share[] | undefined => {
     const shares: Share[] = [];
--- a/packages/cell/src/placing/placer.ts
+++ b/packages/cell/src/placing/placer.ts
@@ -142,6 +142,7 @@
             index: this.#index,
             now,
             limit: worker => this.#limitFor(worker, step, now),
+            prefersFast: step.job.terms.priority <= (this.parts.context.queues?.mostUrgent ?? -Infinity),
             doubt: worker => this.parts.health.costOf(worker, step) + this.#reservations.costOf(worker, step, now),
         };
     }
--- a/packages/cell/src/placing/reservations.ts
+++ b/packages/cell/src/placing/reservations.ts
@@ -112,7 +112,7 @@
     /** The reservation that tasks of a step would use room of; undefined when they will have ended by then. */
     #keptAgainst(worker: WorkerState, step: Step, now: Milliseconds): Reservation | undefined {
         const kept = this.#kept.get(worker);
-        return kept === undefined || kept.step === step || endsBefore(step, kept, now) ? undefined : kept;
+        return kept === undefined || kept.step === step || endsBefore(step, worker, kept, now) ? undefined : kept;
     }
 
     #goesBefore(step: Step, other: Step): boolean {
@@ -243,5 +243,9 @@
 }
 
 /** Whether tasks of a step that start now will have ended when the kept room is needed. */
-const endsBefore = ({ definition }: Step, { from }: Reservation, now: Milliseconds): boolean =>
-    !definition.isLasting && now + definition.estimate * backfillMargin <= from;
+const endsBefore = (
+    { definition }: Step,
+    { slowness }: WorkerState,
+    { from }: Reservation,
+    now: Milliseconds,
+): boolean => !definition.isLasting && now + definition.estimate * slowness * backfillMargin <= from;
--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -25,7 +25,7 @@
 import { Placer } from "../placing/index.js";
 import { RunBook, type Silence, WorkerPool } from "../runs/index.js";
 import { EqualStanding } from "../shares/index.js";
-import { EqualSpeeds, type WorkerSpeeds } from "../speeds/index.js";
+import { SpeedBook, type WorkerSpeeds } from "../speeds/index.js";
 import {
     CellContext,
     CellJobState,
@@ -68,7 +68,7 @@
     readonly #crashes: CrashWatch;
     readonly #admission: AdmissionPolicy = new AdmitAll();
     readonly #times: TaskTimes = new EstimatedTimes();
-    readonly #speeds: WorkerSpeeds = new EqualSpeeds();
+    readonly #speeds: WorkerSpeeds = new SpeedBook();
     #wantsPass = false;
 
     constructor(options: CellOptions) {
--- a/packages/cell/src/speeds/index.ts
+++ b/packages/cell/src/speeds/index.ts
@@ -1,3 +1,3 @@
 /** How fast workers are. */
-export * from "./equal-speeds.js";
+export * from "./speed-book.js";
 export * from "./types.js";
--- /dev/null
+++ b/packages/cell/test/speeds/speed-book.test.ts
@@ -0,0 +1,107 @@
+import { queueName, SeededRandom, workerId, workerLife } from "@pebbledale/core";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { RunEnd, type StartCommand } from "../../src/index.js";
+import { CellDriver, idOf, makeConfiguration, makeJob, makeQueue, makeStep, makeWorker } from "../support/index.js";
+
+/** What others learn meanwhile moves a worker's speed by less than this. */
+const rounding = 0.01;
+const ids = ["w1", "w2", "w3", "w4"];
+/** A task that takes all of a worker, so that each worker has one of a job. */
+const whole = { processorThousandths: 8_000, memoryMebibytes: 1_024, accelerators: 0 };
+
+const makeDriver = (): CellDriver => {
+    const queues = [makeQueue("work", { priority: 0 }), makeQueue("patient", { priority: 2, extension: 6 })];
+    const driver = new CellDriver(undefined, makeConfiguration(1, queues));
+    driver.addWorkers(...ids.map(id => makeWorker(id)));
+    return driver;
+};
+
+/** Plays jobs with a task at each worker that takes the worker's time, however much the callers' estimates are off. */
+const playJobs = (driver: CellDriver, count: number, timeOf: (worker: string) => number, seed = 1): void => {
+    const random = new SeededRandom(seed);
+    for (let index = 0; index < count; index++) {
+        const estimate = Math.round(1_000 * Math.exp(random.next() * 4 - 2));
+        const id = `j${driver.clock.monotonic()}-${index}`;
+        driver.cell.submit(makeJob(id, [makeStep({ taskCount: ids.length, size: whole, estimate })]));
+        const { starts } = driver.run();
+        driver.confirm(...starts);
+        endInTurn(driver, starts, timeOf);
+    }
+};
+
+const endInTurn = (driver: CellDriver, starts: readonly StartCommand[], timeOf: (worker: string) => number): void => {
+    const begunAt = driver.clock.monotonic();
+    const inTurn = [...starts].sort((left, right) => timeOf(left.worker) - timeOf(right.worker));
+    for (const start of inTurn) {
+        driver.clock.advance(begunAt + timeOf(start.worker) - driver.clock.monotonic());
+        driver.end(start, RunEnd.Done);
+    }
+};
+
+const slownessOf = (driver: CellDriver, id: string): number => driver.cell.workers.get(idOf(id))!.slowness;
+const firstFast = (id: string): number => id === "w1" ? 500 : 1_000;
+
+describe("what is learned of workers' speeds", () => {
+    it("is nothing where they are alike, however much estimates are off and tasks of a step differ", () => {
+        const driver = makeDriver();
+        const random = new SeededRandom(7);
+        const times = new Map<string, number>();
+        for (let jobs = 0; jobs < 30; jobs++) {
+            ids.forEach(id => times.set(id, 700 + Math.round(random.next() * 600)));
+            playJobs(driver, 1, id => times.get(id)!, jobs);
+        }
+        expect(ids.map(id => slownessOf(driver, id))).toEqual([1, 1, 1, 1]);
+    });
+
+    it("is never more than what was measured, and grows with the evidence", () => {
+        for (const seed of [1, 2, 3, 4, 5, 6]) {
+            const driver = makeDriver();
+            let former = 1;
+            for (let jobs = 0; jobs < 30; jobs++) {
+                playJobs(driver, 1, firstFast, seed + jobs);
+                const slowness = slownessOf(driver, "w1");
+                expect(slowness <= former + rounding && slowness >= 0.5).toEqual(true);
+                former = slowness;
+            }
+            // At least half of the difference is known by then.
+            expect(former).toBeLessThan(Math.SQRT1_2);
+            expect(ids.slice(1).map(id => slownessOf(driver, id))).toEqual([1, 1, 1]);
+        }
+    });
+
+    it("is bounded, whatever a task takes", () => {
+        const driver = makeDriver();
+        playJobs(driver, 40, id => id === "w1" ? 100_000 : 1_000);
+        expect(slownessOf(driver, "w1")).toBeLessThan(4.01);
+    });
+
+    it("is forgotten once the worker's tasks take what others' do", () => {
+        const driver = makeDriver();
+        playJobs(driver, 20, firstFast);
+        expect(slownessOf(driver, "w1")).toBeLessThan(0.7);
+        playJobs(driver, 60, () => 1_000);
+        expect(slownessOf(driver, "w1")).toEqual(1);
+    });
+
+    it("is nothing for the next life of a worker, and for the next owner", () => {
+        const driver = makeDriver();
+        playJobs(driver, 20, firstFast);
+        driver.cell.takeRestart(workerId("w1"), workerLife(2));
+        expect(slownessOf(driver, "w1")).toEqual(1);
+        driver.takeOver();
+        driver.cell.listWorkers(ids.map(id => makeWorker(id)));
+        expect(ids.map(id => slownessOf(driver, id))).toEqual([1, 1, 1, 1]);
+    });
+});
+
+describe("tasks on workers of uneven speed", () => {
+    it("go to the fast ones if they are urgent, and leave these to others if they are patient", () => {
+        const driver = makeDriver();
+        playJobs(driver, 20, firstFast);
+        driver.cell.submit(makeJob("patient", [makeStep()], { queue: queueName("patient") }));
+        expect(driver.run().starts.map(({ worker }) => worker === idOf("w1"))).toEqual([false]);
+        driver.cell.submit(makeJob("urgent", [makeStep()]));
+        expect(driver.run().starts.map(({ worker }) => worker === idOf("w1"))).toEqual([true]);
+    });
+});
