--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -11,24 +11,34 @@
 import { configurationGrace } from "../configuration/index.js";
 import { FollowLoop } from "../following/index.js";
 import type { EntryVm } from "../membership/index.js";
-import { type Channel, type OwnerMessage, type OwnerRequest, type VmMessage } from "../protocol/index.js";
+import {
+    type Channel,
+    type OwnerMessage,
+    type OwnerReply,
+    type OwnerRequest,
+    type VmMessage,
+} from "../protocol/index.js";
 import type { StoreRelay } from "../store-relay/index.js";
 import { Assignments } from "./assignments.js";
 import {
     confirmationHorizon,
+    longestFreeze,
     muchLarger,
     offerAfter,
     ownerBeatInterval,
+    storeAnswerLook,
+    storeWaitBeforeHandOver,
     summaryInterval,
     tickInterval,
     vmSilence,
 } from "./constants.js";
 import { FollowedWorkers } from "./followed-workers.js";
 import { Interval } from "./interval.js";
+import { OutageLog } from "./outage-log.js";
 import { relayOrder } from "./relay-order.js";
 import { RequestDesk } from "./request-desk.js";
 import { TurnRunner } from "./turn-runner.js";
-import type { OwnerSessionOptions } from "./types.js";
+import { HandOverOutcome, type OwnerSessionOptions } from "./types.js";
 import { UpkeepKeeper } from "./upkeep-keeper.js";
 import { VmLink } from "./vm-link.js";
 import { WorkerInbox } from "./worker-inbox.js";
@@ -40,6 +50,7 @@
     readonly #assignments: Assignments;
     readonly #advice: AdviceDispatcher;
     readonly #requests: RequestDesk;
+    readonly #outages: OutageLog;
     readonly #upkeep: UpkeepKeeper | undefined;
     #configuration: CellConfiguration | undefined;
     readonly #turns: TurnRunner;
@@ -47,6 +58,9 @@
     readonly #summary: Interval;
     readonly #workerEntries: FollowLoop;
     readonly #workerInbox: WorkerInbox;
+    /** Whether the cell is given up, at once or when the store answers. */
+    #isOffered = false;
+    /** Whether it is being handed over: nothing is answered any more. */
     #isHandingOver = false;
     #nextRelay = 0;
 
@@ -91,6 +105,7 @@
             onAnswer: () => this.#turns.request(),
             onFailure: (cause, age) => this.#noteEntriesUnheard(cause, age),
         });
+        this.#outages = new OutageLog({ journal, clock, logger });
         this.#requests = new RequestDesk({
             cell: this.cell,
             journal,
@@ -98,6 +113,7 @@
             lost: options.lost.signal,
             turn: () => this.#turns.run(),
             isConfirmed: () => this.#doesKeyStand,
+            outages: this.#outages,
         });
         this.#upkeep = options.upkeep && new UpkeepKeeper({
             ...options.upkeep,
@@ -131,6 +147,7 @@
             this.cell.tick();
             this.#dropSilentVms();
             this.#lookForLarger();
+            this.#outages.look();
             this.#beat.runIfDue(() => this.#sendBeats());
             this.#summary.runIfDue(() => this.#tellSummary());
             this.#turns.request();
@@ -234,8 +251,16 @@
         return relayOrder(others, this.#nextRelay++).map(link => operation => link.callStore(operation));
     }
 
-    /** Gives the cell to another VM once all that was accepted is kept; false when there is none. */
-    async handOver(): Promise<boolean> {
+    /**
+     * Gives the cell to another VM once all that was accepted is kept. While the store is silent nobody could claim the cell, so it
+     * is served on for some time, and nothing has changed where the store stays silent.
+     */
+    async handOver(): Promise<HandOverOutcome> {
+        this.#isOffered = true;
+        if (!await this.#doesStoreAnswer(storeWaitBeforeHandOver)) {
+            this.#isOffered = false;
+            return HandOverOutcome.StoreSilent;
+        }
         const candidates = [...this.#vms.values()].filter(link =>
             link.vm.name !== this.options.name && !link.isLeaving
         );
@@ -245,9 +270,22 @@
         );
         this.#isHandingOver = true;
         this.#turns.freeze();
-        await this.#turns.untilKept();
+        // A record that is not kept by then may be found by the next owner; no caller was told that it is.
+        const kept = this.#turns.untilKept().catch((cause: unknown) => this.options.lost.abort(cause));
+        await Promise.race([kept, this.options.clock.sleep(longestFreeze, this.options.lost.signal)]);
         successor?.channel.send({ kind: "hand-over" });
-        return successor !== undefined;
+        return successor === undefined ? HandOverOutcome.NoSuccessor : HandOverOutcome.Offered;
+    }
+
+    /** Whether the store answers a call that is made from now on, waited for up to a limit. */
+    async #doesStoreAnswer(limit: Milliseconds): Promise<boolean> {
+        const { clock, lost, confirm, confirmedAt } = this.options;
+        const since = clock.monotonic();
+        confirm();
+        while (confirmedAt() < since && clock.monotonic() - since < limit && !lost.signal.aborted) {
+            await clock.sleep(storeAnswerLook, lost.signal);
+        }
+        return confirmedAt() >= since;
     }
 
     /** A VM knows a newer configuration: it is asked for it, unless the store shows it meanwhile. */
@@ -300,7 +338,7 @@
         const own = this.#vms.get(this.options.name)?.vm.processorShare ?? Infinity;
         const isLarger = (link: VmLink) =>
             !link.isLeaving && link.vm.processorShare >= own * muchLarger && now - link.connectedAt > offerAfter;
-        if (!this.#isHandingOver && [...this.#vms.values()].some(isLarger)) {
+        if (!this.#isOffered && this.#isConfirmed && [...this.#vms.values()].some(isLarger)) {
             this.options.onLargerVm();
         }
     }
@@ -357,10 +395,11 @@
     }
 
     async #answer(link: VmLink, request: number, body: OwnerRequest): Promise<void> {
-        // While the cell is handed over the next owner is asked again by the front.
-        const reply = this.#isHandingOver ? undefined : await this.#requests.reply(body);
-        const isForNext = this.#isHandingOver && reply?.kind === "uncertain";
-        if (reply !== undefined && !isForNext) {
+        const reply: OwnerReply = this.#isHandingOver
+            ? { kind: "handing-over" }
+            : await this.#requests.reply(body);
+        // What is uncertain as the cell is handed over meanwhile is asked of the next owner again by the front.
+        if (!this.#isHandingOver || reply.kind !== "uncertain") {
             link.channel.send({ kind: "reply", request, reply });
         }
     }
