--- a/packages/cell/src/choosing/constants.ts
+++ b/packages/cell/src/choosing/constants.ts
@@ -28,3 +28,5 @@
 export const handicapPerCoreSecond = 10;
 /** Most that its size puts an urgent step back, in milliseconds. */
 export const mostHandicap = 1_000;
+/** Cost of a worker that takes e times as long, beside its processors that stay free: more than those of most workers. */
+export const slownessCost = 50;
