Doors that nothing uses go: admission by forecast and times by queue were not kept or not begun

Admission was tried and ruled out (docs/design/shares-and-admission.md); nothing learns times by queue yet. Behaviour is as it was: every job was taken in, every estimate believed.

--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -1,5 +1,4 @@
 /** Public items of the cell: decisions on jobs made of steps, and the interfaces of what is outside. */
-export { AdmissionReason, type AdmissionVerdict } from "./admission/index.js";
 export * from "./advice/index.js";
 export { AdviceDispatcher, type Questioner } from "./advising/index.js";
 export * from "./configuration/index.js";
--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -14,7 +14,6 @@
     type WorkerId,
     type WorkerLife,
 } from "@pebbledale/core";
-import { type AdmissionPolicy, type AdmissionVerdict, AdmitAll } from "../admission/index.js";
 import type { AdviceAnswer } from "../advice/index.js";
 import { AdviceDesk } from "../advising/index.js";
 import type { CellConfiguration } from "../configuration/index.js";
@@ -39,7 +38,6 @@
     type WorkerState,
 } from "../state/index.js";
 import { type Look, OrderRefusal, RunEnd } from "../task-worker/index.js";
-import { EstimatedTimes, type TaskTimes } from "../times/index.js";
 import type { PlannedWorker } from "../upkeep/index.js";
 import { HealthWatch, ProgressWatch } from "../watching/index.js";
 import type { WorkerEntry } from "../worker-directory/index.js";
@@ -66,9 +64,7 @@
     readonly #starts: StartDesk;
     readonly #flow: JobFlow;
     readonly #crashes: CrashWatch;
-    readonly #admission: AdmissionPolicy = new AdmitAll();
     readonly #entitlements: HandInRate;
-    readonly #times: TaskTimes = new EstimatedTimes();
     readonly #speeds: WorkerSpeeds = new SpeedBook();
     #wantsPass = false;
 
@@ -203,14 +199,6 @@
         return job;
     }
 
-    /** Whether a job that is not known yet is to be taken in. */
-    admit(definition: JobDefinition): AdmissionVerdict {
-        const terms = this.#context.termsOf(definition.queue, definition.organisation);
-        return terms === undefined
-            ? { kind: "admitted" }
-            : this.#admission.judge(definition, terms, this.#context.now());
-    }
-
     /** Whether the configuration that this owner knows names the queue and the organisation of a job. */
     knowsTermsOf({ queue, organisation }: JobDefinition): boolean {
         return this.#context.termsOf(queue, organisation) !== undefined;
@@ -425,7 +413,6 @@
         const { step } = run.task;
         this.#health.noteEnd(run, end);
         if (end === RunEnd.Done) {
-            this.#times.noteDone(run, this.#context.now());
             this.#speeds.noteDone(run, this.#context.now());
             this.#progress.noteDone(run);
         }
--- a/packages/entry/src/front/job-service.ts
+++ b/packages/entry/src/front/job-service.ts
@@ -1,5 +1,5 @@
 /** What a front does for callers: passes requests to the owner and answers each as truly as it can. */
-import { AdmissionReason, type JobDefinition } from "@pebbledale/cell";
+import type { JobDefinition } from "@pebbledale/cell";
 import type { Clock, JobId, Milliseconds, OrganisationName, QueueName } from "@pebbledale/core";
 import { createAbortController } from "@pebbledale/runtime";
 import { NotNowReason, type OwnerReply, type OwnerRequest } from "../protocol/index.js";
@@ -129,17 +129,10 @@
     [NotNowReason.NotKeptYet]: "the job's acceptance is not kept yet",
 };
 
-const admissionReasons: Readonly<Record<AdmissionReason, string>> = {
-    [AdmissionReason.NoRoomInTime]: "there is no room for the job in time",
-    [AdmissionReason.BeyondShare]: "its organisation hands in more than its share while others wait",
-};
-
 const answerOf = (reply: Exclude<OwnerReply, { readonly kind: "handing-over"; }>): JobAnswer => {
     switch (reply.kind) {
         case "not-now":
             return { kind: "refused", retryAfter: reply.retryAfter, reason: notNowReasons[reply.reason] };
-        case "not-admitted":
-            return { kind: "refused", retryAfter: reply.retryAfter, reason: admissionReasons[reply.reason] };
         case "uncertain":
             return { kind: "uncertain", reason: "the record was not confirmed in time" };
         default:
--- a/packages/entry/src/owner/request-desk.ts
+++ b/packages/entry/src/owner/request-desk.ts
@@ -1,5 +1,5 @@
 /** Answers what fronts ask for their callers, each as truly as the owner knows at the moment. */
-import type { AdmissionVerdict, CellScheduler, JobDefinition } from "@pebbledale/cell";
+import type { CellScheduler, JobDefinition } from "@pebbledale/cell";
 import type { Clock, JobId, Journal, OrganisationName } from "@pebbledale/core";
 import { NotNowReason, type OwnerReply, type OwnerRequest } from "../protocol/index.js";
 import { recordLimit, stalledAfter, stalledRetryAfter } from "./constants.js";
@@ -87,10 +87,6 @@
         if (known === undefined && cell.isBeyondLimit(definition)) {
             return { kind: "beyond-limit" };
         }
-        const verdict: AdmissionVerdict = known === undefined ? cell.admit(definition) : { kind: "admitted" };
-        if (verdict.kind === "rejected") {
-            return { kind: "not-admitted", retryAfter: verdict.retryAfter, reason: verdict.reason };
-        }
         cell.submit(definition);
         return await this.#untilKept() ? { kind: "accepted" } : { kind: "uncertain" };
     }
--- a/packages/entry/src/protocol/messages.ts
+++ b/packages/entry/src/protocol/messages.ts
@@ -1,6 +1,5 @@
 /** Messages between the owner and the entry VMs. Both sides send them in bundles over one connection. */
 import type {
-    AdmissionReason,
     AdviceAnswer,
     CellConfiguration,
     CellJobState,
@@ -312,8 +311,6 @@
     | { readonly kind: "beyond-limit"; }
     /** Nothing was done; come back after a while. */
     | { readonly kind: "not-now"; readonly retryAfter: Milliseconds; readonly reason: NotNowReason; }
-    /** There is no room for the job in time; nothing was taken. */
-    | { readonly kind: "not-admitted"; readonly retryAfter: Milliseconds; readonly reason: AdmissionReason; }
     /** Nothing was done: the cell is handed over, and the next owner is to be asked. */
     | { readonly kind: "handing-over"; }
     /** Whether it was done is not known. */
