What a newcomer stumbled on: comments without figures, names with units, doors that nothing used

Comments and names only, but for members that nothing used (a pass's begin of shares, a time that nobody read). Not taken up: Headroom beside isHeadroom, pace and speed as three scales.

--- a/packages/cell/src/advising/constants.ts
+++ b/packages/cell/src/advising/constants.ts
@@ -1,8 +1,5 @@
 /** Times, sizes and weights of questions to the advice service that are not settings. Times are in milliseconds. */
-/**
- * Fewest workers that a first question names: the room of a few is gone by the time of the answer. Callers reckon with a question about
- * thirty workers a step.
- */
+/** Fewest workers that a first question names: the room of a few may be gone by the time of the answer. */
 export const fewestAdviceWorkers = 24;
 /** A first question names workers whose free room is this many times what the permitted ones of them need to have. */
 export const roomMargin = 1.5;
@@ -19,7 +16,7 @@
 export const leastPermittedShare = 0.1;
 /** Weight of one answer in the share that is learned for its queue. */
 export const shareWeight = 0.2;
-/** A step that found no room is asked about again at most this often: urgent steps lose a fifth of what they can wait in 100 ms. */
+/** A step that found no room is asked about again at most this often. */
 export const adviceInterval = 40;
 /** Tickets for room that is expected are asked for this much earlier than the question takes. */
 export const ticketLead = 80;
--- a/packages/cell/src/choosing/urgency.ts
+++ b/packages/cell/src/choosing/urgency.ts
@@ -22,9 +22,10 @@
  * The order of steps by what they can still earn. Late narrow steps of the most urgent queues go before patient work that can wait:
  * both earn something that way, whereas behind it late steps would become worthless.
  */
-enum Tier {
+export enum Tier {
     Lasting = 0,
     OnTime = 1,
+    /** Also steps that are on time only if their estimates are right, and those beyond what their organisation is owed. */
     LateUrgent = 2,
     OnTimeWithSlack = 3,
     Late = 4,
@@ -35,9 +36,10 @@
 export interface RankedStep {
     readonly step: Step;
     readonly prospect: Prospect;
-    readonly tier: number;
+    /** See {@link Tier}; lower goes first. */
+    readonly tier: Tier;
     readonly priority: number;
-    /** Its place between organisations among steps of one prospect and priority; lower goes first. */
+    /** 0 where its organisation is owed it, more where it is surplus: that goes behind, and if urgent ranks with late steps. */
     readonly standing: number;
     /** The latest time, by the owner's monotonic clock, at which it can begin and its job be on time. */
     readonly latestStart: Milliseconds;
--- a/packages/cell/src/headroom/headroom-log.ts
+++ b/packages/cell/src/headroom/headroom-log.ts
@@ -21,9 +21,9 @@
     /** A pass has ended. */
     note(service: ServiceName, room: ServiceRoom, now: Milliseconds): void {
         const { kept, at } = this.#logged.get(service) ?? nothing;
-        const change = Math.abs(room.kept - kept);
+        const change = Math.abs(room.keptTasks - kept);
         if (change >= leastLoggedChange && change >= kept * loggedShare && now - at >= loggedEvery) {
-            this.#logged.set(service, { kept: room.kept, at: now });
+            this.#logged.set(service, { kept: room.keptTasks, at: now });
             this.log.log(logEvents.roomKept, { service, ...room.figures });
         }
     }
--- a/packages/cell/src/headroom/service-room.ts
+++ b/packages/cell/src/headroom/service-room.ts
@@ -12,7 +12,9 @@
 /** Some tasks together. */
 interface Load {
     tasks: number;
+    /** Thousandths of a processor. */
     processor: number;
+    /** Mebibytes. */
     memory: number;
 }
 
@@ -29,20 +31,20 @@
     #running = noLoad();
     #waiting = noLoad();
     /** Of those that wait, what found no room. */
-    #short = 0;
+    #shortProcessor = 0;
     #processor = 0;
     #freeProcessor = 0;
     /** How many usual urgent tasks the free room holds. */
-    #fitting = 0;
+    #fittingTasks = 0;
 
     /** Begins a pass. */
     begin(): void {
         this.#running = noLoad();
         this.#waiting = noLoad();
-        this.#short = 0;
+        this.#shortProcessor = 0;
         this.#processor = 0;
         this.#freeProcessor = 0;
-        this.#fitting = 0;
+        this.#fittingTasks = 0;
     }
 
     /** Adds tasks of an urgent step that run. */
@@ -57,12 +59,12 @@
 
     /** Tasks of an urgent step found no room. */
     addShort({ definition: { size } }: Step, count: number): void {
-        this.#short += count * size.processorThousandths;
+        this.#shortProcessor += count * size.processorThousandths;
     }
 
     /** How many usual urgent tasks found no room. */
-    get short(): number {
-        return this.#short / Math.max(1, this.#usual?.processor ?? 1);
+    get shortTasks(): number {
+        return this.#shortProcessor / Math.max(1, this.#usual?.processor ?? 1);
     }
 
     /** Works the demand out, once all urgent tasks are added. */
@@ -75,7 +77,7 @@
     addWorker({ entry, freeProcessor }: WorkerState, fitting: number): void {
         this.#processor += entry?.capacity.processorThousandths ?? 0;
         this.#freeProcessor += Math.max(0, freeProcessor);
-        this.#fitting += fitting;
+        this.#fittingTasks += fitting;
     }
 
     /** How many usual urgent tasks fit a worker's free room once `count` tasks of a step have theirs. */
@@ -98,7 +100,7 @@
     /** Tasks of a step take their room at a worker. */
     take(worker: WorkerState, step: Step, count: number): void {
         const { fills, size } = step.definition;
-        this.#fitting -= this.fittingAt(worker) - this.fittingAt(worker, step, count);
+        this.#fittingTasks -= this.fittingAt(worker) - this.fittingAt(worker, step, count);
         this.#freeProcessor -= fills ? 0 : count * size.processorThousandths;
     }
 
@@ -109,11 +111,11 @@
         const lost = this.fittingAt(worker) - this.fittingAt(worker, step, count);
         return lost === 0
             || freeProcessor > this.#processor * mostFreeShare
-            || this.#fitting - lost >= this.kept;
+            || this.#fittingTasks - lost >= this.keptTasks;
     }
 
     /** How many usual urgent tasks room is to be kept for. */
-    get kept(): number {
+    get keptTasks(): number {
         const missing = Math.min(
             this.#forecast.expected - this.#running.processor,
             this.#processor * mostKeptShare,
@@ -123,7 +125,7 @@
 
     /** What is kept, in thousandths of a processor. */
     get keptProcessor(): number {
-        return Math.round(this.kept * (this.#usual?.processor ?? 0));
+        return Math.round(this.keptTasks * (this.#usual?.processor ?? 0));
     }
 
     /** What the decision was made from, for the log: thousandths of a processor, and how many usual urgent tasks fit. */
@@ -131,11 +133,11 @@
         return {
             atWork: this.#running.processor,
             waiting: this.#waiting.processor,
-            short: this.#short,
+            shortProcessor: this.#shortProcessor,
             expected: Math.round(this.#forecast.expected),
-            kept: this.kept,
+            keptTasks: this.keptTasks,
             keptProcessor: this.keptProcessor,
-            fitting: this.#fitting,
+            fittingTasks: this.#fittingTasks,
         };
     }
 
--- a/packages/cell/src/headroom/types.ts
+++ b/packages/cell/src/headroom/types.ts
@@ -1,4 +1,4 @@
-/** Room that is kept free for urgent work of few cores. */
+/** Room that is kept free for urgent work of few cores; not to be confused with services whose VMs are switched off (`isHeadroom`). */
 import type { Milliseconds, ServiceName } from "@pebbledale/core";
 import type { RankedStep } from "../choosing/index.js";
 import type { Step, WorkerState } from "../state/index.js";
--- a/packages/cell/src/headroom/urgent-headroom.ts
+++ b/packages/cell/src/headroom/urgent-headroom.ts
@@ -2,8 +2,8 @@
  * Keeps room for the urgent narrow work that is to be reckoned with soon.
  *
  * The load that it answers: patient work fills a service, and urgent steps of well under a second wait for its runs to end. It acts where
- * urgent steps and a less urgent queue share workers and no gangs do. Patient steps that can wait leave as much free as urgent
- * work had lately beyond what it has now.
+ * urgent steps and a less urgent queue share workers and no gangs do. Patient steps that can wait, and overdue ones, leave as much free
+ * as urgent work had lately beyond what it has now.
  */
 import type { Milliseconds, ServiceName } from "@pebbledale/core";
 import { hasSlack, Prospect, type RankedStep } from "../choosing/index.js";
@@ -18,7 +18,7 @@
 export class UrgentHeadroom implements Headroom {
     readonly #services = new Map<ServiceName, ServiceRoom>();
     /** Steps of this pass that leave room free. */
-    readonly #held = new Set<Step>();
+    readonly #leaving = new Set<Step>();
 
     readonly #maker: RoomMaker;
     readonly #log: HeadroomLog;
@@ -31,7 +31,7 @@
 
     /** See {@link Headroom.begin}. */
     begin(ranked: readonly RankedStep[], open: readonly WorkerState[], now: Milliseconds): void {
-        this.#held.clear();
+        this.#leaving.clear();
         this.#open = open;
         this.#services.forEach(room => room.begin());
         this.context.workers.forEach(worker => this.#addRuns(worker));
@@ -45,7 +45,7 @@
 
     /** See {@link Headroom.limitFor}. */
     limitFor(worker: WorkerState, step: Step): number {
-        const room = this.#held.has(step) ? this.#services.get(step.job.terms.service) : undefined;
+        const room = this.#leaving.has(step) ? this.#services.get(step.job.terms.service) : undefined;
         if (room === undefined || room.hasGangs) {
             return Infinity;
         }
@@ -83,9 +83,9 @@
             if (room.hasGangs) {
                 continue;
             }
-            if (room.short > 0) {
+            if (room.shortTasks > 0) {
                 const workers = this.#open.filter(({ entry }) => entry?.service === service);
-                this.#maker.make(workers, room, room.short, priority, now);
+                this.#maker.make(workers, room, room.shortTasks, priority, now);
             }
             this.#log.note(service, room, now);
         }
@@ -123,7 +123,7 @@
             }
         }
         else if (prospect === Prospect.Overdue || prospect === Prospect.OnTime && hasSlack(step, latestStart - now)) {
-            this.#held.add(step);
+            this.#leaving.add(step);
         }
     }
 
--- a/packages/cell/src/load/constants.ts
+++ b/packages/cell/src/load/constants.ts
@@ -13,7 +13,7 @@
 export const mostFreeShare = 0.35;
 /**
  * Nothing is held back either with more than this share of a service's processors free, however few places a gang finds: work that
- * waits while more than half of its service idles is owed a start (the users' rules).
+ * waits while much of its service idles is owed a start (the users' rules).
  */
 export const mostIdleShare = 0.45;
 /**
--- a/packages/cell/src/placing/placer.ts
+++ b/packages/cell/src/placing/placer.ts
@@ -105,7 +105,6 @@
     /** The ready steps, those that go first in front. */
     #inOrder(now: Milliseconds): RankedStep[] {
         const { context, shares } = this.parts;
-        shares.begin(now);
         return [...this.#ready]
             .filter(step => step.hasWaitingTask || step.definition.allowsCopies)
             .map(step => rank(context, step, now, shares.standingOf(step)))
--- a/packages/cell/src/shares/owed-first.ts
+++ b/packages/cell/src/shares/owed-first.ts
@@ -11,11 +11,6 @@
 export class OwedFirst implements ShareOrder {
     constructor(private readonly entitlements: Entitlements) {}
 
-    /** See {@link ShareOrder.begin}. */
-    begin(): void {
-        // What is owed is counted as jobs come.
-    }
-
     /** See {@link ShareOrder.standingOf}. */
     standingOf({ job }: Step): number {
         return this.entitlements.of(job);
--- a/packages/cell/src/watching/constants.ts
+++ b/packages/cell/src/watching/constants.ts
@@ -27,7 +27,7 @@
 export const leastProgress = 0.5;
 /** A run gets this long to get going before its progress counts. */
 export const startingTime = 300;
-/** The same for a run that goes on from saved progress: restoring it takes up to 600 ms. */
+/** The same for a run that goes on from saved progress, which has to be restored first. */
 export const restoringTime = 900;
 /** Fewest runs that tell a worker's speed beside those of their steps elsewhere. */
 export const fewestSpeedSamples = 4;
@@ -35,17 +35,17 @@
 export const fewestChangeSamples = 3;
 /** See {@link fewestChangeSamples}. */
 export const fewestJobs = 2;
-/** Paces are natural logarithms. Away from their data tasks take 1.5 to 2 times as long. */
+/** How much longer a task takes away from its data, as a natural logarithm (the users' rules give 1.5 to 2 times). */
 export const farPace = Math.log(1.75);
-/** Variance of the error of callers' estimates: one in twenty is off by more than a factor of seven. */
+/** Variance of the error of callers' estimates, of natural logarithms. */
 export const estimateVariance = 1;
 /** Variance of a step's pace on one sound worker: these differ in speed, and tasks of a step in their work. */
 export const peerVariance = 0.12;
-/** Variance of one run's pace among those of its step: tasks of a step differ by up to a third. */
+/** Variance of one run's pace among those of its step. */
 export const runVariance = 0.06;
 /** Variance of the change of one run's pace on a sound worker, which goes on as it was. */
 export const steadyVariance = 0.02;
-/** The slowest sound workers have a bit less than half the speed of the usual ones. */
+/** Pace of the slowest sound workers beside the usual ones, as a natural logarithm. */
 export const slowestSoundPace = Math.log(0.42);
 /** A run that does less than this share of what it did before is held up by its worker. */
 export const slowestSteadyPace = Math.log(0.5);
--- a/packages/cell/src/yielding/yield-policy.ts
+++ b/packages/cell/src/yielding/yield-policy.ts
@@ -2,7 +2,7 @@
 import type { Milliseconds } from "@pebbledale/core";
 import { compareRanks, hasSlack, rank, type RankedStep } from "../choosing/index.js";
 import { type CellContext, RunPhase, type Step, type TaskRun } from "../state/index.js";
-import { fewestPercentLeft, mostPreemptions, preemptedSlack } from "./constants.js";
+import { leastPercentLeft, leastSlackToYield, mostPreemptions } from "./constants.js";
 
 /** Decides which runs give way to which steps. */
 export interface YieldPolicy {
@@ -30,7 +30,7 @@
     /** Whether the step goes first, and the run's job is on time all the same. */
     #hasTime(run: TaskRun, step: Step, now: Milliseconds): boolean {
         const victim = rank(this.context, run.task.step, now);
-        return slackOf(run, victim, now) > preemptedSlack && compareRanks(rank(this.context, step, now), victim) < 0;
+        return slackOf(run, victim, now) > leastSlackToYield && compareRanks(rank(this.context, step, now), victim) < 0;
     }
 }
 
@@ -47,4 +47,4 @@
     && !definition.isLasting
     && phase === RunPhase.AtWork
     && stopReason === undefined
-    && percent <= 100 - fewestPercentLeft;
+    && percent <= 100 - leastPercentLeft;
--- a/packages/cell/test/headroom/urgent-headroom.test.ts
+++ b/packages/cell/test/headroom/urgent-headroom.test.ts
@@ -52,7 +52,7 @@
         driver.clock.advance(1_000);
         driver.run();
         const lines = driver.logged.filter(({ event }) => event === logEvents.roomKept);
-        expect(lines.map(({ fields }) => fields["kept"])).toEqual([12]);
+        expect(lines.map(({ fields }) => fields["keptTasks"])).toEqual([12]);
     });
 
     it("takes the room once no urgent work has come for a while", () => {
--- a/packages/entry/src/following/store-probe.ts
+++ b/packages/entry/src/following/store-probe.ts
@@ -55,6 +55,7 @@
             if (this.options.isWanted()) {
                 const number = ++sent;
                 const noteAnswer = () => {
+                    // An earlier call has no answer though this later one has: the store was silent in between.
                     const isBack = number > answered + 1;
                     answered = Math.max(answered, number);
                     if (isBack) {
--- a/packages/entry/src/links/constants.ts
+++ b/packages/entry/src/links/constants.ts
@@ -54,8 +54,7 @@
 export const oldMessagesTime: Milliseconds = 300;
 /**
  * Leases at a worker that leaves are at most this long. Nothing but the end of its leases proves that what was on it when it left
- * is over. Three times the
- * longest time for which renewals stay out while an owner is replaced.
+ * is over. Three times the longest time for which renewals stay out while an owner is replaced.
  */
 export const leavingLease: Milliseconds = 3_000;
 /** A worker's clock may run this much slower than ours (the workers' protocol says 2%). */
--- a/packages/entry/src/links/worker-link.ts
+++ b/packages/entry/src/links/worker-link.ts
@@ -197,8 +197,7 @@
 
     /**
      * A look that waits for an end. When its answer is lost it is repeated at once without a wait: only a worker that does
-     * not answer that one either is silent. Where answers are lost now and then, ends are seen all
-     * the same.
+     * not answer that one either is silent. Where answers are lost now and then, ends are seen all the same.
      */
     async #lookForEnds(): Promise<boolean> {
         if (!this.#isSilent && this.#lease.hasClock) {
--- a/packages/entry/src/membership/registration.ts
+++ b/packages/entry/src/membership/registration.ts
@@ -22,7 +22,7 @@
     readonly leaseLength: Milliseconds;
 }
 
-/** Longest wait for the end of a lease when a VM stops: a slow store answers in up to 0.4 s. */
+/** Longest wait for the end of a lease when a VM stops; without an answer it runs out by itself. */
 export const revokeLimit: Milliseconds = 400;
 /** Wait after a call without an answer: no owner finds a VM whose key has run out. */
 const retryDelay: Milliseconds = 250;
--- a/packages/entry/src/owner/constants.ts
+++ b/packages/entry/src/owner/constants.ts
@@ -53,11 +53,11 @@
 export const muchLarger = 1.5;
 /** How long a much larger VM is connected before it is offered the cell. */
 export const offerAfter: Milliseconds = 3_000;
-/** An owner that is to hand over serves on for so long while the store is silent: a stop takes at most six seconds. */
+/** How long an owner that is to hand over serves on while the store is silent. */
 export const storeWaitBeforeHandOver: Milliseconds = 4_500;
-/** Time between two looks at whether the store has answered by then. */
+/** Time between two looks at whether the store has answered. */
 export const storeAnswerLook: Milliseconds = 20;
-/** Longest wait for the last records to be kept, in which no caller is answered: three answers of a slow store. */
+/** Longest wait for the last records to be kept, in which no caller is answered. */
 export const longestFreeze: Milliseconds = 1_000;
 /** How often the state of the cell is logged, in milliseconds. */
 export const summaryInterval: Milliseconds = 1_000;
--- a/packages/entry/src/owner/successor.ts
+++ b/packages/entry/src/owner/successor.ts
@@ -10,7 +10,7 @@
     );
 };
 
-/** The larger VM; among equals the one that started last, as it has been stopped already where all are in turn. */
+/** The larger VM; among equals the one that started last, as that has had its stop where VMs are stopped in turn. */
 const isBetterSuccessor = ({ vm: left }: VmLink, { vm: right }: VmLink): boolean =>
     left.processorShare !== right.processorShare
         ? left.processorShare > right.processorShare
--- a/packages/entry/src/stop-times.ts
+++ b/packages/entry/src/stop-times.ts
@@ -1,7 +1,7 @@
 /** When a VM that was told to stop does what. */
 import type { Milliseconds } from "@pebbledale/core";
 
-/** The platform asks once a second whether a VM is ready; two misses take it out. In milliseconds. */
+/** New connections are taken for so long: the platform asks once a second whether a VM is ready, and two misses take it out. */
 const unreadyFor: Milliseconds = 2_300;
 /** New connections are taken for this share of the time at most, however short that is. */
 const mostUnreadyShare = 0.5;
