--- a/packages/cell/src/choosing/urgency.ts
+++ b/packages/cell/src/choosing/urgency.ts
@@ -80,8 +80,9 @@
     return { step, prospect, tier, priority, standing, latestStart, turn };
 };
 
-const isUrgentNarrow = ({ queues }: CellContext, { definition, job }: Step): boolean =>
-    job.terms.priority === queues?.mostUrgent && !definition.isGang;
+/** Whether a step is of the most urgent queues and its tasks are small, each by itself, and end. */
+export const isUrgentNarrow = ({ queues }: CellContext, { definition, job }: Step): boolean =>
+    job.terms.priority === queues?.mostUrgent && !definition.isLasting && !definition.isGang;
 
 /** Where not all urgent jobs can be on time, small ones earn more for the room that they take. */
 const handicapOf = ({ definition: { estimate, size, taskCount } }: Step): Milliseconds => {
--- a/packages/cell/src/headroom/room-maker.ts
+++ b/packages/cell/src/headroom/room-maker.ts
@@ -22,14 +22,14 @@
 export class RoomMaker {
     constructor(private readonly policy: YieldPolicy, private readonly stopper: RunStopper) {}
 
-    /** Makes room for `needed` usual urgent tasks of a priority in all; returns how many runs were stopped. */
+    /** Makes room for `needed` usual urgent tasks of a priority in all. */
     make(
         workers: readonly WorkerState[],
         room: ServiceRoom,
         needed: number,
         priority: number,
         now: Milliseconds,
-    ): number {
+    ): void {
         let missing = needed;
         const victims: Victim[] = [];
         for (const worker of workers) {
@@ -46,7 +46,6 @@
             missing -= gain;
             stops++;
         }
-        return stops;
     }
 
     /** One run of a worker at most: how much another would add depends on the first. */
--- a/packages/cell/src/headroom/urgent-headroom.ts
+++ b/packages/cell/src/headroom/urgent-headroom.ts
@@ -6,7 +6,7 @@
  * as urgent work had lately beyond what it has now.
  */
 import type { Milliseconds, ServiceName } from "@pebbledale/core";
-import { hasSlack, Prospect, type RankedStep } from "../choosing/index.js";
+import { hasSlack, isUrgentNarrow, Prospect, type RankedStep } from "../choosing/index.js";
 import type { CellContext, Step, WorkerState } from "../state/index.js";
 import type { RunStopper, YieldPolicy } from "../yielding/index.js";
 import { HeadroomLog } from "./headroom-log.js";
@@ -63,7 +63,7 @@
             return;
         }
         room.take(worker, step, count);
-        if (this.#isUrgent(step)) {
+        if (isUrgentNarrow(this.context, step)) {
             room.addRunning(step, count);
         }
     }
@@ -71,7 +71,7 @@
     /** See {@link Headroom.noteShortage}. */
     noteShortage(ranked: RankedStep, count: number): void {
         const { step } = ranked;
-        if (this.#isUrgent(step) && isWorthRoom(ranked)) {
+        if (isUrgentNarrow(this.context, step) && isWorthRoom(ranked)) {
             this.#services.get(step.job.terms.service)?.addShort(step, count);
         }
     }
@@ -103,7 +103,7 @@
             if (definition.isGang) {
                 this.#roomOf(job.terms.service).hasGangs = true;
             }
-            else if (this.#isUrgent(step)) {
+            else if (isUrgentNarrow(this.context, step)) {
                 this.#roomOf(job.terms.service).addRunning(step, 1);
             }
         }
@@ -116,7 +116,7 @@
         if (definition.isGang) {
             room.hasGangs = true;
         }
-        else if (this.#isUrgent(step)) {
+        else if (isUrgentNarrow(this.context, step)) {
             if (isWorthRoom(ranked)) {
                 const left = this.context.usage.countLeft(job.organisation, definition.size);
                 room.addWaiting(step, Math.min(left, step.waitingTasks().length));
@@ -127,10 +127,6 @@
         }
     }
 
-    #isUrgent({ definition, job }: Step): boolean {
-        return job.terms.priority === this.context.queues?.mostUrgent && !definition.isLasting && !definition.isGang;
-    }
-
     #roomOf(service: ServiceName): ServiceRoom {
         let room = this.#services.get(service);
         if (room === undefined) {
