Closures of data halls: read with the operators' keys, obeyed by the owner and by each VM with links

Change: the feed of the operators' keys tells which halls are closed; HallClosureWatch keeps the newest set by the store's revision; owner and VMs tell each other; ClosedHalls closes the workers, the start dispatcher drops what was decided and not sent, and a link refuses a start to a worker of a closed hall. Settings name regions of halls and the number of halls that may be lost.

--- a/packages/cell/src/configuration/types.ts
+++ b/packages/cell/src/configuration/types.ts
@@ -1,6 +1,7 @@
 /** The operators' configuration of a cell and where it is read from. */
 import type { Milliseconds, QueueName, ServiceName } from "@pebbledale/core";
 import type { AdvicePolicy } from "../advice/index.js";
+import type { HallChanges } from "../data-halls/index.js";
 import type { Organisation } from "../organisations/index.js";
 import type { UpkeepWave } from "../upkeep/index.js";
 
@@ -54,6 +55,8 @@
     readonly configuration: CellConfiguration | undefined;
     /** Upkeep waves that are new or changed. */
     readonly waves: readonly UpkeepWave[];
+    /** Closures of data halls: all that are closed when read as a whole. */
+    readonly halls: HallChanges;
     /** Passed to {@link ConfigurationFeed.follow} to receive what follows. */
     readonly cursor: string;
 }
--- /dev/null
+++ b/packages/cell/src/data-halls/closed-halls.ts
@@ -0,0 +1,48 @@
+/** Data halls that are closed to new runs, as the owner's decisions see them. */
+import { type DataHallName, logEvents } from "@pebbledale/core";
+import type { CellContext, WorkerState } from "../state/index.js";
+import type { HallClosures } from "./types.js";
+
+/**
+ * Closes the workers of closed data halls to new runs. What runs there continues; orders that were decided and not sent yet are
+ * dropped by the start dispatcher.
+ */
+export class ClosedHalls {
+    #halls: ReadonlySet<DataHallName> = new Set();
+
+    constructor(private readonly context: CellContext) {}
+
+    get halls(): ReadonlySet<DataHallName> {
+        return this.#halls;
+    }
+
+    /** Replaces the set of closed data halls; returns whether it has changed. */
+    replace({ halls, revision }: HallClosures): boolean {
+        const former = this.#halls;
+        this.#halls = new Set(halls);
+        const closed = halls.filter(hall => !former.has(hall));
+        const reopened = [...former].filter(hall => !this.#halls.has(hall));
+        closed.forEach(hall => this.#log(hall, revision, true));
+        reopened.forEach(hall => this.#log(hall, revision, false));
+        this.context.workers.forEach(worker => this.applyTo(worker));
+        return closed.length + reopened.length > 0;
+    }
+
+    /** Closes or reopens a worker whose entry was read. */
+    applyTo(worker: WorkerState): void {
+        worker.isHallClosed = worker.entry !== undefined && this.#halls.has(worker.entry.dataHall);
+    }
+
+    #log(hall: DataHallName, revision: number, isClosed: boolean): void {
+        let workers = 0;
+        let runs = 0;
+        for (const worker of this.context.workers.values()) {
+            if (worker.entry?.dataHall === hall) {
+                workers++;
+                runs += worker.runs.size;
+            }
+        }
+        const event = isClosed ? logEvents.hallClosed : logEvents.hallReopened;
+        this.context.options.log.log(event, { hall, revision, workers, runs });
+    }
+}
--- /dev/null
+++ b/packages/cell/src/data-halls/index.ts
@@ -0,0 +1,3 @@
+/** Data halls: their closures by the operators. */
+export * from "./closed-halls.js";
+export * from "./types.js";
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -3,6 +3,7 @@
 export { AdviceDispatcher, type AdviceRequester } from "./advising/index.js";
 export * from "./configuration/index.js";
 export type { CrashSummary } from "./crashes/index.js";
+export type { HallChanges, HallClosures } from "./data-halls/index.js";
 export * from "./fair-share/index.js";
 export * from "./organisations/index.js";
 export * from "./scheduler/index.js";
--- a/packages/cell/src/runs/worker-entry-reconciler.ts
+++ b/packages/cell/src/runs/worker-entry-reconciler.ts
@@ -1,6 +1,7 @@
 /** Workers' entries in the platform's store. */
 import { logEvents, type WorkerId } from "@pebbledale/core";
 import type { CrashMonitor } from "../crashes/index.js";
+import type { ClosedHalls } from "../data-halls/index.js";
 import { type CellContext, type TaskSize, WorkerState } from "../state/index.js";
 import type { WorkerEntry } from "../worker-directory/index.js";
 import type { WorkerListener } from "./types.js";
@@ -12,6 +13,7 @@
         private readonly context: CellContext,
         private readonly incarnations: WorkerIncarnations,
         private readonly crashes: CrashMonitor,
+        private readonly halls: ClosedHalls,
         private readonly listener: WorkerListener,
     ) {}
 
@@ -42,6 +44,7 @@
         }
         const former = worker.entry;
         worker.applyEntry(entry);
+        this.halls.applyTo(worker);
         this.#logCapacityChange(worker, former);
         if (entry.isDraining && former?.isDraining !== true) {
             worker.leavesAt = this.context.now() + (entry.leavesIn ?? 0);
--- a/packages/cell/src/runs/worker-pool.ts
+++ b/packages/cell/src/runs/worker-pool.ts
@@ -1,6 +1,7 @@
 /** The workers of a cell. */
 import { logEvents, type Milliseconds, type WorkerId, type WorkerIncarnation } from "@pebbledale/core";
 import { type CrashMonitor, LossCause, type SilenceHistory } from "../crashes/index.js";
+import type { ClosedHalls } from "../data-halls/index.js";
 import type { ProgressMonitor } from "../monitoring/index.js";
 import type { FillerPaceController } from "../pacing/index.js";
 import { type CellContext, type Task, tasksOf, WorkerState } from "../state/index.js";
@@ -21,6 +22,7 @@
     readonly paces: FillerPaceController;
     readonly crashes: CrashMonitor;
     readonly silences: SilenceHistory;
+    readonly halls: ClosedHalls;
     readonly listener: WorkerListener;
 }
 
@@ -35,14 +37,14 @@
     readonly #entries: WorkerEntryReconciler;
     readonly #polls: WorkerPollReconciler;
 
-    constructor({ context, runs, progress, paces, crashes, silences, listener }: WorkerPoolDependencies) {
+    constructor({ context, runs, progress, paces, crashes, silences, halls, listener }: WorkerPoolDependencies) {
         this.#context = context;
         this.#runs = runs;
         this.#crashes = crashes;
         this.#silences = silences;
         this.#listener = listener;
         this.#incarnations = new WorkerIncarnations(context, runs, crashes, silences, listener);
-        this.#entries = new WorkerEntryReconciler(context, this.#incarnations, crashes, listener);
+        this.#entries = new WorkerEntryReconciler(context, this.#incarnations, crashes, halls, listener);
         this.#polls = new WorkerPollReconciler(context, runs, this.#incarnations, progress, paces, crashes, listener);
     }
 
--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -13,6 +13,7 @@
 import { AdvicePlanner } from "../advising/index.js";
 import type { CellConfiguration } from "../configuration/index.js";
 import { CrashMonitor, type CrashSummary, SilenceHistory } from "../crashes/index.js";
+import { ClosedHalls, type HallClosures } from "../data-halls/index.js";
 import { EntitledFirst, Entitlement, SubmissionRate } from "../fair-share/index.js";
 import { UrgentHeadroom } from "../headroom/index.js";
 import { allowsDisruption, RunMigrator } from "../migration/index.js";
@@ -62,6 +63,7 @@
     readonly #starts: StartDispatcher;
     readonly #lifecycle: JobLifecycle;
     readonly #crashes: CrashMonitor;
+    readonly #halls: ClosedHalls;
     readonly #entitlements: SubmissionRate;
     readonly #speeds: WorkerSpeeds = new SpeedEstimator();
     #needsCycle = false;
@@ -70,6 +72,7 @@
         this.#context = new CellContext(options);
         this.#entitlements = new SubmissionRate(organisation => this.#context.queues?.jobRateOf(organisation));
         const silences = new SilenceHistory();
+        this.#halls = new ClosedHalls(this.#context);
         this.#runs = new RunLifecycle(this.#context, {
             stepChanged: step => this.#lifecycle.stepChanged(step),
             jobEnded: job => this.#lifecycle.jobEnded(job),
@@ -89,6 +92,7 @@
             paces: new FillerPaceController(this.#context),
             crashes: this.#crashes,
             silences,
+            halls: this.#halls,
             listener: {
                 capacityChanged: () => this.#needsCycle = true,
                 workerDraining: worker => {
@@ -366,6 +370,11 @@
         }
     }
 
+    /** Replaces the set of data halls in which nothing new is started. */
+    setClosedHalls(closures: HallClosures): void {
+        this.#needsCycle = this.#halls.replace(closures) || this.#needsCycle;
+    }
+
     /** State of a worker as the upkeep planner needs it. */
     plannedWorkerOf(id: WorkerId): PlannedWorker {
         const runs = [...this.workers.get(id)?.runs.values() ?? []];
--- a/packages/cell/src/scheduler/start-dispatcher.ts
+++ b/packages/cell/src/scheduler/start-dispatcher.ts
@@ -44,8 +44,8 @@
         if (taskRun?.phase !== RunPhase.Ordered) {
             return false;
         }
-        if (taskRun.worker.isOvercommitted) {
-            // The worker's capacity has shrunk since the decision.
+        if (taskRun.worker.isOvercommitted || taskRun.worker.isHallClosed) {
+            // The worker's capacity has shrunk, or its data hall was closed, since the decision.
             return false;
         }
         const { permits } = taskRun.task.step;
--- a/packages/cell/src/worker-directory/index.ts
+++ b/packages/cell/src/worker-directory/index.ts
@@ -1,5 +1,5 @@
 /** Directory of workers, which publish their entries in the platform's store. */
-import type { Milliseconds, ServiceName, WorkerId, WorkerIncarnation } from "@pebbledale/core";
+import type { DataHallName, Milliseconds, ServiceName, WorkerId, WorkerIncarnation } from "@pebbledale/core";
 import type { TaskSize } from "../task-size/index.js";
 import type { VmId } from "../upkeep/index.js";
 
@@ -11,7 +11,7 @@
     /** IP address and port. */
     readonly address: string;
     readonly service: ServiceName;
-    readonly dataHall: string;
+    readonly dataHall: DataHallName;
     /** VM that hosts the worker; empty when the entry names none. */
     readonly vm: VmId;
     readonly capacity: TaskSize;
--- a/packages/cell/test/support/builders.ts
+++ b/packages/cell/test/support/builders.ts
@@ -1,5 +1,13 @@
 /** Builders of the inputs that tests of the cell use. */
-import { jobId, organisationName, queueName, serviceName, type WorkerId, workerId } from "@pebbledale/core";
+import {
+    dataHallName,
+    jobId,
+    organisationName,
+    queueName,
+    serviceName,
+    type WorkerId,
+    workerId,
+} from "@pebbledale/core";
 import {
     type CellConfiguration,
     digestOf,
@@ -102,7 +110,7 @@
     worker: workerId(id),
     address: workerAddress(id),
     service,
-    dataHall: "hall-a",
+    dataHall: dataHallName("hall-a"),
     vm: vmId(`vm-of-${id}`),
     capacity: { processorThousandths: 8_000, memoryMebibytes: 32_768, accelerators: 0 },
     labels: ["a", "r1"],
--- a/packages/core/src/ids/index.ts
+++ b/packages/core/src/ids/index.ts
@@ -34,6 +34,10 @@
 export type OrganisationName = Branded<string, "OrganisationName">;
 /** Digest of an organisation's API key. The key itself is not stored anywhere. */
 export type KeyDigest = Branded<string, "KeyDigest">;
+/** Name of a data hall. */
+export type DataHallName = Branded<string, "DataHallName">;
+/** Name of a region: data halls that are close to each other. */
+export type RegionName = Branded<string, "RegionName">;
 /** Name of an entry VM, which restarts of its process do not change. */
 export type EntryVmName = Branded<string, "EntryVmName">;
 /** Number of a run of a task, from 1. All members of a gang share it. */
@@ -67,6 +71,10 @@
 export const organisationName = (text: string): OrganisationName => text as OrganisationName;
 /** Brands a string as the digest of an API key; does not compute the digest. */
 export const keyDigest = (text: string): KeyDigest => text as KeyDigest;
+/** Brands a string as the name of a data hall. */
+export const dataHallName = (text: string): DataHallName => text as DataHallName;
+/** Brands a string as the name of a region. */
+export const regionName = (text: string): RegionName => text as RegionName;
 /** Brands a string as the name of an entry VM. */
 export const entryVmName = (text: string): EntryVmName => text as EntryVmName;
 /** Brands a whole number as a run number. */
--- a/packages/core/src/log-events/index.ts
+++ b/packages/core/src/log-events/index.ts
@@ -278,6 +278,15 @@
         "the journal accepts records again; the line counts how callers were answered meanwhile",
         nothing,
     ),
+    hallClosuresLearned: define(4612, "info", "the set of closed data halls changed, as known to this VM", nothing),
+    startInClosedHallRefused: define(
+        4613,
+        "info",
+        "this VM did not forward a start to a worker because its data hall is closed",
+        nothing,
+    ),
+    hallClosed: define(4614, "info", "the owner starts nothing more in a data hall", nothing),
+    hallReopened: define(4615, "info", "the owner may start tasks in a data hall again", nothing),
     settingsReloaded: define(4605, "info", "the settings file was reloaded", nothing),
     settingsUnreadable: define(
         4607,
--- a/packages/entry/src/configuration/configuration-watch.ts
+++ b/packages/entry/src/configuration/configuration-watch.ts
@@ -8,6 +8,7 @@
 } from "@pebbledale/cell";
 import { type Clock, logEvents, type Milliseconds } from "@pebbledale/core";
 import type { EventLogger } from "@pebbledale/runtime";
+import type { HallClosureWatch } from "../data-halls/index.js";
 import {
     type FollowedUpdate,
     type FollowLimits,
@@ -35,6 +36,7 @@
     readonly onChange: (configuration: CellConfiguration) => void;
     /** Called with waves of upkeep as they are read from the store. */
     readonly onWaves: (waves: readonly UpkeepWave[]) => void;
+    readonly halls: HallClosureWatch;
 }
 
 /**
@@ -104,12 +106,24 @@
 
     async readAll(signal: AbortSignal): Promise<FollowedUpdate> {
         const update = await this.options.feed.read(signal);
-        return { cursor: update.cursor, apply: () => this.#applyUpdate(update) };
+        return {
+            cursor: update.cursor,
+            apply: () => {
+                this.options.halls.replace(update.halls);
+                this.#applyUpdate(update);
+            },
+        };
     }
 
     async changes(cursor: string, wait: Milliseconds, signal: AbortSignal): Promise<FollowedUpdate | undefined> {
         const update = await this.options.feed.follow(cursor, wait, signal);
-        return update && { cursor: update.cursor, apply: () => this.#applyUpdate(update) };
+        return update && {
+            cursor: update.cursor,
+            apply: () => {
+                this.options.halls.change(update.halls);
+                this.#applyUpdate(update);
+            },
+        };
     }
 
     #applyUpdate({ configuration, waves }: OperatorUpdate): void {
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -16,6 +16,7 @@
 } from "@pebbledale/core";
 import { createAbortController, type EventLogger, waitForAbort } from "@pebbledale/runtime";
 import { ConfigurationWatch } from "./configuration/index.js";
+import { HallClosureWatch } from "./data-halls/index.js";
 import { type FollowLimits, followLimitsOf, FollowLoop, maxStaleness, StoreProbe } from "./following/index.js";
 import { JobService, RequestLog } from "./front-end/index.js";
 import { maxClockDrift, ownerSilenceLimit, VmSession } from "./links/index.js";
@@ -78,6 +79,7 @@
     readonly #self: EntryVm;
     readonly #view: CellView;
     readonly #configuration: ConfigurationWatch;
+    readonly #halls: HallClosureWatch;
     readonly #session: VmSession;
     readonly #registration: VmRegistration;
     readonly #candidate: Candidate;
@@ -114,6 +116,13 @@
             call: () => store.get(ownerKey),
             isNeeded: () => !this.#session.hasOwner,
         });
+        this.#halls = new HallClosureWatch({
+            logger,
+            onChange: closures => {
+                this.#session.announceClosures(closures);
+                this.#candidate.session?.closeHalls(closures);
+            },
+        });
         this.#configuration = new ConfigurationWatch({
             feed: options.configuration,
             clock,
@@ -125,6 +134,7 @@
                 this.#candidate.session?.configure(configuration);
             },
             onWaves: waves => this.#candidate.session?.addWaves(waves),
+            halls: this.#halls,
         });
         this.#session = new VmSession({
             clients: new InstrumentedWorkerClients(options.clients, metrics, clock),
@@ -139,6 +149,9 @@
             },
             configuration: () => this.#configuration.configuration,
             onConfiguration: configuration => this.#configuration.apply(configuration, "owner"),
+            closures: () => this.#halls.closures,
+            onClosures: closures => this.#halls.applyPeers(closures),
+            isHallClosed: hall => this.#halls.isClosed(hall),
             onOwnerChange: hasOwner => this.#handleOwnerChange(hasOwner),
         });
         this.#registration = new VmRegistration({
@@ -162,6 +175,8 @@
             followLimits: this.#followLimits,
             configuration: () => this.#configuration.configuration,
             onConfiguration: configuration => this.#configuration.apply(configuration, "vm"),
+            closures: () => this.#halls.closures,
+            onClosures: closures => this.#halls.applyPeers(closures),
             formerLeaseLength: confirmationValidity + ownerSilenceLimit
                 + settings.bounds.longestLease / (1 - maxClockDrift)
                 + priorLeaseMargin,
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,5 +1,6 @@
 /** The program of an entry VM: front end for callers, links to workers, and the owner of the cell. */
 export * from "./configuration/index.js";
+export * from "./data-halls/index.js";
 export * from "./entry-process.js";
 export * from "./following/index.js";
 export * from "./front-end/index.js";
--- a/packages/entry/src/links/vm-session.ts
+++ b/packages/entry/src/links/vm-session.ts
@@ -1,7 +1,8 @@
 /** Session of an entry VM with the owner. */
-import type { AdviceClient, CellConfiguration, TaskWorkerClients } from "@pebbledale/cell";
+import type { AdviceClient, CellConfiguration, HallClosures, TaskWorkerClients } from "@pebbledale/cell";
 import {
     type ChangeFeed,
+    type DataHallName,
     type Epoch,
     logEvents,
     type Milliseconds,
@@ -49,6 +50,11 @@
     /** The newest configuration known to this VM; undefined while there is none. */
     readonly configuration: () => CellConfiguration | undefined;
     readonly onConfiguration: (configuration: CellConfiguration) => void;
+    /** The closed data halls as this VM knows them. */
+    readonly closures: () => HallClosures;
+    /** Called with the owner's closed data halls; returns this VM's if they are newer and differ. */
+    readonly onClosures: (closures: HallClosures) => HallClosures | undefined;
+    readonly isHallClosed: (hall: DataHallName) => boolean;
     /** Called when an owner connects or is lost. */
     readonly onOwnerChange: (hasOwner: boolean) => void;
 }
@@ -78,6 +84,7 @@
             clock: options.clock,
             logger: options.logger,
             leaseLength: options.leaseLength,
+            isHallClosed: options.isHallClosed,
             send: message => this.#send(message),
         });
     }
@@ -128,6 +135,11 @@
         this.#channel?.send({ kind: "configuration-version", version });
     }
 
+    /** Tells the owner which data halls are closed. */
+    announceClosures(closures: HallClosures): void {
+        this.#channel?.send({ kind: "closed-halls", closures });
+    }
+
     /** Announces to this owner and its successors that this VM is about to stop. */
     announceLeaving(): void {
         this.#isLeaving = true;
@@ -183,6 +195,10 @@
         if (this.#isLeaving) {
             channel.send({ kind: "leaving" });
         }
+        const closures = this.options.closures();
+        if (closures.halls.length > 0) {
+            this.announceClosures(closures);
+        }
         this.options.onOwnerChange(true);
     }
 
@@ -223,6 +239,9 @@
             case "want-configuration":
                 this.#sendConfiguration();
                 break;
+            case "closed-halls":
+                this.#handleClosures(message.closures);
+                break;
             case "store-call":
                 void this.#callStore(message.call, message.operation);
                 break;
@@ -256,6 +275,13 @@
         }
     }
 
+    #handleClosures(closures: HallClosures): void {
+        const newer = this.options.onClosures(closures);
+        if (newer !== undefined) {
+            this.announceClosures(newer);
+        }
+    }
+
     #sendConfiguration(): void {
         const configuration = this.options.configuration();
         if (configuration !== undefined) {
--- a/packages/entry/src/links/worker-link.ts
+++ b/packages/entry/src/links/worker-link.ts
@@ -9,6 +9,7 @@
 } from "@pebbledale/cell";
 import {
     type Clock,
+    type DataHallName,
     type FencingToken,
     fencingToken,
     logEvents,
@@ -53,6 +54,8 @@
      * Whether orders may be forwarded for the owner, which must have been heard since any suspension of this process.
      */
     readonly mayForwardOrders?: () => boolean;
+    /** Whether operators have closed a data hall, by what this VM knows. */
+    readonly isHallClosed: (hall: DataHallName) => boolean;
     /** Shared by all links of this VM. */
     readonly lossMonitor: LossMonitor;
     readonly send: (report: WorkerReport) => void;
@@ -376,7 +379,7 @@
         this.#lastActiveAt = clock.monotonic();
         const { worker, task, run } = command;
         const token = this.#token;
-        const isAllowed = this.#mayLease && this.options.mayForwardOrders?.() !== false;
+        const isAllowed = this.#mayLease && this.options.mayForwardOrders?.() !== false && !this.#isHallClosed(command);
         const leaseUntil = isAllowed ? this.#lease.grant() : undefined;
         if (leaseUntil === undefined) {
             send({ kind: "started", worker, task, run, refusal: "not-delivered" });
@@ -413,6 +416,16 @@
         }
     }
 
+    /** Whether the worker's data hall is closed to new runs: the owner that ordered this one may not know it yet. */
+    #isHallClosed({ task, run }: StartCommand): boolean {
+        const { assignment: { dataHall }, isHallClosed, logger } = this.options;
+        if (dataHall === undefined || !isHallClosed(dataHall)) {
+            return false;
+        }
+        logger.log(logEvents.startInClosedHallRefused, { worker: this.worker, hall: dataHall, task, run });
+        return true;
+    }
+
     /** Resolves unanswered starts by polls with a higher token. */
     #resolveUncertainStarts(): void {
         this.#resolving ??= this.#resolveAll().finally(() => {
--- a/packages/entry/src/links/worker-links.ts
+++ b/packages/entry/src/links/worker-links.ts
@@ -1,6 +1,6 @@
 /** The worker links of this VM. */
 import type { TaskWorkerClient, TaskWorkerClients } from "@pebbledale/cell";
-import type { Milliseconds, SuspensionAwareClock, WorkerId, WorkerIncarnation } from "@pebbledale/core";
+import type { DataHallName, Milliseconds, SuspensionAwareClock, WorkerId, WorkerIncarnation } from "@pebbledale/core";
 import type { EventLogger } from "@pebbledale/runtime";
 import type { AssignMessage, CommandMessage, WorkerMessage } from "../protocol/index.js";
 import { ownerSilenceLimit, staleMessageWindow } from "./constants.js";
@@ -13,6 +13,7 @@
     readonly clock: SuspensionAwareClock;
     readonly logger: EventLogger;
     readonly leaseLength: Milliseconds;
+    readonly isHallClosed: (hall: DataHallName) => boolean;
     readonly send: (message: WorkerMessage) => void;
 }
 
@@ -61,6 +62,7 @@
             mayPoll: () =>
                 this.#mayForwardOrders && this.options.clock.monotonic() - this.#ownerHeardAt < ownerSilenceLimit,
             mayForwardOrders: () => this.#mayForwardOrders,
+            isHallClosed: hall => this.options.isHallClosed(hall),
             lossMonitor: this.#lossMonitor,
             send: report => this.options.send({ ...report, assignment: assignment.token }),
         });
--- a/packages/entry/src/membership/cell-view.ts
+++ b/packages/entry/src/membership/cell-view.ts
@@ -1,5 +1,13 @@
 /** Local copy of the keys of entry VMs and of the owner. */
-import type { Clock, KeyChanges, KeysAtCursor, KeyValue, KeyVersion, Milliseconds } from "@pebbledale/core";
+import type {
+    Clock,
+    DataHallName,
+    KeyChanges,
+    KeysAtCursor,
+    KeyValue,
+    KeyVersion,
+    Milliseconds,
+} from "@pebbledale/core";
 
 /** Prefix of the keys of entry VMs and of the owner. */
 export const cellPrefix = "cell/";
@@ -15,7 +23,7 @@
     readonly name: string;
     /** IP address and port at which it accepts the owner's connection. */
     readonly address: string;
-    readonly dataHall: string;
+    readonly dataHall: DataHallName;
     /** Available processor time, in shares of a core. */
     readonly processorShare: number;
     /** Identifies the process: a restarted VM has another value. */
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -5,6 +5,7 @@
     type CellRecord,
     CellScheduler,
     type CellSnapshot,
+    type HallClosures,
     type UpkeepWave,
 } from "@pebbledale/cell";
 import { fencingToken, JournalFencedError, logEvents, type Milliseconds } from "@pebbledale/core";
@@ -57,6 +58,7 @@
     readonly #outageLog: JournalOutageLog;
     readonly #upkeepController: UpkeepController | undefined;
     #configuration: CellConfiguration | undefined;
+    #closures: HallClosures = { halls: [], revision: 0 };
     readonly #turnRunner: TurnRunner;
     readonly #heartbeatTimer: IntervalTimer;
     readonly #summaryTimer: IntervalTimer;
@@ -131,6 +133,9 @@
         if (options.configuration !== undefined) {
             this.configure(options.configuration);
         }
+        if (options.closures.halls.length > 0) {
+            this.closeHalls(options.closures);
+        }
     }
 
     get epoch(): number {
@@ -212,6 +217,14 @@
         this.#turnRunner.schedule();
     }
 
+    /** Starts nothing more in the data halls that are closed, and tells the VMs. */
+    closeHalls(closures: HallClosures): void {
+        this.#closures = closures;
+        this.cell.setClosedHalls(closures);
+        this.#vms.forEach(vm => vm.channel.send({ kind: "closed-halls", closures }));
+        this.#turnRunner.schedule();
+    }
+
     /** Adds waves of upkeep to be carried out. */
     addWaves(waves: readonly UpkeepWave[]): void {
         this.#upkeepController?.add(waves);
@@ -239,6 +252,9 @@
         if (this.#configuration !== undefined) {
             channel.send({ kind: "configuration-version", version: this.#configuration.version });
         }
+        if (this.#closures.halls.length > 0) {
+            channel.send({ kind: "closed-halls", closures: this.#closures });
+        }
         this.#advice.join(
             vm.name,
             (question, { step, workers }, duration) => channel.send({ kind: "ask", question, step, workers, duration }),
@@ -298,6 +314,13 @@
         }
     }
 
+    #handleClosures(link: VmLink, closures: HallClosures): void {
+        const newer = this.options.onClosures(closures);
+        if (newer !== undefined) {
+            link.channel.send({ kind: "closed-halls", closures: newer });
+        }
+    }
+
     /** Reassigns the links and advice questions of a VM that is about to stop. */
     #handleLeaving(link: VmLink): void {
         link.isLeaving = true;
@@ -369,6 +392,9 @@
             case "want-configuration":
                 this.#sendConfiguration(link);
                 return;
+            case "closed-halls":
+                this.#handleClosures(link, message.closures);
+                break;
             case "advised": {
                 const command = this.#advice.complete(message.question);
                 if (command !== undefined) {
--- a/packages/entry/src/owner/types.ts
+++ b/packages/entry/src/owner/types.ts
@@ -1,5 +1,5 @@
 /** Options and results of an owner's session. */
-import type { CellConfiguration, VmService, WaveStatusReporter, WorkerDirectory } from "@pebbledale/cell";
+import type { CellConfiguration, HallClosures, VmService, WaveStatusReporter, WorkerDirectory } from "@pebbledale/cell";
 import type { Journal, JournalContents, Milliseconds, SuspensionAwareClock } from "@pebbledale/core";
 import type { EventLogger } from "@pebbledale/runtime";
 import type { FollowLimits } from "../following/index.js";
@@ -40,6 +40,9 @@
     readonly isIsolated: () => boolean;
     /** Called with a configuration received from a VM. */
     readonly onConfiguration: (configuration: CellConfiguration) => void;
+    readonly closures: HallClosures;
+    /** Called with a VM's closed data halls; returns this VM's if they are newer and differ. */
+    readonly onClosures: (closures: HallClosures) => HallClosures | undefined;
     /** Access to the platform's upkeep service; undefined where there is none. */
     readonly upkeep: OwnerUpkeep | undefined;
 }
--- a/packages/entry/src/ownership/candidate.ts
+++ b/packages/entry/src/ownership/candidate.ts
@@ -1,5 +1,5 @@
 /** Campaign of a VM for the ownership of the cell. */
-import type { CellConfiguration, UpkeepWave, WorkerDirectory } from "@pebbledale/cell";
+import type { CellConfiguration, HallClosures, UpkeepWave, WorkerDirectory } from "@pebbledale/cell";
 import {
     absentVersion,
     JournalFencedError,
@@ -66,6 +66,9 @@
     readonly followLimits: FollowLimits;
     readonly configuration: () => CellConfiguration | undefined;
     readonly onConfiguration: (configuration: CellConfiguration) => void;
+    readonly closures: () => HallClosures;
+    /** Called with another VM's closed data halls; returns this VM's if they are newer and differ. */
+    readonly onClosures: (closures: HallClosures) => HallClosures | undefined;
     readonly formerLeaseLength: Milliseconds;
     /** The known waves of upkeep. */
     readonly waves: () => readonly UpkeepWave[];
@@ -320,6 +323,8 @@
                 onSilentVm: name => dialer.recordSilence(name),
                 isIsolated: () => dialer.hasBecomeIsolated,
                 onConfiguration: this.options.onConfiguration,
+                closures: this.options.closures(),
+                onClosures: this.options.onClosures,
                 upkeep: this.options.upkeep,
                 onLargerVm: () => void this.#handOver(lost, "a much larger VM is connected", stop),
             });
--- a/packages/entry/src/protocol/messages.ts
+++ b/packages/entry/src/protocol/messages.ts
@@ -4,12 +4,14 @@
     CellConfiguration,
     CellJobState,
     EndedRun,
+    HallClosures,
     JobDefinition,
     OrderRefusal,
     PollResult,
     WorkerCommand,
 } from "@pebbledale/cell";
 import type {
+    DataHallName,
     Epoch,
     FencingToken,
     JobId,
@@ -35,6 +37,8 @@
     readonly kind: "assign";
     readonly worker: WorkerId;
     readonly address: string;
+    /** Data hall of the worker; omitted while its entry is unknown. */
+    readonly dataHall?: DataHallName;
     /** The incarnation that the link is for; if omitted, the first one that answers. */
     readonly life?: WorkerIncarnation;
     /** Initial fencing token of the link's orders. The link raises it by small steps to resolve unanswered orders. */
@@ -106,6 +110,12 @@
     readonly configuration: CellConfiguration;
 }
 
+/** The data halls that are closed to new runs, as the sender knows them. */
+export interface HallClosuresMessage {
+    readonly kind: "closed-halls";
+    readonly closures: HallClosures;
+}
+
 /** Asks the VM to call the store for the owner, which cannot reach it. */
 export interface StoreCallMessage {
     readonly kind: "store-call";
@@ -149,6 +159,7 @@
     | ConfigurationVersionMessage
     | ConfigurationRequestMessage
     | ConfigurationMessage
+    | HallClosuresMessage
     | StoreCallMessage
     | HandOverMessage
     | ResumeMessage
@@ -281,6 +292,7 @@
     | ConfigurationVersionMessage
     | ConfigurationRequestMessage
     | ConfigurationMessage
+    | HallClosuresMessage
     | OwnerHeardMessage
     | HeartbeatMessage;
 
--- a/packages/entry/src/settings/types.ts
+++ b/packages/entry/src/settings/types.ts
@@ -1,5 +1,5 @@
 /** Settings of an entry VM. */
-import type { Milliseconds } from "@pebbledale/core";
+import type { DataHallName, Milliseconds, RegionName } from "@pebbledale/core";
 import type { FreshnessBounds } from "../following/index.js";
 
 /** Time limits set by the operators. */
@@ -27,7 +27,11 @@
 /** Settings of one entry VM. Addresses consist of an IP address and a port. */
 export interface EntrySettings {
     readonly vm: string;
-    readonly dataHall: string;
+    readonly dataHall: DataHallName;
+    /** Region of each data hall; empty where the platform names none. */
+    readonly regions: ReadonlyMap<DataHallName, RegionName>;
+    /** Number of data halls that the cell may lose at once without losing service elsewhere. */
+    readonly toleratedHallLosses: number;
     /** Available processor time, in shares of a core. */
     readonly processorShare: number;
     readonly memoryMebibytes: number;
--- a/packages/entry/test/links/vm-session.test.ts
+++ b/packages/entry/test/links/vm-session.test.ts
@@ -1,8 +1,23 @@
 /* Guards against a VM sending requests over a hanging connection to the owner until its callers' deadlines pass. */
-import { type Epoch, fencingToken, ManualClock, runNumber, taskAddress, workerId } from "@pebbledale/core";
+import {
+    dataHallName,
+    type Epoch,
+    fencingToken,
+    ManualClock,
+    runNumber,
+    taskAddress,
+    workerId,
+} from "@pebbledale/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { type Channel, createMemoryChannel, type OwnerMessage, type VmMessage, VmSession } from "../../src/index.js";
+import {
+    type Channel,
+    createMemoryChannel,
+    HallClosureWatch,
+    type OwnerMessage,
+    type VmMessage,
+    VmSession,
+} from "../../src/index.js";
 import { advanceTime, RecordingLogger, settle } from "../support/index.js";
 
 type Clients = ConstructorParameters<typeof VmSession>[0]["clients"];
@@ -10,6 +25,7 @@
 const setUp = (clients = {} as Clients) => {
     const clock = new ManualClock();
     const stop = new AbortController();
+    const halls = new HallClosureWatch({ logger: new RecordingLogger(), onChange: () => undefined });
     const session = new VmSession({
         clients,
         advice: undefined,
@@ -20,10 +36,13 @@
         onHandOver: () => undefined,
         configuration: () => undefined,
         onConfiguration: () => undefined,
+        closures: () => halls.closures,
+        onClosures: closures => halls.applyPeers(closures),
+        isHallClosed: hall => halls.isClosed(hall),
         onOwnerChange: () => undefined,
     });
     void session.run(stop.signal);
-    return { clock, stop, session };
+    return { clock, stop, session, halls };
 };
 
 const welcome = async (owner: Channel<OwnerMessage, VmMessage>): Promise<void> => {
@@ -47,6 +66,26 @@
         stop.abort();
     });
 
+    /* Guards against an owner that is cut off from the store starting tasks in a data hall that was closed meanwhile. */
+    it("tells an owner that connects which data halls are closed, and corrects one that knows less", async () => {
+        const { stop, session, halls } = setUp();
+        const [owner, vm] = createMemoryChannel<OwnerMessage, VmMessage>();
+        const received: VmMessage[] = [];
+        owner.onMessage = message => received.push(message);
+        const closed = dataHallName("hall-a");
+        halls.replace({ closed: [closed], reopened: [], revision: 9 });
+        session.attach(vm);
+        await welcome(owner);
+        owner.send({ kind: "closed-halls", closures: { halls: [], revision: 8 } });
+        await settle();
+        const announced = { kind: "closed-halls", closures: { halls: [closed], revision: 9 } } as const;
+        expect(received.filter(({ kind }) => kind === "closed-halls")).toEqual([announced, announced]);
+        owner.send({ kind: "closed-halls", closures: { halls: [], revision: 10 } });
+        await settle();
+        expect(halls.isClosed(closed)).toEqual(false);
+        stop.abort();
+    });
+
     /* Guards against links of a former connection polling workers with tokens that the workers refuse. */
     it("closes its links when the same owner connects again", async () => {
         let polls = 0;
--- a/packages/entry/test/links/worker-link.test.ts
+++ b/packages/entry/test/links/worker-link.test.ts
@@ -9,7 +9,15 @@
     type StartOrder,
     type TaskWorkerClient,
 } from "@pebbledale/cell";
-import { fencingToken, ManualClock, runNumber, taskAddress, workerId, WorkerUnreachableError } from "@pebbledale/core";
+import {
+    dataHallName,
+    fencingToken,
+    ManualClock,
+    runNumber,
+    taskAddress,
+    workerId,
+    WorkerUnreachableError,
+} from "@pebbledale/core";
 import { expect } from "earl";
 import { afterEach, describe, it } from "node:test";
 import { LossMonitor, WorkerLink, type WorkerReport } from "../../src/index.js";
@@ -61,17 +69,25 @@
 const neverAnswered = <Answer>(): Promise<Answer> => new Promise(() => undefined);
 
 const links: WorkerLink[] = [];
-const makeLink = (client: FakeClient, mayPoll = () => true) => {
+const makeLink = (client: FakeClient, mayPoll = () => true, isHallClosed: () => boolean = () => false) => {
     const clock = new ManualClock();
     const sent: WorkerReport[] = [];
     const logger = new RecordingLogger();
     const link = new WorkerLink({
-        assignment: { kind: "assign", worker, address: "127.0.0.1:1", token: fencingToken(100), isLeaving: false },
+        assignment: {
+            kind: "assign",
+            worker,
+            address: "127.0.0.1:1",
+            dataHall: dataHallName("hall-a"),
+            token: fencingToken(100),
+            isLeaving: false,
+        },
         client,
         clock,
         logger,
         leaseLength,
         mayPoll,
+        isHallClosed,
         lossMonitor: new LossMonitor(clock, logger),
         send: message => sent.push(message),
     });
@@ -99,6 +115,21 @@
         expect(client.starts.map(start => start.leaseUntil)).toEqual([1_000 + leaseLength]);
     });
 
+    it("forwards no start to a worker whose data hall is closed, and says that it was not delivered", async () => {
+        const client = firstThenWaiting();
+        const { link, sent } = makeLink(client, () => true, () => true);
+        link.forward(command);
+        await settle();
+        expect(client.starts).toEqual([]);
+        expect(sent.slice(-1)).toEqual([{
+            kind: "started",
+            worker,
+            task: command.task,
+            run: command.run,
+            refusal: "not-delivered",
+        }]);
+    });
+
     /*
      * Guards against late replacement of a run that ended with its draining worker: only the expiry of its lease proves
      * that it has ended.
--- a/packages/entry/test/owner/assignments.test.ts
+++ b/packages/entry/test/owner/assignments.test.ts
@@ -1,5 +1,5 @@
 import { type CellScheduler, vmId, WorkerState } from "@pebbledale/cell";
-import { epoch, serviceName, type WorkerId, workerId } from "@pebbledale/core";
+import { dataHallName, epoch, serviceName, type WorkerId, workerId } from "@pebbledale/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import {
@@ -21,7 +21,7 @@
             worker,
             address: "127.0.0.1:1",
             service: serviceName("pool"),
-            dataHall,
+            dataHall: dataHallName(dataHall),
             vm: vmId("vm"),
             capacity: { processorThousandths: 1, memoryMebibytes: 1, accelerators: 0 },
             labels: [],
@@ -38,7 +38,7 @@
     const [ownerEnd, vmEnd] = createMemoryChannel<OwnerMessage, VmMessage>();
     const assigned: AssignMessage[] = [];
     vmEnd.onMessage = message => message.kind === "assign" && assigned.push(message);
-    return { link: new VmLink(makeVm(name, { dataHall }), ownerEnd, 0), assigned };
+    return { link: new VmLink(makeVm(name, { dataHall: dataHallName(dataHall) }), ownerEnd, 0), assigned };
 };
 
 describe("worker links", () => {
--- a/packages/entry/test/support/index.ts
+++ b/packages/entry/test/support/index.ts
@@ -1,5 +1,5 @@
 /** Helpers for the entry VM's tests. */
-import { ManualClock } from "@pebbledale/core";
+import { dataHallName, ManualClock } from "@pebbledale/core";
 import type { EntryVm } from "../../src/index.js";
 
 /** Waits until promises and callbacks that are ready have run. */
@@ -22,7 +22,7 @@
 export const makeVm = (name: string, changes: Partial<EntryVm> = {}): EntryVm => ({
     name,
     address: "127.0.0.1:1",
-    dataHall: "hall-a",
+    dataHall: dataHallName("hall-a"),
     processorShare: 1,
     process: `process-of-${name}`,
     startedAt: 1,
--- a/packages/entry/test/support/simulation/simulation-world.ts
+++ b/packages/entry/test/support/simulation/simulation-world.ts
@@ -9,6 +9,7 @@
     type WorkerListing,
 } from "@pebbledale/cell";
 import {
+    dataHallName,
     epoch,
     type Journal,
     type LogEvent,
@@ -138,6 +139,9 @@
             onHandOver: () => undefined,
             configuration: () => undefined,
             onConfiguration: () => undefined,
+            closures: () => ({ halls: [], revision: 0 }),
+            onClosures: () => undefined,
+            isHallClosed: () => false,
             onOwnerChange: () => undefined,
         });
         void this.#vm.run(this.#ended.signal);
@@ -202,6 +206,8 @@
             onLargerVm: () => undefined,
             isIsolated: () => false,
             onConfiguration: () => undefined,
+            closures: { halls: [], revision: 0 },
+            onClosures: () => undefined,
             upkeep: undefined,
         });
         this.#owner = owner;
@@ -228,7 +234,7 @@
             ...(born === undefined ? {} : { life: born }),
             address,
             service,
-            dataHall: "hall-a",
+            dataHall: dataHallName("hall-a"),
             vm: vmId(`vm-of-${id}`),
             capacity: workerCapacity,
             labels: ["a", "r1"],
