Headroom for urgent work comes back a minute after the last gang

Cause: ServiceHeadroom.hasGangs was set by the first gang that waited or ran in a service and never reset, so that one stray gang switched off the service's headroom for as long as the owner lasted. Change: the time of the last gang is kept; a service counts as one with gangs for a minute after it. Services whose gangs come seconds apart are served as before. Test: urgent-headroom, "leaves headroom again a minute after the last gang": 16 deferrable starts before, 14 after.

--- a/packages/cell/src/headroom/constants.ts
+++ b/packages/cell/src/headroom/constants.ts
@@ -5,6 +5,8 @@
 export const demandDecayTime: Milliseconds = 4_000;
 /** Time constant of the moving average of urgent tasks' sizes. */
 export const sizeAveragingTime: Milliseconds = 5_000;
+/** A service counts as one with gangs for this long after its last one: gangs of a queue come seconds apart. */
+export const gangMemory: Milliseconds = 60_000;
 /** While more than this share of a service's processors is free, no headroom is kept: urgent tasks that do not fit lack something else. */
 export const maxFreeShare = 0.35;
 /** Upper bound of headroom as a share of a service's processors. */
--- a/packages/cell/src/headroom/service-headroom.ts
+++ b/packages/cell/src/headroom/service-headroom.ts
@@ -2,7 +2,7 @@
 import type { Milliseconds } from "@pebbledale/core";
 import { freeResourcesOf, type ResourceAmounts, resourcesWithout } from "../selection/index.js";
 import type { Step, WorkerState } from "../state/index.js";
-import { maxFreeShare, maxHeadroomShare, sizeAveragingTime } from "./constants.js";
+import { gangMemory, maxFreeShare, maxHeadroomShare, sizeAveragingTime } from "./constants.js";
 import { PeakDemand } from "./peak-demand.js";
 import type { DemandForecast } from "./types.js";
 
@@ -24,8 +24,8 @@
  * use.
  */
 export class ServiceHeadroom {
-    /** Whether gangs were seen in the service. No headroom is kept there, as reservations free resources for gangs. */
-    hasGangs = false;
+    #gangSeenAt = -Infinity;
+    #hasGangs = false;
     readonly #forecast: DemandForecast = new PeakDemand();
     /** Moving average of urgent tasks' sizes; undefined before the first task. */
     #typicalTask: ResourceAmounts | undefined;
@@ -39,7 +39,19 @@
     /** How many typical urgent tasks fit the free capacity. */
     #fittingTasks = 0;
 
-    beginCycle(): void {
+    /** Whether gangs were seen in the service lately. No headroom is kept there, as reservations free resources for gangs. */
+    get hasGangs(): boolean {
+        return this.#hasGangs;
+    }
+
+    /** Notes a gang that waits or runs. */
+    noteGang(now: Milliseconds): void {
+        this.#gangSeenAt = now;
+        this.#hasGangs = true;
+    }
+
+    beginCycle(now: Milliseconds): void {
+        this.#hasGangs = now - this.#gangSeenAt < gangMemory;
         this.#running = noLoad();
         this.#waiting = noLoad();
         this.#unplacedProcessor = 0;
--- a/packages/cell/src/headroom/urgent-headroom.ts
+++ b/packages/cell/src/headroom/urgent-headroom.ts
@@ -32,8 +32,8 @@
     beginCycle(ranked: readonly RankedStep[], openWorkers: readonly WorkerState[], now: Milliseconds): void {
         this.#restricted.clear();
         this.#openWorkers = openWorkers;
-        this.#services.forEach(headroom => headroom.beginCycle());
-        this.context.workers.forEach(worker => this.#addRuns(worker));
+        this.#services.forEach(headroom => headroom.beginCycle(now));
+        this.context.workers.forEach(worker => this.#addRuns(worker, now));
         ranked.forEach(entry => this.#addStep(entry, now));
         this.#services.forEach(headroom => headroom.updateDemand(now));
         for (const worker of openWorkers) {
@@ -91,11 +91,11 @@
         return headroom === undefined || headroom.hasGangs ? 0 : headroom.headroomProcessor;
     }
 
-    #addRuns(worker: WorkerState): void {
+    #addRuns(worker: WorkerState, now: Milliseconds): void {
         for (const { task: { step } } of worker.runs.values()) {
             const { definition, job } = step;
             if (definition.isGang) {
-                this.#serviceHeadroom(job.terms.service).hasGangs = true;
+                this.#serviceHeadroom(job.terms.service).noteGang(now);
             }
             else if (isUrgentNarrow(this.context, step)) {
                 this.#serviceHeadroom(job.terms.service).addRunning(step, 1);
@@ -108,7 +108,7 @@
         const { definition, job } = step;
         const headroom = this.#serviceHeadroom(job.terms.service);
         if (definition.isGang) {
-            headroom.hasGangs = true;
+            headroom.noteGang(now);
         }
         else if (isUrgentNarrow(this.context, step)) {
             if (qualifiesForHeadroom(ranked)) {
--- a/packages/cell/test/headroom/urgent-headroom.test.ts
+++ b/packages/cell/test/headroom/urgent-headroom.test.ts
@@ -75,6 +75,18 @@
         expect(deferrableStarts(driver)).toEqual(16);
     });
 
+    it("leaves headroom again a minute after the last gang", () => {
+        const driver = afterUrgentWork(3, { isGang: true });
+        driver.clock.advance(61_000);
+        driver.cell.submit(jobOf("urgent", "urgent-again", makeStep({ taskCount: 2, estimate: 300 })));
+        const { starts } = driver.run();
+        driver.confirm(...starts);
+        starts.forEach(start => driver.end(start));
+        driver.run();
+        driver.cell.submit(jobOf("deferrable", "deferrable", deferrableStep));
+        expect(deferrableStarts(driver)).toEqual(14);
+    });
+
     it("does not count free resources that fit no urgent task", () => {
         const driver = new CellDriver(undefined, makeConfiguration(1, queues));
         driver.addWorkers(makeWorker("w1"), makeWorker("w2"));
