A wave of upkeep follows changes of its VMs, limit and time

Cause: WavePlanner.add ignored a wave whose number it knew, so that an operator's change of a running wave had no effect. Change: the definition is replaced; orders, VMs that are down and VMs that are finished stay as they are. Test: wave-planner, "follows a change of its VMs and its limit": fails before.

--- a/packages/cell/src/upkeep/wave-planner.ts
+++ b/packages/cell/src/upkeep/wave-planner.ts
@@ -36,7 +36,7 @@
 }
 
 interface Wave {
-    readonly definition: UpkeepWave;
+    definition: UpkeepWave;
     readonly addedAt: Milliseconds;
     /** VMs whose upkeep was ordered. */
     readonly orders: Map<VmId, Order>;
@@ -69,10 +69,14 @@
         return this.#waves.size > 0;
     }
 
-    /** Adds a wave. A repeated call has no effect. */
+    /** Adds a wave, or changes one that is not completed: what has been ordered stays. A repeated call has no effect. */
     add(definition: UpkeepWave): void {
         const { wave } = definition;
-        if (!this.#waves.has(wave) && !this.#completed.has(wave)) {
+        const known = this.#waves.get(wave);
+        if (known !== undefined) {
+            known.definition = definition;
+        }
+        else if (!this.#completed.has(wave)) {
             this.#waves.set(wave, {
                 definition,
                 addedAt: this.options.now(),
--- a/packages/cell/test/upkeep/wave-planner.test.ts
+++ b/packages/cell/test/upkeep/wave-planner.test.ts
@@ -43,6 +43,18 @@
 const waveOf = (mostDown: number, ...names: string[]) => ({ wave: 1, vms: names.map(vmId), within: 20_000, mostDown });
 
 describe("a wave of upkeep", () => {
+    it("follows a change of its VMs and its limit, and keeps count of what is down", () => {
+        const vms = new Vms("a", "b", "c");
+        vms.planner.add(waveOf(1, "a", "b"));
+        expect(vms.plan().begin).toEqual(["a"]);
+        vms.order("a");
+        vms.planner.add(waveOf(2, "a", "b", "c"));
+        expect(vms.plan().begin).toEqual(["b"]);
+        vms.order("b");
+        vms.planner.add(waveOf(1, "a", "b", "c"));
+        expect(vms.plan().begin).toEqual([]);
+    });
+
     it("takes no more VMs down at once than allowed, and is completed once all are up again", () => {
         const vms = new Vms("a", "b");
         vms.planner.add(waveOf(1, "a", "b"));
