Finished jobs, unrepeatable requests, health of gone workers and empty services are forgotten in time

Change: finished jobs are ordered by the time of their end; keys are removed after the retention of results by a record of their own; the rest is removed where its cause ends.

--- a/packages/core/src/settings/schema.ts
+++ b/packages/core/src/settings/schema.ts
@@ -82,7 +82,7 @@
     "result.retention": defineSetting(
         new DurationKind("1s", "30d"),
         "1h",
-        "How long a finished job, its key and its result are kept.",
+        "How long a finished job, its key and its result are kept, and the key of an unrepeatable live request.",
     ),
     "live.slot_grant": defineSetting(
         new DurationKind("500ms", "10m"),
--- a/packages/core/src/shard/job-lifecycle.ts
+++ b/packages/core/src/shard/job-lifecycle.ts
@@ -25,11 +25,14 @@
     readonly unit: PendingUnit;
 }
 
+/** When a job finished, in milliseconds since 1970. */
+const finishTime = ({ finishedAt }: JobEntry): number => Date.parse(finishedAt ?? "");
+
 /** Queues, retries, stops and finishes jobs, and enforces deadlines and retention. */
 export class JobLifecycle {
     readonly #deadlines = new TinyQueue<Deadline>([], (left, right) => left.at - right.at);
     readonly #delayed = new TinyQueue<DelayedUnit>([], (left, right) => left.at - right.at);
-    readonly #finished: JobEntry[] = [];
+    readonly #finished = new TinyQueue<JobEntry>([], (left, right) => finishTime(left) - finishTime(right));
     #nextSequence = 1;
 
     constructor(private readonly context: ShardContext) {}
@@ -275,11 +278,17 @@
         }
     }
 
-    /** Removes finished jobs whose retention period is over. */
+    /** Removes finished jobs and at-most-once live requests whose retention period is over. */
     purgeExpired(builder: TransitionBuilder): void {
         const cutoff = this.context.options.clock.now().getTime() - this.context.options.settings().retention;
-        while (this.#finished.length > 0 && Date.parse(this.#finished[0].finishedAt ?? "") <= cutoff) {
-            builder.record({ kind: "forgotten", job: this.#finished.shift()!.job });
+        while (this.#finished.length > 0 && finishTime(this.#finished.peek()!) <= cutoff) {
+            builder.record({ kind: "forgotten", job: this.#finished.pop()!.job });
+        }
+        for (const { key, at } of this.context.registry.unrepeatableRequests.values()) {
+            if (Date.parse(at) > cutoff) {
+                break;
+            }
+            builder.record({ kind: "once-forgotten", key });
         }
     }
 }
--- a/packages/core/src/shard/job-registry.ts
+++ b/packages/core/src/shard/job-registry.ts
@@ -75,6 +75,8 @@
                 this.leaseTerms = record.terms;
                 return;
             case "once-began":
+                // Requests stay in the order of their times, in which they are forgotten.
+                this.unrepeatableRequests.delete(record.key);
                 this.unrepeatableRequests.set(record.key, {
                     key: record.key,
                     digest: record.digest,
@@ -84,6 +86,9 @@
                 return;
             case "once-ended":
                 return this.#applyUnrepeatableEnded(record);
+            case "once-forgotten":
+                this.unrepeatableRequests.delete(record.key);
+                return;
         }
     }
 
--- a/packages/core/src/shard/records.ts
+++ b/packages/core/src/shard/records.ts
@@ -108,6 +108,12 @@
     readonly status?: number;
 }
 
+/** Written when an at-most-once live request is removed at the end of its retention period. */
+export interface UnrepeatableForgottenRecord {
+    readonly kind: "once-forgotten";
+    readonly key: string;
+}
+
 /** Written before the owner grants leases under new terms. */
 export interface LeaseTermsRecord {
     readonly kind: "terms";
@@ -126,6 +132,7 @@
     | ForgottenRecord
     | UnrepeatableBeganRecord
     | UnrepeatableEndedRecord
+    | UnrepeatableForgottenRecord
     | LeaseTermsRecord;
 
 /** Returns the job that a record belongs to; undefined for records of the shard as a whole. */
--- a/packages/core/src/shard/service-directory.ts
+++ b/packages/core/src/shard/service-directory.ts
@@ -34,7 +34,12 @@
     }
 
     remove(job: JobEntry): void {
-        this.#jobs.get(job.submission.service ?? "")?.delete(job);
+        const service = job.submission.service ?? "";
+        const jobs = this.#jobs.get(service);
+        jobs?.delete(job);
+        if (jobs?.size === 0) {
+            this.#jobs.delete(service);
+        }
     }
 
     has(service: string): boolean {
--- a/packages/core/src/shard/worker-controller.ts
+++ b/packages/core/src/shard/worker-controller.ts
@@ -73,6 +73,7 @@
             if (this.#isGone(entry, now)) {
                 this.jobs.recordAllLost(entry, "the platform no longer lists its VM", builder);
                 this.context.workers.remove(entry);
+                this.context.health.forgetWorker(entry.worker);
             }
             else if (isLeaving(entry)) {
                 this.#drain(entry, builder);
