Gateway: a request that may have run is never told as not run; unknown services, shards and malformed keys

Cause: after a send that may have run, a retry that found no slot ended as "overloaded" or "unreachable", which say that the request was not run; any service name made a broker that asked the owner for a minute; a job id that names no shard gave 503 after the whole wait; one malformed owner key stopped the reading of all; a body's length was counted in UTF-16 units. Change: mostCertain keeps the earlier outcome; a broker of an unknown service ends after 2 s; such an id is looked up at an existing shard (404); a malformed key is logged (2102) and skipped; the length is counted in bytes. Left: a lost answer of beginOnce makes the caller's own retry "already sent" (a late endOnce could free another send's key); jobs with service and key are found by key only with one shard; pools of gone instances stay until the process ends.

--- a/packages/core/src/log-events/index.ts
+++ b/packages/core/src/log-events/index.ts
@@ -62,6 +62,12 @@
     requestRetried: define(2002, "debug", "a live request was retried", nothing),
     unexpectedFailure: define(2004, "error", "a request failed unexpectedly", "Report it."),
     ownerChanged: define(2101, "info", "the owner of a shard changed", nothing),
+    ownerEntryUnreadable: define(
+        2102,
+        "warn",
+        "the key of a shard's owner is malformed; the schedulers are asked instead",
+        "Check who wrote the key.",
+    ),
     shardClaimed: define(3001, "info", "a shard was claimed", nothing),
     shardReleased: define(3002, "info", "a shard was handed over", nothing),
     shardFenced: define(
--- a/packages/gateway/src/callers/caller-server.ts
+++ b/packages/gateway/src/callers/caller-server.ts
@@ -34,7 +34,9 @@
             if (socket.writable) {
                 const body = JSON.stringify(errorBody("bad-request", { reason: error.message }));
                 socket.write(
-                    `HTTP/1.1 400 Bad Request\r\nContent-Type: application/json\r\nContent-Length: ${body.length}\r\n`,
+                    `HTTP/1.1 400 Bad Request\r\nContent-Type: application/json\r\nContent-Length: ${
+                        Buffer.byteLength(body)
+                    }\r\n`,
                 );
                 socket.write(`Connection: close\r\n\r\n${body}`);
             }
--- a/packages/gateway/src/callers/job-routes.ts
+++ b/packages/gateway/src/callers/job-routes.ts
@@ -10,7 +10,15 @@
     type Random,
     type ShardId,
 } from "@pebbledale/core";
-import { digestOf, type JobAnswer, type JobRequest, type NoJob, shardOfJob, shardOfText } from "@pebbledale/runtime";
+import {
+    allShards,
+    digestOf,
+    type JobAnswer,
+    type JobRequest,
+    type NoJob,
+    shardOfJob,
+    shardOfText,
+} from "@pebbledale/runtime";
 import type { FastifyInstance, FastifyReply, FastifyRequest } from "fastify";
 import { NoOwnerError, type OwnerClient } from "../owners/index.js";
 import { sendError } from "./send-error.js";
@@ -193,5 +201,7 @@
         return { shard: shardOfText(key, shardCount), key };
     }
     const job: JobId = jobId(reference);
-    return { shard: reference.includes(".") ? shardOfJob(job) : shardOfText(reference, shardCount), job };
+    const shard = shardOfJob(job);
+    // Any owner can tell that a job of no existing shard is unknown.
+    return { shard: allShards(shardCount).includes(shard) ? shard : shardOfText(reference, shardCount), job };
 };
--- a/packages/gateway/src/callers/service-routes.ts
+++ b/packages/gateway/src/callers/service-routes.ts
@@ -61,7 +61,7 @@
 }
 
 /** Result of forwarding a request. Without `error` the response, complete or not, has gone to the caller. */
-interface RequestOutcome {
+export interface RequestOutcome {
     readonly error?: ErrorName;
     readonly status?: number;
     readonly reason?: string;
@@ -176,13 +176,13 @@
             const outcome = await this.#brokerOf(context.service).acquire();
             this.#slotWaits.observe({ service: context.service }, (clock.monotonic() - waitStartedAt) / 1000);
             if (outcome.kind !== "slot") {
-                return toRequestOutcome(outcome);
+                return mostCertain(lastResult, toRequestOutcome(outcome));
             }
             const result = await this.#attempt(context, outcome.slot);
             if (result.isRetryable !== true) {
                 return result;
             }
-            lastResult = result;
+            lastResult = mostCertain(lastResult, result);
             if (!budget.tryConsume()) {
                 break;
             }
@@ -285,6 +285,10 @@
 
 const isKnownNotRun = (result: RequestOutcome): boolean => errorsWithoutEffect.includes(result.error);
 
+/** The outcome of several sends of a request: once one of them may have run, no later one says that the request was not run. */
+export const mostCertain = (earlier: RequestOutcome, later: RequestOutcome): RequestOutcome =>
+    earlier.error !== undefined && !isKnownNotRun(earlier) && isKnownNotRun(later) ? earlier : later;
+
 const unreachableRetryAfter: Milliseconds = 1_000;
 
 const toRequestOutcome = (
--- a/packages/gateway/src/live/slot-broker.ts
+++ b/packages/gateway/src/live/slot-broker.ts
@@ -70,6 +70,8 @@
 const maxFirstBundleWait: Milliseconds = 1_500;
 /** Factor by which the remembered demand decays from one renewal to the next. */
 const demandDecay = 0.8;
+/** A broker of an unknown service ends after this time without requests, as callers may ask for any name. */
+const unknownServiceTimeout: Milliseconds = 2_000;
 /** The bundle is no longer renewed after this time without requests. */
 const idleTimeout: Milliseconds = 60_000;
 
@@ -106,7 +108,8 @@
         const { clock, signal } = this.options;
         while (!signal.aborted) {
             const now = clock.monotonic();
-            if (now - this.#lastUsedAt > idleTimeout && this.#inUse === 0 && this.#waiters.length === 0) {
+            const timeout = this.#isServiceKnown ? idleTimeout : unknownServiceTimeout;
+            if (now - this.#lastUsedAt > timeout && this.#inUse === 0 && this.#waiters.length === 0) {
                 return;
             }
             await this.#requestBundle();
--- a/packages/gateway/src/owners/owner-directory.ts
+++ b/packages/gateway/src/owners/owner-directory.ts
@@ -1,6 +1,7 @@
 /** Discovery of the shard owners and calls to them. */
 import {
     type Clock,
+    type KeyValue,
     logEvents,
     type Milliseconds,
     type PlatformStore,
@@ -82,12 +83,7 @@
         let cursor = "";
         while (!signal.aborted) {
             try {
-                for (const entry of await store.list(ownersPrefix)) {
-                    this.#setOwner(
-                        shardId(entry.key.slice(ownersPrefix.length)),
-                        JSON.parse(entry.value) as OwnerValue,
-                    );
-                }
+                (await store.list(ownersPrefix)).forEach(entry => this.#applyEntry(entry));
                 cursor = (await store.watch(ownersPrefix, cursor, maxWatchDuration, signal)).cursor;
             }
             catch {
@@ -167,6 +163,17 @@
         }));
     }
 
+    /** An unreadable entry is skipped: the owner of its shard is then found by asking the schedulers. */
+    #applyEntry({ key, value }: KeyValue): void {
+        const shard = shardId(key.slice(ownersPrefix.length));
+        try {
+            this.#setOwner(shard, JSON.parse(value) as OwnerValue);
+        }
+        catch (cause) {
+            this.options.logger.log(logEvents.ownerEntryUnreadable, { shard, cause: String(cause) });
+        }
+    }
+
     #setOwner(shard: ShardId, owner: OwnerValue): void {
         if (this.#ownerAddresses.get(shard) !== owner.address) {
             this.#ownerAddresses.set(shard, owner.address);
--- a/packages/gateway/test/callers/invalid-input.test.ts
+++ b/packages/gateway/test/callers/invalid-input.test.ts
@@ -1,4 +1,4 @@
-import { type Milliseconds, SeededRandom, type SubmitOutcome, SystemClock } from "@pebbledale/core";
+import { jobId, type Milliseconds, SeededRandom, shardId, type SubmitOutcome, SystemClock } from "@pebbledale/core";
 import { expect } from "earl";
 import { connect } from "node:net";
 import { describe, it } from "node:test";
@@ -148,4 +148,12 @@
         await server.close();
         expect(text.startsWith("HTTP/1.1 400 ")).toEqual(true);
     });
+
+    it("asks an existing shard about a job whose id names none", async () => {
+        const { server, owners } = startServer();
+        owners.answer = { kind: "no-job" };
+        const answer = await server.inject({ method: "GET", url: "/jobs/elsewhere.1.1" });
+        expect(answer.statusCode).toEqual(404);
+        expect(owners.sent).toEqual([{ shard: shardId("shard-0"), job: jobId("elsewhere.1.1") }]);
+    });
 });
--- a/packages/gateway/test/live/slot-broker.test.ts
+++ b/packages/gateway/test/live/slot-broker.test.ts
@@ -68,6 +68,17 @@
         fixture.end.abort();
     });
 
+    it("stops asking for a service that does not exist two seconds after the last request", async () => {
+        const fixture = new BrokerFixture(undefined);
+        await flushPromises();
+        expect((await fixture.broker.acquire()).kind).toEqual("no-service");
+        await fixture.advance(3_000);
+        const calls = fixture.requests.length;
+        await fixture.advance(10_000);
+        expect(fixture.requests.length).toEqual(calls);
+        fixture.end.abort();
+    });
+
     it("refuses a request at once if its expected wait exceeds the limit, with a retry delay", async () => {
         const fixture = new BrokerFixture([grantOf(0, 1)]);
         await flushPromises();
