--- a/packages/core/src/errors/index.ts
+++ b/packages/core/src/errors/index.ts
@@ -30,6 +30,11 @@
         "Send less, or have the task fetch its input itself.",
         413,
     ),
+    "unreadable-file": define(
+        "The file cannot be read",
+        "A file that the command names cannot be opened or read.",
+        "Check the path and its permissions.",
+    ),
     "no-such-job": define(
         "No such job",
         "No shard knows a job of this id or key; it may have been forgotten after its retention.",
--- a/packages/evidence/test/operator/command-line.test.ts
+++ b/packages/evidence/test/operator/command-line.test.ts
@@ -50,6 +50,18 @@
         expect(help.out.includes("settings accept")).toEqual(true);
     });
 
+    it("explains a job from log files without settings, and names a file that cannot be read", async () => {
+        const log = file(
+            "vm.log",
+            `{"time":1,"event":4001,"name":"vm","job":"j","msg":"a job was accepted"}\nno line\n`,
+        );
+        const answer = await run("operator", ["explain", "j", "--log", log]);
+        expect([answer.code, answer.out.includes("a job was accepted")]).toEqual([0, true]);
+        expect(answer.err.includes("1 of 2 lines are no log lines: ") && answer.err.includes("vm.log:2")).toEqual(true);
+        const missing = await run("operator", ["explain", "j", "--log", join(folder, "missing.log")]);
+        expect([missing.code, missing.err.includes("missing.log")]).toEqual([1, true]);
+    });
+
     it("prints the location of each finding in its settings file and exits with 2", async () => {
         const wrong = file("wrong.ini", "[platform]\naddress = nowhere\nspeed = 3\n");
         const answer = await run("operator", ["status", "--config", wrong]);
--- a/packages/operator/src/cli/operator-command.ts
+++ b/packages/operator/src/cli/operator-command.ts
@@ -21,8 +21,13 @@
             this.showFindings(settings.error);
             return ExitCode.Usage;
         }
+        return this.reportErrors(() => this.executeWithSettings(settings.value));
+    }
+
+    /** Runs an action and prints an {@link OperatorError}, which ends in exit code 1. */
+    protected async reportErrors(action: () => Promise<ExitCode>): Promise<ExitCode> {
         try {
-            return await this.executeWithSettings(settings.value);
+            return await action();
         }
         catch (cause) {
             if (cause instanceof OperatorError) {
