--- a/packages/entry/test/explorer/mutations.ts
+++ b/packages/entry/test/explorer/mutations.ts
@@ -142,7 +142,7 @@
         name: "what is ordered of a former life is charged nowhere",
         rule: "each job has its end",
         file: runs,
-        from: "run.confirmedAt = undefined;\n        worker.allocate(run);",
-        to: "run.confirmedAt = undefined;",
+        from: "run.progressSamples = undefined;\n        worker.allocate(run);",
+        to: "run.progressSamples = undefined;",
     },
 ];
