Submissions are refused at once while all workers of their service stand in closed data halls

Cause: such a job was accepted and waited until its caller gave up, though the owner knew that nothing could start. Change: the owner answers 'not now' with a time to return and the reason data-halls-closed. Known jobs are confirmed as before, timed jobs are accepted, and what runs goes on.

--- a/packages/cell/src/data-halls/closed-halls.ts
+++ b/packages/cell/src/data-halls/closed-halls.ts
@@ -1,5 +1,5 @@
 /** Data halls that are closed to new runs, as the owner's decisions see them. */
-import { type DataHallName, logEvents } from "@pebbledale/core";
+import { type DataHallName, logEvents, type ServiceName } from "@pebbledale/core";
 import type { CellContext, WorkerState } from "../state/index.js";
 import type { HallClosures } from "./types.js";
 
@@ -33,6 +33,17 @@
         worker.isHallClosed = worker.entry !== undefined && this.#halls.has(worker.entry.dataHall);
     }
 
+    /** Whether all listed workers of a service are in closed data halls, so that nothing of it can be started. */
+    isServiceClosed(service: ServiceName): boolean {
+        if (this.#halls.size === 0) {
+            return false;
+        }
+        const workers = [...this.context.workers.values()].filter(({ entry, unlistedSince }) =>
+            entry?.service === service && unlistedSince === undefined
+        );
+        return workers.length > 0 && workers.every(worker => worker.isHallClosed);
+    }
+
     #log(hall: DataHallName, revision: number, isClosed: boolean): void {
         let workers = 0;
         let runs = 0;
--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -203,6 +203,12 @@
         return this.#context.termsOf(queue, organisation) !== undefined;
     }
 
+    /** Whether all workers that could run a job are in closed data halls. A timed job does not start yet, so that it can wait. */
+    isClosedTo({ queue, organisation, timetable }: JobDefinition): boolean {
+        const terms = this.#context.termsOf(queue, organisation);
+        return terms !== undefined && timetable === undefined && this.#halls.isServiceClosed(terms.service);
+    }
+
     /** Whether a job has a step that never fits its organisation's limit: a gang as a whole, or a single task of another step. */
     exceedsLimit({ organisation, steps }: JobDefinition): boolean {
         const { usage } = this.#context;
--- a/packages/entry/src/front-end/job-service.ts
+++ b/packages/entry/src/front-end/job-service.ts
@@ -129,6 +129,7 @@
 const retryLaterReasons: Readonly<Record<RetryLaterReason, string>> = {
     [RetryLaterReason.JournalStalled]: "the store keeps no records now",
     [RetryLaterReason.QueueUnknown]: "the owner does not know the queue or the organisation yet",
+    [RetryLaterReason.DataHallsClosed]: "all workers of the service are in closed data halls",
     [RetryLaterReason.OwnerUnconfirmed]: "the owner does not know the job and is not confirmed to own the cell",
     [RetryLaterReason.NotCommittedYet]: "the job's acceptance is not kept yet",
 };
--- a/packages/entry/src/owner/request-handler.ts
+++ b/packages/entry/src/owner/request-handler.ts
@@ -88,6 +88,9 @@
         if (known === undefined && cell.exceedsLimit(definition)) {
             return { kind: "beyond-limit" };
         }
+        if (known === undefined && cell.isClosedTo(definition)) {
+            return retryLater(RetryLaterReason.DataHallsClosed);
+        }
         cell.submit(definition);
         return await this.#untilCommitted() ? { kind: "accepted" } : { kind: "uncertain" };
     }
--- a/packages/entry/src/protocol/messages.ts
+++ b/packages/entry/src/protocol/messages.ts
@@ -306,6 +306,8 @@
     JournalStalled = "journal-stalled",
     /** The front end has a newer configuration than the owner. */
     QueueUnknown = "queue-unknown",
+    /** All workers that could run the job are in data halls that operators have closed. */
+    DataHallsClosed = "data-halls-closed",
     /** The job was submitted, and its record is not committed yet. */
     NotCommittedYet = "not-kept-yet",
     /** The owner does not know the job, and the store has not recently confirmed its ownership. */
