Loss of a data hall: long-running tasks are spread over halls, links return to the hall's VMs

Cause: best fit packs the tasks of a long-running step on the fullest workers, often of one or two halls (14 tasks of a core on 12 workers in four halls: two workers). Links that went to other halls stayed there after the hall's VMs had returned. Change: where settings tolerate the loss of a hall, candidates for a long-running step cost more for each of its tasks in their hall; capacity beyond that comes last, so that nothing waits for it. A VM that joins takes links of its hall's workers from the fullest VM of other halls until loads are close.

--- a/packages/cell/src/placement/placer.ts
+++ b/packages/cell/src/placement/placer.ts
@@ -21,6 +21,7 @@
     isWide,
     type RankedStep,
     rankStep,
+    spreadOverHalls,
 } from "../selection/index.js";
 import { type CellContext, formatTaskAddress, type Step, type Task, type WorkerState } from "../state/index.js";
 import { rackTimeout, wideTaskReservationDelay } from "./constants.js";
@@ -156,10 +157,19 @@
 
     #placeTrusted(ranked: RankedStep, tasks: readonly Task[], now: Milliseconds): void {
         if (tasks.length > 0) {
-            this.#placeTasks(ranked, tasks, findCandidates(this.#candidateQuery(ranked.step, now), tasks.length), now);
+            const candidates = findCandidates(this.#candidateQuery(ranked.step, now), tasks.length);
+            const allocations = this.#isSpread(ranked.step)
+                ? spreadOverHalls(ranked.step, candidates, tasks.length)
+                : candidates;
+            this.#placeTasks(ranked, tasks, allocations, now);
         }
     }
 
+    /** Whether the tasks of a step are distributed over data halls, any of which may be lost. */
+    #isSpread({ definition: { isLasting, fills } }: Step): boolean {
+        return isLasting && !fills && (this.dependencies.context.options.toleratedHallLosses ?? 0) > 0;
+    }
+
     /** Starts suspect tasks on one worker where no other run is still starting, so that a crash can be attributed to them. */
     #placeTrial(step: Step, suspects: readonly Task[], now: Milliseconds): void {
         if (suspects.length === 0) {
--- a/packages/cell/src/selection/candidates.ts
+++ b/packages/cell/src/selection/candidates.ts
@@ -1,8 +1,15 @@
 /** Selects workers for the tasks of one step. */
-import type { Milliseconds, ServiceName } from "@pebbledale/core";
+import type { DataHallName, Milliseconds, ServiceName } from "@pebbledale/core";
 import type { Step, StepPermits, WorkerState } from "../state/index.js";
 import type { CapacityIndex } from "./capacity-index.js";
-import { candidateFactor, maxWideTasksPerWorker, minCandidates, servingWorkerCost, slownessCost } from "./constants.js";
+import {
+    candidateFactor,
+    maxWideTasksPerWorker,
+    minCandidates,
+    sameHallCost,
+    servingWorkerCost,
+    slownessCost,
+} from "./constants.js";
 
 /** A number of a step's tasks at one worker, with the advice service's ticket where one is needed. */
 export interface Allocation {
@@ -12,7 +19,7 @@
 }
 
 /** A worker that can take tasks of a step now, and how many. */
-interface Candidate extends Allocation {
+export interface Candidate extends Allocation {
     /** Lower is better. */
     readonly cost: number;
     /** Whether its cost contains a penalty. */
@@ -59,7 +66,7 @@
 };
 
 /** Workers that can take tasks of a step now, lowest cost first. May leave out others once enough are found for `maxTasks` tasks. */
-export const findCandidates = (query: CandidateQuery, maxTasks: number): Allocation[] => {
+export const findCandidates = (query: CandidateQuery, maxTasks: number): Candidate[] => {
     const { permits } = query.step;
     const candidates = permits === undefined
         ? unrestrictedCandidates(query, maxTasks)
@@ -171,3 +178,42 @@
     fitting.sort((left, right) => capacityOf(left) - capacityOf(right));
     return fitting.length === 0 ? undefined : allocate(fitting[0], count);
 };
+
+/**
+ * Distributes the tasks of a step over data halls: each further task in a hall adds a cost, so that the loss of one hall leaves others at
+ * work. Capacity that is not needed for `count` tasks comes last, so that no task waits for the sake of the distribution.
+ */
+export const spreadOverHalls = (step: Step, candidates: readonly Candidate[], count: number): Allocation[] => {
+    const tasksByHall = countRunsByHall(step);
+    const taken = new Map<Candidate, number>();
+    const costWithOneMore = (candidate: Candidate): number =>
+        candidate.cost + sameHallCost * (tasksByHall.get(hallOf(candidate)) ?? 0);
+    for (let placed = 0; placed < count; placed++) {
+        const best = candidates
+            .filter(candidate => (taken.get(candidate) ?? 0) < candidate.count)
+            .reduce<Candidate | undefined>(
+                (least, other) =>
+                    least === undefined || costWithOneMore(other) < costWithOneMore(least) ? other : least,
+                undefined,
+            );
+        if (best === undefined) {
+            break;
+        }
+        taken.set(best, (taken.get(best) ?? 0) + 1);
+        tasksByHall.set(hallOf(best), (tasksByHall.get(hallOf(best)) ?? 0) + 1);
+    }
+    const chosen = [...taken].map(([candidate, tasks]) => ({ ...candidate, count: tasks }));
+    const spare = candidates.map(candidate => ({ ...candidate, count: candidate.count - (taken.get(candidate) ?? 0) }));
+    return [...chosen, ...spare.filter(allocation => allocation.count > 0)];
+};
+
+const hallOf = ({ worker }: Allocation): DataHallName | undefined => worker.entry?.dataHall;
+
+const countRunsByHall = ({ tasks }: Step): Map<DataHallName | undefined, number> => {
+    const counts = new Map<DataHallName | undefined, number>();
+    for (const run of tasks.flatMap(({ runs }) => runs)) {
+        const hall = run.worker.entry?.dataHall;
+        counts.set(hall, (counts.get(hall) ?? 0) + 1);
+    }
+    return counts;
+};
--- a/packages/cell/src/selection/constants.ts
+++ b/packages/cell/src/selection/constants.ts
@@ -27,3 +27,5 @@
 export const maxSizePenalty = 1_000;
 /** Cost of a worker that is slower by a factor of e. It outweighs the free processors of most workers, which cost 1 each. */
 export const slownessCost = 50;
+/** Cost of a data hall for each long-running task of the same step there. It outweighs the free processors of a worker, which cost 1 each. */
+export const sameHallCost = 100;
--- a/packages/cell/src/state/cell-context.ts
+++ b/packages/cell/src/state/cell-context.ts
@@ -17,6 +17,8 @@
 export interface CellOptions {
     readonly clock: Clock;
     readonly log: DecisionLog;
+    /** Number of data halls that may be lost at once. If any, long-running tasks of a step are spread over data halls. */
+    readonly toleratedHallLosses?: number;
     /** Called when a worker announces that it is draining. */
     readonly onWorkerDraining?: (worker: WorkerId) => void;
 }
--- a/packages/cell/test/support/cell-driver.ts
+++ b/packages/cell/test/support/cell-driver.ts
@@ -3,6 +3,7 @@
 import {
     type AdviceRequest,
     type CellConfiguration,
+    type CellOptions,
     type CellRecord,
     CellScheduler,
     type CellSnapshot,
@@ -40,6 +41,7 @@
     constructor(
         readonly clock = new ManualClock(),
         private readonly configuration: CellConfiguration = makeConfiguration(1, [makeQueue("work")]),
+        private readonly options: Partial<CellOptions> = {},
     ) {
         this.cell = this.#makeCell();
     }
@@ -120,7 +122,7 @@
     ): CellScheduler {
         const log = (event: LogEvent, fields: Readonly<Record<string, unknown>> = {}) =>
             void this.logged.push({ event, fields });
-        const cell = new CellScheduler({ clock: this.clock, log: { log } });
+        const cell = new CellScheduler({ ...this.options, clock: this.clock, log: { log } });
         if (isConfigured) {
             cell.configure(this.configuration);
         }
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -175,6 +175,7 @@
             followLimits: this.#followLimits,
             configuration: () => this.#configuration.configuration,
             onConfiguration: configuration => this.#configuration.apply(configuration, "vm"),
+            toleratedHallLosses: settings.toleratedHallLosses,
             closures: () => this.#halls.closures,
             onClosures: closures => this.#halls.applyPeers(closures),
             formerLeaseLength: confirmationValidity + ownerSilenceLimit
--- a/packages/entry/src/owner/assignments.ts
+++ b/packages/entry/src/owner/assignments.ts
@@ -89,23 +89,29 @@
     /** Moves links from other VMs of the same data hall to a VM that has just joined until their loads are close. */
     rebalanceTo(workers: ReadonlyMap<WorkerId, WorkerState>, joined: VmLink, links: readonly VmLink[]): void {
         const near = links.filter(link => link.vm.dataHall === joined.vm.dataHall && link !== joined);
-        for (;;) {
-            const fullest = near.reduce<VmLink | undefined>(
-                (best, link) => best === undefined || this.#loadOf(link) > this.#loadOf(best) ? link : best,
-                undefined,
-            );
-            const moved = fullest === undefined ? undefined : [...fullest.workers].at(-1);
-            const worker = moved === undefined ? undefined : workers.get(moved);
-            if (
-                fullest === undefined || worker === undefined
-                || this.#loadOf(fullest) - this.#loadOf(joined) < allowedImbalance / joined.vm.processorShare
-            ) {
-                return;
+        const lastOf = (link: VmLink) => {
+            const last = [...link.workers].at(-1);
+            return last === undefined ? undefined : workers.get(last);
+        };
+        this.#level(near, joined, lastOf);
+    }
+
+    /**
+     * Moves links of workers in the data hall of a VM that has just joined from VMs of other halls to it, until its load is close to theirs.
+     * When the VMs of a lost hall return one after the other, each takes only its share, so that few links move twice.
+     */
+    returnTo(workers: ReadonlyMap<WorkerId, WorkerState>, joined: VmLink, links: readonly VmLink[]): void {
+        const { dataHall } = joined.vm;
+        const homeOf = (link: VmLink) => {
+            for (const id of link.workers) {
+                const worker = workers.get(id);
+                if (worker?.entry?.dataHall === dataHall) {
+                    return worker;
+                }
             }
-            fullest.channel.send({ kind: "unassign", worker: worker.id });
-            this.remove(worker.id);
-            this.#assign(worker, joined);
-        }
+            return undefined;
+        };
+        this.#level(links.filter(link => link.vm.dataHall !== dataHall), joined, homeOf);
     }
 
     /** Forgets the worker's link without notifying its VM. */
@@ -131,6 +137,25 @@
         return link.loadWithOneMore + (link.vm.name === this.ownVm ? ownerLoadOffset / link.vm.processorShare : 0);
     }
 
+    /** Moves links to a VM, always from the fullest of the sources that has one to give, until its load is close to that of this one. */
+    #level(sources: readonly VmLink[], joined: VmLink, nextOf: (link: VmLink) => WorkerState | undefined): void {
+        for (;;) {
+            const [fullest] = sources
+                .filter(link => nextOf(link) !== undefined)
+                .sort((left, right) => this.#loadOf(right) - this.#loadOf(left));
+            const worker = fullest === undefined ? undefined : nextOf(fullest);
+            if (
+                worker === undefined
+                || this.#loadOf(fullest) - this.#loadOf(joined) < allowedImbalance / joined.vm.processorShare
+            ) {
+                return;
+            }
+            fullest.channel.send({ kind: "unassign", worker: worker.id });
+            this.remove(worker.id);
+            this.#assign(worker, joined);
+        }
+    }
+
     #assign(worker: WorkerState, link: VmLink): void {
         const count = (this.#assignmentCounts.get(worker.id) ?? 0) + 1;
         this.#assignmentCounts.set(worker.id, count);
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -75,6 +75,7 @@
         this.cell = new CellScheduler({
             clock,
             log: logger,
+            toleratedHallLosses: options.toleratedHallLosses,
             onWorkerDraining: worker => this.#assignments.vmOf(worker)?.channel.send({ kind: "worker-leaves", worker }),
         });
         this.cell.recover(
@@ -267,7 +268,11 @@
             (question, { step, workers }, duration) => channel.send({ kind: "ask", question, step, workers, duration }),
         );
         this.#assignUnlinkedWorkers();
-        this.#assignments.rebalanceTo(this.cell.workers, link, [...this.#vms.values()]);
+        const links = [...this.#vms.values()];
+        if (this.options.toleratedHallLosses > 0) {
+            this.#assignments.returnTo(this.cell.workers, link, links);
+        }
+        this.#assignments.rebalanceTo(this.cell.workers, link, links);
     }
 
     /** VMs through which the store can be called, in order of preference. */
--- a/packages/entry/src/owner/types.ts
+++ b/packages/entry/src/owner/types.ts
@@ -40,6 +40,8 @@
     readonly isIsolated: () => boolean;
     /** Called with a configuration received from a VM. */
     readonly onConfiguration: (configuration: CellConfiguration) => void;
+    /** Number of data halls that the cell may lose at once. */
+    readonly toleratedHallLosses: number;
     /** The closed data halls as this VM knows them. */
     readonly closures: () => HallClosures;
     /** Called with a VM's closed data halls; returns this VM's if they are newer and differ. */
--- a/packages/entry/src/ownership/candidate.ts
+++ b/packages/entry/src/ownership/candidate.ts
@@ -66,6 +66,8 @@
     readonly followLimits: FollowLimits;
     readonly configuration: () => CellConfiguration | undefined;
     readonly onConfiguration: (configuration: CellConfiguration) => void;
+    /** Number of data halls that the cell may lose at once. */
+    readonly toleratedHallLosses: number;
     readonly closures: () => HallClosures;
     /** Called with another VM's closed data halls; returns this VM's if they are newer and differ. */
     readonly onClosures: (closures: HallClosures) => HallClosures | undefined;
@@ -323,6 +325,7 @@
                 onSilentVm: name => dialer.recordSilence(name),
                 isIsolated: () => dialer.hasBecomeIsolated,
                 onConfiguration: this.options.onConfiguration,
+                toleratedHallLosses: this.options.toleratedHallLosses,
                 closures: this.options.closures,
                 onClosures: this.options.onClosures,
                 upkeep: this.options.upkeep,
--- a/packages/entry/test/owner/assignments.test.ts
+++ b/packages/entry/test/owner/assignments.test.ts
@@ -67,6 +67,27 @@
         expect(a.link.workers.size + b.link.workers.size).toEqual(8);
     });
 
+    /* Guards against links staying with VMs of other halls, and against a storm of moves, after a lost hall has returned. */
+    it("return to the VMs of their data hall as these join, few of them twice", async () => {
+        const far = ["b1", "b2", "b3"].map(name => makeLink(name, "hall-b"));
+        const workers = new Map([...makeWorkers("hall-a", 24), ...makeWorkers("hall-b", 24)]);
+        const assignments = new Assignments(epoch(1), "nobody", () => 0);
+        assignments.assignUnlinked(workers.values(), far.map(({ link }) => link));
+        const near = ["a1", "a2", "a3"].map(name => makeLink(name, "hall-a"));
+        const links = far.map(({ link }) => link);
+        for (const { link } of near) {
+            links.push(link);
+            assignments.returnTo(workers, link, links);
+            assignments.rebalanceTo(workers, link, links);
+        }
+        await settle();
+        const atHome = near.map(({ link }) => link.workers.size);
+        expect(atHome.every(count => count >= 6)).toEqual(true);
+        const moves = near.reduce((sum, { assigned }) => sum + assigned.length, 0);
+        expect(moves <= 24 + 6).toEqual(true);
+        expect(links.reduce((sum, link) => sum + link.workers.size, 0)).toEqual(48);
+    });
+
     it("get a higher token with each assignment and with each owner", async () => {
         const a = makeLink("a", "hall-a");
         const workers = makeWorkers("hall-a", 1);
--- a/packages/entry/test/owner/owner-closures.test.ts
+++ b/packages/entry/test/owner/owner-closures.test.ts
@@ -40,6 +40,7 @@
         onLargerVm: () => undefined,
         isIsolated: () => false,
         onConfiguration: () => undefined,
+        toleratedHallLosses: 0,
         closures: () => halls.closures,
         onClosures: closures => halls.applyPeers(closures),
         upkeep: undefined,
--- a/packages/entry/test/support/simulation/simulation-world.ts
+++ b/packages/entry/test/support/simulation/simulation-world.ts
@@ -206,6 +206,7 @@
             onLargerVm: () => undefined,
             isIsolated: () => false,
             onConfiguration: () => undefined,
+            toleratedHallLosses: 0,
             closures: () => ({ halls: [], revision: 0 }),
             onClosures: () => undefined,
             upkeep: undefined,
