--- a/packages/cell/test/support/load/load-worker.ts
+++ b/packages/cell/test/support/load/load-worker.ts
@@ -24,6 +24,9 @@
 export class LoadWorker {
     readonly runs = new Map<string, LoadRun>();
     isUp = true;
+    /** Until then its work takes {@link coldFactor} times as long. */
+    coldUntil: Milliseconds = 0;
+    coldFactor = 1;
     #ended: EndedRun[] = [];
     #count = 0;
 
@@ -33,6 +36,14 @@
         this.runs.set(runKey(run.task, run.run), run);
     }
 
+    /** Duration of work that takes `duration` on a worker of full speed, beginning now. */
+    durationOf(duration: Milliseconds, now: Milliseconds): Milliseconds {
+        const usual = duration * this.slowness;
+        const coldTime = Math.max(0, this.coldUntil - now);
+        const isAllCold = usual * this.coldFactor <= coldTime;
+        return isAllCold ? usual * this.coldFactor : usual + coldTime * (1 - 1 / this.coldFactor);
+    }
+
     runOf(task: TaskAddress, run: RunNumber): LoadRun | undefined {
         return this.runs.get(runKey(task, run));
     }
--- a/packages/cell/test/support/load/main.ts
+++ b/packages/cell/test/support/load/main.ts
@@ -5,6 +5,7 @@
 import type { LoadPattern } from "./pattern.js";
 import {
     backlogLoad,
+    closedHallLoad,
     crashingLoad,
     grownLoad,
     hotLoad,
@@ -33,6 +34,7 @@
         floodedKioskLoad,
         hotKioskLoad,
         wavesLoad,
+        closedHallLoad,
     ]
         .map(load => [load.name, load]),
 );
--- a/packages/cell/test/support/load/pattern.ts
+++ b/packages/cell/test/support/load/pattern.ts
@@ -96,6 +96,15 @@
     readonly share: number;
 }
 
+/** One of the data halls is closed to new runs for a while. Its workers are slow for some time after its return. */
+export interface HallClosure {
+    readonly at: Milliseconds;
+    readonly duration: Milliseconds;
+    readonly coldFor: Milliseconds;
+    /** Factor of the duration of work that is done while a worker is cold. */
+    readonly coldFactor: number;
+}
+
 /** Temporary additional delay of the store. */
 export interface SlowStore {
     readonly at: Milliseconds;
@@ -139,6 +148,8 @@
     readonly departures: readonly Departure[];
     /** Absent where workers crash only because of faulty tasks, or not at all. */
     readonly crashes?: readonly CrashWave[];
+    /** Closures of the last of four data halls, among which racks are distributed; absent where all workers are in one hall. */
+    readonly closures?: readonly HallClosure[];
     readonly slowStores: readonly SlowStore[];
     readonly pauses: readonly OwnerPause[];
 }
--- a/packages/cell/test/support/load/patterns.ts
+++ b/packages/cell/test/support/load/patterns.ts
@@ -283,3 +283,11 @@
         factor: 1.5,
     })),
 };
+
+/** A quarter of a full cell is closed for eight seconds, and its workers are slow for some seconds after that. */
+export const closedHallLoad: LoadPattern = {
+    ...grownLoad,
+    name: "closed-hall",
+    bursts: [],
+    closures: [{ at: 6_000, duration: 8_000, coldFor: 5_000, coldFactor: 2 }],
+};
--- a/packages/cell/test/support/load/replay.ts
+++ b/packages/cell/test/support/load/replay.ts
@@ -1,6 +1,8 @@
 /** Replay of a load pattern. */
 import {
     type Clock,
+    type DataHallName,
+    dataHallName,
     jobId,
     type LogEvent,
     logEvents,
@@ -44,7 +46,7 @@
     worstTenth,
     worstWindows,
 } from "./outcome.js";
-import type { CrashWave, Departure, LoadPattern, LoadService, QueueLoad } from "./pattern.js";
+import type { CrashWave, Departure, HallClosure, LoadPattern, LoadService, QueueLoad } from "./pattern.js";
 import { SimulatedAdvice } from "./simulated-advice.js";
 
 const stepTime: Milliseconds = 5;
@@ -65,6 +67,11 @@
 /** Share of the work after which a failing run fails. */
 const failsAfter = 0.5;
 
+const hallCount = 4;
+const hallOf = (index: number): DataHallName => dataHallName(`hall-${index}`);
+/** The data hall that closes. */
+const closingHall = hallOf(hallCount - 1);
+
 interface Gang {
     readonly members: LoadRun[];
     hasEnded: boolean;
@@ -127,6 +134,7 @@
         this.#addWorkers();
         this.#addAdvisingVms();
         pattern.departures.forEach(departure => this.#at(departure.at, () => this.#drainWorkers(departure)));
+        pattern.closures?.forEach(closure => this.#at(closure.at, () => this.#closeHall(closure)));
         pattern.crashes?.forEach(wave => this.#at(wave.at, () => this.#crashShare(wave)));
     }
 
@@ -263,6 +271,7 @@
         };
         worker.add(entry);
         this.#checkCapacity(worker);
+        this.#checkHall(worker);
         this.#checkLimit(entry);
         this.#after(messageDelay, () => this.#cell.startAccepted(id, task, run));
         if (step.isGang) {
@@ -369,7 +378,7 @@
     #durationOf({ task, restored, worker }: LoadRun): Milliseconds {
         const { job, step, index } = parseTaskAddress(task)!;
         const work = this.#byId.get(job)!.taskWork[step][index];
-        return work * worker.slowness * (1 - restored) + (restored > 0 ? restoreTime : 0);
+        return worker.durationOf(work * (1 - restored), this.#clock.monotonic()) + (restored > 0 ? restoreTime : 0);
     }
 
     /** Whether this is the run of its step that fails: the first run of the failing task. */
@@ -450,7 +459,9 @@
             const rack = `r${first}-${Math.floor(index / workersPerRack)}`;
             // The size changes after each round of speeds, so that all sizes occur with all speeds.
             const size = sizes[Math.floor(index / slowness.length) % sizes.length];
+            const hall = this.pattern.closures === undefined ? 0 : Math.floor(index / workersPerRack) % hallCount;
             const entry = makeWorker(`w${first + index}`, {
+                dataHall: hallOf(hall),
                 service: serviceName(name),
                 capacity: scaleSize(capacity, size),
                 rack,
@@ -471,6 +482,29 @@
         }
     }
 
+    #closeHall({ duration, coldFor, coldFactor }: HallClosure): void {
+        const now = this.#clock.monotonic();
+        this.#cell.setClosedHalls({ halls: [closingHall], revision: now });
+        const workers = [...this.#workers.values()].filter(({ entry }) => entry.dataHall === closingHall);
+        this.#after(duration, () => {
+            const reopenedAt = this.#clock.monotonic();
+            this.#cell.setClosedHalls({ halls: [], revision: reopenedAt });
+            workers.forEach(worker => {
+                worker.coldUntil = reopenedAt + coldFor;
+                worker.coldFactor = coldFactor;
+            });
+        });
+    }
+
+    /** Checks that a start was not sent to a closed data hall. */
+    #checkHall({ entry }: LoadWorker): void {
+        const sentAt = this.#clock.monotonic() - messageDelay;
+        const isClosed = this.pattern.closures?.some(({ at, duration }) => sentAt > at && sentAt < at + duration);
+        if (isClosed === true && entry.dataHall === closingHall) {
+            this.#violations.push(`${entry.worker} is given a run in a closed data hall`);
+        }
+    }
+
     #leave(worker: LoadWorker): void {
         worker.isUp = false;
         const { worker: id } = worker.entry;
