--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -75,6 +75,7 @@
         this.cell = new CellScheduler({
             clock,
             log: logger,
+            toleratedHallLosses: options.toleratedHallLosses,
             onWorkerDraining: worker => this.#assignments.vmOf(worker)?.channel.send({ kind: "worker-leaves", worker }),
         });
         this.cell.recover(
@@ -133,9 +134,7 @@
         if (options.configuration !== undefined) {
             this.configure(options.configuration);
         }
-        if (options.closures.halls.length > 0) {
-            this.closeHalls(options.closures);
-        }
+        this.#refreshClosures();
     }
 
     get epoch(): number {
@@ -150,6 +149,8 @@
     /** Runs until `lost` fires. */
     async run(): Promise<void> {
         const { lost, clock, metrics } = this.options;
+        // Changes between the session's creation and now were not passed on to it.
+        this.#refreshClosures();
         const following = this.#workerFollowLoop.run(lost.signal);
         while (!lost.signal.aborted) {
             this.cell.tick();
@@ -225,6 +226,13 @@
         this.#turnRunner.schedule();
     }
 
+    #refreshClosures(): void {
+        const closures = this.options.closures();
+        if (closures.halls.length > 0 || this.#closures.halls.length > 0) {
+            this.closeHalls(closures);
+        }
+    }
+
     /** Adds waves of upkeep to be carried out. */
     addWaves(waves: readonly UpkeepWave[]): void {
         this.#upkeepController?.add(waves);
@@ -260,7 +268,11 @@
             (question, { step, workers }, duration) => channel.send({ kind: "ask", question, step, workers, duration }),
         );
         this.#assignUnlinkedWorkers();
-        this.#assignments.rebalanceTo(this.cell.workers, link, [...this.#vms.values()]);
+        const links = [...this.#vms.values()];
+        if (this.options.toleratedHallLosses > 0) {
+            this.#assignments.returnTo(this.cell.workers, link, links);
+        }
+        this.#assignments.rebalanceTo(this.cell.workers, link, links);
     }
 
     /** VMs through which the store can be called, in order of preference. */
--- a/packages/entry/src/protocol/messages.ts
+++ b/packages/entry/src/protocol/messages.ts
@@ -11,7 +11,6 @@
     WorkerCommand,
 } from "@pebbledale/cell";
 import type {
-    DataHallName,
     Epoch,
     FencingToken,
     JobId,
@@ -37,8 +36,6 @@
     readonly kind: "assign";
     readonly worker: WorkerId;
     readonly address: string;
-    /** Data hall of the worker; omitted while its entry is unknown. */
-    readonly dataHall?: DataHallName;
     /** The incarnation that the link is for; if omitted, the first one that answers. */
     readonly life?: WorkerIncarnation;
     /** Initial fencing token of the link's orders. The link raises it by small steps to resolve unanswered orders. */
@@ -309,6 +306,8 @@
     JournalStalled = "journal-stalled",
     /** The front end has a newer configuration than the owner. */
     QueueUnknown = "queue-unknown",
+    /** All workers that could run the job are in data halls that operators have closed. */
+    DataHallsClosed = "data-halls-closed",
     /** The job was submitted, and its record is not committed yet. */
     NotCommittedYet = "not-kept-yet",
     /** The owner does not know the job, and the store has not recently confirmed its ownership. */
--- a/packages/entry/test/support/simulation/simulation-world.ts
+++ b/packages/entry/test/support/simulation/simulation-world.ts
@@ -206,7 +206,8 @@
             onLargerVm: () => undefined,
             isIsolated: () => false,
             onConfiguration: () => undefined,
-            closures: { halls: [], revision: 0 },
+            toleratedHallLosses: 0,
+            closures: () => ({ halls: [], revision: 0 }),
             onClosures: () => undefined,
             upkeep: undefined,
         });
