Store: an answer through another VM alone no longer takes the owner off its direct calls

Change: once another VM's answer comes first, one small direct call is made. Only when it isn't answered within the usual delay are direct calls avoided; meanwhile calls go on both routes at once, so that a VM that is really cut off loses no time.

Tests: "is made directly again at once when the store was silent for all VMs" (failed before: 21 relayed calls and 1 direct one instead of 1 and 21); "is made on both routes at once while it is checked". In "is not made directly for a while" the clock now passes the 250 ms of the check first; what it expects is the same. The fake store answers reads as it answers swaps.

--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -108,6 +108,7 @@
         this.#store = new RelayedStore({
             direct: store,
             relays: () => this.#candidate.session?.storeRelays() ?? [],
+            checkedKey: ownerKey,
             clock,
             logger,
         });
--- a/packages/entry/src/store-relay/relayed-store.ts
+++ b/packages/entry/src/store-relay/relayed-store.ts
@@ -26,6 +26,8 @@
     readonly direct: PlatformStore & ChangeFeed;
     /** VMs that can make calls for this one, in order of preference. */
     readonly relays: () => readonly StoreRelay[];
+    /** A key that is read to check whether direct calls are answered. */
+    readonly checkedKey: string;
     readonly clock: Clock;
     readonly logger: EventLogger;
 }
@@ -51,10 +53,15 @@
  *
  * The store may be unreachable from one VM while it serves the others. A call that fails or is not answered in time is therefore
  * also made through other VMs, and the first answer counts. Making a call twice is safe, as writes are conditional.
+ *
+ * An answer through another VM does not yet show that direct calls fail: a store that was silent for all VMs may have recovered
+ * after the direct call was sent. Direct calls are therefore avoided only once a later one is not answered either.
  */
 export class RelayedStore implements PlatformStore, ChangeFeed {
     #directBackoffUntil = -Infinity;
     #nextDirectBackoff = initialDirectBackoff;
+    /** Whether a direct call is being made to check that path. */
+    #isCheckingDirect = false;
     /** Fires when calls move from one route to the other, so that long waits are restarted on the new route. */
     #routeChanged = createAbortController();
     readonly #responseTimes = new ResponseTimeEstimator({ min: minRelayDelay, max: maxRelayDelay });
@@ -161,12 +168,13 @@
             const alsoRelay = (): Promise<void> =>
                 relayed ??= this.#performRelayed(operation).then(value => {
                     if (!isAnswered) {
-                        this.#backOffDirect();
                         answer(value);
+                        void this.#checkDirect();
                     }
                 });
             called.then(answerDirect, cause => alsoRelay().catch(() => reject(cause)));
-            void clock.sleep(this.#relayDelay).then(() => isAnswered ? undefined : alsoRelay().catch(() => undefined));
+            const delay = this.#isCheckingDirect ? 0 : this.#relayDelay;
+            void clock.sleep(delay).then(() => isAnswered ? undefined : alsoRelay().catch(() => undefined));
         });
     }
 
@@ -195,15 +203,27 @@
             .finally(() => answered.abort());
     }
 
+    /** Avoids direct calls if one that is sent now is not answered. Until that is known, calls are made on both routes at once. */
+    async #checkDirect(): Promise<void> {
+        if (this.#isCheckingDirect || this.#isDirectAvoided()) {
+            return;
+        }
+        this.#isCheckingDirect = true;
+        const { direct, checkedKey, clock } = this.options;
+        const answered = direct.get(checkedKey).then(() => true, () => false);
+        const isAnswered = await Promise.race([answered, clock.sleep(this.#relayDelay).then(() => false)]);
+        this.#isCheckingDirect = false;
+        if (!isAnswered) {
+            this.#backOffDirect();
+        }
+    }
+
     #backOffDirect(): void {
-        const wasAvoided = this.#isDirectAvoided();
         this.#directBackoffUntil = this.options.clock.monotonic() + this.#nextDirectBackoff;
         this.#nextDirectBackoff = Math.min(this.#nextDirectBackoff * 2, maxDirectBackoff);
-        if (!wasAvoided) {
-            this.options.logger.log(logEvents.storeRelayed);
-            const former = this.#routeChanged;
-            this.#routeChanged = createAbortController();
-            former.abort();
-        }
+        this.options.logger.log(logEvents.storeRelayed);
+        const former = this.#routeChanged;
+        this.#routeChanged = createAbortController();
+        former.abort();
     }
 }
--- a/packages/entry/test/store-relay/relayed-store.test.ts
+++ b/packages/entry/test/store-relay/relayed-store.test.ts
@@ -15,9 +15,11 @@
 const swapped: SwapOutcome = { kind: "swapped", version: 7 as KeyVersion };
 const never = new Promise<SwapOutcome>(() => undefined);
 
-/** A store that supports only swaps. */
-const storeOf = (swap: () => Promise<SwapOutcome>): PlatformStore & ChangeFeed =>
-    ({ compareAndSwap: swap }) as Partial<PlatformStore> as PlatformStore & ChangeFeed;
+/** A store that supports only swaps, and reads that are answered alike. */
+const storeOf = (swap: () => Promise<SwapOutcome>, read: () => Promise<unknown>): PlatformStore & ChangeFeed =>
+    ({ compareAndSwap: swap, get: () => read().then(() => undefined) }) as Partial<PlatformStore> as
+        & PlatformStore
+        & ChangeFeed;
 
 const make = (swap: () => Promise<SwapOutcome>, ...relays: StoreRelay[]) => {
     const clock = new ManualClock();
@@ -26,8 +28,9 @@
         direct: storeOf(() => {
             direct++;
             return swap();
-        }),
+        }, swap),
         relays: () => relays,
+        checkedKey: "checked",
         clock,
         logger: { log: () => undefined },
     });
@@ -68,6 +71,7 @@
         const first = call();
         await advanceTime(clock, 300);
         await first;
+        await advanceTime(clock, 250);
         await call();
         expect(directCalls()).toEqual(1);
         clock.advance(1_100);
@@ -76,6 +80,41 @@
         expect(directCalls()).toEqual(2);
     });
 
+    it("is made on both routes at once while it is checked whether direct calls are answered", async () => {
+        const { clock, call } = make(() => never, () => Promise.resolve(swapped));
+        const first = call();
+        await advanceTime(clock, 260);
+        await first;
+        const second = call();
+        await advanceTime(clock, 10);
+        expect(await second).toEqual(swapped);
+    });
+
+    /*
+     * Guards against an owner that sends its journal through a small remote VM for seconds after the store was silent for all VMs,
+     * because that VM's call happened to be the first one after the recovery.
+     */
+    it("is made directly again at once when the store was silent for all VMs", async () => {
+        let isSilent = true;
+        const ask = () => isSilent ? never : Promise.resolve(swapped);
+        let relayed = 0;
+        const { clock, call, directCalls } = make(ask, () => {
+            relayed++;
+            return ask();
+        });
+        const first = call();
+        await advanceTime(clock, 200);
+        isSilent = false;
+        await advanceTime(clock, 100);
+        expect(await first).toEqual(swapped);
+        for (let count = 0; count < 20; count++) {
+            const next = call();
+            await advanceTime(clock, 20);
+            expect(await next).toEqual(swapped);
+        }
+        expect([relayed, directCalls()]).toEqual([1, 21]);
+    });
+
     it("fails when no VM gets an answer", async () => {
         const refused = () => Promise.reject(new PlatformUnavailableError("status 503"));
         const { clock, call } = make(refused, refused, refused);
