Owner: a job that comes while the store may have gone silent gets no record before its caller can be told

It is then recorded, or refused truly. Jobs whose record is out are told as before: the late 2xx, or 504.

--- a/packages/core/src/journal/hedged-writer.ts
+++ b/packages/core/src/journal/hedged-writer.ts
@@ -75,6 +75,11 @@
         return Math.min(this.waitingFor(), this.dependencies.clock.monotonic() - this.#lastAnswerAt);
     }
 
+    /** Whether writes have been without any answer for longer than answers usually take. */
+    isOverdue(): boolean {
+        return this.silentFor() > (this.#responseTimes?.timeout ?? Infinity);
+    }
+
     /** Longest time for which calls of a pending write have been failing; 0 when none has failed. */
     failingFor(): Milliseconds {
         return this.#longestSince(({ failedSince }) => failedSince);
--- a/packages/core/src/journal/journal.ts
+++ b/packages/core/src/journal/journal.ts
@@ -126,6 +126,11 @@
         return this.#writer.silentFor();
     }
 
+    /** Whether writes have been without any answer for longer than answers usually take: the store may have gone silent. */
+    isOverdue(): boolean {
+        return this.#writer.isOverdue();
+    }
+
     /** Sets the function that returns the whole state as plain data. Snapshots are taken only once it is set. */
     setSnapshotSource(source: () => unknown): void {
         this.#snapshotSource = source;
--- a/packages/core/test/journal/hedged-writer.test.ts
+++ b/packages/core/test/journal/hedged-writer.test.ts
@@ -63,3 +63,35 @@
         expect(answered()).toEqual(writeCount);
     });
 });
+
+describe("HedgedWriter with a store that takes long to answer", () => {
+    it("has overdue writes only until it knows how long answers take", async () => {
+        const clock = new ManualClock();
+        const writer = new HedgedWriter({
+            store: {
+                compareAndSwap: async () => {
+                    await clock.sleep(answerTime.current);
+                    return { kind: "swapped", version: 1 };
+                },
+            } as unknown as ConstructorParameters<typeof HedgedWriter>[0]["store"],
+            clock,
+            options: { retryDelay, repeatAfter: 160 },
+            signal: new AbortController().signal,
+        });
+        const answerTime = { current: 4 };
+        let overdue = 0;
+        const writeFor = async (count: number): Promise<number> => {
+            overdue = 0;
+            for (let write = 0; write < count; write++) {
+                void writer.write(`key-${write}`, absentVersion, "value");
+                await advance(clock, 200);
+                overdue += writer.isOverdue() ? 1 : 0;
+            }
+            return overdue;
+        };
+        expect(await writeFor(5)).toEqual(0);
+        answerTime.current = 400;
+        expect(await writeFor(5) > 0).toEqual(true);
+        expect(await writeFor(10)).toEqual(0);
+    });
+});
--- a/packages/entry/src/owner/request-handler.ts
+++ b/packages/entry/src/owner/request-handler.ts
@@ -2,7 +2,7 @@
 import type { CellScheduler, JobDefinition } from "@pebbledale/cell";
 import type { Clock, JobId, Journal, OrganisationName } from "@pebbledale/core";
 import { type OwnerReply, type OwnerRequest, RetryLaterReason } from "../protocol/index.js";
-import { commitTimeout, journalStallTimeout, retryLaterDelay } from "./constants.js";
+import { commitTimeout, journalStallTimeout, retryLaterDelay, storeAnswerPollInterval } from "./constants.js";
 import type { JournalOutageLog } from "./journal-outage-log.js";
 
 /** Dependencies of the request handler. */
@@ -69,6 +69,9 @@
 
     async #submit(definition: JobDefinition): Promise<OwnerReply> {
         const { cell, journal, outageLog } = this.options;
+        if (!cell.jobs.has(definition.job)) {
+            await this.#untilJournalAnswers();
+        }
         if (!this.#isVisibleTo(definition)) {
             return { kind: "id-taken" };
         }
@@ -92,6 +95,17 @@
         return await this.#untilCommitted() ? { kind: "accepted" } : { kind: "uncertain" };
     }
 
+    /**
+     * Waits while the journal's writes are overdue, until they are answered or count as stalled. A job that is submitted
+     * meanwhile gets no record yet, so that it can be refused if the store has gone silent.
+     */
+    async #untilJournalAnswers(): Promise<void> {
+        const { journal, clock, lost } = this.options;
+        while (journal.isOverdue() && journal.silentFor() <= journalStallTimeout && !lost.aborted) {
+            await clock.sleep(storeAnswerPollInterval, lost);
+        }
+    }
+
     async #cancel(job: JobId): Promise<OwnerReply> {
         if (!this.options.cell.cancel(job)) {
             return this.#unknownJobReply(job);
--- a/packages/entry/test/owner/hand-over.test.ts
+++ b/packages/entry/test/owner/hand-over.test.ts
@@ -28,6 +28,7 @@
     const journal = {
         append: async (added: readonly CellRecord[]) => void records.push(...added),
         silentFor: () => 0,
+        isOverdue: () => false,
     } as unknown as Journal;
     let confirmedAt = 0;
     const lost = new AbortController();
--- a/packages/entry/test/owner/organisations.test.ts
+++ b/packages/entry/test/owner/organisations.test.ts
@@ -22,7 +22,7 @@
         cell.turnCommitted(cell.drain());
         return Promise.resolve(true);
     };
-    const journal = { silentFor: () => 0 } as unknown as Journal;
+    const journal = { silentFor: () => 0, isOverdue: () => false } as unknown as Journal;
     const lost = new AbortController().signal;
     return { cell, handler: new RequestHandler({ cell, journal, clock, lost, runTurn, isConfirmed: () => true }) };
 };
--- a/packages/entry/test/support/simulation/simulation-world.ts
+++ b/packages/entry/test/support/simulation/simulation-world.ts
@@ -39,6 +39,8 @@
 
 /** Capacity of each worker. */
 const workerCapacity = { processorThousandths: 8_000, memoryMebibytes: 32_768, accelerators: 0 };
+/** Time without an answer after which the journal's writes are overdue. */
+const overdueAfter: Milliseconds = 160;
 /** Resolution of virtual time. */
 const step: Milliseconds = 10;
 
@@ -343,6 +345,7 @@
             setSnapshotSource: () => undefined,
             waitingFor: () => 0,
             silentFor: () => this.clock.monotonic() - (this.storeSilentSince ?? this.clock.monotonic()),
+            isOverdue: () => this.clock.monotonic() - (this.storeSilentSince ?? this.clock.monotonic()) > overdueAfter,
             stalledFor: () => 0,
         };
         return journal as unknown as Journal;
