Owner: a VM through which a store call failed is avoided for two seconds, not until it succeeds again

Change: a failure counts for 2 s.

The link takes the clock instead of the moment of its connection; two tests construct it so.

--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -243,7 +243,7 @@
     /** Attaches a connection to a VM, replacing a former one. */
     connect(vm: EntryVm, channel: Channel<OwnerMessage, VmMessage>): void {
         const { clock, journal, name } = this.options;
-        const link = new VmLink(vm, channel, clock.monotonic());
+        const link = new VmLink(vm, channel, clock);
         this.#drop(this.#vms.get(vm.name));
         this.#vms.set(vm.name, link);
         channel.onMessage = message => this.#handle(link, message);
--- a/packages/entry/src/owner/vm-link.ts
+++ b/packages/entry/src/owner/vm-link.ts
@@ -1,11 +1,16 @@
 /** The owner's connection to one entry VM. */
-import { type Milliseconds, PlatformUnavailableError, type WorkerId } from "@pebbledale/core";
+import { type Clock, type Milliseconds, PlatformUnavailableError, type WorkerId } from "@pebbledale/core";
 import type { EntryVm } from "../membership/index.js";
 import type { Channel, OwnerMessage, VmMessage } from "../protocol/index.js";
 import type { StoreOperation } from "../store-relay/index.js";
 
 /** Timeout of store calls through a VM, in milliseconds; for a watch it is added to the duration of the watch. */
 const storeCallTimeout: Milliseconds = 1_000;
+/**
+ * How long a failed store call counts against a VM, in milliseconds. While the store answers nobody, calls fail through all VMs,
+ * which says nothing about their connections to the store once it is back.
+ */
+const storeCallFailureMemory: Milliseconds = 2_000;
 
 interface PendingStoreCall {
     readonly resolve: (answer: unknown) => void;
@@ -19,21 +24,29 @@
  */
 export class VmLink {
     readonly workers = new Set<WorkerId>();
+    /** Connection time on the owner's monotonic clock. */
+    readonly connectedAt: Milliseconds;
     lastHeardAt: Milliseconds;
     /** Whether the VM is about to stop and must not get links or questions. */
     isLeaving = false;
-    /** Whether the last store call through this VM failed. */
-    hasFailedStoreCall = false;
+    /** When the last store call through this VM failed; undefined after a successful one. */
+    #storeCallFailedAt: Milliseconds | undefined;
     readonly #pendingCalls = new Map<number, PendingStoreCall>();
     #nextCall = 1;
 
     constructor(
         readonly vm: EntryVm,
         readonly channel: Channel<OwnerMessage, VmMessage>,
-        /** Connection time on the owner's monotonic clock. */
-        readonly connectedAt: Milliseconds,
+        private readonly clock: Pick<Clock, "monotonic">,
     ) {
-        this.lastHeardAt = connectedAt;
+        this.connectedAt = clock.monotonic();
+        this.lastHeardAt = this.connectedAt;
+    }
+
+    /** Whether the last store call through this VM failed, and not long ago. */
+    get hasFailedStoreCall(): boolean {
+        const failedAt = this.#storeCallFailedAt;
+        return failedAt !== undefined && this.clock.monotonic() - failedAt < storeCallFailureMemory;
     }
 
     /** Number of links per core, counting one more than the VM has. */
@@ -62,7 +75,7 @@
         }
         this.#pendingCalls.delete(id);
         clearTimeout(call.timer);
-        this.hasFailedStoreCall = !isAnswered;
+        this.#storeCallFailedAt = isAnswered ? undefined : this.clock.monotonic();
         if (isAnswered) {
             call.resolve(answer);
         }
--- a/packages/entry/test/owner/assignments.test.ts
+++ b/packages/entry/test/owner/assignments.test.ts
@@ -1,5 +1,5 @@
 import { type CellScheduler, vmId, WorkerState } from "@pebbledale/cell";
-import { dataHallName, epoch, serviceName, type WorkerId, workerId } from "@pebbledale/core";
+import { dataHallName, epoch, ManualClock, serviceName, type WorkerId, workerId } from "@pebbledale/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import {
@@ -38,7 +38,10 @@
     const [ownerEnd, vmEnd] = createMemoryChannel<OwnerMessage, VmMessage>();
     const assigned: AssignMessage[] = [];
     vmEnd.onMessage = message => message.kind === "assign" && assigned.push(message);
-    return { link: new VmLink(makeVm(name, { dataHall: dataHallName(dataHall) }), ownerEnd, 0), assigned };
+    return {
+        link: new VmLink(makeVm(name, { dataHall: dataHallName(dataHall) }), ownerEnd, new ManualClock()),
+        assigned,
+    };
 };
 
 describe("worker links", () => {
--- a/packages/entry/test/owner/worker-report-handler.test.ts
+++ b/packages/entry/test/owner/worker-report-handler.test.ts
@@ -31,7 +31,7 @@
     const [ownerEnd, vmEnd] = createMemoryChannel<OwnerMessage, VmMessage>();
     const assigned: AssignMessage[] = [];
     vmEnd.onMessage = message => message.kind === "assign" && assigned.push(message);
-    const link = new VmLink(makeVm("a"), ownerEnd, 0);
+    const link = new VmLink(makeVm("a"), ownerEnd, clock);
     const assignments = new Assignments(epoch(1), "nobody", () => clock.monotonic());
     const handler = new WorkerReportHandler({
         cell,
