--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -5,7 +5,7 @@
  */
 import { build } from "esbuild";
 import { execFileSync } from "node:child_process";
-import { copyFileSync } from "node:fs";
+import { copyFileSync, readFileSync } from "node:fs";
 
 const packageEntryPoint = name => `./packages/${name}/src/index.ts`;
 
@@ -22,14 +22,21 @@
     minifySyntax: true,
     legalComments: "none",
     logLevel: "warning",
-    alias: Object.fromEntries(
-        ["core", "cell", "runtime", "entry"].map(name => [`@pebbledale/${name}`, packageEntryPoint(name)]),
-    ),
+    alias: {
+        ...Object.fromEntries(
+            ["core", "cell", "runtime", "entry"].map(name => [`@pebbledale/${name}`, packageEntryPoint(name)]),
+        ),
+        // Text and modules that the program never uses would still take memory.
+        "@fastify/ajv-compiler": "./deploy/unused-compiler.cjs",
+        "@fastify/fast-json-stringify-compiler": "./deploy/unused-compiler.cjs",
+        undici: "./deploy/undici-pool.cjs",
+    },
 });
 copyFileSync("deploy/start.cjs", "target/pebbledale-entry.cjs");
-// The flags must equal those of deploy/system.toml: V8 rejects cached code that was compiled with other flags.
+// V8 rejects cached code that was compiled with other flags than those of the run.
+const runFlags = readFileSync("deploy/system.toml", "utf8").match(/^run = "node (.*) target/m)[1].split(" ");
 execFileSync(
     process.execPath,
-    ["--max-old-space-size=160", "target/pebbledale-entry.cjs", "--compile-only"],
+    [...runFlags, "target/pebbledale-entry.cjs", "--compile-only"],
     { stdio: "ignore" },
 );
--- a/deploy/start.cjs
+++ b/deploy/start.cjs
@@ -16,6 +16,9 @@
     filename: bundle,
     cachedData: !isCompileOnly && existsSync(codeCache) ? readFileSync(codeCache) : undefined,
 });
+if (script.cachedDataRejected) {
+    process.stderr.write(`${codeCache}: V8 rejects it, so the start takes longer\n`);
+}
 if (isCompileOnly) {
     // The cache is created at exit, so that it holds all functions that loading the modules has compiled. Without a settings
     // file the program exits by itself.
--- a/packages/core/src/jobs/schema.ts
+++ b/packages/core/src/jobs/schema.ts
@@ -1,5 +1,5 @@
 /** Validation of job submissions. */
-import { z } from "zod";
+import * as z from "zod";
 
 /** Workload classes, each with its own placement policy. */
 export enum WorkloadClass {
--- a/packages/runtime/src/administration/index.ts
+++ b/packages/runtime/src/administration/index.ts
@@ -1,6 +1,6 @@
 /** HTTP paths for operators that every program serves: health, readiness, metrics. */
 import { errorBody, statusOf } from "@pebbledale/core";
-import fastify, { type FastifyInstance } from "fastify";
+import fastify, { type FastifyInstance, type FastifyServerOptions } from "fastify";
 import type { AddressInfo } from "node:net";
 import type { Metrics } from "../metrics/index.js";
 
@@ -14,9 +14,25 @@
 const statusOk = 200;
 const statusNotReady = 503;
 
+/** Fastify loads its schema compilers at the creation of a server unless others are given, which takes memory and start time. */
+export const withoutSchemaCompilers: FastifyServerOptions["schemaController"] = {
+    compilersFactory: {
+        buildValidator: () => rejectCompilation,
+        buildSerializer: () => rejectCompilation,
+    },
+};
+
+const rejectCompilation = (): never => {
+    throw new Error("routes with schemas need a server with schema compilers");
+};
+
 /** Creates the administration server; the caller adds its own routes, then calls {@link listenAt}. */
 export const createAdministrationServer = (options: AdministrationOptions): FastifyInstance => {
-    const server = fastify({ logger: false, forceCloseConnections: true });
+    const server = fastify({
+        logger: false,
+        forceCloseConnections: true,
+        schemaController: withoutSchemaCompilers,
+    });
     server.get("/healthz", async () => ({ healthy: true }));
     server.get("/readyz", async (_request, reply) => {
         const reason = options.unreadyReason();
