--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -59,8 +59,6 @@
     readonly store: PlatformStore & ChangeFeed;
     /** Reads the workers' entries over the given connection to the store. */
     readonly directory: (feed: ChangeFeed) => WorkerDirectory;
-    /** Follows the keys of entry VMs and of the owner. */
-    readonly members: ChangeFeed;
     readonly configuration: ConfigurationFeed;
     readonly clients: TaskWorkerClients;
     readonly advice: AdviceClient | undefined;
@@ -230,7 +228,7 @@
 
     /** Serves until `stop` fires, then hands the cell over and serves on until `untilDrained` resolves. */
     async run(stop: AbortSignal, untilDrained: () => Promise<void>): Promise<void> {
-        const { settings, members: feed, clock, metrics } = this.options;
+        const { settings, store, clock, metrics } = this.options;
         const { membersUnavailable: lostEvent, membersAvailable: recoveredEvent } = logEvents;
         const members = new DependencyMonitor({
             logger: this.#logger,
@@ -239,7 +237,7 @@
             recoveredEvent,
         });
         const following = new FollowLoop({
-            source: new KeyFollowSource(feed, cellPrefix, this.#view),
+            source: new KeyFollowSource(store, cellPrefix, this.#view),
             clock,
             limits: this.#followLimits,
             probe: this.#probe,
--- a/packages/entry/src/membership/cell-view.ts
+++ b/packages/entry/src/membership/cell-view.ts
@@ -9,11 +9,11 @@
     Milliseconds,
 } from "@pebbledale/core";
 
-/** Prefix of the keys of entry VMs and of the owner. It begins like that of the operators' keys, so that one call can follow both. */
-export const cellPrefix = "of-cell/";
+/** Prefix of the keys of entry VMs and of the owner. */
+export const cellPrefix = "cell/";
 /** Key under which the current owner publishes its name and address. */
-export const ownerKey = `${cellPrefix}owner`;
-const vmPrefix = `${cellPrefix}nodes/`;
+export const ownerKey = "cell/owner";
+const vmPrefix = "cell/nodes/";
 
 /** Key of the entry VM with a name. */
 export const vmKey = (name: string): string => `${vmPrefix}${name}`;
--- a/packages/entry/test/membership/cell-view.test.ts
+++ b/packages/entry/test/membership/cell-view.test.ts
@@ -12,9 +12,9 @@
         const values = ["", "null", "{", "7", "{\"process\":1}"];
         view.replace({
             entries: [
-                ...values.map((value, index) => entryOf(`of-cell/nodes/strange-${index}`, value, 1)),
-                entryOf("of-cell/nodes/vm-1", owner, 1),
-                entryOf("of-cell/owner", owner, 1),
+                ...values.map((value, index) => entryOf(`cell/nodes/strange-${index}`, value, 1)),
+                entryOf("cell/nodes/vm-1", owner, 1),
+                entryOf("cell/owner", owner, 1),
             ],
             cursor: "1",
         });
@@ -24,8 +24,8 @@
 
     it("allows an unreadable owner's key to be claimed at its version", () => {
         const view = new CellView(new ManualClock());
-        view.replace({ entries: [entryOf("of-cell/owner", owner, 1)], cursor: "1" });
-        view.apply({ changed: [entryOf("of-cell/owner", "\u0000", 7)], removed: [], cursor: "2" });
+        view.replace({ entries: [entryOf("cell/owner", owner, 1)], cursor: "1" });
+        view.apply({ changed: [entryOf("cell/owner", "\u0000", 7)], removed: [], cursor: "2" });
         expect([view.owner, Number(view.ownerVersion)]).toEqual([undefined, 7]);
         expect(view.ownerMissingSince !== undefined).toEqual(true);
     });
--- a/packages/entry/test/membership/vm-registration.test.ts
+++ b/packages/entry/test/membership/vm-registration.test.ts
@@ -64,14 +64,7 @@
         const clock = new ManualClock();
         const stop = new AbortController();
         const logger = new RecordingLogger();
-        const options = {
-            store: asStore(store),
-            clock,
-            logger,
-            key: "of-cell/nodes/a",
-            value: "a",
-            leaseLength: 3_000,
-        };
+        const options = { store: asStore(store), clock, logger, key: "cell/nodes/a", value: "a", leaseLength: 3_000 };
         const running = new VmRegistration(options).run(stop.signal);
         await settle();
         expect(store.entry?.value).toEqual("a");
@@ -85,13 +78,13 @@
 
     it("replaces the key of an earlier process", async () => {
         const store = new OneKeyStore();
-        store.entry = { key: "of-cell/nodes/a", value: "old", version: 4 as KeyVersion };
+        store.entry = { key: "cell/nodes/a", value: "old", version: 4 as KeyVersion };
         const stop = new AbortController();
         const options = {
             store: asStore(store),
             clock: new ManualClock(),
             logger: new RecordingLogger(),
-            key: "of-cell/nodes/a",
+            key: "cell/nodes/a",
             value: "new",
             leaseLength: 3_000,
         };
@@ -121,7 +114,7 @@
                 store: asStore(store),
                 clock,
                 logger,
-                key: "of-cell/nodes/a",
+                key: "cell/nodes/a",
                 value: "a",
                 leaseLength: 3_000,
             });
@@ -196,7 +189,7 @@
 
     it("is not claimed while another process has it", async () => {
         const store = new OneKeyStore();
-        store.entry = { key: "of-cell/owner", value: "other", version: 3 as KeyVersion };
+        store.entry = { key: "cell/owner", value: "other", version: 3 as KeyVersion };
         expect(await make(store).claim(absentVersion)).toEqual(false);
     });
 });
