--- a/packages/entry/test/owner/closed-halls.test.ts
+++ b/packages/entry/test/owner/closed-halls.test.ts
@@ -29,7 +29,7 @@
     })));
     const handler = new RequestHandler({
         cell,
-        journal: { silentFor: () => 0 } as unknown as Journal,
+        journal: { silentFor: () => 0, isOverdue: () => false } as unknown as Journal,
         clock,
         lost: new AbortController().signal,
         runTurn: () => Promise.resolve(true),
