Return of a closed data hall: its speed is learned as a whole from the first completed runs

Change: completed runs are compared with those of the same steps elsewhere; the median of the newest 15 counts for all workers of the hall, so that urgent tasks prefer others. It ends after 8 s. Meanwhile nothing is learned of single workers.

--- a/packages/cell/src/data-halls/closed-halls.ts
+++ b/packages/cell/src/data-halls/closed-halls.ts
@@ -1,6 +1,7 @@
 /** Data halls that are closed to new runs, as the owner's decisions see them. */
 import { type DataHallName, logEvents, type ServiceName } from "@pebbledale/core";
 import type { CellContext, WorkerState } from "../state/index.js";
+import type { HallRecovery } from "./hall-recovery.js";
 import type { HallClosures } from "./types.js";
 
 /**
@@ -10,7 +11,7 @@
 export class ClosedHalls {
     #halls: ReadonlySet<DataHallName> = new Set();
 
-    constructor(private readonly context: CellContext) {}
+    constructor(private readonly context: CellContext, private readonly recovery: HallRecovery) {}
 
     get halls(): ReadonlySet<DataHallName> {
         return this.#halls;
@@ -22,8 +23,14 @@
         this.#halls = new Set(halls);
         const closed = halls.filter(hall => !former.has(hall));
         const reopened = [...former].filter(hall => !this.#halls.has(hall));
-        closed.forEach(hall => this.#log(hall, revision, true));
-        reopened.forEach(hall => this.#log(hall, revision, false));
+        closed.forEach(hall => {
+            this.recovery.end(hall);
+            this.#log(hall, revision, true);
+        });
+        reopened.forEach(hall => {
+            this.recovery.begin(hall);
+            this.#log(hall, revision, false);
+        });
         this.context.workers.forEach(worker => this.applyTo(worker));
         return closed.length + reopened.length > 0;
     }
--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -13,7 +13,7 @@
 import { AdvicePlanner } from "../advising/index.js";
 import type { CellConfiguration } from "../configuration/index.js";
 import { CrashMonitor, type CrashSummary, SilenceHistory } from "../crashes/index.js";
-import { ClosedHalls, type HallClosures } from "../data-halls/index.js";
+import { ClosedHalls, type HallClosures, HallRecovery } from "../data-halls/index.js";
 import { EntitledFirst, Entitlement, SubmissionRate } from "../fair-share/index.js";
 import { UrgentHeadroom } from "../headroom/index.js";
 import { allowsDisruption, RunMigrator } from "../migration/index.js";
@@ -65,14 +65,17 @@
     readonly #crashes: CrashMonitor;
     readonly #halls: ClosedHalls;
     readonly #entitlements: SubmissionRate;
-    readonly #speeds: WorkerSpeeds = new SpeedEstimator();
+    readonly #recovery: HallRecovery;
+    readonly #speeds: WorkerSpeeds;
     #needsCycle = false;
 
     constructor(options: CellOptions) {
         this.#context = new CellContext(options);
         this.#entitlements = new SubmissionRate(organisation => this.#context.queues?.jobRateOf(organisation));
         const silences = new SilenceHistory();
-        this.#halls = new ClosedHalls(this.#context);
+        this.#recovery = new HallRecovery(this.#context);
+        this.#halls = new ClosedHalls(this.#context, this.#recovery);
+        this.#speeds = new SpeedEstimator(this.#recovery);
         this.#runs = new RunLifecycle(this.#context, {
             stepChanged: step => this.#lifecycle.stepChanged(step),
             jobEnded: job => this.#lifecycle.jobEnded(job),
@@ -361,6 +364,7 @@
     /** Handles everything that depends on the passing of time. Called at regular intervals. */
     tick(): void {
         this.#pool.tick();
+        this.#recovery.tick();
         this.#crashes.tick();
         this.#health.tick();
         this.#timer.tick();
--- a/packages/cell/src/selection/candidates.ts
+++ b/packages/cell/src/selection/candidates.ts
@@ -145,10 +145,12 @@
 };
 
 /** Zero for gangs, which are as fast as their slowest member, and for filler tasks. */
-const slownessCostOf = ({ slowness }: WorkerState, { definition }: Step, prefersFast: boolean): number =>
-    slowness === 1 || definition.isGang || definition.fills
+const slownessCostOf = (worker: WorkerState, { definition }: Step, prefersFast: boolean): number => {
+    const slowness = worker.hallSlowness > 1 ? Math.max(worker.slowness, worker.hallSlowness) : worker.slowness;
+    return slowness === 1 || definition.isGang || definition.fills
         ? 0
         : (prefersFast ? 1 : -1) * Math.log(slowness) * slownessCost;
+};
 
 /** Allocates `count` tasks to candidates in their order; undefined when they do not all fit. */
 export const allocate = (candidates: readonly Allocation[], count: number): Allocation[] | undefined => {
--- a/packages/cell/src/worker-speed/speed-estimator.ts
+++ b/packages/cell/src/worker-speed/speed-estimator.ts
@@ -1,5 +1,6 @@
 /** Estimate of workers' speeds from completed runs. */
 import type { Milliseconds } from "@pebbledale/core";
+import type { HallRecovery } from "../data-halls/index.js";
 import { paceOfCompleted } from "../monitoring/index.js";
 import type { Step, TaskRun, WorkerState } from "../state/index.js";
 import { equalityTolerance, maxDifference, maxPeers, maxWeight, minWeight, priorWeight } from "./constants.js";
@@ -22,6 +23,8 @@
     /** The latest pace of each step's tasks, by worker. */
     readonly #paces = new WeakMap<Step, Map<WorkerState, number>>();
 
+    constructor(private readonly recovery: Pick<HallRecovery, "compare" | "isRecovering">) {}
+
     recordCompletion(run: TaskRun, now: Milliseconds): void {
         const { worker, task: { step } } = run;
         const pace = paceOfCompleted(run, now);
@@ -33,6 +36,11 @@
         this.#paces.set(step, paces);
         const others = [...paces].filter(([other]) => other !== worker);
         for (const [other, otherPace] of others) {
+            this.recovery.compare(worker, other, pace - otherPace);
+            if (this.recovery.isRecovering(worker) || this.recovery.isRecovering(other)) {
+                // Nor does one whose data hall was reopened recently.
+                continue;
+            }
             this.#compare(worker, other, pace - otherPace, 1 / (others.length + 1));
         }
         if (paces.has(worker) || paces.size < maxPeers) {
--- a/packages/cell/test/load/replays.test.ts
+++ b/packages/cell/test/load/replays.test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "node:test";
 import {
     backlogLoad,
+    closedHallLoad,
     crashingLoad,
     grownLoad,
     hotLoad,
@@ -84,3 +85,11 @@
         expect(meanOf(differences)).toBeLessThan(0.03);
     });
 });
+
+describe("load of a full cell, a quarter of which is closed for eight seconds and half as fast for five after that", () => {
+    it("starts nothing there meanwhile, and keeps urgent jobs away from slow workers", () => {
+        const outcomes = [play(closedHallLoad, 2), play(closedHallLoad, 7), play(closedHallLoad, 8)];
+        outcomes.forEach(({ violations }) => expect(violations).toEqual([]));
+        expect(meanOf(outcomes.map(({ queues }) => queues["urgent"].all.share))).toBeGreaterThan(0.96);
+    });
+});
--- a/packages/core/src/log-events/index.ts
+++ b/packages/core/src/log-events/index.ts
@@ -287,6 +287,12 @@
     ),
     hallClosed: define(4614, "info", "the owner starts nothing more in a data hall", nothing),
     hallReopened: define(4615, "info", "the owner may start tasks in a data hall again", nothing),
+    reopenedHallSpeed: define(
+        4616,
+        "info",
+        "tasks in a recently reopened data hall take longer than elsewhere, or no longer do",
+        nothing,
+    ),
     settingsReloaded: define(4605, "info", "the settings file was reloaded", nothing),
     settingsUnreadable: define(
         4607,
