Closed data halls for operators: figures in the cell's summary, gauges, the way from an id to its cause

Cause: neither 4401 nor a metric told that a hall is closed, and no line named the hall of a worker. 'pebbledale status' shows the older programs and is left as it is. Before, after: one test of the summary.

--- a/packages/cell/src/runs/worker-entry-reconciler.ts
+++ b/packages/cell/src/runs/worker-entry-reconciler.ts
@@ -56,6 +56,7 @@
                 worker: entry.worker,
                 life: entry.life,
                 address: entry.address,
+                hall: entry.dataHall,
                 labels: entry.labels,
             });
         }
--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -401,12 +401,12 @@
     /** Figures about the cell for logs and metrics. */
     summary(): CellSummary & CrashSummary {
         return {
-            ...summarizeCell(
-                this.#context,
-                this.#placer.readySteps,
-                this.#placer.deferredTasks,
-                service => this.#placer.headroomOf(service),
-            ),
+            ...summarizeCell(this.#context, {
+                ready: this.#placer.readySteps,
+                deferredTasks: this.#placer.deferredTasks,
+                headroomOf: service => this.#placer.headroomOf(service),
+                closedHalls: this.#halls.halls,
+            }),
             ...this.#crashes.summary(),
         };
     }
--- a/packages/cell/src/scheduler/cell-summary.ts
+++ b/packages/cell/src/scheduler/cell-summary.ts
@@ -1,5 +1,5 @@
 /** Summary of a cell's state for logs and metrics. */
-import type { Milliseconds, OrganisationName, ServiceName } from "@pebbledale/core";
+import type { DataHallName, Milliseconds, OrganisationName, ServiceName } from "@pebbledale/core";
 import { type CellContext, type Step, TaskPhase, type WorkerState } from "../state/index.js";
 
 /** Figures about a cell at one moment. They are logged under these names. */
@@ -21,6 +21,10 @@
     readonly services: Readonly<Record<ServiceName, ServiceSummary>>;
     /** Organisations whose tasks wait because of their own limit, most waiting tasks first; at most {@link maxReportedOrganisations}. */
     readonly atLimit: readonly WaitingOrganisation[];
+    /** Data halls that operators have closed, and the workers and unfinished runs there. */
+    readonly closedHalls: readonly DataHallName[];
+    readonly closedHallWorkers: number;
+    readonly closedHallRuns: number;
 }
 
 /** Capacity and demand of one service. Free resources count on open workers only. */
@@ -58,16 +62,23 @@
 /** Bounds the length of the log line to about two kilobytes. */
 const maxReportedOrganisations = 10;
 
-/** Computes a summary. `ready`: steps whose dependencies are complete; `headroomOf`: processors kept free in a service. */
-export const summarizeCell = (
-    context: CellContext,
-    ready: ReadonlySet<Step>,
-    deferredTasks: number,
-    headroomOf: (service: ServiceName) => number,
-): CellSummary => {
+/** What a summary is computed from besides the cell's context. */
+export interface SummarySources {
+    /** Steps whose dependencies are complete. */
+    readonly ready: ReadonlySet<Step>;
+    readonly deferredTasks: number;
+    /** Processors kept free in a service. */
+    readonly headroomOf: (service: ServiceName) => number;
+    readonly closedHalls: ReadonlySet<DataHallName>;
+}
+
+/** Computes a summary. */
+export const summarizeCell = (context: CellContext, sources: SummarySources): CellSummary => {
+    const { ready, deferredTasks, headroomOf, closedHalls } = sources;
     const now = context.now();
     const workers = [...context.workers.values()];
     const open = workers.filter(worker => worker.isOpen(now));
+    const inClosedHalls = workers.filter(worker => worker.isHallClosed);
     const sum = (values: readonly number[]): number => values.reduce((total, value) => total + value, 0);
     return {
         workers: workers.length,
@@ -81,6 +92,9 @@
         waiting: waitingByPriority(ready),
         services: summarizeServices(workers, ready, headroomOf, now),
         atLimit: waitingForLimits(context, ready),
+        closedHalls: [...closedHalls],
+        closedHallWorkers: inClosedHalls.length,
+        closedHallRuns: sum(inClosedHalls.map(worker => worker.runs.size)),
     };
 };
 
--- a/packages/cell/test/data-halls/closed-halls.test.ts
+++ b/packages/cell/test/data-halls/closed-halls.test.ts
@@ -93,4 +93,18 @@
         driver.cell.submit(makeJob("small", [makeStep()]));
         expect(driver.run().starts.map(({ task }) => task.split("/")[0])).toEqual(["small"]);
     });
+
+    it("is shown in the cell's summary with its workers and what still runs there", () => {
+        const driver = setUp();
+        driver.cell.submit(makeJob("j", [makeStep({ taskCount: 10 })]));
+        const inHall = driver.run().starts.filter(({ dataHall }) => dataHall === hallA).length;
+        driver.cell.setClosedHalls({ halls: [hallA], revision: 1 });
+        const { closedHalls, closedHallWorkers, closedHallRuns, openWorkers } = driver.cell.summary();
+        expect({ closedHalls, closedHallWorkers, closedHallRuns, openWorkers }).toEqual({
+            closedHalls: [hallA],
+            closedHallWorkers: 1,
+            closedHallRuns: inHall,
+            openWorkers: 1,
+        });
+    });
 });
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -246,6 +246,7 @@
             },
             onFailure: (cause, age) => members.recordFailure(cause, age),
         });
+        metrics.setClosedHallSource(() => this.#halls.closures.halls.length);
         metrics.setAgeSources({ configuration: () => this.#configuration.age, members: () => following.age });
         const background = createAbortController();
         await listenForOwners(settings.peerAddress, channel => this.#session.attach(channel), background.signal);
--- a/packages/entry/src/observability/entry-metrics.ts
+++ b/packages/entry/src/observability/entry-metrics.ts
@@ -70,6 +70,7 @@
     );
     #cell: CellStatistics | undefined;
     #ages: AgeSources | undefined;
+    #closedHallCount = () => 0;
 
     constructor() {
         const addCellGauge = (name: string, help: string, read: (summary: CellSummary & CrashSummary) => number) =>
@@ -99,6 +100,16 @@
             "Organisations whose work waits for their own limit (at most ten are counted)",
             ({ atLimit }) => atLimit.length,
         );
+        addCellGauge(
+            "pebbledale_closed_data_hall_runs",
+            "Unfinished runs in data halls that operators have closed",
+            ({ closedHallRuns }) => closedHallRuns,
+        );
+        this.metrics.gauge(
+            "pebbledale_closed_data_halls",
+            "Closed data halls as known to this VM",
+            () => this.#closedHallCount(),
+        );
         addCellGauge("pebbledale_suspect_tasks", "Tasks that may have crashed workers", ({ suspects }) => suspects);
         addCellGauge("pebbledale_trial_runs", "Trial runs of tasks that may crash workers", ({ trials }) => trials);
         addCellGauge("pebbledale_open_jobs", "Jobs that have not ended", summary => summary.openJobs);
@@ -150,6 +161,11 @@
         this.#cell = cell;
     }
 
+    /** Sets the getter of the number of closed data halls that this VM knows of. */
+    setClosedHallSource(count: () => number): void {
+        this.#closedHallCount = count;
+    }
+
     setAgeSources(ages: AgeSources): void {
         this.#ages = ages;
     }
