Crashes: that a suspect's run is past its start is recorded, so that the next owner knows of one that is not

Five such crashes convict; with one of five known as a silence only, the task was started a sixth time.

An owner that takes over such a run without the record takes it for one at its start until it sees it further itself. Cost: at most one record for each run of a task with strikes, in a turn that is written anyway or of its own; none for other tasks. Four crashes convict under a change of owner at each start (3 + 5 + 5 + 5), also the fifth with one of them unproved. The price: a suspect whose worker crashes unseen between two owners gets 5 instead of 3.

--- a/packages/cell/src/crashes/crash-monitor.ts
+++ b/packages/cell/src/crashes/crash-monitor.ts
@@ -22,7 +22,7 @@
     maxSilentShare,
     maxTrialShare,
 } from "./constants.js";
-import { judge, outlives } from "./judgement.js";
+import { isSeenPastStart, judge, outlives } from "./judgement.js";
 import { Judgement } from "./types.js";
 
 /** Waiting tasks of a step by how they may be started. */
@@ -134,7 +134,10 @@
                 this.#jobsWithStrikes.delete(job);
             }
             else {
-                tasksOf(job).forEach(task => this.#clearIfOutlived(task));
+                tasksOf(job).forEach(task => {
+                    this.#clearIfOutlived(task);
+                    this.#recordPastStart(task);
+                });
             }
         }
         for (const task of this.#postponedUntil.keys()) {
@@ -206,6 +209,19 @@
         });
     }
 
+    /** Records that runs of a task with strikes are past their start, which a later owner could not know. */
+    #recordPastStart(task: Task): void {
+        if (task.step.job.strikes.of(task.address).length === 0) {
+            return;
+        }
+        for (const run of task.runs) {
+            const isRecorded = task.openRuns.get(run.run)?.isPastStart ?? false;
+            if (!isRecorded && run.formerIncarnation === undefined && isSeenPastStart(run)) {
+                this.context.record({ kind: "past-start", task: task.address, run: run.run });
+            }
+        }
+    }
+
     /** Allows one trial per job, a limited number per service, and none while too many of its workers are silent. */
     #mayStartTrial({ job }: Step): boolean {
         const { service } = job.terms;
--- a/packages/cell/src/crashes/judgement.ts
+++ b/packages/cell/src/crashes/judgement.ts
@@ -5,8 +5,8 @@
  * reasons. Therefore a crash at the start of a run weighs more than a later one, suspected tasks run in isolated trials, which no
  * neighbour can spoil, and a run that outlives all lost ones clears its task.
  */
-import type { Milliseconds } from "@pebbledale/core";
-import type { FormerIncarnation, Strike, TaskRun, WorkerState } from "../state/index.js";
+import type { Milliseconds, RunNumber } from "@pebbledale/core";
+import type { FormerIncarnation, Strike, Task, TaskRun, WorkerState } from "../state/index.js";
 import {
     assumedRunTime,
     atFaultWeight,
@@ -54,13 +54,27 @@
 
 /**
  * Time for which a run is known to have run: from its confirmation to the worker's last answer. Undefined when the worker did not
- * confirm it, or when an earlier owner ordered it.
+ * confirm it, or when an earlier owner ordered it and may have seen it run on past its start.
  */
 export const observedRunTime = (run: TaskRun): Milliseconds | undefined => {
     if (run.formerIncarnation !== undefined) {
         return run.formerIncarnation.observedRunTime;
     }
-    return run.isAdopted || run.confirmedAt === undefined ? undefined : Math.round(timeObserved(run));
+    if (run.isAdopted) {
+        return isSeenPastStart(run) ? undefined : adoptedRunTime(run.task, run.run);
+    }
+    return run.confirmedAt === undefined ? undefined : Math.round(timeObserved(run));
+};
+
+/**
+ * Time for which an earlier owner's run is known to have run: 0 for a task with strikes whose run no owner has recorded as past its
+ * start, undefined otherwise.
+ */
+export const adoptedRunTime = (task: Task, run: RunNumber): Milliseconds | undefined => {
+    const wasSuspect = task.step.job.strikes.of(task.address).some(strike =>
+        strike.task === task.address && strike.run < run
+    );
+    return wasSuspect && task.openRuns.get(run)?.isPastStart !== true ? 0 : undefined;
 };
 
 /** Facts about a run under its worker's current incarnation, to be kept when another incarnation succeeds it. */
@@ -75,9 +89,15 @@
     if (run.formerIncarnation !== undefined) {
         return (run.formerIncarnation.observedRunTime ?? 0) >= startWindow;
     }
-    return run.confirmedAt !== undefined && (run.isAdopted || timeObserved(run) >= startWindow);
+    if (run.confirmedAt === undefined) {
+        return false;
+    }
+    return isSeenPastStart(run) || run.isAdopted && adoptedRunTime(run.task, run.run) === undefined;
 };
 
+/** Whether this owner has seen a run to run on past its start. */
+export const isSeenPastStart = (run: TaskRun): boolean => timeObserved(run) >= startWindow;
+
 /** Whether a run has run clearly longer than each lost run among the strikes. */
 export const outlives = (run: TaskRun, strikes: readonly Strike[]): boolean => {
     const longest = Math.max(0, ...strikes.map(strike => strike.stood ?? assumedRunTime));
--- a/packages/cell/src/runs/run-lifecycle.ts
+++ b/packages/cell/src/runs/run-lifecycle.ts
@@ -1,6 +1,14 @@
 /** Lifecycle of runs. */
 import { logEvents, type RunNumber, runNumber, type TaskAddress, type WorkerIncarnation } from "@pebbledale/core";
-import { formerIncarnationOf, judge, Judgement, type LossCause, observedRunTime, strikeOf } from "../crashes/index.js";
+import {
+    adoptedRunTime,
+    formerIncarnationOf,
+    judge,
+    Judgement,
+    type LossCause,
+    observedRunTime,
+    strikeOf,
+} from "../crashes/index.js";
 import {
     type CellContext,
     CellJobState,
@@ -88,7 +96,11 @@
     recover(task: Task, run: RunNumber, worker: WorkerState, incarnation: WorkerIncarnation | undefined): void {
         const entry = this.#add(task, run, worker, RunPhase.Ordered, { sentAt: -Infinity, isAdopted: true });
         if (incarnation !== undefined && incarnation !== worker.incarnation) {
-            entry.formerIncarnation = { incarnation, observedRunTime: undefined, wasLeaving: false };
+            entry.formerIncarnation = {
+                incarnation,
+                observedRunTime: adoptedRunTime(task, run),
+                wasLeaving: false,
+            };
         }
     }
 
--- a/packages/cell/src/state/entities.ts
+++ b/packages/cell/src/state/entities.ts
@@ -99,6 +99,8 @@
 export interface OpenRun {
     readonly worker: WorkerId;
     readonly incarnation: WorkerIncarnation | undefined;
+    /** Whether it was seen to run on past its start; only recorded while there are strikes against its task. */
+    readonly isPastStart?: boolean;
 }
 
 /** A task of a step, with all its runs. */
--- a/packages/cell/src/state/job-table.ts
+++ b/packages/cell/src/state/job-table.ts
@@ -3,13 +3,24 @@
 import { RunEnd } from "../task-worker/index.js";
 import { CellJobState, type JobDefinition, type JobTerms, parseTaskAddress } from "./definition.js";
 import { Job, Occurrence, type Step, type Task, TaskPhase, tasksOf } from "./entities.js";
-import type { AcceptedRecord, CellRecord, EndedRecord, GivenUpRecord, LostRecord, StartedRecord } from "./records.js";
+import type {
+    AcceptedRecord,
+    CellRecord,
+    EndedRecord,
+    GivenUpRecord,
+    LostRecord,
+    PastStartRecord,
+    StartedRecord,
+} from "./records.js";
 import type { Strike } from "./strikes.js";
 
 /** Snapshot of a run that has not ended: run, worker, and the incarnation that it was ordered from if that is known. */
 type OpenRunSnapshot = readonly [RunNumber, WorkerId, WorkerIncarnation?];
 
-/** Snapshot of a task: step, index, phase, last run, failures, checkpoint, ended runs, open runs. */
+/**
+ * Snapshot of a task: step, index, phase, last run, failures, checkpoint, ended runs, open runs, and those of the open runs that are
+ * past their start if there are any.
+ */
 type TaskSnapshot = readonly [
     number,
     number,
@@ -19,6 +30,7 @@
     string,
     readonly number[],
     readonly OpenRunSnapshot[],
+    (readonly RunNumber[])?,
 ];
 
 /** Snapshot of an occurrence: number, failed gang runs of each step, tasks that differ from their initial state. */
@@ -85,6 +97,9 @@
             case "explained":
                 this.taskOf(record.task)?.step.job.strikes.explain(record.task, record.run, record.isCrash);
                 break;
+            case "past-start":
+                this.#notePastStart(record);
+                break;
             case "cleared":
                 this.taskOf(record.task)?.step.job.strikes.clear(record.task);
                 break;
@@ -166,6 +181,14 @@
         }
     }
 
+    #notePastStart({ task: address, run }: PastStartRecord): void {
+        const task = this.taskOf(address);
+        const open = task?.openRuns.get(run);
+        if (open !== undefined) {
+            task?.openRuns.set(run, { ...open, isPastStart: true });
+        }
+    }
+
     #recordLoss({ task: address, run, strike }: LostRecord): void {
         const task = this.taskOf(address);
         task?.openRuns.delete(run);
@@ -294,21 +317,25 @@
 
 const isChanged = (task: Task): boolean => task.lastRun > 0 || task.phase === TaskPhase.Done;
 
-const snapshotOfTask = (step: Step, task: Task): TaskSnapshot => [
-    step.index,
-    task.index,
-    task.phase === TaskPhase.Active ? TaskPhase.Waiting : task.phase,
-    task.lastRun,
-    task.failures,
-    task.checkpoint,
-    [...task.endedRuns],
-    [...task.openRuns].map(([run, { worker, incarnation }]): OpenRunSnapshot =>
-        incarnation === undefined ? [run, worker] : [run, worker, incarnation]
-    ),
-];
+const snapshotOfTask = (step: Step, task: Task): TaskSnapshot => {
+    const pastStart = [...task.openRuns].filter(([, { isPastStart }]) => isPastStart === true).map(([run]) => run);
+    return [
+        step.index,
+        task.index,
+        task.phase === TaskPhase.Active ? TaskPhase.Waiting : task.phase,
+        task.lastRun,
+        task.failures,
+        task.checkpoint,
+        [...task.endedRuns],
+        [...task.openRuns].map(([run, { worker, incarnation }]): OpenRunSnapshot =>
+            incarnation === undefined ? [run, worker] : [run, worker, incarnation]
+        ),
+        ...(pastStart.length === 0 ? [] as const : [pastStart] as const),
+    ];
+};
 
 const restoreTask = (occurrence: Occurrence, saved: TaskSnapshot): void => {
-    const [stepIndex, taskIndex, phase, lastRun, failures, checkpoint, endedRuns, openRuns] = saved;
+    const [stepIndex, taskIndex, phase, lastRun, failures, checkpoint, endedRuns, openRuns, pastStart = []] = saved;
     const step = occurrence.steps[stepIndex];
     const task = step.tasks[taskIndex];
     task.phase = phase;
@@ -317,6 +344,8 @@
     step.failedRuns += failures;
     task.checkpoint = checkpoint;
     endedRuns.forEach(run => task.endedRuns.add(run));
-    openRuns.forEach(([run, worker, life]) => task.openRuns.set(run, { worker, incarnation: life }));
+    openRuns.forEach(([run, worker, life]) =>
+        task.openRuns.set(run, { worker, incarnation: life, isPastStart: pastStart.includes(run) })
+    );
     step.doneCount += phase === TaskPhase.Done ? 1 : 0;
 };
--- a/packages/cell/src/state/records.ts
+++ b/packages/cell/src/state/records.ts
@@ -60,6 +60,16 @@
     readonly isCrash: boolean;
 }
 
+/**
+ * A run of a task with strikes was seen to run on past its start. Without this record, a later owner takes the run for one at its
+ * start. Written once for such a run, and for no other.
+ */
+export interface PastStartRecord {
+    readonly kind: "past-start";
+    readonly task: TaskAddress;
+    readonly run: RunNumber;
+}
+
 /** A run outlived the strikes against its task, which are dropped. */
 export interface ClearedRecord {
     readonly kind: "cleared";
@@ -102,6 +112,7 @@
     | EndedRecord
     | LostRecord
     | ExplainedRecord
+    | PastStartRecord
     | ClearedRecord
     | GivenUpRecord
     | ForgottenRecord
--- a/packages/cell/test/crashes/tasks-that-crash-workers.test.ts
+++ b/packages/cell/test/crashes/tasks-that-crash-workers.test.ts
@@ -29,4 +29,36 @@
         expect(cell.startsOf("bad/0/0/0").length <= maxCrashes + 2).toEqual(true);
         expect(cell.driver.cell.stateOf(jobId("bad"))).toEqual(CellJobState.Failed);
     });
+
+    it("is given up after four workers when the owner changes after each start", () => {
+        const cell = new CrashingCell(33, task => task.startsWith("bad") ? faulty : innocent);
+        cell.driver.cell.submit(makeJob("bad", [makeStep()]));
+        for (let starts = 0; starts < 8; starts++) {
+            const before = cell.startsOf("bad/0/0/0").length;
+            while (cell.startsOf("bad/0/0/0").length === before && cell.clock.monotonic() < 120_000) {
+                cell.advance(50);
+            }
+            cell.takeOver();
+        }
+        // The first run began before there was a strike, so that it is not known to have crashed its worker at its start.
+        expect(cell.startsOf("bad/0/0/0").length).toEqual(maxCrashes + 1);
+        expect(cell.driver.cell.stateOf(jobId("bad"))).toEqual(CellJobState.Failed);
+    });
+});
+
+describe("a task that has run on past its start", () => {
+    it("is not taken for one at its start by the next owner", () => {
+        const slow: TaskBehaviour = { crashesAfter: 1_500, duration: 5_000 };
+        const cell = new CrashingCell(33, task => task.startsWith("bad") ? slow : innocent);
+        cell.driver.cell.submit(makeJob("bad", [makeStep()]));
+        for (let starts = 0; starts < 8; starts++) {
+            const before = cell.startsOf("bad/0/0/0").length;
+            while (cell.startsOf("bad/0/0/0").length === before && cell.clock.monotonic() < 120_000) {
+                cell.advance(50);
+            }
+            cell.advance(1_000);
+            cell.takeOver();
+        }
+        expect(cell.startsOf("bad/0/0/0").length).toEqual(5);
+    });
 });
