Owner: after a takeover the links are spread over all VMs that are connected, not given to the first one's data hall

Each connection assigned all workers without a link at once, so that the first one, front-luzon-a-7, got the links of all 286 workers; links are evened out within a data hall only. From then on the ten VMs of luzon-a, eight of them with 0.324 core and 10 Mbit/s, held the links to all halls: of 226 calls to workers without an answer (4610) from 4 to 8 s 166 were theirs, of 88 from 22 to 28 s 81. Their starts timed out after 120 ms at 22.8 to 23.5 and 25 to 27.5 s (4207); of the checklist-ingest jobs accepted from 22 to 26 s 23 of 47 that took more than 2.2 s had a start that was not delivered.

Change: links are assigned after the callbacks that are pending, so that all connections that are passed to the new owner together share them by processor share. Links of a later hall's workers stay where they are, as before.

--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -68,6 +68,7 @@
     #isCellOffered = false;
     /** Whether the handover is in progress: no request is answered any more. */
     #isHandingOver = false;
+    #isAssignmentScheduled = false;
     #nextRelay = 0;
 
     constructor(private readonly options: OwnerSessionOptions) {
@@ -259,10 +260,26 @@
             vm.name,
             (question, { step, workers }, duration) => channel.send({ kind: "ask", question, step, workers, duration }),
         );
-        this.#assignUnlinkedWorkers();
+        this.#scheduleAssignment();
         this.#assignments.rebalanceTo(this.cell.workers, link, [...this.#vms.values()]);
     }
 
+    /**
+     * Assigns workers without a link after pending callbacks. A new owner gets the connections to most VMs at once, and the first
+     * of them must not receive all links.
+     */
+    #scheduleAssignment(): void {
+        if (!this.#isAssignmentScheduled) {
+            this.#isAssignmentScheduled = true;
+            setImmediate(() => {
+                this.#isAssignmentScheduled = false;
+                if (!this.options.lost.signal.aborted) {
+                    this.#assignUnlinkedWorkers();
+                }
+            });
+        }
+    }
+
     /** VMs through which the store can be called, in order of preference. */
     storeRelays(): StoreRelay[] {
         const others = [...this.#vms.values()].filter(link => link.vm.name !== this.options.name);
--- a/packages/entry/test/support/simulation/simulation-world.ts
+++ b/packages/entry/test/support/simulation/simulation-world.ts
@@ -24,6 +24,7 @@
 import {
     createMemoryChannel,
     EntryMetrics,
+    type EntryVm,
     type OwnerMessage,
     OwnerSession,
     type VmMessage,
@@ -182,8 +183,8 @@
         return this.#journal;
     }
 
-    /** Has another owner take over from the journal. */
-    replaceOwner(): void {
+    /** Has another owner take over from the journal. `own`: differences of its VM. */
+    replaceOwner(own: Partial<EntryVm> = {}): void {
         this.#ownerEnded.abort();
         this.#ownerEnded = createAbortController();
         const lost = this.#ownerEnded;
@@ -216,15 +217,15 @@
         void owner.run();
         const [ownerEnd, vmEnd] = createMemoryChannel<OwnerMessage, VmMessage>();
         this.#vm.attach(vmEnd);
-        owner.connect(makeVm("vm-0"), ownerEnd);
+        owner.connect(makeVm("vm-0", own), ownerEnd);
     }
 
     /** Connects a VM that only listens to the owner; the kinds of messages are added to the result as they arrive. */
-    connectListener(name: string): string[] {
+    connectListener(name: string, changes: Partial<EntryVm> = {}): string[] {
         const [ownerEnd, vmEnd] = createMemoryChannel<OwnerMessage, VmMessage>();
         const received: string[] = [];
         vmEnd.onMessage = ({ kind }) => void received.push(kind);
-        this.owner.connect(makeVm(name), ownerEnd);
+        this.owner.connect(makeVm(name, changes), ownerEnd);
         return received;
     }
 
