Account of bytes by kind of traffic, near and far, where there are several regions

What crosses between two regions was not known by kind. Lengths are those of texts that are made anyway. With one region nothing is counted.

Not weighed: counting at the sockets, as it would not tell kinds apart.

--- a/packages/core/src/log-events/index.ts
+++ b/packages/core/src/log-events/index.ts
@@ -287,6 +287,12 @@
     ),
     hallClosed: define(4614, "info", "the owner starts nothing more in a data hall", nothing),
     hallReopened: define(4615, "info", "the owner may start tasks in a data hall again", nothing),
+    trafficSummary: define(
+        4620,
+        "info",
+        "bytes exchanged since the process started, by peer, reach and kind: count, sent, received",
+        nothing,
+    ),
     settingsReloaded: define(4605, "info", "the settings file was reloaded", nothing),
     settingsUnreadable: define(
         4607,
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -34,11 +34,13 @@
     type EntryMetrics,
     InstrumentedLogger,
     InstrumentedWorkerClients,
+    logTraffic,
+    type TrafficAccount,
 } from "./observability/index.js";
 import { confirmationValidity, type OwnerSession, type OwnerUpkeep } from "./owner/index.js";
 import { Candidate, ownerLeaseLength, vmLeaseLength } from "./ownership/index.js";
 import { listenForOwners, refusesConnections } from "./peers/index.js";
-import { createMemoryChannel, type OwnerMessage, type VmMessage } from "./protocol/index.js";
+import { createMemoryChannel, type MessageMeter, type OwnerMessage, type VmMessage } from "./protocol/index.js";
 import type { EntrySettings } from "./settings/index.js";
 import { shutdownTimesOf } from "./shutdown-times.js";
 import { RelayedStore } from "./store-relay/index.js";
@@ -56,6 +58,8 @@
     readonly random: Random;
     readonly logger: EventLogger;
     readonly metrics: EntryMetrics;
+    /** Account of the bytes of this VM; undefined where all data halls are in one region. */
+    readonly traffic?: TrafficAccount | undefined;
     readonly store: PlatformStore & ChangeFeed;
     /** Reads the workers' entries over the given connection to the store. */
     readonly directory: (feed: ChangeFeed) => WorkerDirectory;
@@ -151,6 +155,7 @@
             onConfiguration: configuration => this.#configuration.apply(configuration, "owner"),
             closures: () => this.#halls.closures,
             onClosures: closures => this.#halls.applyPeers(closures),
+            onAssign: ({ address, dataHall }) => options.traffic?.locate(address, dataHall),
             isHallClosed: hall => this.#halls.isClosed(hall),
             onOwnerChange: hasOwner => this.#handleOwnerChange(hasOwner),
         });
@@ -169,6 +174,7 @@
             random,
             logger,
             metrics,
+            traffic: options.traffic,
             self: this.#self,
             view: this.#view,
             leaseLength: Math.max(ownerLeaseLength, settings.store.shortestLease),
@@ -226,7 +232,7 @@
 
     /** Serves until `stop` fires, then hands the cell over and serves on until `untilDrained` resolves. */
     async run(stop: AbortSignal, untilDrained: () => Promise<void>): Promise<void> {
-        const { settings, store, clock, metrics } = this.options;
+        const { settings, store, clock, metrics, traffic } = this.options;
         const { membersUnavailable: lostEvent, membersAvailable: recoveredEvent } = logEvents;
         const members = new DependencyMonitor({
             logger: this.#logger,
@@ -247,12 +253,14 @@
         });
         metrics.setAgeSources({ configuration: () => this.#configuration.age, members: () => following.age });
         const background = createAbortController();
-        await listenForOwners(settings.peerAddress, channel => this.#session.attach(channel), background.signal);
+        const { signal } = background;
+        await listenForOwners(settings.peerAddress, channel => this.#session.attach(channel), signal, this.#ownerMeter);
         const running = [
             this.#configuration.run(background.signal),
             this.#registration.run(background.signal),
             following.run(background.signal),
             this.#session.run(background.signal),
+            ...(traffic === undefined ? [] : [logTraffic(traffic, clock, this.#logger, signal)]),
         ];
         const draining = waitForAbort(stop).then(() => this.#drain(untilDrained));
         await Promise.all([this.#candidate.run(stop), draining]);
@@ -268,6 +276,15 @@
         await untilDrained();
     }
 
+    /** Counts messages to the owner; undefined where traffic is not accounted for. */
+    get #ownerMeter(): MessageMeter | undefined {
+        const { traffic } = this.options;
+        return traffic && ((kind, bytes) => {
+            const hall = this.#view.vms.get(this.#view.owner?.name ?? "")?.dataHall;
+            traffic.recordMessage(kind, hall, bytes);
+        });
+    }
+
     #handleOwnerChange(hasOwner: boolean): void {
         if (hasOwner) {
             this.#logger.log(logEvents.ownerConnected, { epoch: this.#session.epoch });
--- a/packages/entry/src/links/vm-session.ts
+++ b/packages/entry/src/links/vm-session.ts
@@ -13,6 +13,7 @@
 import { configurationFetchDelay } from "../configuration/index.js";
 import type {
     AdviceQuestionMessage,
+    AssignMessage,
     Channel,
     OwnerMessage,
     OwnerReply,
@@ -54,6 +55,8 @@
     readonly closures: () => HallClosures;
     /** Called with the owner's closed data halls; returns this VM's if they are newer and differ. */
     readonly onClosures: (closures: HallClosures) => HallClosures | undefined;
+    /** Called with each worker link that the owner assigns to this VM. */
+    readonly onAssign?: (assignment: AssignMessage) => void;
     readonly isHallClosed: (hall: DataHallName) => boolean;
     /** Called when an owner connects or is lost. */
     readonly onOwnerChange: (hasOwner: boolean) => void;
@@ -206,6 +209,7 @@
         this.#recordHeard();
         switch (message.kind) {
             case "assign":
+                this.options.onAssign?.(message);
                 this.#links.assign(message);
                 break;
             case "unassign":
--- a/packages/entry/src/observability/entry-metrics.ts
+++ b/packages/entry/src/observability/entry-metrics.ts
@@ -2,6 +2,7 @@
 import type { CellSummary, CrashSummary } from "@pebbledale/cell";
 import type { Milliseconds } from "@pebbledale/core";
 import { Metrics } from "@pebbledale/runtime";
+import type { TrafficAccount } from "./traffic-account.js";
 
 const millisecondsPerSecond = 1_000;
 
@@ -153,4 +154,26 @@
     setAgeSources(ages: AgeSources): void {
         this.#ages = ages;
     }
+
+    /** Adds counters of the VM's traffic by kind and reach. */
+    addTraffic(account: TrafficAccount): void {
+        const labels = ["peer", "reach", "kind"] as const;
+        this.metrics.totals(
+            "pebbledale_traffic_messages_total",
+            "Messages and calls, by peer, reach and kind",
+            labels,
+            () =>
+                account.totals.map(({ peer, reach, kind, count }) => ({ labels: { peer, reach, kind }, value: count })),
+        );
+        this.metrics.totals(
+            "pebbledale_traffic_bytes_total",
+            "Bytes of messages and calls without headers, by peer, reach and kind",
+            [...labels, "direction"],
+            () =>
+                account.totals.flatMap(({ peer, reach, kind, sent, received }) => [
+                    { labels: { peer, reach, kind, direction: "sent" }, value: sent },
+                    { labels: { peer, reach, kind, direction: "received" }, value: received },
+                ]),
+        );
+    }
 }
--- a/packages/entry/src/observability/index.ts
+++ b/packages/entry/src/observability/index.ts
@@ -3,3 +3,5 @@
 export * from "./entry-metrics.js";
 export * from "./instrumented-logger.js";
 export * from "./instrumented-worker-clients.js";
+export * from "./traffic-account.js";
+export * from "./traffic-log.js";
--- a/packages/entry/src/ownership/candidate.ts
+++ b/packages/entry/src/ownership/candidate.ts
@@ -16,7 +16,7 @@
 import { createAbortController, type EventLogger, settledOrAborted } from "@pebbledale/runtime";
 import type { FollowLimits } from "../following/index.js";
 import { type CellView, type EntryVm } from "../membership/index.js";
-import type { EntryMetrics } from "../observability/index.js";
+import type { EntryMetrics, TrafficAccount } from "../observability/index.js";
 import {
     commitInterval,
     journalMaxInFlight,
@@ -58,6 +58,8 @@
     readonly random: Random;
     readonly logger: EventLogger;
     readonly metrics: EntryMetrics;
+    /** Undefined where traffic is not accounted for. */
+    readonly traffic: TrafficAccount | undefined;
     readonly self: EntryVm;
     readonly view: CellView;
     /** Lifetime of the owner's key after its last renewal. */
@@ -188,11 +190,11 @@
     }
 
     async #claimAndServe(reason: string, stop: AbortSignal): Promise<void> {
-        const { store, clock, view, self, leaseLength, logger } = this.options;
+        const { store, clock, view, self, leaseLength, logger, traffic } = this.options;
         const value = JSON.stringify({ name: self.name, address: self.address, process: self.process });
         const key = new OwnerKey({ store, clock, logger, value, leaseLength });
         const released = createAbortController();
-        const dialer = new VmDialer(view, self, clock);
+        const dialer = new VmDialer(view, self, clock, traffic);
         const dialing = dialer.run(released.signal);
         let keepingAlive: Promise<void> | undefined;
         const reached = this.#checkPreconditions(dialer, key, reason);
--- a/packages/entry/src/peers/connections.ts
+++ b/packages/entry/src/peers/connections.ts
@@ -3,7 +3,13 @@
 import { once } from "node:events";
 import { connect as connectTcp } from "node:net";
 import { WebSocket, WebSocketServer } from "ws";
-import { type Channel, type OwnerMessage, SocketChannel, type VmMessage } from "../protocol/index.js";
+import {
+    type Channel,
+    type MessageMeter,
+    type OwnerMessage,
+    SocketChannel,
+    type VmMessage,
+} from "../protocol/index.js";
 
 /** Maximum size of a batch of messages, in bytes. */
 const maxBatchBytes = 16 * 1_048_576;
@@ -21,9 +27,10 @@
     address: string,
     attach: (channel: Channel<VmMessage, OwnerMessage>) => void,
     signal: AbortSignal,
+    meter?: MessageMeter,
 ): Promise<void> => {
     const server = new WebSocketServer({ ...parseAddress(address), ...socketOptions });
-    server.on("connection", socket => attach(new SocketChannel(socket)));
+    server.on("connection", socket => attach(new SocketChannel(socket, meter)));
     await once(server, "listening");
     signal.addEventListener("abort", () => {
         server.clients.forEach(socket => socket.terminate());
@@ -40,10 +47,14 @@
     | { readonly kind: "silent"; };
 
 /** Opens a connection to a VM's address, waiting at most `timeout`. */
-export const dialVm = async (address: string, timeout: Milliseconds): Promise<DialOutcome> => {
+export const dialVm = async (
+    address: string,
+    timeout: Milliseconds,
+    meter?: MessageMeter,
+): Promise<DialOutcome> => {
     const socket = new WebSocket(`ws://${address}`, { ...socketOptions, handshakeTimeout: timeout });
     // Created before the socket opens: the first message may arrive with the handshake's response.
-    const channel = new SocketChannel<OwnerMessage, VmMessage>(socket);
+    const channel = new SocketChannel<OwnerMessage, VmMessage>(socket, meter);
     try {
         await once(socket, "open");
         return { kind: "open", channel };
--- a/packages/entry/src/peers/vm-dialer.ts
+++ b/packages/entry/src/peers/vm-dialer.ts
@@ -1,6 +1,7 @@
 /** Connections of an owner to entry VMs. */
 import type { Clock, Milliseconds } from "@pebbledale/core";
 import type { CellView, EntryVm } from "../membership/index.js";
+import type { TrafficAccount } from "../observability/index.js";
 import { dialRetryDelay, dialTimeout, vmRetention } from "../owner/constants.js";
 import type { Channel, OwnerMessage, VmMessage } from "../protocol/index.js";
 import { dialVm } from "./connections.js";
@@ -61,6 +62,7 @@
         private readonly view: CellView,
         private readonly self: EntryVm,
         private readonly clock: Clock,
+        private readonly traffic?: TrafficAccount,
     ) {}
 
     /** Passes open and future connections to the owner's session. */
@@ -193,7 +195,10 @@
     }
 
     async #dial(vm: EntryVm, signal: AbortSignal): Promise<void> {
-        const outcome = await dialVm(vm.address, this.#isSilent(vm.name) ? redialTimeout : dialTimeout);
+        const { traffic } = this;
+        const meter = traffic
+            && ((kind: string, bytes: number) => traffic.recordMessage(kind, vm.dataHall, bytes));
+        const outcome = await dialVm(vm.address, this.#isSilent(vm.name) ? redialTimeout : dialTimeout, meter);
         const known = this.#known.get(vm.name);
         if (known !== undefined) {
             known.isReachable = outcome.kind !== "silent";
--- a/packages/entry/src/protocol/socket-channel.ts
+++ b/packages/entry/src/protocol/socket-channel.ts
@@ -6,8 +6,11 @@
 /** How long messages are collected into one batch, in milliseconds: a wake-up costs more than a message. */
 const batchDelay: Milliseconds = 2;
 
+/** Called with the kind and the length of each message that is sent. */
+export type MessageMeter = (kind: string, bytes: number) => void;
+
 /** Sends and receives batches of messages as JSON arrays over a WebSocket. */
-export class SocketChannel<Sent, Received> implements Channel<Sent, Received> {
+export class SocketChannel<Sent extends { readonly kind: string; }, Received> implements Channel<Sent, Received> {
     onClose: () => void = () => undefined;
     #batch: Sent[] = [];
     #isClosed = false;
@@ -15,7 +18,7 @@
     /** Messages received before a handler was set: the first batch may arrive with the handshake's response. */
     #undelivered: Received[] = [];
 
-    constructor(private readonly socket: WebSocket) {
+    constructor(private readonly socket: WebSocket, private readonly meter?: MessageMeter) {
         socket.on("message", data => this.#receive(String(data)));
         socket.on("close", () => this.#markClosed());
         socket.on("error", () => this.close());
@@ -52,8 +55,22 @@
         const batch = this.#batch;
         this.#batch = [];
         if (this.socket.readyState === WebSocket.OPEN) {
-            this.socket.send(JSON.stringify(batch));
+            this.socket.send(this.#serialize(batch));
+        }
+    }
+
+    /** Serializes each message by itself where lengths are to be known; the text is the same. */
+    #serialize(batch: readonly Sent[]): string {
+        const { meter } = this;
+        if (meter === undefined) {
+            return JSON.stringify(batch);
         }
+        const texts = batch.map(message => {
+            const text = JSON.stringify(message);
+            meter(message.kind, text.length);
+            return text;
+        });
+        return `[${texts.join(",")}]`;
     }
 
     #receive(text: string): void {
--- a/packages/entry/src/settings/types.ts
+++ b/packages/entry/src/settings/types.ts
@@ -1,6 +1,7 @@
 /** Settings of an entry VM. */
-import type { DataHallName, Milliseconds, RegionName } from "@pebbledale/core";
+import type { DataHallName, Milliseconds } from "@pebbledale/core";
 import type { FreshnessBounds } from "../following/index.js";
+import type { RegionMap } from "./regions.js";
 
 /** Time limits set by the operators. */
 export interface EntryBounds extends FreshnessBounds {
@@ -29,7 +30,7 @@
     readonly vm: string;
     readonly dataHall: DataHallName;
     /** Region of each data hall; empty where the platform names none. */
-    readonly regions: ReadonlyMap<DataHallName, RegionName>;
+    readonly regions: RegionMap;
     /** Number of data halls that the cell may lose at once without losing service elsewhere. */
     readonly toleratedHallLosses: number;
     /** Available processor time, in shares of a core. */
--- a/packages/runtime/src/metrics/index.ts
+++ b/packages/runtime/src/metrics/index.ts
@@ -46,6 +46,27 @@
         });
     }
 
+    /** Creates a counter whose values are read at each scrape from sums kept elsewhere, which must not decrease. */
+    totals<Label extends string>(
+        name: string,
+        help: string,
+        labelNames: readonly Label[],
+        read: () => Iterable<{ readonly labels: Record<Label, string>; readonly value: number; }>,
+    ): Counter<Label> {
+        return new Counter({
+            name,
+            help,
+            labelNames: [...labelNames],
+            registers: [this.registry],
+            collect() {
+                this.reset();
+                for (const { labels, value } of read()) {
+                    this.inc(labels, value);
+                }
+            },
+        });
+    }
+
     /** Creates a histogram of durations in seconds. */
     durationHistogram<Label extends string>(
         name: string,
