Owner on the side of the store: measured times in the VMs' keys, delays, successor and return

Where settings name several regions, each VM times its calls for its key's lease (two more renewals before the key is first written, a tenth of a call each) and publishes the least time with its key; a time that proves much too long is corrected. A region's time is the lower quartile of its VMs, so one wrong measurement changes nothing. VMs of regions that are not clearly farther from the store, with at least half the largest share, are preferred: the others wait 0.4 s longer to claim, a handover goes to them, and a far owner hands back once one has been connected for 3 s. The region is not published: it follows from the hall, which old VMs' keys hold too.

Weighed: the median (moves with load on small VMs) and the least (one wrong VM decides). Waiting for each near VM by its size: up to 2.4 s when a whole side is lost; a fixed time instead.

With one region every decision is as before (test).

--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -26,6 +26,7 @@
     type EntryVm,
     KeyFollowSource,
     ownerKey,
+    OwnerPlacement,
     vmKey,
     VmRegistration,
 } from "./membership/index.js";
@@ -41,7 +42,7 @@
 import { Candidate, ownerLeaseLength, vmLeaseLength } from "./ownership/index.js";
 import { listenForOwners, refusesConnections } from "./peers/index.js";
 import { createMemoryChannel, type MessageMeter, type OwnerMessage, type VmMessage } from "./protocol/index.js";
-import type { EntrySettings } from "./settings/index.js";
+import { type EntrySettings, hasSeveralRegions } from "./settings/index.js";
 import { shutdownTimesOf } from "./shutdown-times.js";
 import { RelayedStore } from "./store-relay/index.js";
 
@@ -165,6 +166,9 @@
             logger,
             key: vmKey(settings.vm),
             value: JSON.stringify(this.#self),
+            ...(hasSeveralRegions(settings.regions) && {
+                measuredValue: (storeTime: Milliseconds) => JSON.stringify({ ...this.#self, storeTime }),
+            }),
             leaseLength: Math.max(vmLeaseLength, settings.store.shortestLease),
         });
         this.#candidate = new Candidate({
@@ -177,6 +181,7 @@
             traffic: options.traffic,
             self: this.#self,
             view: this.#view,
+            placement: new OwnerPlacement(settings.regions),
             leaseLength: Math.max(ownerLeaseLength, settings.store.shortestLease),
             followLimits: this.#followLimits,
             configuration: () => this.#configuration.configuration,
--- a/packages/entry/src/membership/cell-view.ts
+++ b/packages/entry/src/membership/cell-view.ts
@@ -30,6 +30,8 @@
     readonly process: string;
     /** Start of the process in Unix seconds, by its own clock. */
     readonly startedAt: number;
+    /** Least time of a call to the store from this VM; omitted where it is not measured. */
+    readonly storeTime?: Milliseconds;
 }
 
 /** Value of {@link ownerKey}. */
--- a/packages/entry/src/membership/index.ts
+++ b/packages/entry/src/membership/index.ts
@@ -1,4 +1,5 @@
 /** Membership of the cell: entry VMs and the owner, each a key in the store that hangs on a lease. */
 export * from "./cell-view.js";
 export * from "./key-follow-source.js";
+export * from "./owner-placement.js";
 export * from "./vm-registration.js";
--- a/packages/entry/src/membership/vm-registration.ts
+++ b/packages/entry/src/membership/vm-registration.ts
@@ -18,6 +18,8 @@
     readonly clock: Clock;
     readonly key: string;
     readonly value: string;
+    /** The value once the least time of a call to the store is known; omitted where it is not measured. */
+    readonly measuredValue?: (storeTime: Milliseconds) => string;
     /** The lease expires this long after its last renewal. */
     readonly leaseLength: Milliseconds;
 }
@@ -27,11 +29,21 @@
 /** Delay before a failed call is retried: a VM whose key has expired is invisible to owners. */
 const retryDelay: Milliseconds = 250;
 const renewalsPerLease = 3;
+/** Calls that are made before the key is first written, so that its measurement does not rest on the one that opens a connection. */
+const measuringCalls = 2;
+/** The key is written again when a later call takes less than this share of the published time, and at least {@link minCorrection} less. */
+const correctionShare = 0.7;
+const minCorrection: Milliseconds = 5;
 
 /** Keeps this VM's key in the store while the process runs. The key is bound to a lease, so that it expires when the process ends. */
 export class VmRegistration {
     readonly #monitor: DependencyMonitor;
     #lease: PlatformLeaseId | undefined;
+    /** Version of the key as it was last written. */
+    #version: KeyVersion = absentVersion;
+    #leastTime: Milliseconds = Infinity;
+    /** The time that the key holds; infinite when it holds none. */
+    #publishedTime: Milliseconds = Infinity;
 
     constructor(private readonly options: VmRegistrationOptions) {
         const { logger, clock } = options;
@@ -74,19 +86,55 @@
 
     async #maintain(): Promise<void> {
         const { store } = this.options;
-        if (this.#lease !== undefined && await store.renewLease(this.#lease)) {
+        const held = this.#lease;
+        if (held !== undefined && await this.#measure(() => store.renewLease(held))) {
+            await this.#correct(held);
             return;
         }
         this.#lease = undefined;
-        const lease = await store.grantLease(this.options.leaseLength);
+        const lease = await this.#measure(() => store.grantLease(this.options.leaseLength));
+        if (this.options.measuredValue !== undefined && this.#publishedTime === Infinity) {
+            for (let call = 0; call < measuringCalls; call++) {
+                await this.#measure(() => store.renewLease(lease));
+            }
+        }
         await this.#put(lease, absentVersion);
         this.#lease = lease;
     }
 
+    async #measure<Answer>(call: () => Promise<Answer>): Promise<Answer> {
+        const { clock } = this.options;
+        const sentAt = clock.monotonic();
+        const answer = await call();
+        this.#leastTime = Math.min(this.#leastTime, clock.monotonic() - sentAt);
+        return answer;
+    }
+
+    /** Writes the key again if the time that it holds has proved much too long. */
+    async #correct(lease: PlatformLeaseId): Promise<void> {
+        const limit = Math.min(this.#publishedTime * correctionShare, this.#publishedTime - minCorrection);
+        if (this.options.measuredValue !== undefined && this.#leastTime < limit) {
+            await this.#put(lease, this.#version);
+        }
+    }
+
+    /** The value to be written now. */
+    #value(): string {
+        const { value, measuredValue } = this.options;
+        if (measuredValue === undefined) {
+            return value;
+        }
+        this.#publishedTime = this.#leastTime;
+        return measuredValue(Math.round(this.#leastTime));
+    }
+
     async #put(lease: PlatformLeaseId, expected: KeyVersion): Promise<void> {
-        const { store, key, value } = this.options;
-        const outcome = await store.compareAndSwap(key, expected, value, lease);
-        if (outcome.kind === "conflict" && outcome.current !== undefined) {
+        const { store, key } = this.options;
+        const outcome = await store.compareAndSwap(key, expected, this.#value(), lease);
+        if (outcome.kind === "swapped") {
+            this.#version = outcome.version;
+        }
+        else if (outcome.current !== undefined) {
             // The key was written by an earlier process of this VM, or by a call whose answer was lost.
             await this.#put(lease, outcome.current.version);
         }
--- a/packages/entry/src/owner/index.ts
+++ b/packages/entry/src/owner/index.ts
@@ -3,6 +3,7 @@
 export * from "./constants.js";
 export * from "./cycle-pacer.js";
 export * from "./owner-session.js";
+export * from "./successor.js";
 export * from "./turn-runner.js";
 export * from "./types.js";
 export * from "./vm-link.js";
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -24,7 +24,6 @@
 import {
     confirmationValidity,
     handOverCommitTimeout,
-    handOverSizeRatio,
     handOverStoreTimeout,
     minConnectedTimeBeforeHandOver,
     ownerHeartbeatInterval,
@@ -37,7 +36,7 @@
 import { JournalOutageLog } from "./journal-outage-log.js";
 import { relayOrder } from "./relay-order.js";
 import { RequestHandler } from "./request-handler.js";
-import { chooseSuccessor } from "./successor.js";
+import { chooseSuccessor, isMuchBetterOwner } from "./successor.js";
 import { TurnRunner } from "./turn-runner.js";
 import { HandOverOutcome, type OwnerSessionOptions } from "./types.js";
 import { UpkeepController } from "./upkeep-controller.js";
@@ -154,7 +153,7 @@
         while (!lost.signal.aborted) {
             this.cell.tick();
             this.#dropSilentVms();
-            this.#checkForLargerVm();
+            this.#checkForBetterVm();
             this.#outageLog.check();
             this.#heartbeatTimer.runIfDue(() => this.#sendHeartbeats());
             this.#summaryTimer.runIfDue(() => this.#reportSummary());
@@ -279,7 +278,7 @@
             this.#isCellOffered = false;
             return HandOverOutcome.StoreSilent;
         }
-        const successor = chooseSuccessor(this.#vms.values(), this.options.name);
+        const successor = chooseSuccessor(this.#vms.values(), this.options.name, this.options.preferred());
         this.#isHandingOver = true;
         this.#turnRunner.freeze();
         // Records still in flight may be found by the next owner; no caller was told that they are committed.
@@ -351,15 +350,19 @@
         this.#assignUnlinkedWorkers();
     }
 
-    /** Notifies the candidate once a considerably larger VM has been connected for a while. */
-    #checkForLargerVm(): void {
+    /** Notifies the candidate once a VM that would own the cell much better has been connected for a while. */
+    #checkForBetterVm(): void {
         const now = this.options.clock.monotonic();
-        const own = this.#vms.get(this.options.name)?.vm.processorShare ?? Infinity;
-        const isLarger = (link: VmLink) =>
-            !link.isLeaving && link.vm.processorShare >= own * handOverSizeRatio
+        const own = this.#vms.get(this.options.name)?.vm;
+        if (this.#isCellOffered || !this.#isConfirmed || own === undefined) {
+            return;
+        }
+        const preferred = this.options.preferred();
+        const isBetter = (link: VmLink) =>
+            !link.isLeaving && isMuchBetterOwner(link.vm, own, preferred)
             && now - link.connectedAt > minConnectedTimeBeforeHandOver;
-        if (!this.#isCellOffered && this.#isConfirmed && [...this.#vms.values()].some(isLarger)) {
-            this.options.onLargerVm();
+        if ([...this.#vms.values()].some(isBetter)) {
+            this.options.onBetterVm();
         }
     }
 
--- a/packages/entry/src/owner/types.ts
+++ b/packages/entry/src/owner/types.ts
@@ -4,6 +4,7 @@
 import type { EventLogger } from "@pebbledale/runtime";
 import type { FollowLimits } from "../following/index.js";
 import type { EntryMetrics } from "../observability/index.js";
+import type { PreferredOwners } from "./successor.js";
 
 /** Dependencies and callbacks of an owner's session. */
 export interface OwnerSessionOptions {
@@ -34,8 +35,10 @@
     readonly lost: AbortController;
     /** Called when a VM has timed out. */
     readonly onSilentVm: (name: string) => void;
-    /** Called while a considerably larger VM is connected and no handover is in progress. */
-    readonly onLargerVm: () => void;
+    /** VMs that should own the cell because they are near the store; undefined where that makes no difference. */
+    readonly preferred: () => PreferredOwners;
+    /** Called while a VM that would own the cell much better is connected and no handover is in progress. */
+    readonly onBetterVm: () => void;
     /** Whether this VM has lost the connection to most of the others. */
     readonly isIsolated: () => boolean;
     /** Called with a configuration received from a VM. */
--- a/packages/entry/src/ownership/campaign.ts
+++ b/packages/entry/src/ownership/campaign.ts
@@ -3,6 +3,7 @@
 import type { CellView, EntryVm } from "../membership/index.js";
 import {
     equalCandidateDelay,
+    farCandidateDelay,
     firstMessageTimeout,
     formationQuietTime,
     largerCandidateDelay,
@@ -25,6 +26,8 @@
     readonly terminatedOwner: string | undefined;
     /** Whether the owner has asked this VM to take over. */
     readonly isTakeoverRequested: boolean;
+    /** VMs that should own the cell because they are near the store; undefined where that makes no difference. */
+    readonly preferred?: ReadonlySet<string> | undefined;
 }
 
 /** The reason for which the VM may claim the cell; undefined when it may not. */
@@ -78,14 +81,18 @@
 export const isOwnershipStable = ({ view, lastOwnerSilence }: CampaignInput): boolean =>
     view.owner !== undefined && lastOwnerSilence === undefined;
 
-/** How long this VM waits before it claims, so that larger VMs, and equal ones with a lower name, can go first. */
-export const claimDelay = ({ view, self, isTakeoverRequested }: CampaignInput): Milliseconds => {
+/**
+ * How long this VM waits before it claims, so that VMs near the store, then larger ones, and equal ones with a lower name, can go first.
+ * For all VMs near the store together it waits a fixed time, as they may be lost together.
+ */
+export const claimDelay = ({ view, self, isTakeoverRequested, preferred }: CampaignInput): Milliseconds => {
     if (isTakeoverRequested) {
         return 0;
     }
+    const isPreferred = preferred?.has(self.name);
     return [...view.vms.values()]
-        .filter(vm => vm.name !== view.owner?.name)
-        .reduce((sum, vm) => sum + delayBehind(vm, self), 0);
+        .filter(vm => vm.name !== view.owner?.name && preferred?.has(vm.name) === isPreferred)
+        .reduce((sum, vm) => sum + delayBehind(vm, self), isPreferred === false ? farCandidateDelay : 0);
 };
 
 const delayBehind = (other: EntryVm, self: EntryVm): Milliseconds => {
--- a/packages/entry/src/ownership/candidate.ts
+++ b/packages/entry/src/ownership/candidate.ts
@@ -15,7 +15,7 @@
 } from "@pebbledale/core";
 import { createAbortController, type EventLogger, settledOrAborted } from "@pebbledale/runtime";
 import type { FollowLimits } from "../following/index.js";
-import { type CellView, type EntryVm } from "../membership/index.js";
+import type { CellView, EntryVm, OwnerPlacement } from "../membership/index.js";
 import type { EntryMetrics, TrafficAccount } from "../observability/index.js";
 import {
     commitInterval,
@@ -62,6 +62,7 @@
     readonly traffic: TrafficAccount | undefined;
     readonly self: EntryVm;
     readonly view: CellView;
+    readonly placement: OwnerPlacement;
     /** Lifetime of the owner's key after its last renewal. */
     readonly leaseLength: Milliseconds;
     /** Limits on the age of the workers' entries. */
@@ -179,10 +180,15 @@
             self,
             now,
             ...status,
+            preferred: this.#preferred,
             lastOwnerSilence: now < this.#suspicionsIgnoredUntil ? undefined : status.lastOwnerSilence,
         };
     }
 
+    get #preferred(): ReadonlySet<string> | undefined {
+        return this.options.placement.preferredOf(this.options.view.vms.values());
+    }
+
     #hasWaited(input: CampaignInput): boolean {
         const now = this.options.clock.monotonic();
         this.#eligibleSince ??= now;
@@ -328,7 +334,9 @@
                 closures: this.options.closures(),
                 onClosures: this.options.onClosures,
                 upkeep: this.options.upkeep,
-                onLargerVm: () => void this.#handOver(lost, "a much larger VM is connected", stop),
+                preferred: () => this.#preferred,
+                onBetterVm: () =>
+                    void this.#handOver(lost, "a much larger VM, or one nearer to the store, is connected", stop),
             });
             session.addWaves(this.options.waves());
             dialer.attach(session);
--- a/packages/entry/src/ownership/constants.ts
+++ b/packages/entry/src/ownership/constants.ts
@@ -15,6 +15,11 @@
  * others within 30 to 50 ms.
  */
 export const equalCandidateDelay: Milliseconds = 50;
+/**
+ * Additional delay of a candidate's claim while VMs nearer to the store, which would serve the cell better, are listed. Enough for the
+ * claim of one of the three that go first.
+ */
+export const farCandidateDelay: Milliseconds = 400;
 /** If the owner was heard this recently, candidates leave it to restore its missing key. */
 export const ownerRecentlyHeardWindow: Milliseconds = 600;
 /** An owner that was not heard for this long is suspected. Requires heartbeats every 125 ms; at 250 ms it would be too short. */
--- a/packages/entry/test/membership/vm-registration.test.ts
+++ b/packages/entry/test/membership/vm-registration.test.ts
@@ -20,6 +20,8 @@
     losesNextAnswer = false;
     /** Whether new calls never get an answer. */
     isSilent = false;
+    /** Durations of the next calls that concern leases; they are answered at once if omitted. */
+    times: { readonly clock: ManualClock; readonly of: number[]; } | undefined;
 
     expireLease(): void {
         this.entry = undefined;
@@ -27,11 +29,20 @@
     }
 
     async grantLease(): Promise<PlatformLeaseId> {
+        await this.#takeTime();
         this.isLeaseExpired = false;
         return this.lease;
     }
 
+    async #takeTime(): Promise<void> {
+        const time = this.times?.of.shift();
+        if (time !== undefined) {
+            await this.times?.clock.sleep(time);
+        }
+    }
+
     async renewLease(): Promise<boolean> {
+        await this.#takeTime();
         return this.isSilent ? new Promise(() => undefined) : !this.isLeaseExpired;
     }
 
@@ -96,6 +107,49 @@
     });
 });
 
+describe("a VM's key with the time of a call to the store", () => {
+    const start = (store: OneKeyStore, clock: ManualClock, stop: AbortController) =>
+        new VmRegistration({
+            store: asStore(store),
+            clock,
+            logger: new RecordingLogger(),
+            key: "cell/nodes/a",
+            value: "a",
+            measuredValue: time => `a ${time}`,
+            leaseLength: 3_000,
+        }).run(stop.signal);
+
+    it("holds the least time, so that the call that opens the connection does not count", async () => {
+        const store = new OneKeyStore();
+        const clock = new ManualClock();
+        store.times = { clock, of: [50, 40, 30] };
+        const stop = new AbortController();
+        const running = start(store, clock, stop);
+        await advanceTime(clock, 200);
+        expect(store.entry?.value).toEqual("a 30");
+        stop.abort();
+        await running;
+    });
+
+    it("is corrected once a later call shows that it was much too long, and not otherwise", async () => {
+        const store = new OneKeyStore();
+        const clock = new ManualClock();
+        store.times = { clock, of: [100, 100, 100, 90, 20, 20] };
+        const stop = new AbortController();
+        const running = start(store, clock, stop);
+        await advanceTime(clock, 400);
+        expect([store.entry?.value, store.entry?.version]).toEqual(["a 100", 1 as KeyVersion]);
+        await advanceTime(clock, 1_200);
+        expect([store.entry?.value, store.entry?.version]).toEqual(["a 100", 1 as KeyVersion]);
+        await advanceTime(clock, 1_200);
+        expect([store.entry?.value, store.entry?.version]).toEqual(["a 20", 2 as KeyVersion]);
+        await advanceTime(clock, 1_200);
+        expect(store.entry?.version).toEqual(2 as KeyVersion);
+        stop.abort();
+        await running;
+    });
+});
+
 /** Starts a run that is asked to stop by `stop`; `hasEnded` tells whether it has ended. */
 const watchEnd = (run: (signal: AbortSignal) => Promise<void>) => {
     const stop = new AbortController();
