Links and advice questions over two regions: nearest first

Where settings name several regions, a worker without a VM in its data hall gets its link from one of its region, unless that holds eight links and three times the load of the least loaded VM; a VM that joins takes the links that VMs farther from the workers hold. Before, such links were spread over both regions and stayed there.

Questions to the advice service: the time by which answers come later than the service's own time is smoothed by region of the asking VM; the region that is answered sooner comes first, also for the VMs reserved for quick questions, and the other one is used once the wait is longer than the difference.

Weighed: preference by VM in place of region (few answers each, so that one late answer counts); by the measured time of the store (another service, another place). With one region all decisions are as before (tests).

--- a/packages/cell/src/advising/advice-dispatcher.ts
+++ b/packages/cell/src/advising/advice-dispatcher.ts
@@ -2,6 +2,7 @@
 import type { Milliseconds, WorkerId } from "@pebbledale/core";
 import { type AdvicePolicy, callDuration, maxAdviceWorkers } from "../advice/index.js";
 import type { AdviceRequest } from "../state/index.js";
+import { AnswerTimes } from "./answer-times.js";
 
 /** Questions that take longer than this are slow. */
 const slowQuestionTime: Milliseconds = 150;
@@ -33,6 +34,8 @@
 /** A VM that can call the advice service. */
 interface AskingVm {
     readonly name: string;
+    /** VMs of a group are about as far from the service; undefined where all are. */
+    readonly group: string | undefined;
     readonly ask: (question: number, request: AdviceRequest, duration: Milliseconds) => void;
     readonly inFlight: Set<number>;
     /** When the service is expected to have answered all of this VM's questions. */
@@ -50,6 +53,8 @@
 interface InFlightQuestion extends WaitingQuestion {
     readonly number: number;
     readonly vm: AskingVm;
+    /** When the answer is due if the way to the service and back took no time. */
+    readonly dueAt: Milliseconds;
 }
 
 /**
@@ -57,19 +62,23 @@
  *
  * The service answers one call at a time for each VM. Some VMs are therefore reserved for quick questions, which must not wait
  * behind slow ones. A slow question about many workers is split over several free VMs, so that all of its tickets are obtained in little
- * more than the time of one call and are valid together.
+ * more than the time of one call and are valid together. Where VMs belong to groups, those of the group that is answered soonest come first.
  */
 export class AdviceDispatcher {
     readonly #vms = new Map<string, AskingVm>();
     readonly #inFlight = new Map<number, InFlightQuestion>();
     #waiting: WaitingQuestion[] = [];
     #nextNumber = 1;
+    readonly #answerTimes = new AnswerTimes();
 
     constructor(private readonly now: () => Milliseconds, private readonly requester: AdviceRequester) {}
 
-    /** Adds a VM. */
-    join(name: string, ask: AskingVm["ask"]): void {
-        this.#vms.set(name, { name, ask, inFlight: new Set(), busyUntil: 0 });
+    /** Adds a VM. `group`: VMs about as far from the service as this one; omitted where all are. */
+    join(name: string, ask: AskingVm["ask"], group?: string): void {
+        this.#vms.set(name, { name, group, ask, inFlight: new Set(), busyUntil: 0 });
+        if (this.#answerTimes.soonest !== undefined) {
+            this.#sortVms();
+        }
         this.#dispatchWaiting();
     }
 
@@ -105,13 +114,29 @@
         return question?.request;
     }
 
-    #release({ vm, number }: InFlightQuestion): void {
+    #release({ vm, number, dueAt }: InFlightQuestion): void {
+        if (vm.group !== undefined && this.#answerTimes.record(vm.group, this.now() - dueAt)) {
+            this.#sortVms();
+        }
         vm.inFlight.delete(number);
         if (vm.inFlight.size === 0) {
             vm.busyUntil = 0;
         }
     }
 
+    /** Puts the VMs that are answered soonest first: the first ones are reserved for quick questions. */
+    #sortVms(): void {
+        const rank = ({ group }: AskingVm) => group === this.#answerTimes.soonest ? 0 : 1;
+        const sorted = [...this.#vms.values()].sort((left, right) => rank(left) - rank(right));
+        this.#vms.clear();
+        sorted.forEach(vm => this.#vms.set(vm.name, vm));
+    }
+
+    /** Expected delay of the answer to a question sent through the VM now, without the service's own time. */
+    #delayOf(vm: AskingVm, now: Milliseconds): Milliseconds {
+        return Math.max(0, vm.busyUntil - now) + this.#answerTimes.delayOf(vm.group);
+    }
+
     /**
      * Sends waiting questions as far as VMs are free. Questions without a free VM are skipped cheaply: this runs after each answer, and
      * hundreds may wait after a change of owner.
@@ -162,12 +187,12 @@
             return false;
         }
         const now = this.now();
-        const vm = free.reduce((best, other) => waitOf(other, now) < waitOf(best, now) ? other : best);
+        const vm = free.reduce((best, other) => this.#delayOf(other, now) < this.#delayOf(best, now) ? other : best);
         const duration = callDuration(request.policy, request.workers.length);
         const number = this.#nextNumber++;
-        this.#inFlight.set(number, { number, request, sortTime, vm });
-        vm.inFlight.add(number);
         vm.busyUntil = Math.max(vm.busyUntil, now) + duration;
+        this.#inFlight.set(number, { number, request, sortTime, vm, dueAt: vm.busyUntil });
+        vm.inFlight.add(number);
         vm.ask(number, request, duration);
         return true;
     }
@@ -199,5 +224,3 @@
 
 const isFreeFor = (vm: AskingVm, isSlowQuestion: boolean): boolean =>
     isSlowQuestion ? vm.inFlight.size === 0 : vm.inFlight.size < maxInFlight;
-
-const waitOf = (vm: AskingVm, now: Milliseconds): Milliseconds => Math.max(0, vm.busyUntil - now);
--- a/packages/cell/test/advising/advice-dispatcher.test.ts
+++ b/packages/cell/test/advising/advice-dispatcher.test.ts
@@ -163,3 +163,45 @@
         expect(checks).toEqual(100);
     });
 });
+
+describe("questions through VMs of two regions", () => {
+    const answerAfter = (delays: Readonly<Record<string, number>>) => {
+        const clock = new ManualClock();
+        const requester = { isAdviceWanted: () => true, dropAdvice: () => undefined };
+        const dispatcher = new AdviceDispatcher(() => clock.monotonic(), requester);
+        const asked: { vm: string; question: number; }[] = [];
+        Object.keys(delays).forEach(vm =>
+            dispatcher.join(vm, question => asked.push({ vm, question }), vm.slice(0, vm.indexOf("-")))
+        );
+        const ask = (duration: number) => {
+            dispatcher.ask({
+                step: "step",
+                workers: [workerId("w")],
+                urgency: 1,
+                policy: { decision: duration, eachWorker: 0, validity: 1_500 },
+            });
+            return asked.at(-1)?.vm;
+        };
+        /** Asks one question after the other; returns who was asked the last ones. */
+        const run = (duration: number, count: number): (string | undefined)[] =>
+            Array.from({ length: count }, () => {
+                const vm = ask(duration);
+                clock.advance(duration + delays[vm ?? ""]);
+                dispatcher.complete(asked.at(-1)?.question ?? 0);
+                return vm;
+            }).slice(-3);
+        return { ask, run, asked };
+    };
+
+    it("go to the region that is answered sooner, after both were measured", () => {
+        const { run } = answerAfter({ "far-1": 40, "far-2": 40, "near-1": 8, "near-2": 8, "near-3": 8 });
+        expect(run(20, 6)).toEqual(["near-1", "near-1", "near-1"]);
+        expect(run(400, 6).every(vm => vm?.startsWith("near"))).toEqual(true);
+    });
+
+    it("use the other region when the sooner one is busy for longer than the difference", () => {
+        const { ask, run } = answerAfter({ "far-1": 40, "near-1": 8 });
+        run(20, 6);
+        expect([ask(100), ask(20)]).toEqual(["near-1", "far-1"]);
+    });
+});
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -182,6 +182,7 @@
             self: this.#self,
             view: this.#view,
             placement: new OwnerPlacement(settings.regions),
+            regions: settings.regions,
             leaseLength: Math.max(ownerLeaseLength, settings.store.shortestLease),
             followLimits: this.#followLimits,
             configuration: () => this.#configuration.configuration,
--- a/packages/entry/src/owner/assignments.ts
+++ b/packages/entry/src/owner/assignments.ts
@@ -1,7 +1,15 @@
 /** Assignment of worker links to entry VMs. */
 import type { WorkerState } from "@pebbledale/cell";
-import { type Epoch, type FencingToken, fencingToken, type Milliseconds, type WorkerId } from "@pebbledale/core";
+import {
+    type DataHallName,
+    type Epoch,
+    type FencingToken,
+    fencingToken,
+    type Milliseconds,
+    type WorkerId,
+} from "@pebbledale/core";
 import type { AssignMessage } from "../protocol/index.js";
+import { hasSeveralRegions, type RegionMap } from "../settings/index.js";
 import { assignmentsPerEpoch, tokensPerAssignment } from "./constants.js";
 import { RestartBackoff } from "./restart-backoff.js";
 import type { VmLink } from "./vm-link.js";
@@ -21,17 +29,22 @@
 
 /** Links are moved when one VM has this many more than another, per core. */
 const allowedImbalance = 2;
+/** A VM of a worker's region is preferred while it holds fewer links than this, whatever the others hold. */
+const bearableLinks = 8;
+/** VMs of a worker's region are preferred up to this many times the load of the least loaded VM: few that are left cannot hold all links. */
+const maxRegionLoad = 3;
 /** Number of links added to the load of the owner's VM to account for its scheduling work. */
 const ownerLoadOffset = 4;
 
 /**
  * Keeps track of which VM holds the link to which worker, assigns links and balances them by processor share,
- * preferring VMs in the worker's data hall.
+ * preferring VMs in the worker's data hall, then those in its region.
  */
 export class Assignments {
     readonly #assignments = new Map<WorkerId, Assignment>();
     readonly #assignmentCounts = new Map<WorkerId, number>();
     readonly #restartBackoff: RestartBackoff;
+    readonly #hasSeveralRegions: boolean;
     /** Per worker, the time until which orders to earlier incarnations may still be carried out. */
     readonly #lateOrdersUntil = new Map<WorkerId, Milliseconds>();
 
@@ -39,7 +52,9 @@
         private readonly epoch: Epoch,
         private readonly ownVm: string,
         private readonly now: () => Milliseconds,
+        private readonly regions: RegionMap = new Map(),
     ) {
+        this.#hasSeveralRegions = hasSeveralRegions(regions);
         this.#restartBackoff = new RestartBackoff(now);
     }
 
@@ -73,7 +88,7 @@
     }
 
     /**
-     * Assigns each worker that has no link to the least loaded VM of its data hall, or of all VMs if the hall has none.
+     * Assigns each worker that has no link to the least loaded VM of its data hall, or else of its region, or else of all VMs.
      */
     assignUnlinked(workers: Iterable<WorkerState>, links: readonly VmLink[]): void {
         if (links.length === 0) {
@@ -86,9 +101,15 @@
         }
     }
 
-    /** Moves links from other VMs of the same data hall to a VM that has just joined until their loads are close. */
+    /**
+     * Moves links from other VMs of the same data hall to a VM that has just joined until their loads are close. Where there are several regions,
+     * it first takes the links that VMs farther from the workers hold.
+     */
     rebalanceTo(workers: ReadonlyMap<WorkerId, WorkerState>, joined: VmLink, links: readonly VmLink[]): void {
         const near = links.filter(link => link.vm.dataHall === joined.vm.dataHall && link !== joined);
+        if (this.#hasSeveralRegions) {
+            this.#takeNearer(workers, joined, links);
+        }
         for (;;) {
             const fullest = near.reduce<VmLink | undefined>(
                 (best, link) => best === undefined || this.#loadOf(link) > this.#loadOf(best) ? link : best,
@@ -102,12 +123,52 @@
             ) {
                 return;
             }
-            fullest.channel.send({ kind: "unassign", worker: worker.id });
-            this.remove(worker.id);
-            this.#assign(worker, joined);
+            this.#move(worker, fullest, joined);
+        }
+    }
+
+    #move(worker: WorkerState, from: VmLink, to: VmLink): void {
+        from.channel.send({ kind: "unassign", worker: worker.id });
+        this.remove(worker.id);
+        this.#assign(worker, to);
+    }
+
+    /**
+     * Moves links to a VM that has just joined and is nearer to the worker than the VM that holds the link. Later VMs of its data hall take
+     * their share from it.
+     */
+    #takeNearer(workers: ReadonlyMap<WorkerId, WorkerState>, joined: VmLink, links: readonly VmLink[]): void {
+        for (const link of links.filter(other => other.vm.dataHall !== joined.vm.dataHall)) {
+            for (const id of [...link.workers]) {
+                const worker = workers.get(id);
+                const hall = worker?.entry?.dataHall;
+                if (worker !== undefined && hall !== undefined && this.#isNearer(joined, link, hall)) {
+                    this.#move(worker, link, joined);
+                }
+            }
         }
     }
 
+    #isNearer(joined: VmLink, holder: VmLink, hall: DataHallName): boolean {
+        if (holder.vm.dataHall === hall) {
+            return false;
+        }
+        return joined.vm.dataHall === hall
+            || (this.#isInRegion(joined, hall) && !this.#isInRegion(holder, hall)
+                && this.#isLoadBearable(joined, holder));
+    }
+
+    /** Whether the load of a VM near a worker lets it have the link, as compared with another VM. */
+    #isLoadBearable(near: VmLink, other: VmLink): boolean {
+        return near.workers.size < bearableLinks || this.#loadOf(near) <= maxRegionLoad * this.#loadOf(other);
+    }
+
+    /** Whether a VM is in the region of a data hall. */
+    #isInRegion(link: VmLink, hall: DataHallName): boolean {
+        const region = this.regions.get(hall);
+        return region !== undefined && this.regions.get(link.vm.dataHall) === region;
+    }
+
     /** Forgets the worker's link without notifying its VM. */
     remove(worker: WorkerId): void {
         this.#assignments.get(worker)?.link.workers.delete(worker);
@@ -122,9 +183,24 @@
     }
 
     #leastLoaded(links: readonly VmLink[], worker: WorkerState): VmLink {
-        const near = links.filter(link => link.vm.dataHall === worker.entry?.dataHall);
-        return (near.length > 0 ? near : links)
-            .reduce((best, link) => this.#loadOf(link) < this.#loadOf(best) ? link : best);
+        const hall = worker.entry?.dataHall;
+        const inHall = links.filter(link => link.vm.dataHall === hall);
+        if (inHall.length > 0) {
+            return this.#leastLoadedOf(inHall);
+        }
+        const leastLoaded = this.#leastLoadedOf(links);
+        const inRegion = this.#hasSeveralRegions && hall !== undefined
+            ? links.filter(link => this.#isInRegion(link, hall))
+            : [];
+        if (inRegion.length === 0) {
+            return leastLoaded;
+        }
+        const nearest = this.#leastLoadedOf(inRegion);
+        return this.#isLoadBearable(nearest, leastLoaded) ? nearest : leastLoaded;
+    }
+
+    #leastLoadedOf(links: readonly VmLink[]): VmLink {
+        return links.reduce((best, link) => this.#loadOf(link) < this.#loadOf(best) ? link : best);
     }
 
     #loadOf(link: VmLink): number {
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -19,6 +19,7 @@
     type OwnerRequest,
     type VmMessage,
 } from "../protocol/index.js";
+import { hasSeveralRegions } from "../settings/index.js";
 import type { StoreRelay } from "../store-relay/index.js";
 import { Assignments } from "./assignments.js";
 import {
@@ -81,7 +82,7 @@
             contents.records as readonly CellRecord[],
         );
         journal.setSnapshotSource(() => this.cell.snapshot());
-        this.#assignments = new Assignments(journal.epoch, name, () => clock.monotonic());
+        this.#assignments = new Assignments(journal.epoch, name, () => clock.monotonic(), options.regions);
         this.#reportHandler = new WorkerReportHandler({
             cell: this.cell,
             assignments: this.#assignments,
@@ -241,7 +242,7 @@
 
     /** Attaches a connection to a VM, replacing a former one. */
     connect(vm: EntryVm, channel: Channel<OwnerMessage, VmMessage>): void {
-        const { clock, journal, name } = this.options;
+        const { clock, journal, name, regions } = this.options;
         const link = new VmLink(vm, channel, clock.monotonic());
         this.#drop(this.#vms.get(vm.name));
         this.#vms.set(vm.name, link);
@@ -257,6 +258,7 @@
         this.#advice.join(
             vm.name,
             (question, { step, workers }, duration) => channel.send({ kind: "ask", question, step, workers, duration }),
+            hasSeveralRegions(regions) ? regions.get(vm.dataHall) : undefined,
         );
         this.#assignUnlinkedWorkers();
         this.#assignments.rebalanceTo(this.cell.workers, link, [...this.#vms.values()]);
--- a/packages/entry/src/owner/types.ts
+++ b/packages/entry/src/owner/types.ts
@@ -4,6 +4,7 @@
 import type { EventLogger } from "@pebbledale/runtime";
 import type { FollowLimits } from "../following/index.js";
 import type { EntryMetrics } from "../observability/index.js";
+import type { RegionMap } from "../settings/index.js";
 import type { PreferredOwners } from "./successor.js";
 
 /** Dependencies and callbacks of an owner's session. */
@@ -17,6 +18,8 @@
     readonly logger: EventLogger;
     readonly metrics: EntryMetrics;
     readonly name: string;
+    /** Region of each data hall. */
+    readonly regions: RegionMap;
     readonly configuration: CellConfiguration | undefined;
     /** How long after a takeover leases granted by earlier owners may be in force at an unreachable worker. */
     readonly formerLeaseLength: Milliseconds;
--- a/packages/entry/src/ownership/candidate.ts
+++ b/packages/entry/src/ownership/candidate.ts
@@ -28,6 +28,7 @@
 } from "../owner/constants.js";
 import { HandOverOutcome, OwnerSession, type OwnerUpkeep } from "../owner/index.js";
 import { VmDialer } from "../peers/index.js";
+import type { RegionMap } from "../settings/index.js";
 import {
     type CampaignInput,
     claimDelay,
@@ -63,6 +64,8 @@
     readonly self: EntryVm;
     readonly view: CellView;
     readonly placement: OwnerPlacement;
+    /** Region of each data hall. */
+    readonly regions: RegionMap;
     /** Lifetime of the owner's key after its last renewal. */
     readonly leaseLength: Milliseconds;
     /** Limits on the age of the workers' entries. */
@@ -321,6 +324,7 @@
                 logger,
                 metrics: this.options.metrics,
                 name: self.name,
+                regions: this.options.regions,
                 configuration: this.options.configuration(),
                 formerLeaseLength: this.options.formerLeaseLength,
                 lost,
--- a/packages/entry/test/owner/assignments.test.ts
+++ b/packages/entry/test/owner/assignments.test.ts
@@ -1,5 +1,5 @@
 import { type CellScheduler, vmId, WorkerState } from "@pebbledale/cell";
-import { dataHallName, epoch, serviceName, type WorkerId, workerId } from "@pebbledale/core";
+import { dataHallName, epoch, regionName, serviceName, type WorkerId, workerId } from "@pebbledale/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import {
@@ -11,6 +11,7 @@
     type VmMessage,
 } from "../../src/index.js";
 import { makeVm, settle } from "../support/index.js";
+import { twoRegions } from "../support/regions.js";
 
 const makeWorkers = (dataHall: string, count: number): CellScheduler["workers"] => {
     const workers = new Map<WorkerId, WorkerState>();
@@ -82,3 +83,48 @@
         expect(tokens[0] < tokens[1] && tokens[1] < tokens[2]).toEqual(true);
     });
 });
+
+describe("worker links over two regions", () => {
+    const regions = new Map([...twoRegions, [dataHallName("far-b"), regionName("far")]]);
+    const make = (usedRegions = regions) => new Assignments(epoch(1), "nobody", () => 0, usedRegions);
+    const loads = (...links: readonly { readonly link: VmLink; }[]) => links.map(({ link }) => link.workers.size);
+
+    it("are assigned to VMs of the worker's region when there is none in its data hall", () => {
+        const [near, far] = [makeLink("near", "near-a"), makeLink("far", "far-b")];
+        make().assignUnlinked(makeWorkers("far-a", 4).values(), [near.link, far.link]);
+        expect(loads(near, far)).toEqual([0, 4]);
+    });
+
+    it("spread to the other region where few VMs of the worker's are left", () => {
+        const near = Array.from({ length: 9 }, (_, index) => makeLink(`near-${index}`, "near-a"));
+        const far = makeLink("far", "far-b");
+        make().assignUnlinked(makeWorkers("far-a", 20).values(), [...near, far].map(({ link }) => link));
+        const [ofFar, ...ofNear] = loads(far, ...near);
+        expect(ofFar > Math.max(...ofNear) && ofFar < 10).toEqual(true);
+    });
+
+    it("return to the worker's region, then to its data hall, as VMs join there", () => {
+        const near = makeLink("near", "near-a");
+        const workers = makeWorkers("far-a", 4);
+        const assignments = make();
+        assignments.assignUnlinked(workers.values(), [near.link]);
+        const inRegion = makeLink("far-b", "far-b");
+        assignments.rebalanceTo(workers, inRegion.link, [near.link, inRegion.link]);
+        expect(loads(near, inRegion)).toEqual([0, 4]);
+        const inHall = makeLink("far-a", "far-a");
+        assignments.rebalanceTo(workers, inHall.link, [near.link, inRegion.link, inHall.link]);
+        expect(loads(near, inRegion, inHall)).toEqual([0, 0, 4]);
+    });
+
+    it("are as before with one region", () => {
+        const oneRegion = new Map([...regions.keys()].map(hall => [hall, regionName("one")]));
+        const [near, far] = [makeLink("near", "near-a"), makeLink("far", "far-b")];
+        const workers = makeWorkers("far-a", 4);
+        const assignments = make(oneRegion);
+        assignments.assignUnlinked(workers.values(), [near.link, far.link]);
+        expect(loads(near, far)).toEqual([2, 2]);
+        const inHall = makeLink("far-a", "far-a");
+        assignments.rebalanceTo(workers, inHall.link, [near.link, far.link, inHall.link]);
+        expect(loads(near, far, inHall)).toEqual([2, 2, 0]);
+    });
+});
--- a/packages/entry/test/support/simulation/simulation-world.ts
+++ b/packages/entry/test/support/simulation/simulation-world.ts
@@ -195,6 +195,7 @@
             logger: this.log,
             metrics: new EntryMetrics(),
             name: "vm-0",
+            regions: new Map(),
             configuration,
             formerLeaseLength: longestLease,
             confirmedAt: () => this.storeSilentSince ?? this.clock.monotonic(),
