A narrow or cut link: large messages in compressed parts, and refusals at once

A configuration of 1,400 routes went in one frame before all that followed on the connection: over a loopback pipe of 150,000 bytes a second, a heartbeat sent 300 ms later took 1,754 ms, longer than after which a VM is dropped (1,000 ms). The first batch says that an end takes parts; to earlier versions messages go whole.

Weighed: watching the socket's buffer (the kernel's holds megabytes, so it shows nothing); a second connection for bulk (shares the link, and doubles the dialling).

Callers of a VM that hears neither the store nor an owner are refused at once in place of after 1.5 s, so that they try another VM.

--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -18,7 +18,7 @@
 import { ConfigurationWatch } from "./configuration/index.js";
 import { HallClosureWatch } from "./data-halls/index.js";
 import { type FollowLimits, followLimitsOf, FollowLoop, maxStaleness, StoreProbe } from "./following/index.js";
-import { JobService, RequestLog } from "./front-end/index.js";
+import { JobService, OwnerWaiters, RequestLog } from "./front-end/index.js";
 import { maxClockDrift, ownerSilenceLimit, VmSession } from "./links/index.js";
 import {
     cellPrefix,
@@ -41,7 +41,7 @@
 import { confirmationValidity, type OwnerSession, type OwnerUpkeep } from "./owner/index.js";
 import { Candidate, ownerLeaseLength, vmLeaseLength } from "./ownership/index.js";
 import { listenForOwners, refusesConnections } from "./peers/index.js";
-import { createMemoryChannel, type MessageMeter, type OwnerMessage, type VmMessage } from "./protocol/index.js";
+import { createMemoryChannel, type OwnerMessage, type SocketChannelOptions, type VmMessage } from "./protocol/index.js";
 import { type EntrySettings, hasSeveralRegions } from "./settings/index.js";
 import { shutdownTimesOf } from "./shutdown-times.js";
 import { RelayedStore } from "./store-relay/index.js";
@@ -94,7 +94,7 @@
     #terminatedOwner: string | undefined;
     /** Whether the current owner asked this VM to take over the cell. */
     #isTakeoverRequested = false;
-    #ownerWaiters: (() => void)[] = [];
+    readonly #ownerWaiters: OwnerWaiters;
 
     constructor(private readonly options: EntryProcessOptions) {
         const { settings, clock, random, store, metrics } = options;
@@ -210,11 +210,13 @@
             clock,
             owner: () => ({ epoch: this.#session.epoch, silence: this.#session.ownerSilence }),
         });
+        const mayBeCutOff = hasSeveralRegions(settings.regions);
+        this.#ownerWaiters = new OwnerWaiters(clock, () => mayBeCutOff && !this.isConfigurationCurrent);
         this.jobs = new JobService(
             {
                 hasOwner: () => this.#session.hasOwner,
                 ask: body => this.#session.ask(body),
-                waitForOwner: wait => this.#waitForOwner(wait),
+                waitForOwner: wait => this.#ownerWaiters.wait(wait),
             },
             clock,
             this.requestLog,
@@ -260,7 +262,12 @@
         metrics.setAgeSources({ configuration: () => this.#configuration.age, members: () => following.age });
         const background = createAbortController();
         const { signal } = background;
-        await listenForOwners(settings.peerAddress, channel => this.#session.attach(channel), signal, this.#ownerMeter);
+        await listenForOwners(
+            settings.peerAddress,
+            channel => this.#session.attach(channel),
+            signal,
+            this.#ownerChannelOptions,
+        );
         const running = [
             this.#configuration.run(background.signal),
             this.#registration.run(background.signal),
@@ -282,13 +289,16 @@
         await untilDrained();
     }
 
-    /** Counts messages to the owner; undefined where traffic is not accounted for. */
-    get #ownerMeter(): MessageMeter | undefined {
+    /** Counts messages to the owner, and sends large ones in parts, where there are several regions. */
+    get #ownerChannelOptions(): SocketChannelOptions | undefined {
         const { traffic } = this.options;
-        return traffic && ((kind, bytes) => {
-            const hall = this.#view.vms.get(this.#view.owner?.name ?? "")?.dataHall;
-            traffic.recordMessage(kind, hall, bytes);
-        });
+        return traffic && {
+            meter: (kind, bytes) => {
+                const hall = this.#view.vms.get(this.#view.owner?.name ?? "")?.dataHall;
+                traffic.recordMessage(kind, hall, bytes);
+            },
+            sendsParts: true,
+        };
     }
 
     #handleOwnerChange(hasOwner: boolean): void {
@@ -296,9 +306,7 @@
             this.#logger.log(logEvents.ownerConnected, { epoch: this.#session.epoch });
             this.#isTakeoverRequested = false;
             this.#candidate.noteOwnerEpoch(this.#session.epoch);
-            const waiters = this.#ownerWaiters;
-            this.#ownerWaiters = [];
-            waiters.forEach(wake => wake());
+            this.#ownerWaiters.wake();
             return;
         }
         this.#logger.log(logEvents.ownerLost, { epoch: this.#session.epoch });
@@ -315,16 +323,6 @@
         }
     }
 
-    #waitForOwner(wait: Milliseconds): Promise<void> {
-        return new Promise(resolve => {
-            const timer = setTimeout(resolve, wait);
-            this.#ownerWaiters.push(() => {
-                clearTimeout(timer);
-                resolve();
-            });
-        });
-    }
-
     /** Connects this VM to the owner in its own process through a memory channel. */
     #connectLocally(session: OwnerSession): void {
         const [ownerEnd, vmEnd] = createMemoryChannel<OwnerMessage, VmMessage>();
--- a/packages/entry/src/peers/connections.ts
+++ b/packages/entry/src/peers/connections.ts
@@ -5,9 +5,9 @@
 import { WebSocket, WebSocketServer } from "ws";
 import {
     type Channel,
-    type MessageMeter,
     type OwnerMessage,
     SocketChannel,
+    type SocketChannelOptions,
     type VmMessage,
 } from "../protocol/index.js";
 
@@ -27,10 +27,10 @@
     address: string,
     attach: (channel: Channel<VmMessage, OwnerMessage>) => void,
     signal: AbortSignal,
-    meter?: MessageMeter,
+    options?: SocketChannelOptions,
 ): Promise<void> => {
     const server = new WebSocketServer({ ...parseAddress(address), ...socketOptions });
-    server.on("connection", socket => attach(new SocketChannel(socket, meter)));
+    server.on("connection", socket => attach(new SocketChannel(socket, options)));
     await once(server, "listening");
     signal.addEventListener("abort", () => {
         server.clients.forEach(socket => socket.terminate());
@@ -50,11 +50,11 @@
 export const dialVm = async (
     address: string,
     timeout: Milliseconds,
-    meter?: MessageMeter,
+    options?: SocketChannelOptions,
 ): Promise<DialOutcome> => {
     const socket = new WebSocket(`ws://${address}`, { ...socketOptions, handshakeTimeout: timeout });
     // Created before the socket opens: the first message may arrive with the handshake's response.
-    const channel = new SocketChannel<OwnerMessage, VmMessage>(socket, meter);
+    const channel = new SocketChannel<OwnerMessage, VmMessage>(socket, options);
     try {
         await once(socket, "open");
         return { kind: "open", channel };
--- a/packages/entry/src/peers/vm-dialer.ts
+++ b/packages/entry/src/peers/vm-dialer.ts
@@ -196,9 +196,11 @@
 
     async #dial(vm: EntryVm, signal: AbortSignal): Promise<void> {
         const { traffic } = this;
-        const meter = traffic
-            && ((kind: string, bytes: number) => traffic.recordMessage(kind, vm.dataHall, bytes));
-        const outcome = await dialVm(vm.address, this.#isSilent(vm.name) ? redialTimeout : dialTimeout, meter);
+        const options = traffic && {
+            meter: (kind: string, bytes: number) => traffic.recordMessage(kind, vm.dataHall, bytes),
+            sendsParts: true,
+        };
+        const outcome = await dialVm(vm.address, this.#isSilent(vm.name) ? redialTimeout : dialTimeout, options);
         const known = this.#known.get(vm.name);
         if (known !== undefined) {
             known.isReachable = outcome.kind !== "silent";
--- a/packages/entry/src/protocol/socket-channel.ts
+++ b/packages/entry/src/protocol/socket-channel.ts
@@ -1,25 +1,57 @@
 /** Message channel over a WebSocket. */
 import type { Milliseconds } from "@pebbledale/core";
 import { WebSocket } from "ws";
+import { BulkReceiver, BulkSender, minBulkLength } from "./bulk-transfer.js";
 import type { Channel } from "./channel.js";
 
 /** How long messages are collected into one batch, in milliseconds: a wake-up costs more than a message. */
 const batchDelay: Milliseconds = 2;
 
+/** Messages that may be large and need not arrive in order with others. */
+const bulkKinds: ReadonlySet<string> = new Set(["configuration", "store-answer", "store-call"]);
+
+/** Entry of a batch that is for the channel itself. Channels of earlier versions pass it on as a message without a kind, which is ignored. */
+type ControlEntry = readonly [ControlKind];
+
+enum ControlKind {
+    /** The sender puts messages together that arrive in parts. First entry of the first batch. */
+    TakesParts = "takes-parts",
+    /** One part has arrived. */
+    PartArrived = "part-arrived",
+}
+
+const isControl = (entry: unknown): entry is ControlEntry => Array.isArray(entry);
+
 /** Called with the kind and the length of each message that is sent. */
 export type MessageMeter = (kind: string, bytes: number) => void;
 
+/** Options of a {@link SocketChannel}. */
+export interface SocketChannelOptions {
+    /** Undefined where messages are not measured. */
+    readonly meter?: MessageMeter | undefined;
+    /** Whether large messages are sent in parts, if the other end takes them, so that others need not wait for them. */
+    readonly sendsParts?: boolean;
+}
+
 /** Sends and receives batches of messages as JSON arrays over a WebSocket. */
 export class SocketChannel<Sent extends { readonly kind: string; }, Received> implements Channel<Sent, Received> {
     onClose: () => void = () => undefined;
-    #batch: Sent[] = [];
+    #batch: (Sent | ControlEntry)[] = [];
     #isClosed = false;
     #handler: ((message: Received) => void) | undefined;
     /** Messages received before a handler was set: the first batch may arrive with the handshake's response. */
     #undelivered: Received[] = [];
+    readonly #bulkSender = new BulkSender((part, kind) => this.#sendPart(part, kind));
+    readonly #bulkReceiver = new BulkReceiver(text => this.#deliver(JSON.parse(text) as Received), () => this.close());
+    #takesParts = false;
+    #hasAnnounced: boolean;
 
-    constructor(private readonly socket: WebSocket, private readonly meter?: MessageMeter) {
-        socket.on("message", data => this.#receive(String(data)));
+    constructor(private readonly socket: WebSocket, private readonly options: SocketChannelOptions = {}) {
+        this.#hasAnnounced = options.sendsParts !== true;
+        socket.on(
+            "message",
+            (data, isBinary) => isBinary ? this.#receivePart(data as Buffer) : this.#receive(String(data)),
+        );
         socket.on("close", () => this.#markClosed());
         socket.on("error", () => this.close());
     }
@@ -40,10 +72,7 @@
     }
 
     send(message: Sent): void {
-        this.#batch.push(message);
-        if (this.#batch.length === 1) {
-            setTimeout(() => this.#flush(), batchDelay);
-        }
+        this.#add(message);
     }
 
     close(): void {
@@ -51,42 +80,94 @@
         this.#markClosed();
     }
 
+    #add(entry: Sent | ControlEntry): void {
+        this.#batch.push(entry);
+        if (this.#batch.length === 1) {
+            setTimeout(() => this.#flush(), batchDelay);
+        }
+    }
+
     #flush(): void {
         const batch = this.#batch;
         this.#batch = [];
-        if (this.socket.readyState === WebSocket.OPEN) {
-            this.socket.send(this.#serialize(batch));
+        if (this.socket.readyState !== WebSocket.OPEN) {
+            return;
+        }
+        if (!this.#hasAnnounced) {
+            this.#hasAnnounced = true;
+            batch.unshift([ControlKind.TakesParts]);
+        }
+        const { meter, sendsParts } = this.options;
+        const text = meter === undefined && sendsParts !== true ? JSON.stringify(batch) : this.#serializeEach(batch);
+        if (text !== undefined) {
+            this.socket.send(text);
         }
     }
 
-    /** Serializes each message by itself where lengths are to be known; the text is the same. */
-    #serialize(batch: readonly Sent[]): string {
-        const { meter } = this;
-        if (meter === undefined) {
-            return JSON.stringify(batch);
+    /** Serializes each message by itself, so that its length is known; undefined when all of them are sent in parts. */
+    #serializeEach(batch: readonly (Sent | ControlEntry)[]): string | undefined {
+        const texts: string[] = [];
+        for (const entry of batch) {
+            const text = JSON.stringify(entry);
+            if (isControl(entry)) {
+                texts.push(text);
+            }
+            else if (this.#takesParts && text.length >= minBulkLength && bulkKinds.has(entry.kind)) {
+                this.#bulkSender.add(entry.kind, text);
+            }
+            else {
+                this.options.meter?.(entry.kind, text.length);
+                texts.push(text);
+            }
+        }
+        return texts.length === 0 ? undefined : `[${texts.join(",")}]`;
+    }
+
+    #sendPart(part: Buffer, kind: string): void {
+        if (this.socket.readyState === WebSocket.OPEN) {
+            this.options.meter?.(kind, part.length);
+            this.socket.send(part);
         }
-        const texts = batch.map(message => {
-            const text = JSON.stringify(message);
-            meter(message.kind, text.length);
-            return text;
-        });
-        return `[${texts.join(",")}]`;
     }
 
     #receive(text: string): void {
-        for (const message of JSON.parse(text) as Received[]) {
-            if (this.#handler === undefined) {
-                this.#undelivered.push(message);
+        for (const entry of JSON.parse(text) as (Received | ControlEntry)[]) {
+            if (isControl(entry)) {
+                this.#handleControl(entry);
             }
             else {
-                this.#handler(message);
+                this.#deliver(entry);
             }
         }
     }
 
+    #handleControl([kind]: ControlEntry): void {
+        if (kind === ControlKind.TakesParts) {
+            this.#takesParts = this.options.sendsParts === true;
+        }
+        else {
+            this.#bulkSender.recordArrival();
+        }
+    }
+
+    #receivePart(part: Buffer): void {
+        this.#add([ControlKind.PartArrived]);
+        this.#bulkReceiver.receive(part);
+    }
+
+    #deliver(message: Received): void {
+        if (this.#handler === undefined) {
+            this.#undelivered.push(message);
+        }
+        else {
+            this.#handler(message);
+        }
+    }
+
     #markClosed(): void {
         if (!this.#isClosed) {
             this.#isClosed = true;
+            this.#bulkSender.close();
             this.onClose();
         }
     }
