What crosses between regions: payloads once a connection, links back to their region after a change of owner

After a change of owner the halls of workers are not known when links are assigned, so that these went to any VM; they move once the entries are read.

--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -297,7 +297,7 @@
                 const hall = this.#view.vms.get(this.#view.owner?.name ?? "")?.dataHall;
                 traffic.recordMessage(kind, hall, bytes);
             },
-            sendsParts: true,
+            usesCompactForms: true,
         };
     }
 
--- a/packages/entry/src/owner/assignments.ts
+++ b/packages/entry/src/owner/assignments.ts
@@ -45,6 +45,8 @@
     readonly #assignmentCounts = new Map<WorkerId, number>();
     readonly #restartBackoff: RestartBackoff;
     readonly #hasSeveralRegions: boolean;
+    /** Workers whose data hall was not known when their link was assigned; kept only where there are several regions. */
+    readonly #unlocated = new Set<WorkerId>();
     /** Per worker, the time until which orders to earlier incarnations may still be carried out. */
     readonly #lateOrdersUntil = new Map<WorkerId, Milliseconds>();
 
@@ -169,6 +171,25 @@
         return region !== undefined && this.regions.get(link.vm.dataHall) === region;
     }
 
+    /** Moves links that were assigned before the worker's data hall was known, and went to another region, to the worker's region. */
+    moveLocated(workers: ReadonlyMap<WorkerId, WorkerState>, links: readonly VmLink[]): void {
+        for (const id of this.#unlocated) {
+            const worker = workers.get(id);
+            const from = this.vmOf(id);
+            const hall = worker?.entry?.dataHall;
+            if (worker === undefined || from === undefined) {
+                this.#unlocated.delete(id);
+            }
+            else if (hall !== undefined) {
+                this.#unlocated.delete(id);
+                const nearest = links.length === 0 ? from : this.#leastLoaded(links, worker);
+                if (!this.#isInRegion(from, hall) && this.#isInRegion(nearest, hall)) {
+                    this.#move(worker, from, nearest);
+                }
+            }
+        }
+    }
+
     /** Forgets the worker's link without notifying its VM. */
     remove(worker: WorkerId): void {
         this.#assignments.get(worker)?.link.workers.delete(worker);
@@ -211,6 +232,9 @@
         const count = (this.#assignmentCounts.get(worker.id) ?? 0) + 1;
         this.#assignmentCounts.set(worker.id, count);
         link.workers.add(worker.id);
+        if (this.#hasSeveralRegions && worker.entry === undefined) {
+            this.#unlocated.add(worker.id);
+        }
         const token = this.#tokenOf(count);
         this.#assignments.set(worker.id, {
             link,
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -108,7 +108,10 @@
             source: new WorkerEntryFollowSource(options.directory, this.cell),
             clock,
             limits: options.followLimits,
-            onAnswer: () => this.#turnRunner.schedule(),
+            onAnswer: () => {
+                this.#assignments.moveLocated(this.cell.workers, this.#stayingVms);
+                this.#turnRunner.schedule();
+            },
             onFailure: (cause, age) => this.#noteEntriesUnavailable(cause, age),
         });
         this.#outageLog = new JournalOutageLog({ journal, clock, logger });
@@ -333,9 +336,13 @@
         this.#assignUnlinkedWorkers();
     }
 
+    get #stayingVms(): VmLink[] {
+        return [...this.#vms.values()].filter(link => !link.isLeaving);
+    }
+
     /** Assigns workers without a link to VMs that are not stopping, if there are any. */
     #assignUnlinkedWorkers(): void {
-        const staying = [...this.#vms.values()].filter(link => !link.isLeaving);
+        const staying = this.#stayingVms;
         const vms = staying.length > 0 ? staying : [...this.#vms.values()];
         this.#assignments.assignUnlinked(this.cell.workers.values(), vms);
     }
--- a/packages/entry/src/peers/vm-dialer.ts
+++ b/packages/entry/src/peers/vm-dialer.ts
@@ -198,7 +198,7 @@
         const { traffic } = this;
         const options = traffic && {
             meter: (kind: string, bytes: number) => traffic.recordMessage(kind, vm.dataHall, bytes),
-            sendsParts: true,
+            usesCompactForms: true,
         };
         const outcome = await dialVm(vm.address, this.#isSilent(vm.name) ? redialTimeout : dialTimeout, options);
         const known = this.#known.get(vm.name);
--- a/packages/entry/src/protocol/socket-channel.ts
+++ b/packages/entry/src/protocol/socket-channel.ts
@@ -3,6 +3,8 @@
 import { WebSocket } from "ws";
 import { BulkReceiver, BulkSender, minBulkLength } from "./bulk-transfer.js";
 import type { Channel } from "./channel.js";
+import type { CommandMessage } from "./messages.js";
+import { PayloadReceiver, PayloadSender } from "./payload-references.js";
 
 /** How long messages are collected into one batch, in milliseconds: a wake-up costs more than a message. */
 const batchDelay: Milliseconds = 2;
@@ -14,14 +16,16 @@
 type ControlEntry = readonly [ControlKind];
 
 enum ControlKind {
-    /** The sender puts messages together that arrive in parts. First entry of the first batch. */
-    TakesParts = "takes-parts",
+    /** The sender takes messages in parts, and references to payloads. First entry of the first batch. */
+    TakesCompactForms = "takes-compact-forms",
     /** One part has arrived. */
     PartArrived = "part-arrived",
 }
 
 const isControl = (entry: unknown): entry is ControlEntry => Array.isArray(entry);
 
+const isCommand = (message: unknown): message is CommandMessage => (message as { kind?: unknown; }).kind === "command";
+
 /** Called with the kind and the length of each message that is sent. */
 export type MessageMeter = (kind: string, bytes: number) => void;
 
@@ -29,8 +33,11 @@
 export interface SocketChannelOptions {
     /** Undefined where messages are not measured. */
     readonly meter?: MessageMeter | undefined;
-    /** Whether large messages are sent in parts, if the other end takes them, so that others need not wait for them. */
-    readonly sendsParts?: boolean;
+    /**
+     * Whether, if the other end takes them, large messages are sent in parts, so that others need not wait for them, and repeated payloads as
+     * references.
+     */
+    readonly usesCompactForms?: boolean;
 }
 
 /** Sends and receives batches of messages as JSON arrays over a WebSocket. */
@@ -43,11 +50,13 @@
     #undelivered: Received[] = [];
     readonly #bulkSender = new BulkSender((part, kind) => this.#sendPart(part, kind));
     readonly #bulkReceiver = new BulkReceiver(text => this.#deliver(JSON.parse(text) as Received), () => this.close());
-    #takesParts = false;
+    readonly #payloadSender = new PayloadSender();
+    readonly #payloadReceiver = new PayloadReceiver();
+    #takesCompactForms = false;
     #hasAnnounced: boolean;
 
     constructor(private readonly socket: WebSocket, private readonly options: SocketChannelOptions = {}) {
-        this.#hasAnnounced = options.sendsParts !== true;
+        this.#hasAnnounced = options.usesCompactForms !== true;
         socket.on(
             "message",
             (data, isBinary) => isBinary ? this.#receivePart(data as Buffer) : this.#receive(String(data)),
@@ -95,10 +104,12 @@
         }
         if (!this.#hasAnnounced) {
             this.#hasAnnounced = true;
-            batch.unshift([ControlKind.TakesParts]);
+            batch.unshift([ControlKind.TakesCompactForms]);
         }
-        const { meter, sendsParts } = this.options;
-        const text = meter === undefined && sendsParts !== true ? JSON.stringify(batch) : this.#serializeEach(batch);
+        const { meter, usesCompactForms } = this.options;
+        const text = meter === undefined && usesCompactForms !== true
+            ? JSON.stringify(batch)
+            : this.#serializeEach(batch);
         if (text !== undefined) {
             this.socket.send(text);
         }
@@ -108,11 +119,14 @@
     #serializeEach(batch: readonly (Sent | ControlEntry)[]): string | undefined {
         const texts: string[] = [];
         for (const entry of batch) {
-            const text = JSON.stringify(entry);
             if (isControl(entry)) {
-                texts.push(text);
+                texts.push(JSON.stringify(entry));
+                continue;
             }
-            else if (this.#takesParts && text.length >= minBulkLength && bulkKinds.has(entry.kind)) {
+            const text = JSON.stringify(
+                this.#takesCompactForms && isCommand(entry) ? this.#payloadSender.pack(entry) : entry,
+            );
+            if (this.#takesCompactForms && text.length >= minBulkLength && bulkKinds.has(entry.kind)) {
                 this.#bulkSender.add(entry.kind, text);
             }
             else {
@@ -136,14 +150,25 @@
                 this.#handleControl(entry);
             }
             else {
-                this.#deliver(entry);
+                this.#deliverRestored(entry);
             }
         }
     }
 
+    /** Closes the connection rather than pass on an order without its payload. */
+    #deliverRestored(message: Received): void {
+        const restored = isCommand(message) ? this.#payloadReceiver.unpack(message) as Received | undefined : message;
+        if (restored === undefined) {
+            this.close();
+        }
+        else {
+            this.#deliver(restored);
+        }
+    }
+
     #handleControl([kind]: ControlEntry): void {
-        if (kind === ControlKind.TakesParts) {
-            this.#takesParts = this.options.sendsParts === true;
+        if (kind === ControlKind.TakesCompactForms) {
+            this.#takesCompactForms = this.options.usesCompactForms === true;
         }
         else {
             this.#bulkSender.recordArrival();
--- a/packages/entry/test/owner/assignments.test.ts
+++ b/packages/entry/test/owner/assignments.test.ts
@@ -116,6 +116,19 @@
         expect(loads(near, inRegion, inHall)).toEqual([0, 0, 4]);
     });
 
+    it("move to the worker's region once its data hall is known, as after a change of owner", () => {
+        const [near, far] = [makeLink("near", "near-a"), makeLink("far", "far-b")];
+        const located = makeWorkers("far-a", 4);
+        const unlocated = new Map([...located.keys()].map(id => [id, new WorkerState(id, "127.0.0.1:1")]));
+        const assignments = make();
+        assignments.assignUnlinked(unlocated.values(), [near.link, far.link]);
+        expect(loads(near, far)).toEqual([2, 2]);
+        assignments.moveLocated(unlocated, [near.link, far.link]);
+        expect(loads(near, far)).toEqual([2, 2]);
+        assignments.moveLocated(located, [near.link, far.link]);
+        expect(loads(near, far)).toEqual([0, 4]);
+    });
+
     it("are as before with one region", () => {
         const oneRegion = new Map([...regions.keys()].map(hall => [hall, regionName("one")]));
         const [near, far] = [makeLink("near", "near-a"), makeLink("far", "far-b")];
--- a/packages/entry/test/protocol/bulk-transfer.test.ts
+++ b/packages/entry/test/protocol/bulk-transfer.test.ts
@@ -1,5 +1,6 @@
 /* Guards against orders, leases and answers that wait behind a large configuration on a narrow link until a VM is taken for lost. */
 import type { CellConfiguration } from "@pebbledale/cell";
+import { runNumber, taskAddress, workerId } from "@pebbledale/core";
 import { expect } from "earl";
 import { randomBytes } from "node:crypto";
 import { describe, it } from "node:test";
@@ -70,7 +71,7 @@
 
 describe("a large message over a narrow link", () => {
     it("does not hold up others when it is sent in parts, and arrives whole", async () => {
-        const { owner, received, close } = await connect({ sendsParts: true }, { sendsParts: true });
+        const { owner, received, close } = await connect({ usesCompactForms: true }, { usesCompactForms: true });
         owner.send({ kind: "configuration", configuration });
         await wait(300);
         owner.send({ kind: "beat", mayLease: true });
@@ -85,7 +86,7 @@
     it("is counted by its compressed bytes", async () => {
         let bytes = 0;
         const meter = (kind: string, sent: number) => bytes += kind === "configuration" ? sent : 0;
-        const { owner, received, close } = await connect({ sendsParts: true, meter }, { sendsParts: true });
+        const { owner, received, close } = await connect({ usesCompactForms: true, meter }, { usesCompactForms: true });
         owner.send({ kind: "configuration", configuration });
         await until(() => received.length > 0, 10_000);
         close();
@@ -94,7 +95,9 @@
 
     it("is sent whole to a VM that does not take parts, and to one that may where they are not called for", async () => {
         for (
-            const [ownerOptions, vmOptions] of [[{ sendsParts: true }, undefined], [undefined, { sendsParts: true }]]
+            const [ownerOptions, vmOptions] of [[{ usesCompactForms: true }, undefined], [undefined, {
+                usesCompactForms: true,
+            }]]
         ) {
             const { owner, received, atOwner, close } = await connect(ownerOptions, vmOptions);
             owner.send({ kind: "configuration", configuration });
@@ -106,8 +109,28 @@
         }
     });
 
+    it("leaves starts in order, with their payloads restored", async () => {
+        const { owner, received, close } = await connect({ usesCompactForms: true }, { usesCompactForms: true });
+        const starts = Array.from({ length: 20 }, (_, index) => ({
+            kind: "command" as const,
+            command: {
+                kind: "start" as const,
+                worker: workerId("w"),
+                task: taskAddress(`job/0/0/${index}`),
+                run: runNumber(index),
+                payload: `${index % 3}`.repeat(2_000),
+                checkpoint: "",
+            },
+        }));
+        owner.send({ kind: "configuration", configuration });
+        starts.forEach(message => owner.send(message));
+        await until(() => received.length >= starts.length, 5_000);
+        close();
+        expect<unknown>(received).toEqual(starts);
+    });
+
     it("is dropped with its connection", async () => {
-        const { owner, received, close, vm } = await connect({ sendsParts: true }, { sendsParts: true });
+        const { owner, received, close, vm } = await connect({ usesCompactForms: true }, { usesCompactForms: true });
         owner.send({ kind: "configuration", configuration });
         await wait(200);
         vm()?.close();
