--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -19,12 +19,12 @@
     type OwnerRequest,
     type VmMessage,
 } from "../protocol/index.js";
+import { hasSeveralRegions } from "../settings/index.js";
 import type { StoreRelay } from "../store-relay/index.js";
 import { Assignments } from "./assignments.js";
 import {
     confirmationValidity,
     handOverCommitTimeout,
-    handOverSizeRatio,
     handOverStoreTimeout,
     minConnectedTimeBeforeHandOver,
     ownerHeartbeatInterval,
@@ -37,7 +37,7 @@
 import { JournalOutageLog } from "./journal-outage-log.js";
 import { relayOrder } from "./relay-order.js";
 import { RequestHandler } from "./request-handler.js";
-import { chooseSuccessor } from "./successor.js";
+import { chooseSuccessor, isMuchBetterOwner } from "./successor.js";
 import { TurnRunner } from "./turn-runner.js";
 import { HandOverOutcome, type OwnerSessionOptions } from "./types.js";
 import { UpkeepController } from "./upkeep-controller.js";
@@ -82,7 +82,7 @@
             contents.records as readonly CellRecord[],
         );
         journal.setSnapshotSource(() => this.cell.snapshot());
-        this.#assignments = new Assignments(journal.epoch, name, () => clock.monotonic());
+        this.#assignments = new Assignments(journal.epoch, name, () => clock.monotonic(), options.regions);
         this.#reportHandler = new WorkerReportHandler({
             cell: this.cell,
             assignments: this.#assignments,
@@ -108,7 +108,10 @@
             source: new WorkerEntryFollowSource(options.directory, this.cell),
             clock,
             limits: options.followLimits,
-            onAnswer: () => this.#turnRunner.schedule(),
+            onAnswer: () => {
+                this.#assignments.moveLocated(this.cell.workers, this.#stayingVms);
+                this.#turnRunner.schedule();
+            },
             onFailure: (cause, age) => this.#noteEntriesUnavailable(cause, age),
         });
         this.#outageLog = new JournalOutageLog({ journal, clock, logger });
@@ -154,7 +157,7 @@
         while (!lost.signal.aborted) {
             this.cell.tick();
             this.#dropSilentVms();
-            this.#checkForLargerVm();
+            this.#checkForBetterVm();
             this.#outageLog.check();
             this.#heartbeatTimer.runIfDue(() => this.#sendHeartbeats());
             this.#summaryTimer.runIfDue(() => this.#reportSummary());
@@ -242,7 +245,7 @@
 
     /** Attaches a connection to a VM, replacing a former one. */
     connect(vm: EntryVm, channel: Channel<OwnerMessage, VmMessage>): void {
-        const { clock, journal, name } = this.options;
+        const { clock, journal, name, regions } = this.options;
         const link = new VmLink(vm, channel, clock.monotonic());
         this.#drop(this.#vms.get(vm.name));
         this.#vms.set(vm.name, link);
@@ -258,6 +261,7 @@
         this.#advice.join(
             vm.name,
             (question, { step, workers }, duration) => channel.send({ kind: "ask", question, step, workers, duration }),
+            hasSeveralRegions(regions) ? regions.get(vm.dataHall) : undefined,
         );
         this.#assignUnlinkedWorkers();
         this.#assignments.rebalanceTo(this.cell.workers, link, [...this.#vms.values()]);
@@ -279,7 +283,7 @@
             this.#isCellOffered = false;
             return HandOverOutcome.StoreSilent;
         }
-        const successor = chooseSuccessor(this.#vms.values(), this.options.name);
+        const successor = chooseSuccessor(this.#vms.values(), this.options.name, this.options.preferred());
         this.#isHandingOver = true;
         this.#turnRunner.freeze();
         // Records still in flight may be found by the next owner; no caller was told that they are committed.
@@ -332,9 +336,13 @@
         this.#assignUnlinkedWorkers();
     }
 
+    get #stayingVms(): VmLink[] {
+        return [...this.#vms.values()].filter(link => !link.isLeaving);
+    }
+
     /** Assigns workers without a link to VMs that are not stopping, if there are any. */
     #assignUnlinkedWorkers(): void {
-        const staying = [...this.#vms.values()].filter(link => !link.isLeaving);
+        const staying = this.#stayingVms;
         const vms = staying.length > 0 ? staying : [...this.#vms.values()];
         this.#assignments.assignUnlinked(this.cell.workers.values(), vms);
     }
@@ -351,15 +359,19 @@
         this.#assignUnlinkedWorkers();
     }
 
-    /** Notifies the candidate once a considerably larger VM has been connected for a while. */
-    #checkForLargerVm(): void {
+    /** Notifies the candidate once a VM that would own the cell much better has been connected for a while. */
+    #checkForBetterVm(): void {
         const now = this.options.clock.monotonic();
-        const own = this.#vms.get(this.options.name)?.vm.processorShare ?? Infinity;
-        const isLarger = (link: VmLink) =>
-            !link.isLeaving && link.vm.processorShare >= own * handOverSizeRatio
+        const own = this.#vms.get(this.options.name)?.vm;
+        if (this.#isCellOffered || !this.#isConfirmed || own === undefined) {
+            return;
+        }
+        const preferred = this.options.preferred();
+        const isBetter = (link: VmLink) =>
+            !link.isLeaving && isMuchBetterOwner(link.vm, own, preferred)
             && now - link.connectedAt > minConnectedTimeBeforeHandOver;
-        if (!this.#isCellOffered && this.#isConfirmed && [...this.#vms.values()].some(isLarger)) {
-            this.options.onLargerVm();
+        if ([...this.#vms.values()].some(isBetter)) {
+            this.options.onBetterVm();
         }
     }
 
