--- a/packages/core/src/log-events/index.ts
+++ b/packages/core/src/log-events/index.ts
@@ -299,6 +299,12 @@
         "tasks in a recently reopened data hall take longer than elsewhere, or no longer do",
         nothing,
     ),
+    trafficSummary: define(
+        4620,
+        "info",
+        "bytes exchanged since the process started, by peer, reach and kind: count, sent, received",
+        nothing,
+    ),
     settingsReloaded: define(4605, "info", "the settings file was reloaded", nothing),
     settingsUnreadable: define(
         4607,
