Explorer: a data hall is closed for a while, and nothing may be sent there

Cause: the orders of events of a closure were tested singly, not with lost calls, restarts and changes of owner. Change: at each slot the first worker's hall may be closed for 600 ms, read by both, by the VM with the links alone, or by the owner alone; a new owner knows only what it reads or is told. Options come after the former ones, so that kept walks mean what they meant.

--- a/packages/entry/test/explorer/fault-injector.ts
+++ b/packages/entry/test/explorer/fault-injector.ts
@@ -1,6 +1,13 @@
 /** Injection of faults into a simulation. */
 import type { Milliseconds, WorkerId } from "@pebbledale/core";
-import type { CallKind, CallOutcome, SimulatedWorker, SimulationWorld } from "../support/simulation/index.js";
+import {
+    type CallKind,
+    type CallOutcome,
+    type ClosureReaders,
+    firstHall,
+    type SimulatedWorker,
+    type SimulationWorld,
+} from "../support/simulation/index.js";
 import type { Choices } from "./choices.js";
 
 /** Possible outcomes of calls by name; the first is the default. The names are part of stored walks. */
@@ -63,6 +70,14 @@
 const keepsId = (fault: string): boolean =>
     ["crashes and is back", "crashes, is back", "says that it leaves"].some(start => fault.startsWith(start));
 
+/** Closures of the first worker's data hall, by name. The names are part of stored walks. */
+const closures: Readonly<Record<string, ClosureReaders>> = {
+    "its operators close a hall for 600 ms": "both",
+    "its operators close a hall for 600 ms, which the owner does not read": "vm",
+    "its operators close a hall for 600 ms, which the VM with the links does not read": "owner",
+};
+const closureTime: Milliseconds = 600;
+
 /** How a worker restarts. */
 interface RestartOptions {
     readonly listedAfter?: Milliseconds;
@@ -107,11 +122,15 @@
             nothing,
             ownerReplaced,
             ...up.flatMap(({ id }) => names.map(name => `${id} ${name}`)),
+            ...Object.keys(closures),
         ];
         const chosen = this.choices.choose(`at ${at} ms`, options);
         if (chosen === 1) {
             this.world.replaceOwner();
         }
+        else if (options[chosen] in closures) {
+            this.closeHall(closures[options[chosen]]);
+        }
         else if (chosen > 1) {
             const worker = up[Math.floor((chosen - 2) / names.length)];
             workerFaults[names[(chosen - 2) % names.length]](this, worker);
@@ -135,6 +154,7 @@
     heal(): void {
         this.#isArmed = false;
         this.#disruptions.clear();
+        this.world.closures.reopenAll("both");
         this.world.workers.filter(worker => worker.isUp).forEach(worker => this.world.publishEntry(worker));
     }
 
@@ -167,6 +187,12 @@
         this.#after(entryTime, () => this.world.directory.remove(worker.id));
     }
 
+    /** Closes the first worker's data hall for a while. */
+    closeHall(readers: ClosureReaders): void {
+        this.world.closures.close(firstHall, readers);
+        this.#after(closureTime, () => this.world.closures.reopenAll());
+    }
+
     /** Gives all calls to a worker one outcome for a while. */
     disruptCalls({ id }: SimulatedWorker, outcome: CallOutcome): void {
         this.#disruptions.set(id, { until: this.world.clock.monotonic() + disruptionTime, outcome });
@@ -189,11 +215,15 @@
         const now = this.world.clock.monotonic();
         return [
             this.#due.map(({ at }) => at - now),
+            this.world.closures.describe(),
             [...this.#disruptions].filter(([, { until }]) => until > now).map(([id, { until }]) => [id, until - now]),
         ];
     }
 
     #outcomeOf(kind: CallKind, worker: WorkerId): CallOutcome {
+        if (kind === "start") {
+            this.world.noteStart(worker);
+        }
         const disruption = this.#disruptions.get(worker);
         if (disruption !== undefined && disruption.until > this.world.clock.monotonic()) {
             return disruption.outcome;
--- a/packages/entry/test/explorer/mutations.ts
+++ b/packages/entry/test/explorer/mutations.ts
@@ -138,6 +138,20 @@
         from: "assignment.hasPolled ? -Infinity : assignment.assignedAt",
         to: "clock.monotonic()",
     },
+    {
+        name: "a closure that another VM has read is not taken in",
+        rule: "workers are seen as they are",
+        file: "entry/dist/src/data-halls/hall-closure-watch.js",
+        from: "this.#newest = closures;",
+        to: "if (source === \"store\") { this.#newest = closures; }",
+    },
+    {
+        name: "closures are not read",
+        rule: "closed halls get nothing",
+        file: "entry/dist/src/data-halls/hall-closure-watch.js",
+        from: "closed.forEach(hall => this.#ownHalls.add(hall));",
+        to: "",
+    },
     {
         name: "what is ordered of a former life is charged nowhere",
         rule: "each job has its end",
--- a/packages/entry/test/explorer/rules.ts
+++ b/packages/entry/test/explorer/rules.ts
@@ -93,6 +93,9 @@
             : [`${worker.id} has ${running} runs, the owner knows of ${known.runs.size}`];
     });
 
+/** Nothing is sent to a closed data hall, whoever has read that it is closed. */
+const nothingInClosedHalls: Rule = ({ world }) => world.startsInClosedHalls;
+
 /** All rules by name. */
 export const rules: Readonly<Record<string, Rule>> = {
     "done once": doneOnce,
@@ -103,6 +106,7 @@
     "failures are few": fewFailures,
     "room is kept": withinCapacity,
     "workers are seen as they are": seesWorkers,
+    "closed halls get nothing": nothingInClosedHalls,
 };
 
 /** Whether a job has reached its final state, or runs if it is a lasting one. */
--- a/packages/entry/test/support/simulation/simulation-world.ts
+++ b/packages/entry/test/support/simulation/simulation-world.ts
@@ -9,6 +9,7 @@
     type WorkerListing,
 } from "@pebbledale/cell";
 import {
+    type DataHallName,
     dataHallName,
     epoch,
     type Journal,
@@ -34,11 +35,15 @@
 import { type LoggedEvent, RecordingLogger } from "../observation.js";
 import { makeStep, smallTask } from "../steps.js";
 import { describeDuplicate, RunHistory } from "./run-history.js";
+import { SimulatedClosures } from "./simulated-closures.js";
 import { SimulatedNetwork } from "./simulated-network.js";
 import { longestLease, SimulatedWorker, type WorkerStart } from "./simulated-worker.js";
 
 /** Capacity of each worker. */
 const workerCapacity = { processorThousandths: 8_000, memoryMebibytes: 32_768, accelerators: 0 };
+/** Data hall of the first worker. */
+export const firstHall = dataHallName("hall-a");
+const secondHall = dataHallName("hall-b");
 /** Resolution of virtual time. */
 const step: Milliseconds = 10;
 
@@ -110,6 +115,12 @@
     readonly network = new SimulatedNetwork(this.clock, this.workers);
     readonly log = new RecordingLogger();
     readonly directory = new InMemoryWorkerDirectory(this.clock);
+    readonly closures = new SimulatedClosures(this.clock, {
+        onOwnerChange: closures => this.#owner?.closeHalls(closures),
+        onVmChange: closures => this.#vm.announceClosures(closures),
+    });
+    /** Workers to which a start was sent while their data hall was closed. */
+    readonly startsInClosedHalls: string[] = [];
     /** When the store last confirmed the owner's key. */
     keyConfirmedAt: () => Milliseconds = () => this.clock.monotonic();
     /** Since when the store does not answer; undefined while it does. */
@@ -139,9 +150,9 @@
             onHandOver: () => undefined,
             configuration: () => undefined,
             onConfiguration: () => undefined,
-            closures: () => ({ halls: [], revision: 0 }),
-            onClosures: () => undefined,
-            isHallClosed: () => false,
+            closures: () => this.closures.vm.closures,
+            onClosures: closures => this.closures.vm.applyPeers(closures),
+            isHallClosed: hall => this.closures.vm.isClosed(hall),
             onOwnerChange: () => undefined,
         });
         void this.#vm.run(this.#ended.signal);
@@ -186,6 +197,8 @@
         this.#ownerEnded = createAbortController();
         const lost = this.#ownerEnded;
         this.#epoch++;
+        this.#owner = undefined;
+        this.closures.replaceOwner();
         const owner = new OwnerSession({
             journal: this.#makeJournal(lost.signal),
             contents: { epoch: epoch(this.#epoch), snapshot: undefined, records: [...this.#journal] },
@@ -207,8 +220,8 @@
             isIsolated: () => false,
             onConfiguration: () => undefined,
             toleratedHallLosses: 0,
-            closures: () => ({ halls: [], revision: 0 }),
-            onClosures: () => undefined,
+            closures: () => this.closures.owner.closures,
+            onClosures: closures => this.closures.owner.applyPeers(closures),
             upkeep: undefined,
         });
         this.#owner = owner;
@@ -235,7 +248,7 @@
             ...(born === undefined ? {} : { life: born }),
             address,
             service,
-            dataHall: dataHallName("hall-a"),
+            dataHall: this.hallOf(id),
             vm: vmId(`vm-of-${id}`),
             capacity: workerCapacity,
             labels: ["a", "r1"],
@@ -245,6 +258,18 @@
         });
     }
 
+    /** Data hall of a worker: the first worker is alone in its hall. */
+    hallOf(worker: WorkerId): DataHallName {
+        return worker === this.workers[0].id ? firstHall : secondHall;
+    }
+
+    /** Records a start that is sent to a closed data hall. */
+    noteStart(worker: WorkerId): void {
+        if (this.closures.isInEffect(this.hallOf(worker))) {
+            this.startsInClosedHalls.push(`${worker} at ${this.clock.monotonic()} ms`);
+        }
+    }
+
     /** Crashes a worker and restarts it under its id after a while, when its entry is published. */
     async restart(worker: SimulatedWorker, downtime: Milliseconds, options: WorkerStart = {}): Promise<void> {
         worker.crash();
