--- a/packages/entry/src/configuration/configuration-watch.ts
+++ b/packages/entry/src/configuration/configuration-watch.ts
@@ -17,6 +17,7 @@
     type StoreProbe,
 } from "../following/index.js";
 import { DependencyMonitor } from "../observability/index.js";
+import type { OperatorsCopy, OwnerVouching } from "./owner-vouching.js";
 
 /**
  * After another VM has announced a newer configuration, wait this long for it to arrive from the store before fetching it from that
@@ -37,6 +38,8 @@
     /** Called with waves of upkeep as they are read from the store. */
     readonly onWaves: (waves: readonly UpkeepWave[]) => void;
     readonly halls: HallClosureWatch;
+    /** Lets the owner confirm this VM's copy; undefined where every VM reads the store by itself. */
+    readonly vouching?: OwnerVouching | undefined;
 }
 
 /**
@@ -47,6 +50,10 @@
     #queues: QueueDirectory | undefined;
     readonly #waves = new Map<number, UpkeepWave>();
     readonly #loop: FollowLoop;
+    /** Revision up to which the copy is complete, and when the store last confirmed it to this VM itself. */
+    #read: { readonly cursor: string; readonly at: Milliseconds; } | undefined;
+    /** Age of the owner's copy when it last confirmed this one; 0 after a reading of the store. */
+    #vouchedAge: Milliseconds = 0;
 
     constructor(private readonly options: ConfigurationWatchOptions) {
         const { logger, clock, limits, probe } = options;
@@ -64,7 +71,19 @@
 
     /** Time since the store last answered; undefined before its first answer. */
     get age(): Milliseconds | undefined {
-        return this.#loop.age;
+        const age = this.#loop.age;
+        return age === undefined ? undefined : age + this.#vouchedAge;
+    }
+
+    /** What this VM has read from the store by itself; undefined before its first reading. */
+    get copy(): OperatorsCopy | undefined {
+        return this.#read && {
+            cursor: this.#read.cursor,
+            age: this.options.clock.monotonic() - this.#read.at,
+            version: this.configuration?.version ?? 0,
+            closures: this.options.halls.closures,
+            waves: [...this.#waves.keys()],
+        };
     }
 
     get queues(): QueueDirectory | undefined {
@@ -111,21 +130,48 @@
             apply: () => {
                 this.options.halls.replace(update.halls);
                 this.#applyUpdate(update);
+                this.#recordReading(update.cursor);
             },
         };
     }
 
     async changes(cursor: string, wait: Milliseconds, signal: AbortSignal): Promise<FollowedUpdate | undefined> {
-        const update = await this.options.feed.follow(cursor, wait, signal);
+        const startedAt = this.options.clock.monotonic();
+        const copy = await this.options.vouching?.confirm(wait, owners => this.#holds(owners), signal);
+        if (copy !== undefined) {
+            // The owner's last reading may be older than this VM's, which is then complete up to the later revision.
+            const isNewer = Number(copy.cursor) > Number(cursor);
+            return { cursor: isNewer ? copy.cursor : cursor, apply: () => this.#applyCopy(copy, isNewer) };
+        }
+        const left = Math.max(0, wait - (this.options.clock.monotonic() - startedAt));
+        const update = await this.options.feed.follow(cursor, Math.round(left), signal);
         return update && {
             cursor: update.cursor,
             apply: () => {
                 this.options.halls.change(update.halls);
                 this.#applyUpdate(update);
+                this.#recordReading(update.cursor);
             },
         };
     }
 
+    /** Whether this VM knows all that is in the owner's copy, or newer. Closures come with the copy. */
+    #holds(copy: OperatorsCopy): boolean {
+        return (this.configuration?.version ?? 0) >= copy.version && copy.waves.every(wave => this.#waves.has(wave));
+    }
+
+    #applyCopy({ closures, age }: OperatorsCopy, isNewer: boolean): void {
+        if (isNewer) {
+            this.options.halls.replace({ closed: closures.halls, reopened: [], revision: closures.revision });
+        }
+        this.#vouchedAge = age;
+    }
+
+    #recordReading(cursor: string): void {
+        this.#read = { cursor, at: this.options.clock.monotonic() };
+        this.#vouchedAge = 0;
+    }
+
     #applyUpdate({ configuration, waves }: OperatorUpdate): void {
         if (configuration !== undefined) {
             this.apply(configuration, "store");
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -15,7 +15,7 @@
     type SuspensionAwareClock,
 } from "@pebbledale/core";
 import { createAbortController, type EventLogger, waitForAbort } from "@pebbledale/runtime";
-import { ConfigurationWatch } from "./configuration/index.js";
+import { ConfigurationWatch, OwnerVouching } from "./configuration/index.js";
 import { HallClosureWatch } from "./data-halls/index.js";
 import { type FollowLimits, followLimitsOf, FollowLoop, maxStaleness, StoreProbe } from "./following/index.js";
 import { JobService, OwnerWaiters, RequestLog } from "./front-end/index.js";
@@ -128,6 +128,15 @@
                 this.#candidate.session?.closeHalls(closures);
             },
         });
+        const placement = new OwnerPlacement(settings.regions);
+        const vouching = new OwnerVouching({
+            clock,
+            limits: this.#followLimits,
+            isWanted: () =>
+                this.#session.hasOwner && this.#candidate.session === undefined
+                && placement.isFar(settings.dataHall, this.#view.vms.values()),
+            ask: () => this.#session.askCopy(),
+        });
         this.#configuration = new ConfigurationWatch({
             feed: options.configuration,
             clock,
@@ -140,6 +149,7 @@
             },
             onWaves: waves => this.#candidate.session?.addWaves(waves),
             halls: this.#halls,
+            vouching: hasSeveralRegions(settings.regions) ? vouching : undefined,
         });
         this.#session = new VmSession({
             clients: new InstrumentedWorkerClients(options.clients, metrics, clock),
@@ -181,13 +191,14 @@
             traffic: options.traffic,
             self: this.#self,
             view: this.#view,
-            placement: new OwnerPlacement(settings.regions),
+            placement,
             regions: settings.regions,
             leaseLength: Math.max(ownerLeaseLength, settings.store.shortestLease),
             followLimits: this.#followLimits,
             configuration: () => this.#configuration.configuration,
             onConfiguration: configuration => this.#configuration.apply(configuration, "vm"),
             closures: () => this.#halls.closures,
+            operatorsCopy: () => this.#configuration.copy,
             onClosures: closures => this.#halls.applyPeers(closures),
             formerLeaseLength: confirmationValidity + ownerSilenceLimit
                 + settings.bounds.longestLease / (1 - maxClockDrift)
--- a/packages/entry/src/links/vm-session.ts
+++ b/packages/entry/src/links/vm-session.ts
@@ -10,7 +10,7 @@
     type SuspensionAwareClock,
 } from "@pebbledale/core";
 import { createAbortController, type EventLogger } from "@pebbledale/runtime";
-import { configurationFetchDelay } from "../configuration/index.js";
+import { configurationFetchDelay, type OperatorsCopy } from "../configuration/index.js";
 import type {
     AdviceQuestionMessage,
     AssignMessage,
@@ -73,6 +73,7 @@
 export class VmSession {
     readonly #links: WorkerLinks;
     readonly #pendingRequests = new Map<number, PendingRequest>();
+    readonly #pendingCopies = new Map<number, (copy: OperatorsCopy | undefined) => void>();
     #channel: Channel<VmMessage, OwnerMessage> | undefined;
     #epoch = 0;
     #nextRequest = 1;
@@ -134,6 +135,19 @@
         });
     }
 
+    /** Asks the owner for its copy of the operators' keys; resolves to undefined when it has none or the connection ends. */
+    askCopy(): Promise<OperatorsCopy | undefined> {
+        const channel = this.#channel;
+        if (channel === undefined) {
+            return Promise.resolve(undefined);
+        }
+        const question = this.#nextRequest++;
+        return new Promise(resolve => {
+            this.#pendingCopies.set(question, resolve);
+            channel.send({ kind: "copy-question", question });
+        });
+    }
+
     announceConfiguration(version: number): void {
         this.#channel?.send({ kind: "configuration-version", version });
     }
@@ -246,6 +260,10 @@
             case "closed-halls":
                 this.#handleClosures(message.closures);
                 break;
+            case "copy-answer":
+                this.#pendingCopies.get(message.question)?.(message.copy);
+                this.#pendingCopies.delete(message.question);
+                break;
             case "store-call":
                 void this.#callStore(message.call, message.operation);
                 break;
@@ -330,5 +348,8 @@
         const dropped = [...this.#pendingRequests.values()];
         this.#pendingRequests.clear();
         dropped.forEach(request => request.resolve(undefined));
+        const copies = [...this.#pendingCopies.values()];
+        this.#pendingCopies.clear();
+        copies.forEach(resolve => resolve(undefined));
     }
 }
--- a/packages/entry/src/membership/owner-placement.ts
+++ b/packages/entry/src/membership/owner-placement.ts
@@ -1,5 +1,5 @@
 /** Which VMs should own the cell where data halls stand in several regions. */
-import type { Milliseconds } from "@pebbledale/core";
+import type { DataHallName, Milliseconds } from "@pebbledale/core";
 import { hasSeveralRegions, type RegionMap } from "../settings/index.js";
 import type { EntryVm } from "./cell-view.js";
 
@@ -29,20 +29,34 @@
             return undefined;
         }
         const all = [...vms];
-        const times = this.#storeTimes(all);
-        const nearest = Math.min(...times.values());
-        const isFarther = (time: Milliseconds) => time > nearest * fartherRatio && time - nearest > minFartherBy;
-        if (times.size < 2 || ![...times.values()].some(isFarther)) {
+        const regions = this.#sortRegions(all);
+        if (regions === undefined) {
             return undefined;
         }
         const largest = Math.max(...all.map(vm => vm.processorShare));
-        const preferred = all.filter(vm => {
-            const time = times.get(this.regions.get(vm.dataHall) ?? "");
-            return time !== undefined && !isFarther(time) && vm.processorShare >= largest * minSizeShare;
-        });
+        const preferred = all.filter(vm =>
+            regions.near.has(this.regions.get(vm.dataHall) ?? "") && vm.processorShare >= largest * minSizeShare
+        );
         return preferred.length === 0 ? undefined : new Set(preferred.map(vm => vm.name));
     }
 
+    /** Whether a data hall is in a region that is clearly farther from the store than another one. */
+    isFar(hall: DataHallName, vms: Iterable<EntryVm>): boolean {
+        return this.#hasSeveralRegions
+            && this.#sortRegions([...vms])?.far.has(this.regions.get(hall) ?? "") === true;
+    }
+
+    /** The regions with measurements; undefined if none is clearly farther from the store. */
+    #sortRegions(vms: readonly EntryVm[]): { readonly near: Set<string>; readonly far: Set<string>; } | undefined {
+        const times = this.#storeTimes(vms);
+        const nearest = Math.min(...times.values());
+        const isFarther = ([, time]: [string, Milliseconds]) =>
+            time > nearest * fartherRatio && time - nearest > minFartherBy;
+        const far = new Set([...times].filter(isFarther).map(([region]) => region));
+        const near = new Set([...times.keys()].filter(region => !far.has(region)));
+        return far.size === 0 ? undefined : { near, far };
+    }
+
     /** Typical time of a call to the store from each region with measurements. */
     #storeTimes(vms: readonly EntryVm[]): Map<string, Milliseconds> {
         const measured = new Map<string, Milliseconds[]>();
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -318,6 +318,11 @@
         }
     }
 
+    #answerCopyQuestion(link: VmLink, question: number): void {
+        const copy = this.options.operatorsCopy();
+        link.channel.send({ kind: "copy-answer", question, ...(copy === undefined ? {} : { copy }) });
+    }
+
     #handleClosures(link: VmLink, closures: HallClosures): void {
         const newer = this.options.onClosures(closures);
         if (newer !== undefined) {
@@ -407,6 +412,9 @@
             case "closed-halls":
                 this.#handleClosures(link, message.closures);
                 break;
+            case "copy-question":
+                this.#answerCopyQuestion(link, message.question);
+                return;
             case "advised": {
                 const command = this.#advice.complete(message.question);
                 if (command !== undefined) {
--- a/packages/entry/src/owner/types.ts
+++ b/packages/entry/src/owner/types.ts
@@ -2,6 +2,7 @@
 import type { CellConfiguration, HallClosures, VmService, WaveStatusReporter, WorkerDirectory } from "@pebbledale/cell";
 import type { Journal, JournalContents, Milliseconds, SuspensionAwareClock } from "@pebbledale/core";
 import type { EventLogger } from "@pebbledale/runtime";
+import type { OperatorsCopy } from "../configuration/index.js";
 import type { FollowLimits } from "../following/index.js";
 import type { EntryMetrics } from "../observability/index.js";
 import type { RegionMap } from "../settings/index.js";
@@ -47,6 +48,8 @@
     /** Called with a configuration received from a VM. */
     readonly onConfiguration: (configuration: CellConfiguration) => void;
     readonly closures: HallClosures;
+    /** What this VM has read of the operators' keys from the store; undefined before its first reading. */
+    readonly operatorsCopy: () => OperatorsCopy | undefined;
     /** Called with a VM's closed data halls; returns this VM's if they are newer and differ. */
     readonly onClosures: (closures: HallClosures) => HallClosures | undefined;
     /** Access to the platform's upkeep service; undefined where there is none. */
--- a/packages/entry/src/ownership/candidate.ts
+++ b/packages/entry/src/ownership/candidate.ts
@@ -14,6 +14,7 @@
     type SuspensionAwareClock,
 } from "@pebbledale/core";
 import { createAbortController, type EventLogger, settledOrAborted } from "@pebbledale/runtime";
+import type { OperatorsCopy } from "../configuration/index.js";
 import type { FollowLimits } from "../following/index.js";
 import type { CellView, EntryVm, OwnerPlacement } from "../membership/index.js";
 import type { EntryMetrics, TrafficAccount } from "../observability/index.js";
@@ -73,6 +74,8 @@
     readonly configuration: () => CellConfiguration | undefined;
     readonly onConfiguration: (configuration: CellConfiguration) => void;
     readonly closures: () => HallClosures;
+    /** What this VM has read of the operators' keys from the store; undefined before its first reading. */
+    readonly operatorsCopy: () => OperatorsCopy | undefined;
     /** Called with another VM's closed data halls; returns this VM's if they are newer and differ. */
     readonly onClosures: (closures: HallClosures) => HallClosures | undefined;
     readonly formerLeaseLength: Milliseconds;
@@ -336,6 +339,7 @@
                 isIsolated: () => dialer.hasBecomeIsolated,
                 onConfiguration: this.options.onConfiguration,
                 closures: this.options.closures(),
+                operatorsCopy: this.options.operatorsCopy,
                 onClosures: this.options.onClosures,
                 upkeep: this.options.upkeep,
                 preferred: () => this.#preferred,
--- a/packages/entry/src/protocol/messages.ts
+++ b/packages/entry/src/protocol/messages.ts
@@ -23,6 +23,7 @@
     WorkerIncarnation,
 } from "@pebbledale/core";
 import type { Milliseconds } from "@pebbledale/core";
+import type { OperatorsCopy } from "../configuration/index.js";
 import type { StoreOperation } from "../store-relay/index.js";
 
 /** First message of an owner on a connection. */
@@ -116,6 +117,19 @@
     readonly closures: HallClosures;
 }
 
+/** Asks for the receiver's copy of the operators' keys. */
+export interface CopyQuestionMessage {
+    readonly kind: "copy-question";
+    readonly question: number;
+}
+
+/** The sender's copy of the operators' keys without their content; omitted when it has none. */
+export interface CopyAnswerMessage {
+    readonly kind: "copy-answer";
+    readonly question: number;
+    readonly copy?: OperatorsCopy;
+}
+
 /** Asks the VM to call the store for the owner, which cannot reach it. */
 export interface StoreCallMessage {
     readonly kind: "store-call";
@@ -160,6 +174,7 @@
     | ConfigurationRequestMessage
     | ConfigurationMessage
     | HallClosuresMessage
+    | CopyAnswerMessage
     | StoreCallMessage
     | HandOverMessage
     | ResumeMessage
@@ -293,6 +308,7 @@
     | ConfigurationRequestMessage
     | ConfigurationMessage
     | HallClosuresMessage
+    | CopyQuestionMessage
     | OwnerHeardMessage
     | HeartbeatMessage;
 
--- a/packages/entry/test/support/simulation/simulation-world.ts
+++ b/packages/entry/test/support/simulation/simulation-world.ts
@@ -209,6 +209,7 @@
             isIsolated: () => false,
             onConfiguration: () => undefined,
             closures: { halls: [], revision: 0 },
+            operatorsCopy: () => undefined,
             onClosures: () => undefined,
             upkeep: undefined,
         });
