--- a/packages/entry/src/links/vm-session.ts
+++ b/packages/entry/src/links/vm-session.ts
@@ -62,6 +62,11 @@
     readonly onOwnerChange: (hasOwner: boolean) => void;
 }
 
+interface PendingCopy {
+    readonly question: number;
+    readonly resolve: (copy: OperatorsCopy | undefined) => void;
+}
+
 interface PendingRequest {
     readonly resolve: (reply: OwnerReply | undefined) => void;
 }
@@ -73,7 +78,8 @@
 export class VmSession {
     readonly #links: WorkerLinks;
     readonly #pendingRequests = new Map<number, PendingRequest>();
-    readonly #pendingCopies = new Map<number, (copy: OperatorsCopy | undefined) => void>();
+    /** The last question for the owner's copy, until it is answered. */
+    #pendingCopy: PendingCopy | undefined;
     #channel: Channel<VmMessage, OwnerMessage> | undefined;
     #epoch = 0;
     #nextRequest = 1;
@@ -143,7 +149,8 @@
         }
         const question = this.#nextRequest++;
         return new Promise(resolve => {
-            this.#pendingCopies.set(question, resolve);
+            this.#pendingCopy?.resolve(undefined);
+            this.#pendingCopy = { question, resolve };
             channel.send({ kind: "copy-question", question });
         });
     }
@@ -261,8 +268,9 @@
                 this.#handleClosures(message.closures);
                 break;
             case "copy-answer":
-                this.#pendingCopies.get(message.question)?.(message.copy);
-                this.#pendingCopies.delete(message.question);
+                if (message.question === this.#pendingCopy?.question) {
+                    this.#pendingCopy.resolve(message.copy);
+                }
                 break;
             case "store-call":
                 void this.#callStore(message.call, message.operation);
@@ -348,8 +356,6 @@
         const dropped = [...this.#pendingRequests.values()];
         this.#pendingRequests.clear();
         dropped.forEach(request => request.resolve(undefined));
-        const copies = [...this.#pendingCopies.values()];
-        this.#pendingCopies.clear();
-        copies.forEach(resolve => resolve(undefined));
+        this.#pendingCopy?.resolve(undefined);
     }
 }
--- a/packages/entry/test/links/vm-session.test.ts
+++ b/packages/entry/test/links/vm-session.test.ts
@@ -66,6 +66,25 @@
         stop.abort();
     });
 
+    it("asks the owner for its copy of the operators' keys, and has no answer once the owner is lost", async () => {
+        const { stop, session } = setUp();
+        expect(await session.askCopy()).toEqual(undefined);
+        const [owner, vm] = createMemoryChannel<OwnerMessage, VmMessage>();
+        const questions: number[] = [];
+        owner.onMessage = message => message.kind === "copy-question" && questions.push(message.question);
+        session.attach(vm);
+        await welcome(owner);
+        const [first, second] = [session.askCopy(), session.askCopy()];
+        await settle();
+        const copy = { cursor: "7", age: 1, version: 1, closures: { halls: [], revision: 7 }, waves: [] };
+        questions.forEach(question => owner.send({ kind: "copy-answer", question, copy }));
+        expect([await first, await second]).toEqual([undefined, copy]);
+        const third = session.askCopy();
+        owner.close();
+        expect(await third).toEqual(undefined);
+        stop.abort();
+    });
+
     /* Guards against an owner that is cut off from the store starting tasks in a data hall that was closed meanwhile. */
     it("tells an owner that connects which data halls are closed, and corrects one that knows less", async () => {
         const { stop, session, halls } = setUp();
