A configuration is serialized and compressed once for all VMs that ask for it

The owner serialized it anew for each VM that asked, and compressed it for each. Its text and compressed form now go with the configuration, for as long as that is in memory.

--- a/packages/entry/src/protocol/bulk-transfer.ts
+++ b/packages/entry/src/protocol/bulk-transfer.ts
@@ -22,10 +22,24 @@
     Last = 1,
 }
 
+/** A serialized message that is compressed at most once, however many connections carry it. */
+export class CompressibleText {
+    readonly length: number;
+    #compressed: Promise<Buffer> | undefined;
+
+    constructor(readonly text: string) {
+        this.length = text.length;
+    }
+
+    get compressed(): Promise<Buffer> {
+        return this.#compressed ??= deflate(Buffer.from(this.text, "utf8"), { level: compressionLevel });
+    }
+}
+
 /** A large message as it waits to be sent. */
 interface BulkMessage {
     readonly kind: string;
-    readonly text: string;
+    readonly text: CompressibleText;
 }
 
 /** Sends large messages one after the other. */
@@ -39,7 +53,7 @@
     /** `send`: sends one part of a message of the given kind on the connection. */
     constructor(private readonly send: (part: Buffer, kind: string) => void) {}
 
-    add(kind: string, text: string): void {
+    add(kind: string, text: CompressibleText): void {
         this.#waiting.push({ kind, text });
         if (!this.#isSending) {
             void this.#sendAll();
@@ -62,7 +76,7 @@
         this.#isSending = true;
         for (let message = this.#waiting.shift(); message !== undefined; message = this.#waiting.shift()) {
             const { kind, text } = message;
-            const bytes = await deflate(Buffer.from(text, "utf8"), { level: compressionLevel });
+            const bytes = await text.compressed;
             for (let next = 0; next < bytes.length && !this.#isClosed; next += partBytes) {
                 await this.#untilFree();
                 this.#sendPart(kind, bytes.subarray(next, next + partBytes), next + partBytes >= bytes.length);
--- a/packages/entry/src/protocol/socket-channel.ts
+++ b/packages/entry/src/protocol/socket-channel.ts
@@ -1,9 +1,10 @@
 /** Message channel over a WebSocket. */
+import type { CellConfiguration } from "@pebbledale/cell";
 import type { Milliseconds } from "@pebbledale/core";
 import { WebSocket } from "ws";
-import { BulkReceiver, BulkSender, minBulkLength } from "./bulk-transfer.js";
+import { BulkReceiver, BulkSender, CompressibleText, minBulkLength } from "./bulk-transfer.js";
 import type { Channel } from "./channel.js";
-import type { CommandMessage } from "./messages.js";
+import type { CommandMessage, ConfigurationMessage } from "./messages.js";
 import { PayloadReceiver, PayloadSender } from "./payload-references.js";
 
 /** How long messages are collected into one batch, in milliseconds: a wake-up costs more than a message. */
@@ -24,6 +25,12 @@
 
 const isControl = (entry: unknown): entry is ControlEntry => Array.isArray(entry);
 
+/** Configuration messages by their content: one is sent to many VMs at about the same time. */
+const configurationTexts = new WeakMap<CellConfiguration, CompressibleText>();
+
+const isConfiguration = (message: unknown): message is ConfigurationMessage =>
+    (message as { kind?: unknown; }).kind === "configuration";
+
 const isCommand = (message: unknown): message is CommandMessage => (message as { kind?: unknown; }).kind === "command";
 
 /** Called with the kind and the length of each message that is sent. */
@@ -123,20 +130,29 @@
                 texts.push(JSON.stringify(entry));
                 continue;
             }
-            const text = JSON.stringify(
-                this.#takesCompactForms && isCommand(entry) ? this.#payloadSender.pack(entry) : entry,
-            );
+            const text = this.#serialize(entry);
             if (this.#takesCompactForms && text.length >= minBulkLength && bulkKinds.has(entry.kind)) {
                 this.#bulkSender.add(entry.kind, text);
             }
             else {
                 this.options.meter?.(entry.kind, text.length);
-                texts.push(text);
+                texts.push(text.text);
             }
         }
         return texts.length === 0 ? undefined : `[${texts.join(",")}]`;
     }
 
+    #serialize(message: Sent): CompressibleText {
+        if (isConfiguration(message)) {
+            const { configuration } = message;
+            const known = configurationTexts.get(configuration) ?? new CompressibleText(JSON.stringify(message));
+            configurationTexts.set(configuration, known);
+            return known;
+        }
+        const isPacked = this.#takesCompactForms && isCommand(message);
+        return new CompressibleText(JSON.stringify(isPacked ? this.#payloadSender.pack(message) : message));
+    }
+
     #sendPart(part: Buffer, kind: string): void {
         if (this.socket.readyState === WebSocket.OPEN) {
             this.options.meter?.(kind, part.length);
--- a/packages/entry/test/protocol/bulk-transfer.test.ts
+++ b/packages/entry/test/protocol/bulk-transfer.test.ts
@@ -129,6 +129,15 @@
         expect<unknown>(received).toEqual(starts);
     });
 
+    it("reaches several VMs whole, although it is serialized once", async () => {
+        const options = { usesCompactForms: true };
+        const all = await Promise.all([connect(options, options), connect(options, options), connect(options)]);
+        all.forEach(({ owner }) => owner.send({ kind: "configuration", configuration }));
+        await until(() => all.every(({ received }) => received.length > 0), 10_000);
+        all.forEach(({ close }) => close());
+        all.forEach(({ received }) => expect(received).toEqual([{ kind: "configuration", configuration }]));
+    });
+
     it("is dropped with its connection", async () => {
         const { owner, received, close, vm } = await connect({ usesCompactForms: true }, { usesCompactForms: true });
         owner.send({ kind: "configuration", configuration });
