--- a/packages/entry/src/links/vm-session.ts
+++ b/packages/entry/src/links/vm-session.ts
@@ -10,7 +10,7 @@
     type SuspensionAwareClock,
 } from "@pebbledale/core";
 import { createAbortController, type EventLogger } from "@pebbledale/runtime";
-import { configurationFetchDelay } from "../configuration/index.js";
+import { configurationFetchDelay, type OperatorsCopy } from "../configuration/index.js";
 import type {
     AdviceQuestionMessage,
     AssignMessage,
@@ -62,6 +62,11 @@
     readonly onOwnerChange: (hasOwner: boolean) => void;
 }
 
+interface PendingCopy {
+    readonly question: number;
+    readonly resolve: (copy: OperatorsCopy | undefined) => void;
+}
+
 interface PendingRequest {
     readonly resolve: (reply: OwnerReply | undefined) => void;
 }
@@ -73,6 +78,8 @@
 export class VmSession {
     readonly #links: WorkerLinks;
     readonly #pendingRequests = new Map<number, PendingRequest>();
+    /** The last question for the owner's copy, until it is answered. */
+    #pendingCopy: PendingCopy | undefined;
     #channel: Channel<VmMessage, OwnerMessage> | undefined;
     #epoch = 0;
     #nextRequest = 1;
@@ -134,6 +141,20 @@
         });
     }
 
+    /** Asks the owner for its copy of the operators' keys; resolves to undefined when it has none or the connection ends. */
+    askCopy(): Promise<OperatorsCopy | undefined> {
+        const channel = this.#channel;
+        if (channel === undefined) {
+            return Promise.resolve(undefined);
+        }
+        const question = this.#nextRequest++;
+        return new Promise(resolve => {
+            this.#pendingCopy?.resolve(undefined);
+            this.#pendingCopy = { question, resolve };
+            channel.send({ kind: "copy-question", question });
+        });
+    }
+
     announceConfiguration(version: number): void {
         this.#channel?.send({ kind: "configuration-version", version });
     }
@@ -246,6 +267,11 @@
             case "closed-halls":
                 this.#handleClosures(message.closures);
                 break;
+            case "copy-answer":
+                if (message.question === this.#pendingCopy?.question) {
+                    this.#pendingCopy.resolve(message.copy);
+                }
+                break;
             case "store-call":
                 void this.#callStore(message.call, message.operation);
                 break;
@@ -330,5 +356,6 @@
         const dropped = [...this.#pendingRequests.values()];
         this.#pendingRequests.clear();
         dropped.forEach(request => request.resolve(undefined));
+        this.#pendingCopy?.resolve(undefined);
     }
 }
--- a/packages/entry/src/ownership/candidate.ts
+++ b/packages/entry/src/ownership/candidate.ts
@@ -14,6 +14,7 @@
     type SuspensionAwareClock,
 } from "@pebbledale/core";
 import { createAbortController, type EventLogger, settledOrAborted } from "@pebbledale/runtime";
+import type { OperatorsCopy } from "../configuration/index.js";
 import type { FollowLimits } from "../following/index.js";
 import type { CellView, EntryVm, OwnerPlacement } from "../membership/index.js";
 import type { EntryMetrics, TrafficAccount } from "../observability/index.js";
@@ -75,6 +76,8 @@
     /** Number of data halls that the cell may lose at once. */
     readonly toleratedHallLosses: number;
     readonly closures: () => HallClosures;
+    /** What this VM has read of the operators' keys from the store; undefined before its first reading. */
+    readonly operatorsCopy: () => OperatorsCopy | undefined;
     /** Called with another VM's closed data halls; returns this VM's if they are newer and differ. */
     readonly onClosures: (closures: HallClosures) => HallClosures | undefined;
     readonly formerLeaseLength: Milliseconds;
@@ -339,6 +342,7 @@
                 onConfiguration: this.options.onConfiguration,
                 toleratedHallLosses: this.options.toleratedHallLosses,
                 closures: this.options.closures,
+                operatorsCopy: this.options.operatorsCopy,
                 onClosures: this.options.onClosures,
                 upkeep: this.options.upkeep,
                 preferred: () => this.#preferred,
--- a/packages/entry/test/owner/owner-closures.test.ts
+++ b/packages/entry/test/owner/owner-closures.test.ts
@@ -44,6 +44,7 @@
         regions: new Map(),
         preferred: () => undefined,
         closures: () => halls.closures,
+        operatorsCopy: () => undefined,
         onClosures: closures => halls.applyPeers(closures),
         upkeep: undefined,
     });
--- a/packages/entry/test/support/simulation/simulation-world.ts
+++ b/packages/entry/test/support/simulation/simulation-world.ts
@@ -227,6 +227,7 @@
             toleratedHallLosses: 0,
             closures: () => this.closures.owner.closures,
             onClosures: closures => this.closures.owner.applyPeers(closures),
+            operatorsCopy: () => undefined,
             upkeep: undefined,
         });
         this.#owner = owner;
