Takeover: an owner whose VM has registered another process since is known to have ended

A process that starts cannot tell by a refused connection that an owner it never heard is gone.

Change: where the key of the owner's VM names another process than the owner's key, and was written later, the owner's process is gone. A registration older than the claim says nothing: the owner may be the next process, not registered yet.

Tests: campaign, "when the owner's VM has restarted since" (failed before), "not when the owner is a later process than the one that its VM has registered".

--- a/packages/entry/src/membership/cell-view.ts
+++ b/packages/entry/src/membership/cell-view.ts
@@ -51,13 +51,29 @@
     ownerSince: Milliseconds = -Infinity;
     /** When a VM was last added. */
     lastVmAddedAt: Milliseconds = -Infinity;
+    /** Versions of the VMs' keys, which rise with each write to the store. */
+    readonly #vmVersions = new Map<string, KeyVersion>();
 
     constructor(private readonly clock: Clock) {}
 
+    /**
+     * Whether the process that owns the cell has ended: another process of its VM has registered after the owner's key was written.
+     * An earlier registration may be of the process before the owner's.
+     */
+    get hasOwnerRestarted(): boolean {
+        const { owner, ownerVersion } = this;
+        if (owner === undefined || ownerVersion === undefined) {
+            return false;
+        }
+        const registered = this.vms.get(owner.name);
+        return registered !== undefined && registered.process !== owner.process
+            && (this.#vmVersions.get(owner.name) ?? 0) > ownerVersion;
+    }
+
     /** Replaces the whole content. */
     replace({ entries }: KeysAtCursor): void {
         const keys = new Set(entries.map(entry => entry.key));
-        [...this.vms.keys()].filter(name => !keys.has(vmKey(name))).forEach(name => this.vms.delete(name));
+        [...this.vms.keys()].filter(name => !keys.has(vmKey(name))).forEach(name => this.#removeVm(name));
         if (!keys.has(ownerKey)) {
             this.#removeOwner();
         }
@@ -71,11 +87,16 @@
                 this.#removeOwner();
             }
             else {
-                this.vms.delete(key.slice(vmPrefix.length));
+                this.#removeVm(key.slice(vmPrefix.length));
             }
         }
     }
 
+    #removeVm(name: string): void {
+        this.vms.delete(name);
+        this.#vmVersions.delete(name);
+    }
+
     #removeOwner(): void {
         this.owner = undefined;
         this.ownerVersion = undefined;
@@ -87,6 +108,7 @@
             this.#putOwner(parse<OwnerEntry>(value), version);
         }
         else if (key.startsWith(vmPrefix)) {
+            this.#vmVersions.set(key.slice(vmPrefix.length), version);
             this.#putVm(key.slice(vmPrefix.length), parse<EntryVm>(value));
         }
     }
--- a/packages/entry/src/ownership/campaign.ts
+++ b/packages/entry/src/ownership/campaign.ts
@@ -42,7 +42,9 @@
             ? "an earlier claim of this process had no answer"
             : "an earlier process of this VM is the owner";
     }
-    return owner.process === terminatedOwner ? "the owner's process is gone" : reasonToSuspect(input);
+    return owner.process === terminatedOwner || view.hasOwnerRestarted
+        ? "the owner's process is gone"
+        : reasonToSuspect(input);
 };
 
 /** Reason of a claim that is only valid if the other VMs do not hear the owner either. */
--- a/packages/entry/test/ownership/campaign.test.ts
+++ b/packages/entry/test/ownership/campaign.test.ts
@@ -65,6 +65,20 @@
         expect(reasonToClaim(input({ view: viewOf(owner, "a", "b") }))).toEqual(undefined);
     });
 
+    it("when the owner's VM has restarted since, without waiting for the owner's key to expire", () => {
+        const view = viewOf(owner, "a", "b");
+        const restarted = { key: vmKey("a"), value: JSON.stringify(makeVm("a", { process: "next" })) };
+        view.apply({ changed: [{ ...restarted, version: 2 as KeyVersion }], removed: [], cursor: "2" });
+        expect(reasonToClaim(input({ view }))).toEqual("the owner's process is gone");
+    });
+
+    it("not when the owner is a later process than the one that its VM has registered", () => {
+        const view = viewOf(owner, "a", "b");
+        const later = { key: ownerKey, value: JSON.stringify({ ...owner, process: "next" }) };
+        view.apply({ changed: [{ ...later, version: 2 as KeyVersion }], removed: [], cursor: "2" });
+        expect(reasonToClaim(input({ view }))).toEqual(undefined);
+    });
+
     it("through the passage of time alone only when there is no owner or the owner may be silent", () => {
         const view = viewOf(owner, "a", "b");
         expect([
