--- a/packages/core/src/platform/index.ts
+++ b/packages/core/src/platform/index.ts
@@ -2,7 +2,7 @@
 import type { Branded } from "../ids/index.js";
 import type { Milliseconds } from "../time/index.js";
 
-/** Version of a key. Increases with each write; 0 means that the key does not exist. */
+/** Version of a key; 0 means that it does not exist. Of two keys, the one that was written later has the higher version. */
 export type KeyVersion = Branded<number, "KeyVersion">;
 /** Id of a lease in the platform's store. */
 export type PlatformLeaseId = Branded<string, "PlatformLeaseId">;
