Replay of a crowded cell, with the share of accepted jobs that is not served at all

Load: urgent narrow jobs of one to three steps, deferrable and long-running ones on workers of three sizes and speeds, gangs of two to eight accelerators beside single-accelerator tasks, from twenty organisations with limits; a burst while the largest one sends many times its usual. The second pattern adds two pauses of the owner.

The figure counts all accepted jobs, surplus included, that were not completed within three times their objective.

--- a/packages/cell/test/support/load/index.ts
+++ b/packages/cell/test/support/load/index.ts
@@ -1,4 +1,5 @@
 /** Replays of load patterns on virtual time: the real scheduler runs on simulated workers, and callers' results are measured. */
+export * from "./crowded-patterns.js";
 export * from "./generate-jobs.js";
 export * from "./kiosk-patterns.js";
 export * from "./outcome.js";
--- a/packages/cell/test/support/load/main.ts
+++ b/packages/cell/test/support/load/main.ts
@@ -1,5 +1,6 @@
 /** Replays load patterns from the command line and prints how well callers were served: `npm run replay -- PATTERN SEED...`. */
 import { SystemClock } from "@pebbledale/core";
+import { crowdedLoad, crowdedOutageLoad } from "./crowded-patterns.js";
 import { floodedKioskLoad, fullKioskLoad, hotKioskLoad, wavesLoad } from "./kiosk-patterns.js";
 import type { Outcome, ServiceLevel } from "./outcome.js";
 import type { LoadPattern } from "./pattern.js";
@@ -33,6 +34,8 @@
         floodedKioskLoad,
         hotKioskLoad,
         wavesLoad,
+        crowdedLoad,
+        crowdedOutageLoad,
     ]
         .map(load => [load.name, load]),
 );
@@ -58,7 +61,7 @@
             percent(outcome.wastedShare)
         } of the work thrown away; ${outcome.questions} questions; ${outcome.slowJudgements} workers judged slow; worst windows ${
             percent(outcome.worstWindows)
-        }`,
+        }; not served within three times the objective ${percent(outcome.unservedShare)}`,
     );
     const idle = Object.entries(outcome.idleShares).map(([name, share]) => `${name} ${percent(share)}`);
     console.log(`  idle by service: ${idle.join(", ")}`);
--- a/packages/cell/test/support/load/outcome.ts
+++ b/packages/cell/test/support/load/outcome.ts
@@ -40,6 +40,8 @@
     readonly worstOrganisations: number | undefined;
     /** Earned share of value of the jobs submitted in the two worst windows. */
     readonly worstWindows: number;
+    /** Share of all accepted jobs, surplus included, that were not completed within three times their objective. */
+    readonly unservedShare: number;
     /** Share of their time for which long-running tasks were running; undefined where there are none. */
     readonly lastingShare: number | undefined;
     /** Share of all processors that was free while tasks of the same service waited, by service and in total. */
@@ -105,6 +107,10 @@
     return earned / Math.max(1e-9, asked);
 };
 
+/** Share of the jobs that earned nothing. */
+export const unservedShare = (jobs: readonly JobOutcome[]): number =>
+    jobs.filter(job => gradeOf(job) === 0).length / Math.max(1, jobs.length);
+
 /** Earned share of value by organisation. */
 export const organisationShares = (queues: ReadonlyMap<string, readonly JobOutcome[]>): Map<string, number> => {
     const byOrganisation = new Map<string, { readonly asked: number; readonly earned: number; }>();
--- a/packages/cell/test/support/load/replay.ts
+++ b/packages/cell/test/support/load/replay.ts
@@ -41,6 +41,7 @@
     type Outcome,
     queueOutcome,
     totalShare,
+    unservedShare,
     worstTenth,
     worstWindows,
 } from "./outcome.js";
@@ -583,13 +584,17 @@
         return this.#clock.monotonic() < acceptedAtMonotonic + terms.latencyTarget;
     }
 
+    #outcomeOf(job: LoadJob): JobOutcome {
+        const endedAt = this.#endedAt.get(jobId(job.definition.job));
+        return { job, duration: endedAt === undefined ? undefined : endedAt - job.at };
+    }
+
     #outcome(): Outcome {
+        const jobs = this.#jobs.filter(({ lifetime }) => lifetime === undefined).map(job => this.#outcomeOf(job));
         const outcomes = new Map<string, JobOutcome[]>();
-        for (const job of this.#jobs.filter(({ isEntitled, lifetime }) => isEntitled && lifetime === undefined)) {
-            const endedAt = this.#endedAt.get(jobId(job.definition.job));
-            const jobs = outcomes.get(job.load.name) ?? [];
-            jobs.push({ job, duration: endedAt === undefined ? undefined : endedAt - job.at });
-            outcomes.set(job.load.name, jobs);
+        for (const outcome of jobs.filter(({ job }) => job.isEntitled)) {
+            const { name } = outcome.job.load;
+            outcomes.set(name, [...outcomes.get(name) ?? [], outcome]);
         }
         const organisations = organisationShares(outcomes);
         return {
@@ -598,6 +603,7 @@
             worstOrganisations: worstTenth(organisations),
             queues: Object.fromEntries([...outcomes].map(([name, jobs]) => [name, queueOutcome(jobs)])),
             worstWindows: worstWindows(outcomes),
+            unservedShare: unservedShare(jobs),
             lastingShare: this.#longRunningTasks === 0
                 ? undefined
                 : this.#runningLongRunningTasks / this.#longRunningTasks,
