Replays: limits of accelerators

The crowded cell of the replay now limits accelerators as well, as its configuration would. A gang that waits for its organisation's limit of accelerators then stops all other work of that organisation, which the pattern didn't show before.

--- a/packages/cell/test/support/load/crowded-patterns.ts
+++ b/packages/cell/test/support/load/crowded-patterns.ts
@@ -106,9 +106,10 @@
 
 const queues = [urgent, deferrable, lasting, gangs, smallTasks];
 
-/** Weights of twenty organisations. Limits of cores are proportional to them, about twice what each usually uses. */
+/** Weights of twenty organisations. Their limits are proportional to them, about twice what each usually uses. */
 const weights = [14, 8, 6, 5, 4, 4, 3, 3, 3, 3, 2, 2, 2, 2, 2, 2, 2, 2, 2, 2];
 const coresPerWeight = 390;
+const acceleratorsPerWeight = 8;
 
 /** The largest organisation sends seven and a half times its usual to all queues, which is two and a quarter times the usual of all. */
 const hotOrganisation = queues.map(({ name }): Burst => ({
@@ -143,6 +144,7 @@
         name: `organisation-${index + 1}`,
         weight,
         cores: weight * coresPerWeight,
+        accelerators: weight * acceleratorsPerWeight,
     })),
     bursts: [
         { queue: "urgent", at: 7_600, duration: 4_000, factor: 1.6 },
--- a/packages/cell/test/support/load/pattern.ts
+++ b/packages/cell/test/support/load/pattern.ts
@@ -56,6 +56,8 @@
     readonly weight: number;
     /** Cores that its running tasks may use. */
     readonly cores: number;
+    /** Accelerators that its running tasks may use; absent where they are not limited. */
+    readonly accelerators?: number;
 }
 
 /** Sinusoidal change of the arrival rate; `share` is its amplitude relative to the mean. */
--- a/packages/cell/test/support/load/replay.ts
+++ b/packages/cell/test/support/load/replay.ts
@@ -119,8 +119,11 @@
             clock: this.#clock,
             log: { log: (event, fields) => this.#countEvent(event, fields) },
         });
-        const organisations = (pattern.organisations ?? []).map(({ name, cores, weight }) =>
-            makeOrganisation(name, cores, { weight })
+        const organisations = (pattern.organisations ?? []).map(({ name, cores, accelerators = 0, weight }) =>
+            makeOrganisation(name, cores, {
+                weight,
+                limit: { processorThousandths: cores * 1_000, memoryMebibytes: 0, accelerators },
+            })
         );
         const queues = pattern.queues.map(load => makeQueue(load.name, termsOf(load)));
         this.#cell.configure(makeConfiguration(1, queues, organisations));
@@ -512,13 +515,16 @@
             return;
         }
         let used = 0;
+        let accelerators = 0;
         for (const worker of this.#workers.values()) {
-            for (const run of worker.runs.values()) {
-                used += this.#organisationOf(run.task) === organisation ? run.step.size.processorThousandths : 0;
+            for (const { task: other, step: { size } } of worker.runs.values()) {
+                const isCounted = this.#organisationOf(other) === organisation;
+                used += isCounted ? size.processorThousandths : 0;
+                accelerators += isCounted ? size.accelerators : 0;
             }
         }
-        if (used > limit.cores * 1_000) {
-            this.#violations.push(`${organisation} has ${used} at work`);
+        if (used > limit.cores * 1_000 || accelerators > (limit.accelerators ?? Infinity)) {
+            this.#violations.push(`${organisation} has ${used} and ${accelerators} accelerators at work`);
         }
     }
 
