--- a/packages/cell/test/support/load/replay.ts
+++ b/packages/cell/test/support/load/replay.ts
@@ -43,6 +43,7 @@
     type Outcome,
     queueOutcome,
     totalShare,
+    unservedShare,
     worstTenth,
     worstWindows,
 } from "./outcome.js";
@@ -125,8 +126,11 @@
             clock: this.#clock,
             log: { log: (event, fields) => this.#countEvent(event, fields) },
         });
-        const organisations = (pattern.organisations ?? []).map(({ name, cores, weight }) =>
-            makeOrganisation(name, cores, { weight })
+        const organisations = (pattern.organisations ?? []).map(({ name, cores, accelerators = 0, weight }) =>
+            makeOrganisation(name, cores, {
+                weight,
+                limit: { processorThousandths: cores * 1_000, memoryMebibytes: 0, accelerators },
+            })
         );
         const queues = pattern.queues.map(load => makeQueue(load.name, termsOf(load)));
         this.#cell.configure(makeConfiguration(1, queues, organisations));
@@ -545,13 +549,16 @@
             return;
         }
         let used = 0;
+        let accelerators = 0;
         for (const worker of this.#workers.values()) {
-            for (const run of worker.runs.values()) {
-                used += this.#organisationOf(run.task) === organisation ? run.step.size.processorThousandths : 0;
+            for (const { task: other, step: { size } } of worker.runs.values()) {
+                const isCounted = this.#organisationOf(other) === organisation;
+                used += isCounted ? size.processorThousandths : 0;
+                accelerators += isCounted ? size.accelerators : 0;
             }
         }
-        if (used > limit.cores * 1_000) {
-            this.#violations.push(`${organisation} has ${used} at work`);
+        if (used > limit.cores * 1_000 || accelerators > (limit.accelerators ?? Infinity)) {
+            this.#violations.push(`${organisation} has ${used} and ${accelerators} accelerators at work`);
         }
     }
 
@@ -617,13 +624,17 @@
         return this.#clock.monotonic() < acceptedAtMonotonic + terms.latencyTarget;
     }
 
+    #outcomeOf(job: LoadJob): JobOutcome {
+        const endedAt = this.#endedAt.get(jobId(job.definition.job));
+        return { job, duration: endedAt === undefined ? undefined : endedAt - job.at };
+    }
+
     #outcome(): Outcome {
+        const jobs = this.#jobs.filter(({ lifetime }) => lifetime === undefined).map(job => this.#outcomeOf(job));
         const outcomes = new Map<string, JobOutcome[]>();
-        for (const job of this.#jobs.filter(({ isEntitled, lifetime }) => isEntitled && lifetime === undefined)) {
-            const endedAt = this.#endedAt.get(jobId(job.definition.job));
-            const jobs = outcomes.get(job.load.name) ?? [];
-            jobs.push({ job, duration: endedAt === undefined ? undefined : endedAt - job.at });
-            outcomes.set(job.load.name, jobs);
+        for (const outcome of jobs.filter(({ job }) => job.isEntitled)) {
+            const { name } = outcome.job.load;
+            outcomes.set(name, [...outcomes.get(name) ?? [], outcome]);
         }
         const organisations = organisationShares(outcomes);
         return {
@@ -632,6 +643,7 @@
             worstOrganisations: worstTenth(organisations),
             queues: Object.fromEntries([...outcomes].map(([name, jobs]) => [name, queueOutcome(jobs)])),
             worstWindows: worstWindows(outcomes),
+            unservedShare: unservedShare(jobs),
             lastingShare: this.#longRunningTasks === 0
                 ? undefined
                 : this.#runningLongRunningTasks / this.#longRunningTasks,
