Start: the bundle's text is read once, outside V8's heap

Cause: the start held the text four times (bytes, decoded, without its first line, wrapped); two of these stayed until a full collection. Change: wrapped when bundled and read as Latin-1, which V8 keeps as one external string.

--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -5,7 +5,7 @@
  */
 import { build } from "esbuild";
 import { execFileSync } from "node:child_process";
-import { copyFileSync, readFileSync } from "node:fs";
+import { copyFileSync, readFileSync, writeFileSync } from "node:fs";
 
 const packageEntryPoint = name => `./packages/${name}/src/index.ts`;
 
@@ -20,6 +20,8 @@
     // Identifiers are not minified, so that stack traces stay readable.
     minifyWhitespace: true,
     minifySyntax: true,
+    // So that the text can be read as Latin-1, of which V8 keeps one byte a character outside its heap.
+    charset: "ascii",
     legalComments: "none",
     logLevel: "warning",
     alias: {
@@ -32,6 +34,10 @@
         undici: "./deploy/undici-pool.cjs",
     },
 });
+// Wrapped here, as a start that puts the text together holds it in memory several times.
+const bundle = "target/pebbledale-entry.bundle.cjs";
+const text = readFileSync(bundle, "latin1").replace(/^#!.*/, "");
+writeFileSync(bundle, `(function (require, module, exports) {${text}\n})`, "latin1");
 copyFileSync("deploy/start.cjs", "target/pebbledale-entry.cjs");
 // V8 rejects cached code that was compiled with other flags than those of the run.
 const runFlags = readFileSync("deploy/system.toml", "utf8").match(/^run = "node (.*) target/m)[1].split(" ");
--- a/deploy/start.cjs
+++ b/deploy/start.cjs
@@ -11,8 +11,7 @@
 const codeCache = `${bundle}.compiled`;
 const isCompileOnly = process.argv[2] === "--compile-only";
 
-const source = readFileSync(bundle, "utf8").replace(/^#!.*/, "");
-const script = new Script(`(function (require, module, exports) {${source}\n})`, {
+const script = new Script(readFileSync(bundle, "latin1"), {
     filename: bundle,
     cachedData: !isCompileOnly && existsSync(codeCache) ? readFileSync(codeCache) : undefined,
 });
