Owner: one call for the worker entries that change within 0.1 s

Change: after an answer that came with changes the owner's next call about entries is sent 0.1 s later and waits 0.1 s less, so the bound of the entries' age when a connection dies stays as it was. After a quiet time a change is told at once; in a steady stream it is known up to 0.1 s later than before, of the two seconds or more within which a leaving worker has to be known.

Tests: calls in a steady stream (500 in ten seconds before, under 100 after), the delay, a change after a quiet time, the age when the connection dies in the stream.

--- a/packages/entry/src/following/follow-loop.ts
+++ b/packages/entry/src/following/follow-loop.ts
@@ -36,6 +36,11 @@
     readonly limits: FollowLimits;
     /** Detects that the store answers again. Without one, a call to a silent store ends only by its timeout. */
     readonly probe?: StoreProbe;
+    /**
+     * After an answer that came with changes, the next call is sent this much later, so that it brings all that have come meanwhile.
+     * Its wait is shorter by as much. For what changes so often that each change would take a call.
+     */
+    readonly gatherFor?: Milliseconds;
     /** Called after each answer, once it is applied. */
     readonly onAnswer: () => void;
     /** Called after each failed call. `age`: time since the last answer, undefined before the first. */
@@ -57,6 +62,8 @@
 export class FollowLoop {
     #answeredAt: Milliseconds | undefined;
     #consecutiveFailures = 0;
+    /** Whether the last answer came before its wait was over. */
+    #hasEarlyAnswer = false;
     readonly #responseTimes: ResponseTimeEstimator;
 
     constructor(private readonly options: FollowLoopOptions) {
@@ -80,6 +87,7 @@
                 this.#answeredAt = clock.monotonic();
                 this.#consecutiveFailures = 0;
                 onAnswer();
+                await this.#gather(signal);
             }
             catch (cause) {
                 if (!signal.aborted && !(cause instanceof StoreRecoveredError)) {
@@ -97,15 +105,29 @@
             const limit = Math.min(maxReadAllTimeout, readAllTimeout * 2 ** this.#consecutiveFailures);
             return this.#withTimeout(limit, signal, linked => source.readAll(linked));
         }
-        const wait = this.#consecutiveFailures > 0 ? retryWait : limits.wait;
+        const gathered = this.#hasEarlyAnswer ? this.#gatherFor : 0;
+        const wait = this.#consecutiveFailures > 0 ? retryWait : limits.wait - gathered;
         return this.#withTimeout(wait + this.#slack, signal, async linked => {
             const sentAt = this.options.clock.monotonic();
             const update = await source.changes(cursor, wait, linked);
-            this.#recordResponseTime(this.options.clock.monotonic() - sentAt - wait);
+            const lateness = this.options.clock.monotonic() - sentAt - wait;
+            this.#recordResponseTime(lateness);
+            this.#hasEarlyAnswer = update !== undefined && lateness < 0;
             return update;
         });
     }
 
+    /** How long changes are gathered; less where the required freshness is very short. */
+    get #gatherFor(): Milliseconds {
+        return Math.min(this.options.gatherFor ?? 0, this.options.limits.wait / 2);
+    }
+
+    async #gather(signal: AbortSignal): Promise<void> {
+        if (this.#hasEarlyAnswer && this.#gatherFor > 0) {
+            await this.options.clock.sleep(this.#gatherFor, signal);
+        }
+    }
+
     /** Time after the end of its wait within which a call must be answered. */
     get #slack(): Milliseconds {
         return Math.min(maxSlack, this.#responseTimes.timeout * 2 ** this.#consecutiveFailures);
--- a/packages/entry/src/owner/constants.ts
+++ b/packages/entry/src/owner/constants.ts
@@ -84,3 +84,8 @@
 export const maxRestartBackoff: Milliseconds = 2_000;
 /** A worker that has not restarted for this long is considered stable. */
 export const restartWindow: Milliseconds = 10_000;
+/**
+ * How long changes of workers' entries are gathered for one call to the store: workers write there at each of their heartbeats. A small
+ * part of the time within which a leaving worker has to be known.
+ */
+export const workerEntriesGathering: Milliseconds = 100;
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -32,6 +32,7 @@
     summaryInterval,
     tickInterval,
     vmSilenceTimeout,
+    workerEntriesGathering,
 } from "./constants.js";
 import { IntervalTimer } from "./interval-timer.js";
 import { JournalOutageLog } from "./journal-outage-log.js";
@@ -108,6 +109,7 @@
             source: new WorkerEntryFollowSource(options.directory, this.cell),
             clock,
             limits: options.followLimits,
+            gatherFor: workerEntriesGathering,
             onAnswer: () => this.#turnRunner.schedule(),
             onFailure: (cause, age) => this.#noteEntriesUnavailable(cause, age),
         });
--- a/packages/entry/test/following/follow-loop.test.ts
+++ b/packages/entry/test/following/follow-loop.test.ts
@@ -164,6 +164,89 @@
     });
 });
 
+describe("a followed copy of what changes all the time", () => {
+    const gatherFor: Milliseconds = 100;
+    const changeInterval: Milliseconds = 20;
+    const answerTime: Milliseconds = 10;
+
+    /** Follows a store in which something changes every 20 ms between two moments. */
+    const beginBusy = (from: Milliseconds, until: Milliseconds) => {
+        const clock = new ManualClock();
+        const stop = new AbortController();
+        /** Calls before this moment are never answered. */
+        let silentBefore = 0;
+        let calls = 0;
+        let latestKnowledge = 0;
+        const changesUpTo = (time: Milliseconds): number =>
+            Math.floor(Math.max(0, Math.min(time, until) - from) / changeInterval);
+        const answer = async (sentAt: Milliseconds): Promise<FollowedUpdate> => {
+            await clock.sleep(answerTime);
+            if (sentAt < silentBefore) {
+                await new Promise(() => undefined);
+            }
+            const known = changesUpTo(clock.monotonic());
+            return { cursor: String(known), apply: () => latestKnowledge = known };
+        };
+        const loop = new FollowLoop({
+            source: {
+                readAll: () => answer(clock.monotonic()),
+                changes: async (cursor, wait) => {
+                    calls++;
+                    const sentAt = clock.monotonic();
+                    while (clock.monotonic() < sentAt + wait && changesUpTo(clock.monotonic()) <= Number(cursor)) {
+                        await clock.sleep(10);
+                    }
+                    return answer(sentAt);
+                },
+            },
+            clock,
+            limits,
+            gatherFor,
+            onAnswer: () => undefined,
+            onFailure: () => undefined,
+        });
+        void loop.run(stop.signal);
+        return {
+            clock,
+            loop,
+            stop,
+            calls: () => calls,
+            unknownChanges: () => changesUpTo(clock.monotonic()) - latestKnowledge,
+            silenceOpenConnections: () => silentBefore = clock.monotonic(),
+        };
+    };
+
+    /* Guards against a call for each heartbeat of a worker: workers write to the store at every one. */
+    it("takes a call for many changes, and is late by no more than these are gathered for", async () => {
+        const { clock, stop, calls, unknownChanges } = beginBusy(0, 20_000);
+        let mostUnknown = 0;
+        for (let elapsed = 0; elapsed < 10_000; elapsed += 10) {
+            await advanceTime(clock, 10);
+            mostUnknown = Math.max(mostUnknown, unknownChanges());
+        }
+        expect(calls()).toBeLessThan(100);
+        expect(mostUnknown * changeInterval).toBeLessThanOrEqual(gatherFor + answerTime + changeInterval);
+        stop.abort();
+    });
+
+    it("is told of a change after a quiet time at once", async () => {
+        const { clock, stop, unknownChanges } = beginBusy(5_000, 5_020);
+        await advanceTime(clock, 5_020 + 3 * answerTime);
+        expect(unknownChanges()).toEqual(0);
+        stop.abort();
+    });
+
+    it("stays within the staleness limit whenever its connection dies", async () => {
+        for (let at = 1_000; at <= 1_200; at += 20) {
+            const { clock, loop, stop, silenceOpenConnections } = beginBusy(0, at);
+            await advanceTime(clock, at);
+            silenceOpenConnections();
+            expect(await maxAgeDuring(clock, loop, 3_000)).toBeLessThan(maxStaleness(limits));
+            stop.abort();
+        }
+    });
+});
+
 describe("a VM that starts while the store is silent", () => {
     /** A store that is silent until a moment; earlier calls are never answered. */
     const begin = ({ backAt, answerTime = 4 }: { backAt: Milliseconds; answerTime?: Milliseconds; }) => {
