--- a/packages/entry/test/configuration/owner-vouching.test.ts
+++ b/packages/entry/test/configuration/owner-vouching.test.ts
@@ -39,7 +39,12 @@
     const clock = new ManualClock();
     const logger = new RecordingLogger();
     const stop = new AbortController();
-    const limits = followLimitsOf({ drainWithin: 4_000, configurationWithin: 4_000, closureWithin: 4_000, contactWithin: 4_000 });
+    const limits = followLimitsOf({
+        drainWithin: 4_000,
+        configurationWithin: 4_000,
+        closureWithin: 4_000,
+        contactWithin: 4_000,
+    });
     const cursors: string[] = [];
     const halls = new HallClosureWatch({ logger, onChange: () => undefined });
     const watch = new ConfigurationWatch({
