Owner's copy of the operators' keys carries whole waves of upkeep; names of its confirmation

Cause: a far VM took the owner's revision for its own when it knew the numbers of all waves; a wave that had changed under its number was then never read, so that this VM, once it is the owner, planned upkeep by the earlier version. Found by reading in review. Change: the copy holds the waves, which are few, and the VM takes them over with the revision. OwnerVouching is OwnerConfirmation.

--- a/packages/entry/src/configuration/configuration-watch.ts
+++ b/packages/entry/src/configuration/configuration-watch.ts
@@ -17,7 +17,7 @@
     type StoreProbe,
 } from "../following/index.js";
 import { DependencyMonitor } from "../observability/index.js";
-import type { OperatorsCopy, OwnerVouching } from "./owner-vouching.js";
+import type { OperatorsCopy, OwnerConfirmation } from "./owner-confirmation.js";
 
 /**
  * After another VM has announced a newer configuration, wait this long for it to arrive from the store before fetching it from that
@@ -39,7 +39,7 @@
     readonly onWaves: (waves: readonly UpkeepWave[]) => void;
     readonly halls: HallClosureWatch;
     /** Lets the owner confirm this VM's copy; undefined where every VM reads the store by itself. */
-    readonly vouching?: OwnerVouching | undefined;
+    readonly confirmation?: OwnerConfirmation | undefined;
 }
 
 /**
@@ -53,7 +53,7 @@
     /** Revision up to which the copy is complete, and when the store last confirmed it to this VM itself. */
     #read: { readonly cursor: string; readonly at: Milliseconds; } | undefined;
     /** Age of the owner's copy when it last confirmed this one; 0 after a reading of the store. */
-    #vouchedAge: Milliseconds = 0;
+    #confirmedAge: Milliseconds = 0;
 
     constructor(private readonly options: ConfigurationWatchOptions) {
         const { logger, clock, limits, probe } = options;
@@ -72,7 +72,7 @@
     /** Time since the store last answered; undefined before its first answer. */
     get age(): Milliseconds | undefined {
         const age = this.#loop.age;
-        return age === undefined ? undefined : age + this.#vouchedAge;
+        return age === undefined ? undefined : age + this.#confirmedAge;
     }
 
     /** What this VM has read from the store by itself; undefined before its first reading. */
@@ -82,7 +82,7 @@
             age: this.options.clock.monotonic() - this.#read.at,
             version: this.configuration?.version ?? 0,
             closures: this.options.halls.closures,
-            waves: [...this.#waves.keys()],
+            waves: this.waves,
         };
     }
 
@@ -137,7 +137,7 @@
 
     async changes(cursor: string, wait: Milliseconds, signal: AbortSignal): Promise<FollowedUpdate | undefined> {
         const startedAt = this.options.clock.monotonic();
-        const copy = await this.options.vouching?.confirm(wait, owners => this.#holds(owners), signal);
+        const copy = await this.options.confirmation?.confirm(wait, owners => this.#holds(owners), signal);
         if (copy !== undefined) {
             // The owner's last reading may be older than this VM's, which is then complete up to the later revision.
             const isNewer = Number(copy.cursor) > Number(cursor);
@@ -155,21 +155,22 @@
         };
     }
 
-    /** Whether this VM knows all that is in the owner's copy, or newer. Closures come with the copy. */
-    #holds(copy: OperatorsCopy): boolean {
-        return (this.configuration?.version ?? 0) >= copy.version && copy.waves.every(wave => this.#waves.has(wave));
+    /** Whether this VM knows the configuration of the owner's copy, or a newer one. Closures and waves come with the copy. */
+    #holds({ version }: OperatorsCopy): boolean {
+        return (this.configuration?.version ?? 0) >= version;
     }
 
-    #applyCopy({ closures, age }: OperatorsCopy, isNewer: boolean): void {
+    #applyCopy({ closures, waves, age }: OperatorsCopy, isNewer: boolean): void {
         if (isNewer) {
+            waves.forEach(wave => this.#waves.set(wave.wave, wave));
             this.options.halls.replace({ closed: closures.halls, reopened: [], revision: closures.revision });
         }
-        this.#vouchedAge = age;
+        this.#confirmedAge = age;
     }
 
     #recordReading(cursor: string): void {
         this.#read = { cursor, at: this.options.clock.monotonic() };
-        this.#vouchedAge = 0;
+        this.#confirmedAge = 0;
     }
 
     #applyUpdate({ configuration, waves }: OperatorUpdate): void {
--- a/packages/entry/src/configuration/owner-vouching.ts
+++ b/packages/entry/src/configuration/owner-confirmation.ts
@@ -1,5 +1,5 @@
 /** Confirmation of a VM's copy of the operators' keys by the owner, in place of a reading of the store over a narrow link. */
-import type { HallClosures } from "@pebbledale/cell";
+import type { HallClosures, UpkeepWave } from "@pebbledale/cell";
 import type { Clock, Milliseconds } from "@pebbledale/core";
 import { createAbortController } from "@pebbledale/runtime";
 import type { FollowLimits } from "../following/index.js";
@@ -13,12 +13,12 @@
     /** Version of the configuration; 0 when there is none. */
     readonly version: number;
     readonly closures: HallClosures;
-    /** Numbers of the waves of upkeep. */
-    readonly waves: readonly number[];
+    /** All waves of upkeep, which a VM needs when it becomes the owner. */
+    readonly waves: readonly UpkeepWave[];
 }
 
-/** What {@link OwnerVouching} depends on. */
-export interface OwnerVouchingOptions {
+/** What {@link OwnerConfirmation} depends on. */
+export interface OwnerConfirmationOptions {
     readonly clock: Clock;
     readonly limits: FollowLimits;
     /** Whether this VM is to rely on the owner now. */
@@ -38,10 +38,10 @@
  * Asks the owner whether this VM's copy is complete and fresh. The copy counts as confirmed at the time of the question less the age that the
  * owner tells, so that no delay of messages makes it look fresher than it is.
  */
-export class OwnerVouching {
+export class OwnerConfirmation {
     #distrustedUntil = -Infinity;
 
-    constructor(private readonly options: OwnerVouchingOptions) {}
+    constructor(private readonly options: OwnerConfirmationOptions) {}
 
     /**
      * Resolves to the owner's copy if this VM's holds everything that the owner's does; to undefined if this VM has to read the store by
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -15,7 +15,7 @@
     type SuspensionAwareClock,
 } from "@pebbledale/core";
 import { createAbortController, type EventLogger, waitForAbort } from "@pebbledale/runtime";
-import { ConfigurationWatch, OwnerVouching } from "./configuration/index.js";
+import { ConfigurationWatch, OwnerConfirmation } from "./configuration/index.js";
 import { HallClosureWatch } from "./data-halls/index.js";
 import { type FollowLimits, followLimitsOf, FollowLoop, maxStaleness, StoreProbe } from "./following/index.js";
 import { JobService, OwnerWaiters, RequestLog } from "./front-end/index.js";
@@ -130,7 +130,7 @@
             },
         });
         const placement = new OwnerPlacement(settings.regions);
-        const vouching = new OwnerVouching({
+        const confirmation = new OwnerConfirmation({
             clock,
             limits: this.#followLimits,
             isWanted: () =>
@@ -150,7 +150,7 @@
             },
             onWaves: waves => this.#candidate.session?.addWaves(waves),
             halls: this.#halls,
-            vouching: hasSeveralRegions(settings.regions) ? vouching : undefined,
+            confirmation: hasSeveralRegions(settings.regions) ? confirmation : undefined,
         });
         this.#session = new VmSession({
             clients: new InstrumentedWorkerClients(options.clients, metrics, clock),
