Test of links after a takeover: its owner stands in a hall without workers

Cause: the simulated workers stand in two data halls now (the explorer's closed halls), one of which was that of the test's owner, which rightly took the links of its hall; the test asks for the spread where no VM stands in a hall of the workers, as it did before. Change: the owner's hall; what is expected is the same.

--- a/packages/entry/test/owner/links-after-takeover.test.ts
+++ b/packages/entry/test/owner/links-after-takeover.test.ts
@@ -10,7 +10,8 @@
 describe("an owner that takes over", () => {
     it("spreads the links over the VMs that it connects to at once", async () => {
         const world = await SimulationWorld.begin({ workers: 12 });
-        world.replaceOwner({ dataHall: dataHallName("hall-b") });
+        // No VM stands in a data hall of the workers.
+        world.replaceOwner({ dataHall: dataHallName("hall-3") });
         const received = ["vm-1", "vm-2", "vm-3"].map((name, index) =>
             world.connectListener(name, { dataHall: dataHallName(`hall-${index}`) })
         );
