--- a/packages/cell/test/crashes/tasks-that-crash-workers.test.ts
+++ b/packages/cell/test/crashes/tasks-that-crash-workers.test.ts
@@ -61,4 +61,19 @@
         }
         expect(cell.startsOf("bad/0/0/0").length).toEqual(5);
     });
+
+    it("is known as such from a snapshot, too", () => {
+        const slow: TaskBehaviour = { crashesAfter: 1_500, duration: 5_000 };
+        const cell = new CrashingCell(8, () => slow);
+        cell.driver.cell.submit(makeJob("bad", [makeStep()]));
+        while (cell.startsOf("bad/0/0/0").length < 2 && cell.clock.monotonic() < 120_000) {
+            cell.advance(50);
+        }
+        cell.advance(1_000);
+        const snapshot = cell.driver.cell.snapshot();
+        cell.driver.takeOver(JSON.parse(JSON.stringify(snapshot)) as typeof snapshot);
+        expect(JSON.stringify(cell.driver.cell.snapshot())).toEqual(JSON.stringify(snapshot));
+        const [, , [task]] = snapshot.jobs[0].occurrences[0];
+        expect(task[8]?.map(Number)).toEqual([2]);
+    });
 });
