Limits of organisations: a blocked gang stops only work that needs what it lacks

It used 24 to 60% of its cores while 500 of its urgent tasks waited and 60% of the service was free; the jobs it had handed in from 9 to 17 s came to nothing.

Change: a blocked gang holds back steps that need a dimension which it lacks, and the share below which nothing is held back is taken from these dimensions alone.

The new test fails without the change.

--- a/packages/cell/src/limits/organisation-limits.ts
+++ b/packages/cell/src/limits/organisation-limits.ts
@@ -1,6 +1,6 @@
 /** Enforcement of organisations' limits at placement. */
 import type { Milliseconds, OrganisationName } from "@pebbledale/core";
-import type { UsageLedger } from "../organisations/index.js";
+import type { LimitDimension, UsageLedger } from "../organisations/index.js";
 import type { Step, Task } from "../state/index.js";
 import { limitWaitTime, nonUrgentShare, unrestrictedShare } from "./constants.js";
 
@@ -11,8 +11,11 @@
  * questions to the advice service and no preemption.
  */
 export class OrganisationLimits {
-    /** Organisations whose limit blocks a gang: steps that follow it start nothing, so that the limit comes free. */
-    readonly #accumulating = new Set<OrganisationName>();
+    /**
+     * Organisations whose limit blocks a gang, with the dimensions that the gang lacks: steps that follow it and need one of these start
+     * nothing, so that the limit comes free.
+     */
+    readonly #accumulating = new Map<OrganisationName, ReadonlySet<LimitDimension>>();
     #mostUrgentPriority = 0;
 
     constructor(private readonly usage: UsageLedger) {}
@@ -34,7 +37,7 @@
         if (organisation === undefined || waiting.length === 0) {
             return waiting;
         }
-        if (this.#accumulating.has(organisation) && !this.usage.isBelowShare(organisation, unrestrictedShare)) {
+        if (this.#isBlockedByGang(organisation, step)) {
             return [];
         }
         if (!isGang) {
@@ -45,11 +48,18 @@
         }
         const hasTimedOut = now - (readyAt ?? now) >= limitWaitTime;
         if (hasTimedOut && this.usage.countWhenIdle(organisation, size) >= waiting.length) {
-            this.#accumulating.add(organisation);
+            const lacking = this.usage.lackingDimensions(organisation, size, waiting.length);
+            this.#accumulating.set(organisation, new Set([...this.#accumulating.get(organisation) ?? [], ...lacking]));
         }
         return [];
     }
 
+    /** Whether a step would use up what a blocked gang of its organisation waits for. */
+    #isBlockedByGang(organisation: OrganisationName, { definition: { size } }: Step): boolean {
+        const contended = [...this.#accumulating.get(organisation) ?? []].filter(dimension => size[dimension] > 0);
+        return contended.length > 0 && !this.usage.isBelowShare(organisation, unrestrictedShare, contended);
+    }
+
     /** How many tasks of a step that is no gang may start. Queues other than the most urgent ones leave a part of the limit free. */
     #countAdmissible(organisation: OrganisationName, { definition: { size }, job: { terms } }: Step): number {
         const remaining = this.usage.countRemaining(organisation, size);
--- a/packages/cell/src/organisations/usage-ledger.ts
+++ b/packages/cell/src/organisations/usage-ledger.ts
@@ -5,6 +5,9 @@
 
 const dimensions = ["processorThousandths", "memoryMebibytes", "accelerators"] as const;
 
+/** A kind of resource that a limit bounds. */
+export type LimitDimension = typeof dimensions[number];
+
 type Usage = { -readonly [dimension in keyof TaskSize]: number; };
 
 const noUsage = (): Usage => ({ processorThousandths: 0, memoryMebibytes: 0, accelerators: 0 });
@@ -51,11 +54,24 @@
         return this.#limits.get(organisation);
     }
 
-    /** Whether an organisation uses less than a share of its limit, in each dimension that has one. */
-    isBelowShare(organisation: OrganisationName, share: number): boolean {
+    /** Whether an organisation uses less than a share of its limit, in each dimension of `among` that has one. */
+    isBelowShare(
+        organisation: OrganisationName,
+        share: number,
+        among: readonly LimitDimension[] = dimensions,
+    ): boolean {
+        const used = this.usedBy(organisation);
+        const limit = this.#limits.get(organisation) ?? noUsage();
+        return among.every(dimension => limit[dimension] === 0 || used[dimension] < limit[dimension] * share);
+    }
+
+    /** The dimensions in which the rest of an organisation's limit is too small for `count` tasks of a size. */
+    lackingDimensions(organisation: OrganisationName, size: TaskSize, count: number): readonly LimitDimension[] {
         const used = this.usedBy(organisation);
         const limit = this.#limits.get(organisation) ?? noUsage();
-        return dimensions.every(dimension => limit[dimension] === 0 || used[dimension] < limit[dimension] * share);
+        return dimensions.filter(dimension =>
+            limit[dimension] > 0 && count * size[dimension] > limit[dimension] - used[dimension]
+        );
     }
 
     /** How many more tasks of a size an organisation may run now, within a share of its limit. */
--- a/packages/cell/test/organisations/limits.test.ts
+++ b/packages/cell/test/organisations/limits.test.ts
@@ -178,6 +178,25 @@
         expect(jobsOf(driver.run().starts)).toEqual(Array(6).fill("gang"));
     });
 
+    it("blocks no work that does not need what it lacks", () => {
+        const limit = { processorThousandths: 20_000, memoryMebibytes: 0, accelerators: 4 };
+        const driver = makeDriver(makeOrganisation("north", 20, { limit }));
+        driver.addWorkers(
+            makeWorker("a1", { capacity: { processorThousandths: 16_000, memoryMebibytes: 65_536, accelerators: 8 } }),
+        );
+        const size = { processorThousandths: 1_000, memoryMebibytes: 1_024, accelerators: 1 };
+        const withAccelerators = (id: string, taskCount: number, isGang: boolean) =>
+            makeJob(id, [makeStep({ taskCount, isGang, size })], { organisation: north });
+        driver.cell.submit(withAccelerators("running", 3, false));
+        driver.confirm(...driver.run().starts);
+        driver.cell.submit(withAccelerators("gang", 2, true));
+        driver.run();
+        driver.clock.advance(1_100);
+        driver.cell.submit(withAccelerators("contending", 1, false));
+        driver.cell.submit(makeJob("other", [makeStep({ taskCount: 9 })], { organisation: north }));
+        expect(jobsOf(driver.run().starts)).toEqual(Array(9).fill("other"));
+    });
+
     it("blocks nothing if the limit can never hold it", () => {
         const driver = makeDriver(makeOrganisation("north", 6));
         driver.cell.submit(gang("gang", 7));
