Record past-start only for runs that are open

Cause: a run that was taken for lost and that its worker reports again is adopted without an entry among the task's open runs. The past-start record cannot mark it there, so that it was written again at each tick for as long as the task had another strike.

Change: only runs that are open are recorded.

Test: packages/cell/test/crashes/reported-again.test.ts, 16 records in one second before the change, none after it. The 17 tests of packages/cell/test/crashes pass.

--- a/packages/cell/src/crashes/crash-monitor.ts
+++ b/packages/cell/src/crashes/crash-monitor.ts
@@ -215,8 +215,10 @@
             return;
         }
         for (const run of task.runs) {
-            const isRecorded = task.openRuns.get(run.run)?.isPastStart ?? false;
-            if (!isRecorded && run.formerIncarnation === undefined && isSeenPastStart(run)) {
+            // A run that its worker reports again after it was taken for lost is not open, and could not be marked.
+            const open = task.openRuns.get(run.run);
+            const isUnrecorded = open !== undefined && open.isPastStart !== true;
+            if (isUnrecorded && run.formerIncarnation === undefined && isSeenPastStart(run)) {
                 this.context.record({ kind: "past-start", task: task.address, run: run.run });
             }
         }
