Repeat a failed correction of a VM's key, and leave a later process's key alone

Cause: the time of a call to the store counted as published before the write was answered, so that a correction whose call failed was never repeated. A correction that met a conflict wrote the key whoever held it: if a later process of the same VM had registered, other VMs would have taken that one for ended (CellView.hasOwnerRestarted).

Change: the time counts as published once the key is written; a correction overwrites only what this process has sent. Registration replaces the key of an earlier process as before. The two measuring calls are made once per process, also when the first write fails. Only deployments with several regions measure at all.

Tests: packages/entry/test/membership/vm-registration.test.ts; two of the three new ones failed before the change, the third (lost answer) passed before and after. 27 tests of test/membership and test/configuration pass.

--- a/packages/entry/src/membership/vm-registration.ts
+++ b/packages/entry/src/membership/vm-registration.ts
@@ -2,6 +2,7 @@
 import {
     absentVersion,
     type Clock,
+    type KeyValue,
     type KeyVersion,
     logEvents,
     type Milliseconds,
@@ -44,6 +45,9 @@
     #leastTime: Milliseconds = Infinity;
     /** The time that the key holds; infinite when it holds none. */
     #publishedTime: Milliseconds = Infinity;
+    #hasMeasured = false;
+    /** The value that was last sent to the store, whether or not it was written. */
+    #sentValue: string | undefined;
 
     constructor(private readonly options: VmRegistrationOptions) {
         const { logger, clock } = options;
@@ -93,10 +97,11 @@
         }
         this.#lease = undefined;
         const lease = await this.#measure(() => store.grantLease(this.options.leaseLength));
-        if (this.options.measuredValue !== undefined && this.#publishedTime === Infinity) {
+        if (this.options.measuredValue !== undefined && !this.#hasMeasured) {
             for (let call = 0; call < measuringCalls; call++) {
                 await this.#measure(() => store.renewLease(lease));
             }
+            this.#hasMeasured = true;
         }
         await this.#put(lease, absentVersion);
         this.#lease = lease;
@@ -110,33 +115,40 @@
         return answer;
     }
 
-    /** Writes the key again if the time that it holds has proved much too long. */
+    /** Writes the key again if the time that it holds has proved much too long, unless another process has written it since. */
     async #correct(lease: PlatformLeaseId): Promise<void> {
         const limit = Math.min(this.#publishedTime * correctionShare, this.#publishedTime - minCorrection);
-        if (this.options.measuredValue !== undefined && this.#leastTime < limit) {
-            await this.#put(lease, this.#version);
+        if (this.options.measuredValue === undefined || this.#leastTime >= limit) {
+            return;
         }
-    }
-
-    /** The value to be written now. */
-    #value(): string {
-        const { value, measuredValue } = this.options;
-        if (measuredValue === undefined) {
-            return value;
+        const sentBefore = this.#sentValue;
+        const current = await this.#write(lease, this.#version);
+        if (current !== undefined && current.value === sentBefore) {
+            // The answer to the last write was lost.
+            await this.#write(lease, current.version);
         }
-        this.#publishedTime = this.#leastTime;
-        return measuredValue(Math.round(this.#leastTime));
     }
 
+    /** Writes the key, whoever wrote it before. */
     async #put(lease: PlatformLeaseId, expected: KeyVersion): Promise<void> {
-        const { store, key } = this.options;
-        const outcome = await store.compareAndSwap(key, expected, this.#value(), lease);
-        if (outcome.kind === "swapped") {
-            this.#version = outcome.version;
-        }
-        else if (outcome.current !== undefined) {
+        const current = await this.#write(lease, expected);
+        if (current !== undefined) {
             // The key was written by an earlier process of this VM, or by a call whose answer was lost.
-            await this.#put(lease, outcome.current.version);
+            await this.#put(lease, current.version);
+        }
+    }
+
+    /** Writes the key if it has the expected version; otherwise returns what it holds, if it exists. */
+    async #write(lease: PlatformLeaseId, expected: KeyVersion): Promise<KeyValue | undefined> {
+        const { store, key, value, measuredValue } = this.options;
+        const time = this.#leastTime;
+        this.#sentValue = measuredValue?.(Math.round(time)) ?? value;
+        const outcome = await store.compareAndSwap(key, expected, this.#sentValue, lease);
+        if (outcome.kind === "conflict") {
+            return outcome.current;
         }
+        this.#version = outcome.version;
+        this.#publishedTime = time;
+        return undefined;
     }
 }
--- a/packages/entry/test/membership/vm-registration.test.ts
+++ b/packages/entry/test/membership/vm-registration.test.ts
@@ -18,6 +18,8 @@
     lease = "lease-1" as PlatformLeaseId;
     isLeaseExpired = false;
     losesNextAnswer = false;
+    /** Whether the next write fails without an effect. */
+    failsNextWrite = false;
     /** Whether new calls never get an answer. */
     isSilent = false;
     /** Durations of the next calls that concern leases; they are answered at once if omitted. */
@@ -54,6 +56,10 @@
     }
 
     async compareAndSwap(key: string, expected: KeyVersion, value: string) {
+        if (this.failsNextWrite) {
+            this.failsNextWrite = false;
+            throw new PlatformUnavailableError("the write has failed");
+        }
         if ((this.entry?.version ?? absentVersion) !== expected) {
             return { kind: "conflict", current: this.entry } as const;
         }
@@ -150,6 +156,60 @@
     });
 });
 
+describe("the correction of a VM's key", () => {
+    /** Starts a VM that publishes 100 ms and measures 20 ms at its second renewal, 2 s after its start. */
+    const begin = async () => {
+        const store = new OneKeyStore();
+        const clock = new ManualClock();
+        store.times = { clock, of: [100, 100, 100, 100, 20, 20, 20, 20, 20, 20] };
+        const stop = new AbortController();
+        const running = new VmRegistration({
+            store: asStore(store),
+            clock,
+            logger: new RecordingLogger(),
+            key: "cell/nodes/a",
+            value: "a",
+            measuredValue: time => `a ${time}`,
+            leaseLength: 3_000,
+        }).run(stop.signal);
+        await advanceTime(clock, 1_600);
+        expect([store.entry?.value, store.entry?.version]).toEqual(["a 100", 1 as KeyVersion]);
+        const end = async () => {
+            stop.abort();
+            await running;
+        };
+        return { store, clock, end };
+    };
+
+    it("is repeated when its call failed", async () => {
+        const { store, clock, end } = await begin();
+        store.failsNextWrite = true;
+        await advanceTime(clock, 3_000);
+        expect(store.entry?.value).toEqual("a 20");
+        await end();
+    });
+
+    it("is complete when only the answer to its call was lost", async () => {
+        const { store, clock, end } = await begin();
+        store.losesNextAnswer = true;
+        await advanceTime(clock, 3_000);
+        const written = { ...store.entry };
+        await advanceTime(clock, 3_000);
+        expect(written.value).toEqual("a 20");
+        expect(store.entry?.version).toEqual(written.version);
+        await end();
+    });
+
+    // Other VMs take an owner's process for ended when its VM's key is written by another process.
+    it("does not replace the key of a later process", async () => {
+        const { store, clock, end } = await begin();
+        store.entry = { key: "cell/nodes/a", value: "later", version: 2 as KeyVersion };
+        await advanceTime(clock, 3_000);
+        expect([store.entry.value, store.entry.version]).toEqual(["later", 2 as KeyVersion]);
+        await end();
+    });
+});
+
 /** Starts a run that is asked to stop by `stop`; `hasEnded` tells whether it has ended. */
 const watchEnd = (run: (signal: AbortSignal) => Promise<void>) => {
     const stop = new AbortController();
