Pass on the waves of upkeep that come with the owner's copy

Cause: a VM that relies on the owner for the operators' keys kept the waves of its copy without passing them on. If it became the owner between its question and the answer, its session had been created without them and never got them, as the cursor had moved past them.

Change: waves are passed on however they arrive.

Test: packages/entry/test/configuration/owner-confirmation.test.ts, nothing was passed on before the change.

--- a/packages/entry/src/configuration/configuration-watch.ts
+++ b/packages/entry/src/configuration/configuration-watch.ts
@@ -162,7 +162,7 @@
 
     #applyCopy({ closures, waves, age }: OperatorsCopy, isNewer: boolean): void {
         if (isNewer) {
-            waves.forEach(wave => this.#waves.set(wave.wave, wave));
+            this.#addWaves(waves);
             this.options.halls.replace({ closed: closures.halls, reopened: [], revision: closures.revision });
         }
         this.#confirmedAge = age;
@@ -177,6 +177,10 @@
         if (configuration !== undefined) {
             this.apply(configuration, "store");
         }
+        this.#addWaves(waves);
+    }
+
+    #addWaves(waves: readonly UpkeepWave[]): void {
         if (waves.length > 0) {
             waves.forEach(wave => this.#waves.set(wave.wave, wave));
             this.options.onWaves(waves);
--- a/packages/entry/test/configuration/owner-confirmation.test.ts
+++ b/packages/entry/test/configuration/owner-confirmation.test.ts
@@ -2,7 +2,7 @@
  * Guards against a VM beyond a narrow link that reads each configuration over it although the owner has sent it, and against one that relies on an
  * owner which lies behind, hangs or is gone.
  */
-import { type CellConfiguration, type OperatorUpdate, vmId } from "@pebbledale/cell";
+import { type CellConfiguration, type OperatorUpdate, type UpkeepWave, vmId } from "@pebbledale/cell";
 import { dataHallName, ManualClock } from "@pebbledale/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
@@ -46,6 +46,7 @@
         contactWithin: 4_000,
     });
     const cursors: string[] = [];
+    const passedOn: UpkeepWave[] = [];
     const halls = new HallClosureWatch({ logger, onChange: () => undefined });
     const watch = new ConfigurationWatch({
         feed: {
@@ -61,13 +62,13 @@
         limits,
         probe: new StoreProbe({ clock, call: () => Promise.resolve(), isNeeded: () => false }),
         onChange: () => undefined,
-        onWaves: () => undefined,
+        onWaves: waves => passedOn.push(...waves),
         halls,
         confirmation: new OwnerConfirmation({ clock, limits, isWanted, ask }),
     });
     void watch.run(stop.signal);
     await advanceTime(clock, 100);
-    return { clock, watch, halls, cursors, stop: () => stop.abort(), limits };
+    return { clock, watch, halls, cursors, passedOn, stop: () => stop.abort(), limits };
 };
 
 describe("a VM that relies on the owner for the operators' keys", () => {
@@ -105,6 +106,18 @@
         stop();
     });
 
+    /* Guards against a VM that has become the owner while it asked the former one, and never carries out a wave. */
+    it("passes the waves of the owner's copy on, each version once", async () => {
+        const wave = { wave: 1, vms: [vmId("vm-1")], within: 20_000, mostDown: 1 };
+        let copy = copyOf({ waves: [wave] });
+        const { clock, passedOn, stop } = await start(() => Promise.resolve(copy));
+        await advanceTime(clock, 3_000);
+        copy = copyOf({ cursor: "21", waves: [{ ...wave, mostDown: 2 }] });
+        await advanceTime(clock, 3_000);
+        expect(passedOn).toEqual([wave, { ...wave, mostDown: 2 }]);
+        stop();
+    });
+
     it("waits for a configuration that is on its way from the owner", async () => {
         const { clock, watch, cursors, stop } = await start(() => Promise.resolve(copyOf({ version: 5 })));
         await advanceTime(clock, 700);
