Close a connection whose large message cannot be compressed, and deliver nothing after its end

Cause: a failed compression rejected a promise that nobody handled, which ends the process. A message in parts that was still being decompressed when its connection closed was delivered after onClose. Each entry for the channel itself of an unknown kind, as a later version may send during a rolling upgrade, counted as the arrival of a part.

Change: the connection is closed on a failed compression, the receiver drops what is not delivered when it closes, and unknown entries are ignored.

--- a/packages/entry/src/protocol/bulk-transfer.ts
+++ b/packages/entry/src/protocol/bulk-transfer.ts
@@ -50,13 +50,16 @@
     #isClosed = false;
     #wake: () => void = () => undefined;
 
-    /** `send`: sends one part of a message of the given kind on the connection. */
-    constructor(private readonly send: (part: Buffer, kind: string) => void) {}
+    /**
+     * `send`: sends one part of a message of the given kind on the connection; `fail`: called when a message cannot be compressed or
+     * sent.
+     */
+    constructor(private readonly send: (part: Buffer, kind: string) => void, private readonly fail: () => void) {}
 
     add(kind: string, text: CompressibleText): void {
         this.#waiting.push({ kind, text });
         if (!this.#isSending) {
-            void this.#sendAll();
+            this.#sendAll().catch(() => this.fail());
         }
     }
 
@@ -102,19 +105,29 @@
 /** Puts messages together again. */
 export class BulkReceiver {
     #parts: Buffer[] = [];
+    #isClosed = false;
 
     /** `deliver`: called with the text of each complete message; `fail`: called when a message cannot be read. */
     constructor(private readonly deliver: (text: string) => void, private readonly fail: () => void) {}
 
     receive(part: Buffer): void {
+        if (this.#isClosed) {
+            return;
+        }
         this.#parts.push(part.subarray(1));
         if (part[0] === PartKind.Last) {
             const bytes = Buffer.concat(this.#parts);
             this.#parts = [];
             inflate(bytes, { maxOutputLength: maxMessageBytes }).then(
-                text => this.deliver(text.toString("utf8")),
+                text => this.#isClosed ? undefined : this.deliver(text.toString("utf8")),
                 () => this.fail(),
             );
         }
     }
+
+    /** Drops what has arrived and is not delivered. */
+    close(): void {
+        this.#isClosed = true;
+        this.#parts = [];
+    }
 }
--- a/packages/entry/src/protocol/index.ts
+++ b/packages/entry/src/protocol/index.ts
@@ -1,4 +1,5 @@
 /** Protocol between the owner and the entry VMs. */
+export * from "./bulk-transfer.js";
 export * from "./channel.js";
 export * from "./messages.js";
 export * from "./payload-references.js";
--- a/packages/entry/src/protocol/socket-channel.ts
+++ b/packages/entry/src/protocol/socket-channel.ts
@@ -23,6 +23,7 @@
     PartArrived = "part-arrived",
 }
 
+/** Entries of kinds that this version does not know are ignored. */
 const isControl = (entry: unknown): entry is ControlEntry => Array.isArray(entry);
 
 /** Configuration messages by their content: one is sent to many VMs at about the same time. */
@@ -55,7 +56,7 @@
     #handler: ((message: Received) => void) | undefined;
     /** Messages received before a handler was set: the first batch may arrive with the handshake's response. */
     #undelivered: Received[] = [];
-    readonly #bulkSender = new BulkSender((part, kind) => this.#sendPart(part, kind));
+    readonly #bulkSender = new BulkSender((part, kind) => this.#sendPart(part, kind), () => this.close());
     readonly #bulkReceiver = new BulkReceiver(text => this.#deliver(JSON.parse(text) as Received), () => this.close());
     readonly #payloadSender = new PayloadSender();
     readonly #payloadReceiver = new PayloadReceiver();
@@ -186,7 +187,7 @@
         if (kind === ControlKind.TakesCompactForms) {
             this.#takesCompactForms = this.options.usesCompactForms === true;
         }
-        else {
+        else if (kind === ControlKind.PartArrived) {
             this.#bulkSender.recordArrival();
         }
     }
@@ -209,6 +210,7 @@
         if (!this.#isClosed) {
             this.#isClosed = true;
             this.#bulkSender.close();
+            this.#bulkReceiver.close();
             this.onClose();
         }
     }
