--- a/packages/operator/src/job-log/timeline.ts
+++ b/packages/operator/src/job-log/timeline.ts
@@ -52,13 +52,17 @@
 const parseLine = (text: string): LogRecord | undefined => {
     try {
         const record = JSON.parse(text.slice(Math.max(0, text.indexOf("{")))) as Partial<LogRecord> | undefined;
-        return typeof record?.time === "number" && typeof record.event === "number" ? record as LogRecord : undefined;
+        return typeof record?.event === "number" && isTime(record.time) ? record as LogRecord : undefined;
     }
     catch {
         return undefined;
     }
 };
 
+/** Whether a value is a time that can be printed: numbers may be beyond the range of dates. */
+const isTime = (value: unknown): value is number =>
+    typeof value === "number" && !Number.isNaN(new Date(value).getTime());
+
 const concerns = (record: LogRecord, job: string): boolean =>
     record["job"] === job || addressFields.some(field => String(record[field] ?? "").startsWith(`${job}/`));
 
--- a/packages/operator/test/job-log/timeline.test.ts
+++ b/packages/operator/test/job-log/timeline.test.ts
@@ -41,6 +41,12 @@
         expect(timeline.examples.map(({ line }) => line)).toEqual([1, 2, 4]);
     });
 
+    it("does not fail to print a line whose time is no date, and counts it as none", () => {
+        const timeline = timelineOf(lineOf(1e300, "a", 4001, { job }));
+        expect(formatTimeline(timeline).split("\n").length).toEqual(1);
+        expect(timeline.unreadable).toEqual(1);
+    });
+
     it("is printed with the time since its first line", () => {
         const text = formatTimeline(timelineOf(
             lineOf(1_000, "a", 4001, { job, queue: "q" }),
