Do not move all links of a data hall to its first VM that joins, where there are several regions

Cause: with several regions, a VM that joined took all links of workers in its data hall from VMs of other halls, whatever its load. When the VMs of a lost hall return one after the other, the first one got all links of the hall, and each later one took its share from it.

Change: a VM takes links of its hall from VMs of the same region only up to their load, and from another region as far as a VM of the region may (3 times the load, or fewer than 8 links).

Tests: packages/entry/test/owner/assignments.test.ts, two new ones that failed before the change.

--- a/packages/entry/src/owner/assignments.ts
+++ b/packages/entry/src/owner/assignments.ts
@@ -159,18 +159,21 @@
         }
     }
 
+    /** Whether a VM that has joined is nearer to a data hall than the holder of a link there, and its load lets it take the link. */
     #isNearer(joined: VmLink, holder: VmLink, hall: DataHallName): boolean {
         if (holder.vm.dataHall === hall) {
             return false;
         }
-        return joined.vm.dataHall === hall
-            || (this.#isInRegion(joined, hall) && !this.#isInRegion(holder, hall)
-                && this.#isLoadBearable(joined, holder));
+        if (this.#isInRegion(holder, hall)) {
+            return joined.vm.dataHall === hall && this.#isLoadBearable(joined, holder, 1);
+        }
+        return (joined.vm.dataHall === hall || this.#isInRegion(joined, hall))
+            && this.#isLoadBearable(joined, holder, maxRegionLoad);
     }
 
-    /** Whether the load of a VM near a worker lets it have the link, as compared with another VM. */
-    #isLoadBearable(near: VmLink, other: VmLink): boolean {
-        return near.workers.size < bearableLinks || this.#loadOf(near) <= maxRegionLoad * this.#loadOf(other);
+    /** Whether the load of a VM near a worker, at most `ratio` times that of another VM, lets it have the link. */
+    #isLoadBearable(near: VmLink, other: VmLink, ratio: number): boolean {
+        return near.workers.size < bearableLinks || this.#loadOf(near) <= ratio * this.#loadOf(other);
     }
 
     /** Whether a VM is in the region of a data hall. */
@@ -225,7 +228,7 @@
             return leastLoaded;
         }
         const nearest = this.#leastLoadedOf(inRegion);
-        return this.#isLoadBearable(nearest, leastLoaded) ? nearest : leastLoaded;
+        return this.#isLoadBearable(nearest, leastLoaded, maxRegionLoad) ? nearest : leastLoaded;
     }
 
     #leastLoadedOf(links: readonly VmLink[]): VmLink {
--- a/packages/entry/test/owner/assignments.test.ts
+++ b/packages/entry/test/owner/assignments.test.ts
@@ -140,6 +140,45 @@
         expect(loads(near, inRegion, inHall)).toEqual([0, 0, 4]);
     });
 
+    /* Guards against a first VM that gets all links of its data hall, most of which later ones then take from it. */
+    it("return to a lost data hall without many moves, and never all to one VM", async () => {
+        const others = Array.from({ length: 20 }, (_, index) => makeLink(`far-b${index}`, "far-b"));
+        const workers = new Map([...makeWorkers("far-a", 80), ...makeWorkers("far-b", 80)]);
+        const assignments = make();
+        const links = others.map(({ link }) => link);
+        assignments.assignUnlinked(workers.values(), links);
+        const returned = Array.from({ length: 20 }, (_, index) => makeLink(`far-a${index}`, "far-a"));
+        let most = 0;
+        for (const { link } of returned) {
+            links.push(link);
+            assignments.returnTo(workers, link, links);
+            assignments.rebalanceTo(workers, link, links);
+            most = Math.max(most, link.workers.size);
+        }
+        await settle();
+        const moves = returned.reduce((sum, { assigned }) => sum + assigned.length, 0);
+        expect([most <= 10, moves <= 2 * 80]).toEqual([true, true]);
+        expect(returned.every(({ link }) => link.workers.size >= 2)).toEqual(true);
+    });
+
+    it("do not all move to the first VM of a lost region that returns", () => {
+        const near = Array.from({ length: 20 }, (_, index) => makeLink(`near-a${index}`, "near-a"));
+        const workers = makeWorkers("far-a", 200);
+        const assignments = make();
+        const links = near.map(({ link }) => link);
+        assignments.assignUnlinked(workers.values(), links);
+        const returned = Array.from({ length: 20 }, (_, index) => makeLink(`far-a${index}`, "far-a"));
+        const [first] = returned;
+        links.push(first.link);
+        assignments.rebalanceTo(workers, first.link, links);
+        expect(first.link.workers.size > 10 && first.link.workers.size < 40).toEqual(true);
+        for (const { link } of returned.slice(1)) {
+            links.push(link);
+            assignments.rebalanceTo(workers, link, links);
+        }
+        expect(near.every(({ link }) => link.workers.size === 0)).toEqual(true);
+    });
+
     it("move to the worker's region once its data hall is known, as after a change of owner", () => {
         const [near, far] = [makeLink("near", "near-a"), makeLink("far", "far-b")];
         const located = makeWorkers("far-a", 4);
