Wait for changes of the configuration as before where no owner confirms the copy

The wait was measured and rounded also where there is one region, so that a call could differ by a millisecond after a busy moment. Without an OwnerConfirmation it is now passed on as it is. No test shows a millisecond; the tests of packages/entry/test/configuration pass.

--- a/packages/entry/src/configuration/configuration-watch.ts
+++ b/packages/entry/src/configuration/configuration-watch.ts
@@ -136,15 +136,23 @@
     }
 
     async changes(cursor: string, wait: Milliseconds, signal: AbortSignal): Promise<FollowedUpdate | undefined> {
-        const startedAt = this.options.clock.monotonic();
-        const copy = await this.options.confirmation?.confirm(wait, owners => this.#holds(owners), signal);
+        const { clock, confirmation } = this.options;
+        if (confirmation === undefined) {
+            return this.#follow(cursor, wait, signal);
+        }
+        const startedAt = clock.monotonic();
+        const copy = await confirmation.confirm(wait, owners => this.#holds(owners), signal);
         if (copy !== undefined) {
             // The owner's last reading may be older than this VM's, which is then complete up to the later revision.
             const isNewer = Number(copy.cursor) > Number(cursor);
             return { cursor: isNewer ? copy.cursor : cursor, apply: () => this.#applyCopy(copy, isNewer) };
         }
-        const left = Math.max(0, wait - (this.options.clock.monotonic() - startedAt));
-        const update = await this.options.feed.follow(cursor, Math.round(left), signal);
+        const left = Math.max(0, wait - (clock.monotonic() - startedAt));
+        return this.#follow(cursor, Math.round(left), signal);
+    }
+
+    async #follow(cursor: string, wait: Milliseconds, signal: AbortSignal): Promise<FollowedUpdate | undefined> {
+        const update = await this.options.feed.follow(cursor, wait, signal);
         return update && {
             cursor: update.cursor,
             apply: () => {
