--- a/packages/entry/src/owner/assignments.ts
+++ b/packages/entry/src/owner/assignments.ts
@@ -1,16 +1,10 @@
 /** Assignment of worker links to entry VMs. */
 import type { WorkerState } from "@pebbledale/cell";
-import {
-    type DataHallName,
-    type Epoch,
-    type FencingToken,
-    fencingToken,
-    type Milliseconds,
-    type WorkerId,
-} from "@pebbledale/core";
+import { type Epoch, type FencingToken, fencingToken, type Milliseconds, type WorkerId } from "@pebbledale/core";
 import type { AssignMessage } from "../protocol/index.js";
-import { hasSeveralRegions, type RegionMap } from "../settings/index.js";
+import type { RegionMap } from "../settings/index.js";
 import { assignmentsPerEpoch, tokensPerAssignment } from "./constants.js";
+import { LinkNearness } from "./link-nearness.js";
 import { RestartBackoff } from "./restart-backoff.js";
 import type { VmLink } from "./vm-link.js";
 
@@ -29,13 +23,6 @@
 
 /** Links are moved when one VM has this many more than another, per core. */
 const allowedImbalance = 2;
-/** A VM of a worker's region is preferred while it holds fewer links than this, whatever the others hold. */
-const bearableLinks = 8;
-/** VMs of a worker's region are preferred up to this many times the load of the least loaded VM: few that are left cannot hold all links. */
-const maxRegionLoad = 3;
-/** Number of links added to the load of the owner's VM to account for its scheduling work. */
-const ownerLoadOffset = 4;
-
 /**
  * Keeps track of which VM holds the link to which worker, assigns links and balances them by processor share,
  * preferring VMs in the worker's data hall, then those in its region.
@@ -44,7 +31,7 @@
     readonly #assignments = new Map<WorkerId, Assignment>();
     readonly #assignmentCounts = new Map<WorkerId, number>();
     readonly #restartBackoff: RestartBackoff;
-    readonly #hasSeveralRegions: boolean;
+    readonly #nearness: LinkNearness;
     /** Workers whose data hall was not known when their link was assigned; kept only where there are several regions. */
     readonly #unlocated = new Set<WorkerId>();
     /** Per worker, the time until which orders to earlier incarnations may still be carried out. */
@@ -52,11 +39,11 @@
 
     constructor(
         private readonly epoch: Epoch,
-        private readonly ownVm: string,
+        ownVm: string,
         private readonly now: () => Milliseconds,
-        private readonly regions: RegionMap = new Map(),
+        regions: RegionMap = new Map(),
     ) {
-        this.#hasSeveralRegions = hasSeveralRegions(regions);
+        this.#nearness = new LinkNearness(ownVm, regions);
         this.#restartBackoff = new RestartBackoff(now);
     }
 
@@ -98,7 +85,7 @@
         }
         for (const worker of workers) {
             if (!this.#assignments.has(worker.id)) {
-                this.#assign(worker, this.#leastLoaded(links, worker));
+                this.#assign(worker, this.#nearness.leastLoaded(links, worker));
             }
         }
     }
@@ -113,7 +100,7 @@
             const last = [...link.workers].at(-1);
             return last === undefined ? undefined : workers.get(last);
         };
-        if (this.#hasSeveralRegions) {
+        if (this.#nearness.hasSeveralRegions) {
             this.#takeNearer(workers, joined, links);
         }
         this.#level(near, joined, lastOf);
@@ -152,36 +139,13 @@
             for (const id of [...link.workers]) {
                 const worker = workers.get(id);
                 const hall = worker?.entry?.dataHall;
-                if (worker !== undefined && hall !== undefined && this.#isNearer(joined, link, hall)) {
+                if (worker !== undefined && hall !== undefined && this.#nearness.mayTake(joined, link, hall)) {
                     this.#move(worker, link, joined);
                 }
             }
         }
     }
 
-    /** Whether a VM that has joined is nearer to a data hall than the holder of a link there, and its load lets it take the link. */
-    #isNearer(joined: VmLink, holder: VmLink, hall: DataHallName): boolean {
-        if (holder.vm.dataHall === hall) {
-            return false;
-        }
-        if (this.#isInRegion(holder, hall)) {
-            return joined.vm.dataHall === hall && this.#isLoadBearable(joined, holder, 1);
-        }
-        return (joined.vm.dataHall === hall || this.#isInRegion(joined, hall))
-            && this.#isLoadBearable(joined, holder, maxRegionLoad);
-    }
-
-    /** Whether the load of a VM near a worker, at most `ratio` times that of another VM, lets it have the link. */
-    #isLoadBearable(near: VmLink, other: VmLink, ratio: number): boolean {
-        return near.workers.size < bearableLinks || this.#loadOf(near) <= ratio * this.#loadOf(other);
-    }
-
-    /** Whether a VM is in the region of a data hall. */
-    #isInRegion(link: VmLink, hall: DataHallName): boolean {
-        const region = this.regions.get(hall);
-        return region !== undefined && this.regions.get(link.vm.dataHall) === region;
-    }
-
     /** Moves links that were assigned before the worker's data hall was known, and went to another region, to the worker's region. */
     moveLocated(workers: ReadonlyMap<WorkerId, WorkerState>, links: readonly VmLink[]): void {
         for (const id of this.#unlocated) {
@@ -193,8 +157,8 @@
             }
             else if (hall !== undefined) {
                 this.#unlocated.delete(id);
-                const nearest = links.length === 0 ? from : this.#leastLoaded(links, worker);
-                if (!this.#isInRegion(from, hall) && this.#isInRegion(nearest, hall)) {
+                const nearest = links.length === 0 ? from : this.#nearness.leastLoaded(links, worker);
+                if (!this.#nearness.isInRegion(from, hall) && this.#nearness.isInRegion(nearest, hall)) {
                     this.#move(worker, from, nearest);
                 }
             }
@@ -214,41 +178,17 @@
         }
     }
 
-    #leastLoaded(links: readonly VmLink[], worker: WorkerState): VmLink {
-        const hall = worker.entry?.dataHall;
-        const inHall = links.filter(link => link.vm.dataHall === hall);
-        if (inHall.length > 0) {
-            return this.#leastLoadedOf(inHall);
-        }
-        const leastLoaded = this.#leastLoadedOf(links);
-        const inRegion = this.#hasSeveralRegions && hall !== undefined
-            ? links.filter(link => this.#isInRegion(link, hall))
-            : [];
-        if (inRegion.length === 0) {
-            return leastLoaded;
-        }
-        const nearest = this.#leastLoadedOf(inRegion);
-        return this.#isLoadBearable(nearest, leastLoaded, maxRegionLoad) ? nearest : leastLoaded;
-    }
-
-    #leastLoadedOf(links: readonly VmLink[]): VmLink {
-        return links.reduce((best, link) => this.#loadOf(link) < this.#loadOf(best) ? link : best);
-    }
-
-    #loadOf(link: VmLink): number {
-        return link.loadWithOneMore + (link.vm.name === this.ownVm ? ownerLoadOffset / link.vm.processorShare : 0);
-    }
-
     /** Moves links to a VM, always from the fullest of the sources that has one to give, until its load is close to that of this one. */
     #level(sources: readonly VmLink[], joined: VmLink, nextOf: (link: VmLink) => WorkerState | undefined): void {
         for (;;) {
             const [fullest] = sources
                 .filter(link => nextOf(link) !== undefined)
-                .sort((left, right) => this.#loadOf(right) - this.#loadOf(left));
+                .sort((left, right) => this.#nearness.loadOf(right) - this.#nearness.loadOf(left));
             const worker = fullest === undefined ? undefined : nextOf(fullest);
             if (
                 worker === undefined
-                || this.#loadOf(fullest) - this.#loadOf(joined) < allowedImbalance / joined.vm.processorShare
+                || this.#nearness.loadOf(fullest) - this.#nearness.loadOf(joined)
+                    < allowedImbalance / joined.vm.processorShare
             ) {
                 return;
             }
@@ -260,7 +200,7 @@
         const count = (this.#assignmentCounts.get(worker.id) ?? 0) + 1;
         this.#assignmentCounts.set(worker.id, count);
         link.workers.add(worker.id);
-        if (this.#hasSeveralRegions && worker.entry === undefined) {
+        if (this.#nearness.hasSeveralRegions && worker.entry === undefined) {
             this.#unlocated.add(worker.id);
         }
         const token = this.#tokenOf(count);
