Leave the waves that a VM has read out of the owner's copy

Cause: a VM beyond a narrow link asks the owner for its copy of the operators' keys about once a second, and each answer held all waves of upkeep that there ever were, with the names of their VMs. The bytes grew with the waves of the past and with the number of VMs, on the link that the question is to relieve.

Change: the question names the revision up to which the VM's copy is complete, and the answer holds the waves only if some were read later. Questions of earlier versions name none and get all waves; earlier owners ignore the revision.

--- a/packages/entry/src/configuration/configuration-watch.ts
+++ b/packages/entry/src/configuration/configuration-watch.ts
@@ -52,6 +52,8 @@
     readonly #loop: FollowLoop;
     /** Revision up to which the copy is complete, and when the store last confirmed it to this VM itself. */
     #read: { readonly cursor: string; readonly at: Milliseconds; } | undefined;
+    /** Revision of the last reading or copy that brought waves. */
+    #wavesReadAt = 0;
     /** Age of the owner's copy when it last confirmed this one; 0 after a reading of the store. */
     #confirmedAge: Milliseconds = 0;
 
@@ -75,14 +77,18 @@
         return age === undefined ? undefined : age + this.#confirmedAge;
     }
 
-    /** What this VM has read from the store by itself; undefined before its first reading. */
-    get copy(): OperatorsCopy | undefined {
+    /**
+     * What this VM has read from the store by itself, without waves for a VM whose copy, complete up to revision `since`, holds them all;
+     * undefined before its first reading.
+     */
+    copyFor(since: string | undefined): OperatorsCopy | undefined {
+        const hasAllWaves = since !== undefined && Number(since) >= this.#wavesReadAt;
         return this.#read && {
             cursor: this.#read.cursor,
             age: this.options.clock.monotonic() - this.#read.at,
             version: this.configuration?.version ?? 0,
             closures: this.options.halls.closures,
-            waves: this.waves,
+            waves: hasAllWaves ? [] : this.waves,
         };
     }
 
@@ -141,7 +147,7 @@
             return this.#follow(cursor, wait, signal);
         }
         const startedAt = clock.monotonic();
-        const copy = await confirmation.confirm(wait, owners => this.#holds(owners), signal);
+        const copy = await confirmation.confirm(wait, cursor, owners => this.#holds(owners), signal);
         if (copy !== undefined) {
             // The owner's last reading may be older than this VM's, which is then complete up to the later revision.
             const isNewer = Number(copy.cursor) > Number(cursor);
@@ -168,9 +174,9 @@
         return (this.configuration?.version ?? 0) >= version;
     }
 
-    #applyCopy({ closures, waves, age }: OperatorsCopy, isNewer: boolean): void {
+    #applyCopy({ cursor, closures, waves, age }: OperatorsCopy, isNewer: boolean): void {
         if (isNewer) {
-            this.#addWaves(waves);
+            this.#addWaves(waves, cursor);
             this.options.halls.replace({ closed: closures.halls, reopened: [], revision: closures.revision });
         }
         this.#confirmedAge = age;
@@ -181,15 +187,16 @@
         this.#confirmedAge = 0;
     }
 
-    #applyUpdate({ configuration, waves }: OperatorUpdate): void {
+    #applyUpdate({ configuration, waves, cursor }: OperatorUpdate): void {
         if (configuration !== undefined) {
             this.apply(configuration, "store");
         }
-        this.#addWaves(waves);
+        this.#addWaves(waves, cursor);
     }
 
-    #addWaves(waves: readonly UpkeepWave[]): void {
+    #addWaves(waves: readonly UpkeepWave[], cursor: string): void {
         if (waves.length > 0) {
+            this.#wavesReadAt = Number(cursor);
             waves.forEach(wave => this.#waves.set(wave.wave, wave));
             this.options.onWaves(waves);
         }
--- a/packages/entry/src/configuration/owner-confirmation.ts
+++ b/packages/entry/src/configuration/owner-confirmation.ts
@@ -13,7 +13,7 @@
     /** Version of the configuration; 0 when there is none. */
     readonly version: number;
     readonly closures: HallClosures;
-    /** All waves of upkeep, which a VM needs when it becomes the owner. */
+    /** The waves of upkeep, which a VM needs when it becomes the owner; those that the asking VM has read may be missing. */
     readonly waves: readonly UpkeepWave[];
 }
 
@@ -23,8 +23,11 @@
     readonly limits: FollowLimits;
     /** Whether this VM is to rely on the owner now. */
     readonly isWanted: () => boolean;
-    /** Asks the owner for its copy; resolves to undefined when the connection ends or the owner has none. */
-    readonly ask: () => Promise<OperatorsCopy | undefined>;
+    /**
+     * Asks the owner for its copy; resolves to undefined when the connection ends or the owner has none. `since`: revision up to which
+     * this VM's copy is complete.
+     */
+    readonly ask: (since: string) => Promise<OperatorsCopy | undefined>;
 }
 
 /** Share of the wait for changes after which the owner is asked again, and which it has for its answer. */
@@ -49,6 +52,7 @@
      */
     async confirm(
         wait: Milliseconds,
+        since: string,
         holds: (copy: OperatorsCopy) => boolean,
         signal: AbortSignal,
     ): Promise<OperatorsCopy | undefined> {
@@ -58,7 +62,7 @@
         }
         const step = wait * stepShare;
         await clock.sleep(step, signal);
-        const copy = await this.#askWithin(step, signal);
+        const copy = await this.#askWithin(step, since, signal);
         if (
             copy !== undefined && copy.age <= limits.wait + step
             && await this.#hasArrived(() => holds(copy), step, signal)
@@ -69,7 +73,7 @@
         return undefined;
     }
 
-    async #askWithin(limit: Milliseconds, signal: AbortSignal): Promise<OperatorsCopy | undefined> {
+    async #askWithin(limit: Milliseconds, since: string, signal: AbortSignal): Promise<OperatorsCopy | undefined> {
         const { clock, ask } = this.options;
         const answered = createAbortController();
         const end = () => answered.abort();
@@ -77,7 +81,7 @@
         const askedAt = clock.monotonic();
         try {
             const late = clock.sleep(limit, answered.signal).then(() => undefined);
-            const copy = await Promise.race([ask(), late]);
+            const copy = await Promise.race([ask(since), late]);
             return copy && { ...copy, age: copy.age + clock.monotonic() - askedAt };
         }
         finally {
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -136,7 +136,7 @@
             isWanted: () =>
                 this.#session.hasOwner && this.#candidate.session === undefined
                 && placement.isFar(settings.dataHall, this.#view.vms.values()),
-            ask: () => this.#session.askCopy(),
+            ask: since => this.#session.askCopy(since),
         });
         this.#configuration = new ConfigurationWatch({
             feed: options.configuration,
@@ -200,7 +200,7 @@
             onConfiguration: configuration => this.#configuration.apply(configuration, "vm"),
             toleratedHallLosses: settings.toleratedHallLosses,
             closures: () => this.#halls.closures,
-            operatorsCopy: () => this.#configuration.copy,
+            operatorsCopy: since => this.#configuration.copyFor(since),
             onClosures: closures => this.#halls.applyPeers(closures),
             formerLeaseLength: confirmationValidity + ownerSilenceLimit
                 + settings.bounds.longestLease / (1 - maxClockDrift)
--- a/packages/entry/src/links/vm-session.ts
+++ b/packages/entry/src/links/vm-session.ts
@@ -141,8 +141,11 @@
         });
     }
 
-    /** Asks the owner for its copy of the operators' keys; resolves to undefined when it has none or the connection ends. */
-    askCopy(): Promise<OperatorsCopy | undefined> {
+    /**
+     * Asks the owner for its copy of the operators' keys; resolves to undefined when it has none or the connection ends. `since`: revision
+     * up to which this VM's copy is complete.
+     */
+    askCopy(since: string): Promise<OperatorsCopy | undefined> {
         const channel = this.#channel;
         if (channel === undefined) {
             return Promise.resolve(undefined);
@@ -151,7 +154,7 @@
         return new Promise(resolve => {
             this.#pendingCopy?.resolve(undefined);
             this.#pendingCopy = { question, resolve };
-            channel.send({ kind: "copy-question", question });
+            channel.send({ kind: "copy-question", question, since });
         });
     }
 
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -14,6 +14,7 @@
 import type { EntryVm } from "../membership/index.js";
 import {
     type Channel,
+    type CopyQuestionMessage,
     type OwnerMessage,
     type OwnerReply,
     type OwnerRequest,
@@ -349,8 +350,8 @@
         }
     }
 
-    #answerCopyQuestion(link: VmLink, question: number): void {
-        const copy = this.options.operatorsCopy();
+    #answerCopyQuestion(link: VmLink, { question, since }: CopyQuestionMessage): void {
+        const copy = this.options.operatorsCopy(since);
         link.channel.send({ kind: "copy-answer", question, ...(copy === undefined ? {} : { copy }) });
     }
 
@@ -444,7 +445,7 @@
                 this.#handleClosures(link, message.closures);
                 break;
             case "copy-question":
-                this.#answerCopyQuestion(link, message.question);
+                this.#answerCopyQuestion(link, message);
                 return;
             case "advised": {
                 const command = this.#advice.complete(message.question);
--- a/packages/entry/src/owner/types.ts
+++ b/packages/entry/src/owner/types.ts
@@ -51,8 +51,8 @@
     readonly toleratedHallLosses: number;
     /** The closed data halls as this VM knows them. */
     readonly closures: () => HallClosures;
-    /** What this VM has read of the operators' keys from the store; undefined before its first reading. */
-    readonly operatorsCopy: () => OperatorsCopy | undefined;
+    /** What this VM has read of the operators' keys, for a VM whose copy is complete up to `since`; undefined before its first reading. */
+    readonly operatorsCopy: (since: string | undefined) => OperatorsCopy | undefined;
     /** Called with a VM's closed data halls; returns this VM's if they are newer and differ. */
     readonly onClosures: (closures: HallClosures) => HallClosures | undefined;
     /** Access to the platform's upkeep service; undefined where there is none. */
--- a/packages/entry/src/ownership/candidate.ts
+++ b/packages/entry/src/ownership/candidate.ts
@@ -76,8 +76,8 @@
     /** Number of data halls that the cell may lose at once. */
     readonly toleratedHallLosses: number;
     readonly closures: () => HallClosures;
-    /** What this VM has read of the operators' keys from the store; undefined before its first reading. */
-    readonly operatorsCopy: () => OperatorsCopy | undefined;
+    /** What this VM has read of the operators' keys, for a VM whose copy is complete up to `since`; undefined before its first reading. */
+    readonly operatorsCopy: (since: string | undefined) => OperatorsCopy | undefined;
     /** Called with another VM's closed data halls; returns this VM's if they are newer and differ. */
     readonly onClosures: (closures: HallClosures) => HallClosures | undefined;
     readonly formerLeaseLength: Milliseconds;
--- a/packages/entry/src/protocol/messages.ts
+++ b/packages/entry/src/protocol/messages.ts
@@ -121,6 +121,8 @@
 export interface CopyQuestionMessage {
     readonly kind: "copy-question";
     readonly question: number;
+    /** Revision of the store up to which the sender's copy is complete; omitted by earlier versions. */
+    readonly since?: string;
 }
 
 /** The sender's copy of the operators' keys without their content; omitted when it has none. */
--- a/packages/entry/test/configuration/owner-confirmation.test.ts
+++ b/packages/entry/test/configuration/owner-confirmation.test.ts
@@ -35,7 +35,7 @@
 });
 
 /** Starts a VM whose store answers a wait for changes when it is over. */
-const start = async (ask: () => Promise<OperatorsCopy | undefined>, isWanted = () => true) => {
+const start = async (ask: (since: string) => Promise<OperatorsCopy | undefined>, isWanted = () => true) => {
     const clock = new ManualClock();
     const logger = new RecordingLogger();
     const stop = new AbortController();
@@ -118,6 +118,26 @@
         stop();
     });
 
+    /* Guards against all waves of upkeep that ever were being sent over a narrow link at each question. */
+    it("is asked with the revision of the copy, and answers with waves only where the copy may lack one", async () => {
+        const wave = { wave: 1, vms: [vmId("vm-1")], within: 20_000, mostDown: 1 };
+        const asked: string[] = [];
+        const copy = copyOf({ waves: [wave] });
+        const { clock, watch, stop } = await start(since => {
+            asked.push(since);
+            return Promise.resolve(copy);
+        });
+        await advanceTime(clock, 3_000);
+        expect(asked.slice(0, 2)).toEqual(["10", "20"]);
+        expect([undefined, "19", "20", "21"].map(since => watch.copyFor(since)?.waves)).toEqual([
+            [wave],
+            [wave],
+            [],
+            [],
+        ]);
+        stop();
+    });
+
     it("waits for a configuration that is on its way from the owner", async () => {
         const { clock, watch, cursors, stop } = await start(() => Promise.resolve(copyOf({ version: 5 })));
         await advanceTime(clock, 700);
--- a/packages/entry/test/links/vm-session.test.ts
+++ b/packages/entry/test/links/vm-session.test.ts
@@ -68,18 +68,18 @@
 
     it("asks the owner for its copy of the operators' keys, and has no answer once the owner is lost", async () => {
         const { stop, session } = setUp();
-        expect(await session.askCopy()).toEqual(undefined);
+        expect(await session.askCopy("6")).toEqual(undefined);
         const [owner, vm] = createMemoryChannel<OwnerMessage, VmMessage>();
         const questions: number[] = [];
         owner.onMessage = message => message.kind === "copy-question" && questions.push(message.question);
         session.attach(vm);
         await welcome(owner);
-        const [first, second] = [session.askCopy(), session.askCopy()];
+        const [first, second] = [session.askCopy("6"), session.askCopy("6")];
         await settle();
         const copy = { cursor: "7", age: 1, version: 1, closures: { halls: [], revision: 7 }, waves: [] };
         questions.forEach(question => owner.send({ kind: "copy-answer", question, copy }));
         expect([await first, await second]).toEqual([undefined, copy]);
-        const third = session.askCopy();
+        const third = session.askCopy("6");
         owner.close();
         expect(await third).toEqual(undefined);
         stop.abort();
