Split the constructor of EntryProcess by what it creates

Each part that takes many options is now created by a method of its own, in the same order. No change in behaviour: the 8 tests of platform/test/integration/cell.test.ts pass.

--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -130,93 +130,10 @@
             },
         });
         const placement = new OwnerPlacement(settings.regions);
-        const confirmation = new OwnerConfirmation({
-            clock,
-            limits: this.#followLimits,
-            isWanted: () =>
-                this.#session.hasOwner && this.#candidate.session === undefined
-                && placement.isFar(settings.dataHall, this.#view.vms.values()),
-            ask: since => this.#session.askCopy(since),
-        });
-        this.#configuration = new ConfigurationWatch({
-            feed: options.configuration,
-            clock,
-            logger,
-            limits: this.#followLimits,
-            probe: this.#probe,
-            onChange: configuration => {
-                this.#session.announceConfiguration(configuration.version);
-                this.#candidate.session?.configure(configuration);
-            },
-            onWaves: waves => this.#candidate.session?.addWaves(waves),
-            halls: this.#halls,
-            confirmation: hasSeveralRegions(settings.regions) ? confirmation : undefined,
-        });
-        this.#session = new VmSession({
-            clients: new InstrumentedWorkerClients(options.clients, metrics, clock),
-            advice: options.advice,
-            clock,
-            logger,
-            leaseLength: settings.bounds.longestLease,
-            store,
-            onHandOver: () => {
-                this.#isTakeoverRequested = true;
-                this.#candidate.wake();
-            },
-            configuration: () => this.#configuration.configuration,
-            onConfiguration: configuration => this.#configuration.apply(configuration, "owner"),
-            closures: () => this.#halls.closures,
-            onClosures: closures => this.#halls.applyPeers(closures),
-            onAssign: ({ address, dataHall }) => options.traffic?.locate(address, dataHall),
-            isHallClosed: hall => this.#halls.isClosed(hall),
-            onOwnerChange: hasOwner => this.#handleOwnerChange(hasOwner),
-        });
-        this.#registration = new VmRegistration({
-            store: this.#store,
-            clock,
-            logger,
-            key: vmKey(settings.vm),
-            value: JSON.stringify(this.#self),
-            ...(hasSeveralRegions(settings.regions) && {
-                measuredValue: (storeTime: Milliseconds) => JSON.stringify({ ...this.#self, storeTime }),
-            }),
-            leaseLength: Math.max(vmLeaseLength, settings.store.shortestLease),
-        });
-        this.#candidate = new Candidate({
-            store: this.#store,
-            directory: options.directory(this.#store),
-            clock,
-            random,
-            logger,
-            metrics,
-            traffic: options.traffic,
-            self: this.#self,
-            view: this.#view,
-            placement,
-            regions: settings.regions,
-            leaseLength: Math.max(ownerLeaseLength, settings.store.shortestLease),
-            followLimits: this.#followLimits,
-            configuration: () => this.#configuration.configuration,
-            onConfiguration: configuration => this.#configuration.apply(configuration, "vm"),
-            toleratedHallLosses: settings.toleratedHallLosses,
-            closures: () => this.#halls.closures,
-            operatorsCopy: since => this.#configuration.copyFor(since),
-            onClosures: closures => this.#halls.applyPeers(closures),
-            formerLeaseLength: confirmationValidity + ownerSilenceLimit
-                + settings.bounds.longestLease / (1 - maxClockDrift)
-                + priorLeaseMargin,
-            ownerStatus: () => ({
-                ownerSilence: this.#session.hasOwner ? this.#session.ownerSilence : Infinity,
-                // Not reported on purpose: if a paused owner were replaced because of its silence, it would deny jobs that its
-                // successor has accepted, because renewing its lease does not reveal that another VM holds the owner's key.
-                lastOwnerSilence: undefined,
-                terminatedOwner: this.#terminatedOwner,
-                isTakeoverRequested: this.#isTakeoverRequested,
-            }),
-            waves: () => this.#configuration.waves,
-            upkeep: options.upkeep?.(this.#store),
-            connectSelf: session => this.#connectLocally(session),
-        });
+        this.#configuration = this.#createConfigurationWatch(placement);
+        this.#session = this.#createSession();
+        this.#registration = this.#createRegistration();
+        this.#candidate = this.#createCandidate(placement);
         this.requestLog = new RequestLog({
             logger,
             metrics,
@@ -303,6 +220,109 @@
         await untilDrained();
     }
 
+    #createConfigurationWatch(placement: OwnerPlacement): ConfigurationWatch {
+        const { settings, clock } = this.options;
+        const confirmation = new OwnerConfirmation({
+            clock,
+            limits: this.#followLimits,
+            isWanted: () =>
+                this.#session.hasOwner && this.#candidate.session === undefined
+                && placement.isFar(settings.dataHall, this.#view.vms.values()),
+            ask: since => this.#session.askCopy(since),
+        });
+        return new ConfigurationWatch({
+            feed: this.options.configuration,
+            clock,
+            logger: this.#logger,
+            limits: this.#followLimits,
+            probe: this.#probe,
+            onChange: configuration => {
+                this.#session.announceConfiguration(configuration.version);
+                this.#candidate.session?.configure(configuration);
+            },
+            onWaves: waves => this.#candidate.session?.addWaves(waves),
+            halls: this.#halls,
+            confirmation: hasSeveralRegions(settings.regions) ? confirmation : undefined,
+        });
+    }
+
+    #createSession(): VmSession {
+        const { settings, clock, metrics, store, clients, advice, traffic } = this.options;
+        return new VmSession({
+            clients: new InstrumentedWorkerClients(clients, metrics, clock),
+            advice,
+            clock,
+            logger: this.#logger,
+            leaseLength: settings.bounds.longestLease,
+            store,
+            onHandOver: () => {
+                this.#isTakeoverRequested = true;
+                this.#candidate.wake();
+            },
+            configuration: () => this.#configuration.configuration,
+            onConfiguration: configuration => this.#configuration.apply(configuration, "owner"),
+            closures: () => this.#halls.closures,
+            onClosures: closures => this.#halls.applyPeers(closures),
+            onAssign: ({ address, dataHall }) => traffic?.locate(address, dataHall),
+            isHallClosed: hall => this.#halls.isClosed(hall),
+            onOwnerChange: hasOwner => this.#handleOwnerChange(hasOwner),
+        });
+    }
+
+    #createRegistration(): VmRegistration {
+        const { settings, clock } = this.options;
+        return new VmRegistration({
+            store: this.#store,
+            clock,
+            logger: this.#logger,
+            key: vmKey(settings.vm),
+            value: JSON.stringify(this.#self),
+            ...(hasSeveralRegions(settings.regions) && {
+                measuredValue: (storeTime: Milliseconds) => JSON.stringify({ ...this.#self, storeTime }),
+            }),
+            leaseLength: Math.max(vmLeaseLength, settings.store.shortestLease),
+        });
+    }
+
+    #createCandidate(placement: OwnerPlacement): Candidate {
+        const { settings, clock, random, metrics, traffic } = this.options;
+        return new Candidate({
+            store: this.#store,
+            directory: this.options.directory(this.#store),
+            clock,
+            random,
+            logger: this.#logger,
+            metrics,
+            traffic,
+            self: this.#self,
+            view: this.#view,
+            placement,
+            regions: settings.regions,
+            leaseLength: Math.max(ownerLeaseLength, settings.store.shortestLease),
+            followLimits: this.#followLimits,
+            configuration: () => this.#configuration.configuration,
+            onConfiguration: configuration => this.#configuration.apply(configuration, "vm"),
+            toleratedHallLosses: settings.toleratedHallLosses,
+            closures: () => this.#halls.closures,
+            operatorsCopy: since => this.#configuration.copyFor(since),
+            onClosures: closures => this.#halls.applyPeers(closures),
+            formerLeaseLength: confirmationValidity + ownerSilenceLimit
+                + settings.bounds.longestLease / (1 - maxClockDrift)
+                + priorLeaseMargin,
+            ownerStatus: () => ({
+                ownerSilence: this.#session.hasOwner ? this.#session.ownerSilence : Infinity,
+                // Not reported on purpose: if a paused owner were replaced because of its silence, it would deny jobs that its
+                // successor has accepted, because renewing its lease does not reveal that another VM holds the owner's key.
+                lastOwnerSilence: undefined,
+                terminatedOwner: this.#terminatedOwner,
+                isTakeoverRequested: this.#isTakeoverRequested,
+            }),
+            waves: () => this.#configuration.waves,
+            upkeep: this.options.upkeep?.(this.#store),
+            connectSelf: session => this.#connectLocally(session),
+        });
+    }
+
     /** Counts messages to the owner, and sends large ones in parts, where there are several regions. */
     get #ownerChannelOptions(): SocketChannelOptions | undefined {
         const { traffic } = this.options;
