--- a/packages/entry/src/configuration/configuration-watch.ts
+++ b/packages/entry/src/configuration/configuration-watch.ts
@@ -52,6 +52,8 @@
     readonly #loop: FollowLoop;
     /** Revision up to which the copy is complete, and when the store last confirmed it to this VM itself. */
     #read: { readonly cursor: string; readonly at: Milliseconds; } | undefined;
+    /** Revision of the last reading or copy that brought waves. */
+    #wavesReadAt = 0;
     /** Age of the owner's copy when it last confirmed this one; 0 after a reading of the store. */
     #confirmedAge: Milliseconds = 0;
 
@@ -75,14 +77,18 @@
         return age === undefined ? undefined : age + this.#confirmedAge;
     }
 
-    /** What this VM has read from the store by itself; undefined before its first reading. */
-    get copy(): OperatorsCopy | undefined {
+    /**
+     * What this VM has read from the store by itself, without waves for a VM whose copy, complete up to revision `since`, holds them all;
+     * undefined before its first reading.
+     */
+    copyFor(since: string | undefined): OperatorsCopy | undefined {
+        const hasAllWaves = since !== undefined && Number(since) >= this.#wavesReadAt;
         return this.#read && {
             cursor: this.#read.cursor,
             age: this.options.clock.monotonic() - this.#read.at,
             version: this.configuration?.version ?? 0,
             closures: this.options.halls.closures,
-            waves: this.waves,
+            waves: hasAllWaves ? [] : this.waves,
         };
     }
 
@@ -136,15 +142,23 @@
     }
 
     async changes(cursor: string, wait: Milliseconds, signal: AbortSignal): Promise<FollowedUpdate | undefined> {
-        const startedAt = this.options.clock.monotonic();
-        const copy = await this.options.confirmation?.confirm(wait, owners => this.#holds(owners), signal);
+        const { clock, confirmation } = this.options;
+        if (confirmation === undefined) {
+            return this.#follow(cursor, wait, signal);
+        }
+        const startedAt = clock.monotonic();
+        const copy = await confirmation.confirm(wait, cursor, owners => this.#holds(owners), signal);
         if (copy !== undefined) {
             // The owner's last reading may be older than this VM's, which is then complete up to the later revision.
             const isNewer = Number(copy.cursor) > Number(cursor);
             return { cursor: isNewer ? copy.cursor : cursor, apply: () => this.#applyCopy(copy, isNewer) };
         }
-        const left = Math.max(0, wait - (this.options.clock.monotonic() - startedAt));
-        const update = await this.options.feed.follow(cursor, Math.round(left), signal);
+        const left = Math.max(0, wait - (clock.monotonic() - startedAt));
+        return this.#follow(cursor, Math.round(left), signal);
+    }
+
+    async #follow(cursor: string, wait: Milliseconds, signal: AbortSignal): Promise<FollowedUpdate | undefined> {
+        const update = await this.options.feed.follow(cursor, wait, signal);
         return update && {
             cursor: update.cursor,
             apply: () => {
@@ -160,9 +174,9 @@
         return (this.configuration?.version ?? 0) >= version;
     }
 
-    #applyCopy({ closures, waves, age }: OperatorsCopy, isNewer: boolean): void {
+    #applyCopy({ cursor, closures, waves, age }: OperatorsCopy, isNewer: boolean): void {
         if (isNewer) {
-            waves.forEach(wave => this.#waves.set(wave.wave, wave));
+            this.#addWaves(waves, cursor);
             this.options.halls.replace({ closed: closures.halls, reopened: [], revision: closures.revision });
         }
         this.#confirmedAge = age;
@@ -173,11 +187,16 @@
         this.#confirmedAge = 0;
     }
 
-    #applyUpdate({ configuration, waves }: OperatorUpdate): void {
+    #applyUpdate({ configuration, waves, cursor }: OperatorUpdate): void {
         if (configuration !== undefined) {
             this.apply(configuration, "store");
         }
+        this.#addWaves(waves, cursor);
+    }
+
+    #addWaves(waves: readonly UpkeepWave[], cursor: string): void {
         if (waves.length > 0) {
+            this.#wavesReadAt = Number(cursor);
             waves.forEach(wave => this.#waves.set(wave.wave, wave));
             this.options.onWaves(waves);
         }
