Reopened data halls: a hall that is a little slower does not alternate between slow and not slow

Change: slow from 1.5 on, no longer below 1.2; the median is of the newest 31 comparisons instead of 15.

--- a/packages/cell/src/data-halls/constants.ts
+++ b/packages/cell/src/data-halls/constants.ts
@@ -6,6 +6,8 @@
 /** Comparisons needed before an estimate is used. */
 export const minComparisons = 3;
 /** Newest comparisons that an estimate is the median of, so that it follows workers that become faster. */
-export const maxComparisons = 15;
-/** Estimates below this are ignored: other runs on a worker have as much effect. */
-export const minHallSlowness = 1.35;
+export const maxComparisons = 31;
+/** A hall counts as slow from this slowness on: other runs on a worker have less effect. */
+export const slowFrom = 1.5;
+/** A slow hall no longer counts as such below this slowness. Lower than {@link slowFrom}, so that a hall between them does not alternate. */
+export const slowUntil = 1.2;
--- a/packages/cell/src/data-halls/hall-recovery.ts
+++ b/packages/cell/src/data-halls/hall-recovery.ts
@@ -2,7 +2,7 @@
 import { type DataHallName, logEvents, type Milliseconds } from "@pebbledale/core";
 import { medianOf } from "../monitoring/index.js";
 import type { CellContext, WorkerState } from "../state/index.js";
-import { maxComparisons, minComparisons, minHallSlowness, recoveryTime } from "./constants.js";
+import { maxComparisons, minComparisons, recoveryTime, slowFrom, slowUntil } from "./constants.js";
 
 interface Recovery {
     readonly until: Milliseconds;
@@ -63,7 +63,7 @@
     }
 
     #noteSlowness(hall: DataHallName, recovery: Recovery, slowness: number): void {
-        const isSlow = slowness >= minHallSlowness;
+        const isSlow = slowness >= (recovery.isSlow ? slowUntil : slowFrom);
         if (isSlow !== recovery.isSlow) {
             recovery.isSlow = isSlow;
             this.context.options.log.log(logEvents.reopenedHallSpeed, { hall, slowness: Number(slowness.toFixed(2)) });
--- a/packages/cell/test/data-halls/hall-recovery.test.ts
+++ b/packages/cell/test/data-halls/hall-recovery.test.ts
@@ -55,6 +55,12 @@
         expect(nextHalls(driver)).toEqual([hallA, hallA]);
     });
 
+    it("does not alternate when it is a little slower", () => {
+        const driver = setUp();
+        [1.7, 1.3, 1.7, 1.3, 1.5, 1.3].forEach((slowness, index) => runJob(driver, `j${index}`, slowness));
+        expect(driver.logged.filter(({ event }) => event === logEvents.reopenedHallSpeed).length).toEqual(1);
+    });
+
     it("leaves no estimate of its workers' speeds once its recovery is over", () => {
         const driver = setUp();
         runJob(driver, "j", 2);
