--- a/packages/cell/src/selection/constants.ts
+++ b/packages/cell/src/selection/constants.ts
@@ -21,11 +21,6 @@
  * computed from the estimate.
  */
 export const uncertainSlackShare = 0.4;
-/**
- * A late urgent step within its organisation's entitlement goes among those that are on time once it has less than this left until it earns
- * nothing. It covers a question to the advice service and a few scheduling cycles.
- */
-export const lastChanceTime = 500;
 /** Delay in the order of urgent steps, in milliseconds for each core-second that a step asks for. */
 export const sizePenaltyPerCoreSecond = 10;
 /** Upper bound of the size penalty of an urgent step, in milliseconds. */
--- a/packages/cell/src/selection/ranking.ts
+++ b/packages/cell/src/selection/ranking.ts
@@ -2,7 +2,6 @@
 import type { Milliseconds } from "@pebbledale/core";
 import type { CellContext, Job, Occurrence, Step } from "../state/index.js";
 import {
-    lastChanceTime,
     maxSizePenalty,
     minSlack,
     minSlackPerWork,
@@ -30,7 +29,6 @@
  */
 export enum Tier {
     LongRunning = 0,
-    /** Also late urgent steps that would soon earn nothing: their callers would not be served at all, while the others would only be late. */
     OnTime = 1,
     /** Also urgent steps that are on time only if their estimates are right, and those that exceed their organisation's entitlement. */
     LateUrgent = 2,
@@ -82,13 +80,9 @@
         };
     }
     const isLate = now > latestStart;
-    const overdueAt = releaseTime + overdueFactor * objective - remaining;
-    const isOverdue = now > overdueAt;
+    const isOverdue = now > releaseTime + overdueFactor * objective - remaining;
     const deadlineStatus = isOverdue ? DeadlineStatus.Overdue : isLate ? DeadlineStatus.Late : DeadlineStatus.OnTime;
-    const isLastChance = deadlineStatus === DeadlineStatus.Late && overdueAt - now < lastChanceTime;
-    const tier = isLastChance && entitlement === 0 && isUrgentNarrow(context, step)
-        ? Tier.OnTime
-        : tierOf(context, step, deadlineStatus, latestStart - now, entitlement);
+    const tier = tierOf(context, step, deadlineStatus, latestStart - now, entitlement);
     const sortTime = latestStart + (isUrgentNarrow(context, step) ? sizePenaltyOf(step) : 0);
     return { step, deadlineStatus, tier, priority, entitlement, latestStart, sortTime };
 };
