Give a new owner the configuration and the waves of upkeep that are read while its session is set up

Cause: between the creation of an owner's session and its announcement to the process, 4 ms and more on a busy VM, changes of the operators' keys are passed on to no session. Closures were read again when the session begins to run; a configuration was missed until the next one, and a wave of upkeep until the owner changed.

Change: the session reads all three when it is created and again when it begins to run; both are idempotent.

Test: packages/entry/test/owner/owner-closures.test.ts, fails without the second reading. 78 tests of test/owner and test/ownership and 8 of platform/test/integration/cell.test.ts pass.

--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -138,10 +138,7 @@
             closeWorkers: closed => this.cell.setClosedWorkers(closed),
             signal: options.lost.signal,
         });
-        if (options.configuration !== undefined) {
-            this.configure(options.configuration);
-        }
-        this.#refreshClosures();
+        this.#applyOperatorsKeys();
     }
 
     get epoch(): number {
@@ -157,7 +154,7 @@
     async run(): Promise<void> {
         const { lost, clock, metrics } = this.options;
         // Changes between the session's creation and now were not passed on to it.
-        this.#refreshClosures();
+        this.#applyOperatorsKeys();
         const following = this.#workerFollowLoop.run(lost.signal);
         while (!lost.signal.aborted) {
             this.cell.tick();
@@ -233,7 +230,13 @@
         this.#turnRunner.schedule();
     }
 
-    #refreshClosures(): void {
+    /** Applies what this VM has read of the operators' keys. */
+    #applyOperatorsKeys(): void {
+        const configuration = this.options.configuration();
+        if (configuration !== undefined) {
+            this.configure(configuration);
+        }
+        this.addWaves(this.options.waves());
         const closures = this.options.closures();
         if (closures.halls.length > 0 || this.#closures.halls.length > 0) {
             this.closeHalls(closures);
--- a/packages/entry/src/owner/types.ts
+++ b/packages/entry/src/owner/types.ts
@@ -1,5 +1,12 @@
 /** Options and results of an owner's session. */
-import type { CellConfiguration, HallClosures, VmService, WaveStatusReporter, WorkerDirectory } from "@pebbledale/cell";
+import type {
+    CellConfiguration,
+    HallClosures,
+    UpkeepWave,
+    VmService,
+    WaveStatusReporter,
+    WorkerDirectory,
+} from "@pebbledale/cell";
 import type { Journal, JournalContents, Milliseconds, SuspensionAwareClock } from "@pebbledale/core";
 import type { EventLogger } from "@pebbledale/runtime";
 import type { OperatorsCopy } from "../configuration/index.js";
@@ -21,7 +28,10 @@
     readonly name: string;
     /** Region of each data hall. */
     readonly regions: RegionMap;
-    readonly configuration: CellConfiguration | undefined;
+    /** The newest configuration known to this VM; undefined while there is none. */
+    readonly configuration: () => CellConfiguration | undefined;
+    /** The known waves of upkeep. */
+    readonly waves: () => readonly UpkeepWave[];
     /** How long after a takeover leases granted by earlier owners may be in force at an unreachable worker. */
     readonly formerLeaseLength: Milliseconds;
     /** Time of the store's last confirmation that this VM owns the cell, on the monotonic clock. */
--- a/packages/entry/src/ownership/candidate.ts
+++ b/packages/entry/src/ownership/candidate.ts
@@ -330,7 +330,8 @@
                 metrics: this.options.metrics,
                 name: self.name,
                 regions: this.options.regions,
-                configuration: this.options.configuration(),
+                configuration: this.options.configuration,
+                waves: this.options.waves,
                 formerLeaseLength: this.options.formerLeaseLength,
                 lost,
                 confirmedAt: () => Math.max(journal.lastContact, key.confirmedAt),
@@ -349,7 +350,6 @@
                 onBetterVm: () =>
                     void this.#handOver(lost, "a much larger VM, or one nearer to the store, is connected", stop),
             });
-            session.addWaves(this.options.waves());
             dialer.attach(session);
             await clock.sleep(firstMessagesDelay, lost.signal);
             this.#session = session;
--- a/packages/entry/test/owner/owner-closures.test.ts
+++ b/packages/entry/test/owner/owner-closures.test.ts
@@ -1,5 +1,5 @@
-/* Guards against an owner that misses a closure read while its session was being set up. */
-import type { HallClosures, WorkerDirectory } from "@pebbledale/cell";
+/* Guards against an owner that misses an operator's key read while its session was being set up. */
+import type { CellConfiguration, HallClosures, WorkerDirectory } from "@pebbledale/cell";
 import { dataHallName, epoch, type Journal, ManualClock } from "@pebbledale/core";
 import { expect } from "earl";
 import { afterEach, describe, it } from "node:test";
@@ -11,14 +11,20 @@
     OwnerSession,
     type VmMessage,
 } from "../../src/index.js";
+import { configuration } from "../support/configuration.js";
 import { makeVm, RecordingLogger, settle } from "../support/index.js";
 
 const hall = dataHallName("hall-a");
-const stop = new AbortController();
+let stop = new AbortController();
 
 const setUp = () => {
+    stop = new AbortController();
     const clock = new ManualClock();
     const logger = new RecordingLogger();
+    const known: { configuration: CellConfiguration | undefined; waveReadings: number; } = {
+        configuration: undefined,
+        waveReadings: 0,
+    };
     const halls = new HallClosureWatch({ logger, onChange: () => undefined });
     const session = new OwnerSession({
         journal: { epoch: epoch(1), silentFor: () => 0, setSnapshotSource: () => undefined } as unknown as Journal,
@@ -29,7 +35,11 @@
         logger,
         metrics: new EntryMetrics(),
         name: "vm-0",
-        configuration: undefined,
+        configuration: () => known.configuration,
+        waves: () => {
+            known.waveReadings++;
+            return [];
+        },
         formerLeaseLength: 1_000,
         confirmedAt: () => clock.monotonic(),
         keyConfirmedAt: () => clock.monotonic(),
@@ -50,12 +60,20 @@
     });
     const received: HallClosures[] = [];
     const [ownerEnd, vmEnd] = createMemoryChannel<OwnerMessage, VmMessage>();
-    vmEnd.onMessage = message => message.kind === "closed-halls" && received.push(message.closures);
+    const versions: number[] = [];
+    vmEnd.onMessage = message => {
+        if (message.kind === "closed-halls") {
+            received.push(message.closures);
+        }
+        else if (message.kind === "configuration-version") {
+            versions.push(message.version);
+        }
+    };
     session.connect(makeVm("vm-1"), ownerEnd);
-    return { session, halls, received };
+    return { session, halls, received, known, versions };
 };
 
-describe("an owner whose VM reads closures before the session runs", () => {
+describe("an owner whose VM reads operators' keys before the session runs", () => {
     afterEach(() => stop.abort());
 
     it("applies a closure and tells the VMs that have connected", async () => {
@@ -65,4 +83,13 @@
         await settle();
         expect(received).toEqual([{ halls: [hall], revision: 4 }]);
     });
+
+    it("applies a configuration, tells the VMs, and takes up waves of upkeep", async () => {
+        const { session, known, versions } = setUp();
+        const readingsBefore = known.waveReadings;
+        known.configuration = { ...configuration, version: 7 };
+        void session.run();
+        await settle();
+        expect([versions, known.waveReadings > readingsBefore]).toEqual([[7], true]);
+    });
 });
