Split the operators' keys from the owner's session

No change in behaviour: 78 tests of test/owner and test/ownership and 8 of platform/test/integration/cell.test.ts pass.

--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -9,12 +9,10 @@
     type UpkeepWave,
 } from "@pebbledale/cell";
 import { fencingToken, JournalFencedError, logEvents, type Milliseconds } from "@pebbledale/core";
-import { configurationFetchDelay } from "../configuration/index.js";
 import { FollowLoop } from "../following/index.js";
 import type { EntryVm } from "../membership/index.js";
 import {
     type Channel,
-    type CopyQuestionMessage,
     type OwnerMessage,
     type OwnerReply,
     type OwnerRequest,
@@ -37,6 +35,7 @@
 } from "./constants.js";
 import { IntervalTimer } from "./interval-timer.js";
 import { JournalOutageLog } from "./journal-outage-log.js";
+import { OperatorsKeys } from "./operators-keys.js";
 import { relayOrder } from "./relay-order.js";
 import { RequestHandler } from "./request-handler.js";
 import { chooseSuccessor, isMuchBetterOwner } from "./successor.js";
@@ -59,8 +58,7 @@
     readonly #requestHandler: RequestHandler;
     readonly #outageLog: JournalOutageLog;
     readonly #upkeepController: UpkeepController | undefined;
-    #configuration: CellConfiguration | undefined;
-    #closures: HallClosures = { halls: [], revision: 0 };
+    readonly #operatorsKeys: OperatorsKeys;
     readonly #turnRunner: TurnRunner;
     readonly #heartbeatTimer: IntervalTimer;
     readonly #summaryTimer: IntervalTimer;
@@ -138,6 +136,12 @@
             closeWorkers: closed => this.cell.setClosedWorkers(closed),
             signal: options.lost.signal,
         });
+        this.#operatorsKeys = new OperatorsKeys({
+            session: options,
+            cell: this.cell,
+            vms: this.#vms,
+            onChange: () => this.#turnRunner.schedule(),
+        });
         this.#applyOperatorsKeys();
     }
 
@@ -213,34 +217,18 @@
 
     /** Applies a configuration if it is newer and announces it to the VMs. */
     configure(configuration: CellConfiguration): void {
-        if (configuration.version <= (this.#configuration?.version ?? 0)) {
-            return;
-        }
-        this.#configuration = configuration;
-        this.cell.configure(configuration);
-        this.#vms.forEach(vm => vm.channel.send({ kind: "configuration-version", version: configuration.version }));
-        this.#turnRunner.schedule();
+        this.#operatorsKeys.configure(configuration);
     }
 
     /** Starts nothing more in the data halls that are closed, and tells the VMs. */
     closeHalls(closures: HallClosures): void {
-        this.#closures = closures;
-        this.cell.setClosedHalls(closures);
-        this.#vms.forEach(vm => vm.channel.send({ kind: "closed-halls", closures }));
-        this.#turnRunner.schedule();
+        this.#operatorsKeys.closeHalls(closures);
     }
 
     /** Applies what this VM has read of the operators' keys. */
     #applyOperatorsKeys(): void {
-        const configuration = this.options.configuration();
-        if (configuration !== undefined) {
-            this.configure(configuration);
-        }
+        this.#operatorsKeys.refresh();
         this.addWaves(this.options.waves());
-        const closures = this.options.closures();
-        if (closures.halls.length > 0 || this.#closures.halls.length > 0) {
-            this.closeHalls(closures);
-        }
     }
 
     /** Adds waves of upkeep to be carried out. */
@@ -267,12 +255,7 @@
         channel.onMessage = message => this.#handle(link, message);
         channel.onClose = () => this.#drop(link);
         channel.send({ kind: "welcome", epoch: journal.epoch, owner: name });
-        if (this.#configuration !== undefined) {
-            channel.send({ kind: "configuration-version", version: this.#configuration.version });
-        }
-        if (this.#closures.halls.length > 0) {
-            channel.send({ kind: "closed-halls", closures: this.#closures });
-        }
+        this.#operatorsKeys.announceTo(channel);
         this.#advice.join(
             vm.name,
             (question, { step, workers }, duration) => channel.send({ kind: "ask", question, step, workers, duration }),
@@ -339,32 +322,6 @@
         return confirmedAt() >= startedAt;
     }
 
-    /** Requests a newer configuration from the VM that has it, unless the store delivers it within the grace period. */
-    async #requestNewerConfiguration(link: VmLink, version: number): Promise<void> {
-        await this.options.clock.sleep(configurationFetchDelay, this.options.lost.signal);
-        if (version > (this.#configuration?.version ?? 0)) {
-            link.channel.send({ kind: "want-configuration" });
-        }
-    }
-
-    #sendConfiguration(link: VmLink): void {
-        if (this.#configuration !== undefined) {
-            link.channel.send({ kind: "configuration", configuration: this.#configuration });
-        }
-    }
-
-    #answerCopyQuestion(link: VmLink, { question, since }: CopyQuestionMessage): void {
-        const copy = this.options.operatorsCopy(since);
-        link.channel.send({ kind: "copy-answer", question, ...(copy === undefined ? {} : { copy }) });
-    }
-
-    #handleClosures(link: VmLink, closures: HallClosures): void {
-        const newer = this.options.onClosures(closures);
-        if (newer !== undefined) {
-            link.channel.send({ kind: "closed-halls", closures: newer });
-        }
-    }
-
     /** Reassigns the links and advice questions of a VM that is about to stop. */
     #handleLeaving(link: VmLink): void {
         link.isLeaving = true;
@@ -436,19 +393,13 @@
                 void this.#answer(link, message.request, message.body);
                 break;
             case "configuration":
-                this.options.onConfiguration(message.configuration);
+            case "closed-halls":
+                this.#operatorsKeys.handle(link, message);
                 break;
             case "configuration-version":
-                void this.#requestNewerConfiguration(link, message.version);
-                return;
             case "want-configuration":
-                this.#sendConfiguration(link);
-                return;
-            case "closed-halls":
-                this.#handleClosures(link, message.closures);
-                break;
             case "copy-question":
-                this.#answerCopyQuestion(link, message);
+                this.#operatorsKeys.handle(link, message);
                 return;
             case "advised": {
                 const command = this.#advice.complete(message.question);
