Count a failed question to the advice service as a very late answer of its region

Cause: a question that failed before its answer was due counted as one answered without delay. Calls of a region that is cut off from the advice service fail at once, so that its VMs became the ones answered soonest and got all questions.

Change: a failed question counts with the longest delay. Only deployments with several regions compare regions.

Test: packages/cell/test/advising/advice-dispatcher.test.ts, all questions went to the failing region before the change; 14 tests pass.

--- a/packages/cell/src/advising/advice-dispatcher.ts
+++ b/packages/cell/src/advising/advice-dispatcher.ts
@@ -104,18 +104,20 @@
     }
 
     /** Ends a question that was answered or failed. Returns the request, or undefined for an unknown number. */
-    complete(number: number): AdviceRequest | undefined {
+    complete(number: number, isAnswered = true): AdviceRequest | undefined {
         const question = this.#inFlight.get(number);
         this.#inFlight.delete(number);
         if (question !== undefined) {
-            this.#release(question);
+            this.#release(question, isAnswered);
         }
         this.#dispatchWaiting();
         return question?.request;
     }
 
-    #release({ vm, number, dueAt }: InFlightQuestion): void {
-        if (vm.group !== undefined && this.#answerTimes.record(vm.group, this.now() - dueAt)) {
+    /** A failed question counts as a very late answer, as calls from a VM that is cut off from the service may fail at once. */
+    #release({ vm, number, dueAt }: InFlightQuestion, isAnswered: boolean): void {
+        const lateBy = isAnswered ? this.now() - dueAt : Infinity;
+        if (vm.group !== undefined && this.#answerTimes.record(vm.group, lateBy)) {
             this.#sortVms();
         }
         vm.inFlight.delete(number);
--- a/packages/cell/test/advising/advice-dispatcher.test.ts
+++ b/packages/cell/test/advising/advice-dispatcher.test.ts
@@ -165,7 +165,7 @@
 });
 
 describe("questions through VMs of two regions", () => {
-    const answerAfter = (delays: Readonly<Record<string, number>>) => {
+    const answerAfter = (delays: Readonly<Record<string, number>>, failing = "none") => {
         const clock = new ManualClock();
         const requester = { isAdviceWanted: () => true, dropAdvice: () => undefined };
         const dispatcher = new AdviceDispatcher(() => clock.monotonic(), requester);
@@ -186,8 +186,9 @@
         const run = (duration: number, count: number): (string | undefined)[] =>
             Array.from({ length: count }, () => {
                 const vm = ask(duration);
-                clock.advance(duration + delays[vm ?? ""]);
-                dispatcher.complete(asked.at(-1)?.question ?? 0);
+                const isFailing = vm?.startsWith(failing) === true;
+                clock.advance(isFailing ? 2 : duration + delays[vm ?? ""]);
+                dispatcher.complete(asked.at(-1)?.question ?? 0, !isFailing);
                 return vm;
             }).slice(-3);
         return { ask, run, asked };
@@ -199,6 +200,12 @@
         expect(run(400, 6).every(vm => vm?.startsWith("near"))).toEqual(true);
     });
 
+    /* Guards against a region that is cut off from the service, where calls fail at once, being taken for the one answered soonest. */
+    it("go to the region that is answered when those of the other fail at once", () => {
+        const { run } = answerAfter({ "far-1": 40, "far-2": 40, "near-1": 8, "near-2": 8 }, "far");
+        expect(run(20, 6)).toEqual(["near-1", "near-1", "near-1"]);
+    });
+
     it("use the other region when the sooner one is busy for longer than the difference", () => {
         const { ask, run } = answerAfter({ "far-1": 40, "near-1": 8 });
         run(20, 6);
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -402,7 +402,7 @@
                 this.#operatorsKeys.handle(link, message);
                 return;
             case "advised": {
-                const command = this.#advice.complete(message.question);
+                const command = this.#advice.complete(message.question, message.cause === undefined);
                 if (command !== undefined) {
                     this.cell.applyAdvice(command.step, command.workers, message.answer, message.cause);
                 }
