Spread a wide step over data halls without a look at each worker for each task

Cause: each task of a long-running step was placed by a look at all candidates, so that the time grew with the product.

Change: the workers of each hall are taken in the order of their costs, and only the halls are compared.

Tests: packages/cell/test/data-halls/hall-spread.test.ts, failed before the change; 115 tests of test/data-halls and test/scheduler pass.

--- a/packages/cell/src/selection/candidates.ts
+++ b/packages/cell/src/selection/candidates.ts
@@ -188,27 +188,58 @@
 export const spreadOverHalls = (step: Step, candidates: readonly Candidate[], count: number): Allocation[] => {
     const tasksByHall = countRunsByHall(step);
     const taken = new Map<Candidate, number>();
-    const costWithOneMore = (candidate: Candidate): number =>
-        candidate.cost + sameHallCost * (tasksByHall.get(hallOf(candidate)) ?? 0);
-    for (let placed = 0; placed < count; placed++) {
-        const best = candidates
-            .filter(candidate => (taken.get(candidate) ?? 0) < candidate.count)
-            .reduce<Candidate | undefined>(
-                (least, other) =>
-                    least === undefined || costWithOneMore(other) < costWithOneMore(least) ? other : least,
-                undefined,
-            );
-        if (best === undefined) {
-            break;
+    const halls = groupByHall(candidates);
+    for (let placed = 0; placed < count && halls.length > 0; placed++) {
+        const best = cheapestHall(halls, tasksByHall);
+        const candidate = best.candidates[best.next];
+        const tasks = (taken.get(candidate) ?? 0) + 1;
+        taken.set(candidate, tasks);
+        tasksByHall.set(best.hall, (tasksByHall.get(best.hall) ?? 0) + 1);
+        best.next += tasks >= candidate.count ? 1 : 0;
+        if (best.next === best.candidates.length) {
+            halls.splice(halls.indexOf(best), 1);
         }
-        taken.set(best, (taken.get(best) ?? 0) + 1);
-        tasksByHall.set(hallOf(best), (tasksByHall.get(hallOf(best)) ?? 0) + 1);
     }
     const chosen = [...taken].map(([candidate, tasks]) => ({ ...candidate, count: tasks }));
     const spare = candidates.map(candidate => ({ ...candidate, count: candidate.count - (taken.get(candidate) ?? 0) }));
     return [...chosen, ...spare.filter(allocation => allocation.count > 0)];
 };
 
+/** The candidates of a data hall, lowest cost first; those before `next` are used up. */
+interface HallCandidates {
+    readonly hall: DataHallName | undefined;
+    readonly candidates: readonly Candidate[];
+    next: number;
+}
+
+const groupByHall = (candidates: readonly Candidate[]): HallCandidates[] => {
+    const groups = new Map<DataHallName | undefined, Candidate[]>();
+    for (const candidate of candidates.filter(({ count }) => count > 0)) {
+        const group = groups.get(hallOf(candidate));
+        if (group === undefined) {
+            groups.set(hallOf(candidate), [candidate]);
+        }
+        else {
+            group.push(candidate);
+        }
+    }
+    return [...groups].map(([hall, group]) => ({
+        hall,
+        candidates: group.sort((left, right) => left.cost - right.cost),
+        next: 0,
+    }));
+};
+
+/** The data hall whose next candidate costs least with the cost of the hall's tasks. */
+const cheapestHall = (
+    halls: readonly HallCandidates[],
+    tasksByHall: ReadonlyMap<DataHallName | undefined, number>,
+): HallCandidates => {
+    const costOfNext = ({ hall, candidates, next }: HallCandidates): number =>
+        candidates[next].cost + sameHallCost * (tasksByHall.get(hall) ?? 0);
+    return halls.reduce((least, other) => costOfNext(other) < costOfNext(least) ? other : least);
+};
+
 const hallOf = ({ worker }: Allocation): DataHallName | undefined => worker.entry?.dataHall;
 
 const countRunsByHall = ({ tasks }: Step): Map<DataHallName | undefined, number> => {
--- a/packages/cell/test/data-halls/hall-spread.test.ts
+++ b/packages/cell/test/data-halls/hall-spread.test.ts
@@ -2,8 +2,9 @@
 import { dataHallName } from "@pebbledale/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import type { StartCommand } from "../../src/index.js";
-import { CellDriver, makeJob, makeStep, makeWorker } from "../support/index.js";
+import { type StartCommand, WorkerState } from "../../src/index.js";
+import { spreadOverHalls } from "../../src/selection/index.js";
+import { CellDriver, idOf, makeJob, makeStep, makeWorker } from "../support/index.js";
 
 const halls = ["hall-a", "hall-b", "hall-c", "hall-d"];
 
@@ -42,6 +43,32 @@
         expect(countByHall(driver.run().starts)).toEqual([0, 0, 0, 14]);
     });
 
+    /* Guards against an owner that is silent for longer than its heartbeats allow while it places a wide step. */
+    it("are distributed without a look at each worker for each task", () => {
+        const size = 500;
+        let looks = 0;
+        const candidates = Array.from({ length: size }, (_, index) => {
+            const worker = new WorkerState(idOf(`w${index}`), "10.0.0.1:80");
+            worker.applyEntry(makeWorker(`w${index}`, { dataHall: dataHallName(halls[index % halls.length]) }));
+            return {
+                worker,
+                count: 2,
+                isPenalised: false,
+                ticket: undefined,
+                get cost() {
+                    looks++;
+                    return index;
+                },
+            };
+        });
+        const { cell } = new CellDriver();
+        const job = cell.submit(lasting(size))!;
+        const [step] = [...job.occurrences.values()][0].steps;
+        const allocations = spreadOverHalls(step, candidates, size);
+        expect(allocations.reduce((sum, { count }) => sum + count, 0)).toEqual(2 * size);
+        expect(looks < 100 * size).toEqual(true);
+    });
+
     it("count those that run already", () => {
         const driver = setUp(1);
         driver.cell.submit(lasting(8));
