Unrepeatable requests without an answer keep their key for two hours at least

Cause: with a short result.retention the key of a live request that still runs was freed, so that a copy could have been sent; found in review. Change: without a known status a key is kept for at least twice the longest deadline of a live request.

--- a/packages/core/src/shard/constants.ts
+++ b/packages/core/src/shard/constants.ts
@@ -1,4 +1,5 @@
 /** Fixed limits of a shard, as opposed to its settings. */
+import type { Milliseconds } from "../time/index.js";
 
 /** Entries in a job's history. The first entry is always kept; of the others the oldest are dropped. */
 export const maxHistoryEntries = 40;
@@ -17,3 +18,8 @@
 export const maxUnplacedUnits = 256;
 /** Longest interval between two placement cycles when no capacity was freed and nothing was queued, in milliseconds. */
 export const placementCycleInterval = 1_000;
+/**
+ * Minimum retention of an at-most-once live request without a known answer, which may still run: twice the longest deadline that a caller
+ * may give.
+ */
+export const minUnansweredRetention: Milliseconds = 7_200_000;
--- a/packages/core/src/shard/job-lifecycle.ts
+++ b/packages/core/src/shard/job-lifecycle.ts
@@ -6,6 +6,7 @@
 import { type Resources, resourcesKey } from "../resources/index.js";
 import type { Milliseconds } from "../time/index.js";
 import { EndKind, StopMode } from "../worker/index.js";
+import { minUnansweredRetention } from "./constants.js";
 import { finalStateOf, isEnding } from "./job-view.js";
 import { type PendingUnit } from "./pending-queue.js";
 import { sizeOf } from "./size.js";
@@ -284,11 +285,15 @@
         while (this.#finished.length > 0 && finishTime(this.#finished.peek()!) <= cutoff) {
             builder.record({ kind: "forgotten", job: this.#finished.pop()!.job });
         }
-        for (const { key, at } of this.context.registry.unrepeatableRequests.values()) {
-            if (Date.parse(at) > cutoff) {
+        const unansweredCutoff = Math.min(cutoff, this.context.options.clock.now().getTime() - minUnansweredRetention);
+        for (const { key, at, status } of this.context.registry.unrepeatableRequests.values()) {
+            const begunAt = Date.parse(at);
+            if (begunAt > cutoff) {
                 break;
             }
-            builder.record({ kind: "once-forgotten", key });
+            if (status !== undefined || begunAt <= unansweredCutoff) {
+                builder.record({ kind: "once-forgotten", key });
+            }
         }
     }
 }
