A new owner ranks jobs by when they were accepted, not by when it has read their records

Cause: the monotonic time of acceptance of a job that an earlier owner accepted was the time at which the new owner read its record. Change: the recorded wall-clock time of acceptance is converted to the owner's monotonic clock; a time ahead of the VM's clock counts as now. Ruled out: clocks of VMs that disagree by seconds shift all recovered jobs alike; timed jobs have relied on the wall clock all along.

--- a/packages/cell/src/state/cell-context.ts
+++ b/packages/cell/src/state/cell-context.ts
@@ -35,7 +35,7 @@
     queues: QueueDirectory | undefined;
 
     constructor(readonly options: CellOptions) {
-        this.table = new JobTable(() => this.now());
+        this.table = new JobTable(time => this.monotonicOf(time));
     }
 
     /** Current time of the monotonic clock, which the state's times refer to unless said otherwise. */
@@ -48,6 +48,11 @@
         return this.options.clock.now().getTime();
     }
 
+    /** A past time in milliseconds since 1970 by the monotonic clock. A time ahead of this VM's wall clock counts as now. */
+    monotonicOf(time: number): Milliseconds {
+        return this.now() - Math.max(0, this.wallClock() - time);
+    }
+
     /** States of the given workers; unknown ids are skipped. */
     findWorkers(ids: Iterable<WorkerId>): WorkerState[] {
         const found: WorkerState[] = [];
--- a/packages/cell/src/state/entities.ts
+++ b/packages/cell/src/state/entities.ts
@@ -233,7 +233,7 @@
         definition: JobDefinition | undefined,
         /** Latest known terms of its queue. */
         public terms: JobTerms,
-        /** By the owner's monotonic clock; for a job accepted by an earlier owner, the time at which its record was read. */
+        /** By the owner's monotonic clock. */
         readonly acceptedAtMonotonic: Milliseconds,
         /** Kept after the definition is discarded; undefined in a cell without organisations. */
         readonly organisation: OrganisationName | undefined,
--- a/packages/cell/src/state/job-table.ts
+++ b/packages/cell/src/state/job-table.ts
@@ -74,7 +74,8 @@
     /** Workers from which runs may have been ordered. */
     readonly knownWorkers = new Map<WorkerId, KnownWorker>();
 
-    constructor(private readonly now: () => Milliseconds) {}
+    /** `monotonicOf`: converts a time in milliseconds since 1970 to the owner's monotonic clock. */
+    constructor(private readonly monotonicOf: (time: number) => Milliseconds) {}
 
     /** Applies a record; a record that no longer applies is ignored. */
     apply(record: CellRecord): void {
@@ -158,7 +159,7 @@
 
     #accept({ at, definition, terms }: AcceptedRecord): void {
         const { queue, organisation } = definition;
-        const job = new Job(definition.job, queue, at, definition, terms, this.now(), organisation);
+        const job = new Job(definition.job, queue, at, definition, terms, this.monotonicOf(at), organisation);
         this.jobs.set(job.id, job);
         if (definition.timetable === undefined) {
             this.ensureOccurrence(job, 0);
@@ -271,7 +272,7 @@
 
     #restoreJob(saved: JobSnapshot): void {
         const { id, queue, acceptedAt, definition, terms, organisation } = saved;
-        const job = new Job(id, queue, acceptedAt, definition, terms, this.now(), organisation);
+        const job = new Job(id, queue, acceptedAt, definition, terms, this.monotonicOf(acceptedAt), organisation);
         job.state = saved.state;
         job.endedAt = saved.endedAt;
         saved.doneOccurrences.forEach(number => job.doneOccurrences.add(number));
--- a/packages/cell/test/scheduler/take-over.test.ts
+++ b/packages/cell/test/scheduler/take-over.test.ts
@@ -60,6 +60,22 @@
         expect(later.every(start => start.worker === idOf("w1"))).toEqual(true);
     });
 
+    /* Guards against jobs that are too late for their callers displacing others that can still be on time. */
+    for (const source of ["records", "a snapshot"]) {
+        it(`ranks jobs by when they were accepted, as restored from ${source}`, () => {
+            const driver = new CellDriver();
+            const size = { processorThousandths: 8_000, memoryMebibytes: 1_024, accelerators: 0 };
+            driver.cell.submit(makeJob("overdue", [makeStep({ size })]));
+            driver.run();
+            driver.clock.advance(20_000);
+            driver.cell.submit(makeJob("fresh", [makeStep({ size })]));
+            driver.run();
+            driver.takeOver(source === "records" ? undefined : driver.cell.snapshot());
+            driver.addWorkers(makeWorker("w1"));
+            expect(driver.run().starts.map(({ task }) => task.split("/")[0])).toEqual(["fresh"]);
+        });
+    }
+
     it("restores the same state from a snapshot as from the records", () => {
         const { driver, starts } = started();
         driver.end(starts[0], RunEnd.Done);
