Reloaded settings: the log line names what needs a restart

Cause: a changed settings file was logged as reloaded, although nothing in the process uses the new values: connections, limits and data halls are those of the start.

--- a/packages/core/src/log-events/index.ts
+++ b/packages/core/src/log-events/index.ts
@@ -305,7 +305,12 @@
         "bytes exchanged since the process started, by peer, reach and kind: count, sent, received",
         nothing,
     ),
-    settingsReloaded: define(4605, "info", "the settings file was reloaded", nothing),
+    settingsReloaded: define(
+        4605,
+        "info",
+        "the settings file has changed; the settings under needRestart apply from the next start of the process",
+        "Restart the process where needRestart names a setting that is to apply now.",
+    ),
     settingsUnreadable: define(
         4607,
         "error",
