Operators' commands: HTTP status, unreadable files, malformed sites and invalid trees are told

Change: such a gateway counts as one that did not answer; unreadable-file, bad-site and unreadable-settings name the cause and end with 1.

--- a/packages/core/src/errors/index.ts
+++ b/packages/core/src/errors/index.ts
@@ -149,6 +149,16 @@
         "The log holds an event with the same request id; please report it.",
         500,
     ),
+    "bad-site": define(
+        "No such form of a site",
+        "A site is named as REGION/SITE.",
+        "Name the region and the site, as in --site luzon/pasig.",
+    ),
+    "unreadable-settings": define(
+        "The accepted settings are not valid",
+        "An accepted revision has findings, as it was accepted by another version of the program.",
+        "Use the version that accepted it, or accept a corrected tree with this revision as its base.",
+    ),
     "bad-settings": define(
         "The settings are not accepted",
         "The file has findings.",
--- a/packages/evidence/test/operator/command-line.test.ts
+++ b/packages/evidence/test/operator/command-line.test.ts
@@ -1,7 +1,11 @@
+import { acceptSettings, settingsRevision, SystemClock } from "@pebbledale/core";
+import { HttpPlatformStore } from "@pebbledale/runtime";
 import { PlatformStandIn } from "@pebbledale/stand-ins";
 import { expect } from "earl";
 import { execFile } from "node:child_process";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
 import { after, before, describe, it } from "node:test";
@@ -119,6 +123,65 @@
         expect(unknown.err.startsWith("No such revision")).toEqual(true);
     });
 
+    it("names a tree file that cannot be read", async () => {
+        const missing = join(folder, "missing.ini");
+        for (const parameters of [["accept", missing, "--base", "2"], ["diff", missing]]) {
+            const answer = await runOperator("settings", ...parameters);
+            expect(answer.code).toEqual(1);
+            expect(answer.err.startsWith("The file cannot be read: ")).toEqual(true);
+            expect(answer.err.includes("missing.ini") && !answer.err.includes("    at ")).toEqual(true);
+        }
+    });
+
+    it("refuses a site that is not given as REGION/SITE", async () => {
+        for (const site of ["luzon", "luzon/", "/pasig", "luzon/pasig/batch"]) {
+            for (const command of [["settings", "explain"], ["report", "burn"]]) {
+                const answer = await runOperator(...command, "--site", site);
+                expect([site, answer.code, answer.err.split(":")[0]]).toEqual([site, 1, "No such form of a site"]);
+            }
+        }
+    });
+
+    it("does not count a gateway that answers with an error among those that answered", async () => {
+        const gateway = createServer((_request, response) => {
+            response.writeHead(503, { "content-type": "application/json" }).end(`{"error":"stopping"}`);
+        });
+        await new Promise<void>(resolve => gateway.listen(0, "127.0.0.1", resolve));
+        const { port } = gateway.address() as AddressInfo;
+        const peers = `[peers]\nschedulers = 127.0.0.1:1\ngateways = 127.0.0.1:${port}\n`;
+        const withGateway = file("gateway.ini", `[platform]\naddress = ${platform.address}\n${peers}`);
+        const answer = await run("operator", ["report", "burn", "--json", "--config", withGateway]);
+        gateway.close();
+        expect(answer.code).toEqual(0);
+        const report = JSON.parse(answer.out) as { asked: number; answered: number; rows: unknown[]; };
+        expect([report.asked, report.answered, report.rows]).toEqual([1, 0, []]);
+    });
+
+    it("shows the findings of a tree in force that is no longer valid instead of treating it as empty", async () => {
+        const other = new PlatformStandIn();
+        const address = await other.listen();
+        const settings = file("other.ini", `[platform]\naddress = ${address}\n[peers]\nschedulers = 127.0.0.1:1\n`);
+        const store = new HttpPlatformStore(address, 500);
+        await acceptSettings({
+            store,
+            clock: new SystemClock(),
+            base: settingsRevision(0),
+            text: "[organisation]\nlease.old = 20s\n",
+            author: "ana",
+            note: "",
+            nonce: "1",
+            settleWithin: 1_000,
+        });
+        await store.close();
+        const tree = file("valid.ini", "[organisation]\nlease.duration = 20s\n");
+        for (const parameters of [["diff", tree], ["explain"], ["accept", tree, "--base", "0"]]) {
+            const answer = await run("operator", ["settings", ...parameters, "--config", settings]);
+            expect([parameters[0], answer.code]).toEqual([parameters[0], 1]);
+            expect(answer.err.includes("revision 1:2: [organisation] lease.old: no such key")).toEqual(true);
+        }
+        await other.close();
+    });
+
     it("reports when no scheduler answers", async () => {
         const answer = await runOperator("status");
         expect(answer.code).toEqual(1);
--- a/packages/operator/src/cli/commands/settings-accept.ts
+++ b/packages/operator/src/cli/commands/settings-accept.ts
@@ -1,7 +1,6 @@
-import { diffSettings, parseSettingsTree } from "@pebbledale/core";
+import { diffSettings } from "@pebbledale/core";
 import { ExitCode } from "@pebbledale/runtime";
 import { Command, Option } from "clipanion";
-import { readFileSync } from "node:fs";
 import { userInfo } from "node:os";
 import * as typanion from "typanion";
 import { formatTable } from "../../output/index.js";
@@ -27,9 +26,8 @@
     author = Option.String("--author", userInfo().username, { description: "Who" });
 
     protected override async executeWithSettings(values: OperatorValues): Promise<ExitCode> {
-        const { acceptTree, fetchSettings, parseStoredTree } = await import("../../settings/index.js");
-        const text = readFileSync(this.file, "utf8");
-        const parsed = parseSettingsTree(text, this.file);
+        const { acceptTree, fetchSettings, parseStoredTree, readTreeFile } = await import("../../settings/index.js");
+        const { text, parsed } = readTreeFile(this.file);
         if (parsed.isErr()) {
             this.showFindings(parsed.error);
             return ExitCode.Failed;
--- a/packages/operator/src/cli/commands/settings-diff.ts
+++ b/packages/operator/src/cli/commands/settings-diff.ts
@@ -1,7 +1,5 @@
-import { parseSettingsTree } from "@pebbledale/core";
 import { ExitCode } from "@pebbledale/runtime";
 import { Command, Option } from "clipanion";
-import { readFileSync } from "node:fs";
 import { formatTable } from "../../output/index.js";
 import { OperatorCommand, type OperatorValues } from "../operator-command.js";
 
@@ -16,8 +14,8 @@
     file = Option.String({ name: "FILE" });
 
     protected override async executeWithSettings(values: OperatorValues): Promise<ExitCode> {
-        const { diffWithCurrent } = await import("../../settings/index.js");
-        const parsed = parseSettingsTree(readFileSync(this.file, "utf8"), this.file);
+        const { diffWithCurrent, readTreeFile } = await import("../../settings/index.js");
+        const { parsed } = readTreeFile(this.file);
         if (parsed.isErr()) {
             this.showFindings(parsed.error);
             return ExitCode.Failed;
--- a/packages/operator/src/cli/commands/settings-explain.ts
+++ b/packages/operator/src/cli/commands/settings-explain.ts
@@ -18,17 +18,15 @@
     workloadClass = Option.String("--class", { description: "A workload class of the site" });
 
     protected override async executeWithSettings(values: OperatorValues): Promise<ExitCode> {
-        const { fetchSettings, parseStoredTree } = await import("../../settings/index.js");
+        const { fetchSettings, parseSite, parseStoredTree } = await import("../../settings/index.js");
         const keys = Object.keys(treeSchema) as TreeKey[];
         if (this.key !== undefined && !keys.includes(this.key as TreeKey)) {
             throw new OperatorError("bad-settings", `no such key: ${this.key}`);
         }
+        const path = { ...parseSite(this.site), workloadClass: this.workloadClass };
         const stored = await fetchSettings(values);
-        const [region, site] = this.site === "" ? [] : this.site.split("/");
-        const path = { region, site, workloadClass: this.workloadClass };
-        const rows = keys.filter(key => this.key === undefined || key === this.key).map(key =>
-            parseStoredTree(stored).explain(key, path)
-        );
+        const tree = parseStoredTree(stored);
+        const rows = keys.filter(key => this.key === undefined || key === this.key).map(key => tree.explain(key, path));
         if (this.json) {
             this.print(JSON.stringify({ revision: stored.revision, values: rows }));
             return ExitCode.Done;
--- a/packages/operator/src/report/fetch.ts
+++ b/packages/operator/src/report/fetch.ts
@@ -3,7 +3,7 @@
 import { type BurnBuckets, type BurnRow, computeBurnRows, mergeBuckets } from "@pebbledale/runtime";
 import { request } from "undici";
 import type { OperatorValues } from "../cli/operator-command.js";
-import { fetchSettings, parseStoredTree } from "../settings/index.js";
+import { fetchSettings, parseSite, parseStoredTree } from "../settings/index.js";
 
 /** Service-level burn over all gateways. Field names are part of the output with `--json`. */
 export interface BurnReport {
@@ -19,6 +19,7 @@
 
 /** Timeout of a request to one gateway, in milliseconds. */
 const answerTimeout = 2_000;
+const statusOk = 200;
 
 const fetchBuckets = async (address: string): Promise<BurnBuckets | undefined> => {
     try {
@@ -26,6 +27,10 @@
             headersTimeout: answerTimeout,
             bodyTimeout: answerTimeout,
         });
+        if (answer.statusCode !== statusOk) {
+            await answer.body.dump();
+            return undefined;
+        }
         return await answer.body.json() as BurnBuckets;
     }
     catch {
@@ -35,9 +40,9 @@
 
 /** Fetches the report. `sitePath`: `REGION/SITE` whose objective for live requests applies, or empty for none. */
 export const fetchBurn = async (values: OperatorValues, sitePath: string): Promise<BurnReport> => {
-    const [region, site] = sitePath === "" ? [] : sitePath.split("/");
+    const site = parseSite(sitePath);
     const tree = parseStoredTree(await fetchSettings(values));
-    const objective = tree.number("objective.share", { region, site, workloadClass: "live" });
+    const objective = tree.number("objective.share", { ...site, workloadClass: "live" });
     const addresses = values["peers.gateways"];
     const answers = (await Promise.all(addresses.map(fetchBuckets))).filter(answer => answer !== undefined);
     const buckets = mergeBuckets(answers);
--- a/packages/operator/src/settings/index.ts
+++ b/packages/operator/src/settings/index.ts
@@ -3,6 +3,7 @@
     acceptSettings,
     AcceptUnsettledError,
     diffSettings,
+    formatFinding,
     parseSettingsTree,
     type PlatformStore,
     PlatformUnavailableError,
@@ -15,8 +16,10 @@
     type StoredSettings,
     SystemClock,
     SystemRandom,
+    type TreePath,
 } from "@pebbledale/core";
 import { HttpPlatformStore } from "@pebbledale/runtime";
+import { readFileSync } from "node:fs";
 import type { OperatorValues } from "../cli/operator-command.js";
 import { OperatorError } from "../output/index.js";
 
@@ -59,9 +62,47 @@
 export const fetchHistory = (values: OperatorValues, limit: number): Promise<StoredSettings[]> =>
     withStore(values, store => readHistory(store, limit));
 
-/** Parses an accepted tree. Empty if there is none, or if it was accepted under an older schema and is invalid now. */
-export const parseStoredTree = (stored: StoredSettings | undefined): SettingsTree =>
-    stored === undefined ? new SettingsTree([]) : parseSettingsTree(stored.text).unwrapOr(new SettingsTree([]));
+/**
+ * Parses an accepted tree; empty if there is none. Throws an {@link OperatorError} with the findings if it was accepted under another
+ * schema and is invalid now.
+ */
+export const parseStoredTree = (stored: StoredSettings | undefined): SettingsTree => {
+    if (stored === undefined) {
+        return new SettingsTree([]);
+    }
+    const parsed = parseSettingsTree(stored.text, `revision ${stored.revision}`);
+    if (parsed.isErr()) {
+        throw new OperatorError("unreadable-settings", parsed.error.map(formatFinding).join("\n"));
+    }
+    return parsed.value;
+};
+
+/** Reads and parses a file with a settings tree; throws an {@link OperatorError} that names a file which cannot be read. */
+export const readTreeFile = (file: string): { text: string; parsed: ReturnType<typeof parseSettingsTree>; } => {
+    const text = readText(file);
+    return { text, parsed: parseSettingsTree(text, file) };
+};
+
+const readText = (file: string): string => {
+    try {
+        return readFileSync(file, "utf8");
+    }
+    catch (cause) {
+        throw new OperatorError("unreadable-file", `${file}: ${(cause as Error).message}`);
+    }
+};
+
+/** Parses `REGION/SITE`, which may be empty for none; throws an {@link OperatorError} for any other form. */
+export const parseSite = (text: string): Pick<TreePath, "region" | "site"> => {
+    if (text === "") {
+        return {};
+    }
+    const [region, site, ...rest] = text.split("/");
+    if (region === "" || site === undefined || site === "" || rest.length > 0) {
+        throw new OperatorError("bad-site", text);
+    }
+    return { region, site };
+};
 
 /** Compares the settings in force with a parsed tree. `base`: the revision in force, 0 if there is none. */
 export const diffWithCurrent = async (
