Age gauges have no value before the store's first answer

Cause: the gauges of the workers' entries, the configuration and the members showed an age of 0 s before the store had answered once, as if all were fresh. Change: a gauge whose reading is undefined is left out of the scrape; that of the workers' entries stays 0 on a VM that does not own the cell, as all gauges of the cell.

--- a/packages/entry/src/observability/entry-metrics.ts
+++ b/packages/entry/src/observability/entry-metrics.ts
@@ -11,8 +11,8 @@
     readonly summary: CellSummary & CrashSummary;
     /** Age of the oldest record that is not yet persisted. */
     readonly journalWait: Milliseconds;
-    /** Time since the store last confirmed the workers' entries. */
-    readonly workerEntriesAge: Milliseconds;
+    /** Time since the store last confirmed the workers' entries; undefined before its first answer. */
+    readonly workerEntriesAge: Milliseconds | undefined;
 }
 
 /** Getters of the time since the store last confirmed what each VM follows; undefined before its first answer. */
@@ -21,7 +21,10 @@
     readonly members: () => Milliseconds | undefined;
 }
 
-/** Counters, gauges and histograms of an entry VM. Gauges of the cell are zero on VMs that do not own it. */
+/**
+ * Counters, gauges and histograms of an entry VM. Gauges of the cell are zero on VMs that do not own it; an age has no value
+ * before the store's first answer.
+ */
 export class EntryMetrics {
     /** Process metrics are left out: measuring the event loop's delay wakes a small VM a hundred times a second. */
     readonly metrics = new Metrics({ hasProcessMetrics: false });
@@ -123,9 +126,12 @@
             this.metrics.gauge(
                 `pebbledale_${followed}_age_seconds`,
                 `Time since the store last confirmed the ${followed}`,
-                () => (read() ?? 0) / millisecondsPerSecond,
+                () => {
+                    const age = read();
+                    return age === undefined ? undefined : age / millisecondsPerSecond;
+                },
             );
-        addAgeGauge("worker_entries", () => this.#cell?.workerEntriesAge);
+        addAgeGauge("worker_entries", () => this.#cell === undefined ? 0 : this.#cell.workerEntriesAge);
         addAgeGauge("configuration", () => this.#ages?.configuration());
         addAgeGauge("members", () => this.#ages?.members());
     }
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -203,7 +203,7 @@
         const entriesAge = this.#workerFollowLoop.age;
         const age = entriesAge === undefined ? {} : { entriesAge: Math.round(entriesAge) };
         logger.log(logEvents.cellSummary, { ...summary, journalWait, ...age });
-        metrics.setCellStatistics({ summary, journalWait, workerEntriesAge: entriesAge ?? 0 });
+        metrics.setCellStatistics({ summary, journalWait, workerEntriesAge: entriesAge });
     }
 
     #noteEntriesUnavailable(cause: unknown, age: Milliseconds | undefined): void {
--- a/packages/runtime/src/metrics/index.ts
+++ b/packages/runtime/src/metrics/index.ts
@@ -34,14 +34,20 @@
         return new Counter({ name, help, labelNames: [...labelNames], registers: [this.registry] });
     }
 
-    /** Creates a gauge whose value is read at each scrape. */
-    gauge(name: string, help: string, read: () => number): Gauge {
+    /** Creates a gauge whose value is read at each scrape; it is left out while `read` returns undefined. */
+    gauge(name: string, help: string, read: () => number | undefined): Gauge {
         return new Gauge({
             name,
             help,
             registers: [this.registry],
             collect() {
-                this.set(read());
+                const value = read();
+                if (value === undefined) {
+                    this.remove();
+                }
+                else {
+                    this.set(value);
+                }
             },
         });
     }
