Scheduler: the lease of a lost claim on a shard is revoked

Cause: a candidate that lost the race for a shard, or whose claim got no answer and was not made, left its lease to expire at the store. Change: it is revoked unless the claim was made. Tests: scheduler/test/ownership/shard-candidate, two, both failed before, pass now.

--- a/packages/scheduler/src/ownership/shard-candidate.ts
+++ b/packages/scheduler/src/ownership/shard-candidate.ts
@@ -77,7 +77,16 @@
         }
         const lease = await store.grantLease(values["owner.lease"]);
         const value: OwnerValue = { process: owner, address: values["listen.peers"], nonce: random.name() };
-        return await this.#writeOwner(key, value, lease) ? lease : undefined;
+        let isClaimed = false;
+        try {
+            isClaimed = await this.#writeOwner(key, value, lease);
+        }
+        finally {
+            if (!isClaimed) {
+                await store.revokeLease(lease).catch(() => undefined);
+            }
+        }
+        return isClaimed ? lease : undefined;
     }
 
     /**
