--- a/packages/core/src/journal/journal.ts
+++ b/packages/core/src/journal/journal.ts
@@ -78,7 +78,8 @@
     #obsolete: ObsoleteSnapshot | undefined;
     #pending: PendingAppend[] = [];
     #isRunning = false;
-    #fenced: JournalFencedError | undefined;
+    /** Why this owner cannot write any more. */
+    #failure: Error | undefined;
     #lastContact: Milliseconds;
     #snapshotSource: (() => unknown) | undefined;
     #snapshotBytes = 0;
@@ -138,11 +139,11 @@
 
     /**
      * Appends records as one group; resolves once they are committed.
-     * Rejects with {@link JournalFencedError} when another owner has taken over.
+     * Rejects with {@link JournalFencedError} when another owner has taken over, and with the cause of any other failure to write.
      */
     append(records: readonly unknown[]): Promise<void> {
-        if (this.#fenced !== undefined) {
-            return Promise.reject(this.#fenced);
+        if (this.#failure !== undefined) {
+            return Promise.reject(this.#failure);
         }
         return new Promise((resolve, reject) => {
             this.#pending.push({ records, bytes: Buffer.byteLength(JSON.stringify(records)), resolve, reject });
@@ -183,8 +184,8 @@
     async #until(condition: () => boolean): Promise<void> {
         while (!condition()) {
             await new Promise<void>(resolve => this.#progressListeners.push(resolve));
-            if (this.#fenced !== undefined) {
-                throw this.#fenced;
+            if (this.#failure !== undefined) {
+                throw this.#failure;
             }
         }
     }
@@ -278,13 +279,11 @@
     }
 
     #fail(cause: unknown): void {
-        this.#fenced ??= cause instanceof JournalFencedError
-            ? cause
-            : new JournalFencedError(`journal stopped: ${String(cause)}`);
+        this.#failure ??= cause instanceof Error ? cause : new Error(`the journal has stopped: ${String(cause)}`);
         const refused = [...[...this.#inFlight.values()].flatMap(sent => sent.group), ...this.#pending];
         this.#inFlight.clear();
         this.#pending = [];
-        refused.forEach(entry => entry.reject(this.#fenced));
+        refused.forEach(entry => entry.reject(this.#failure));
         this.#notifyProgress();
     }
 
--- a/packages/scheduler/src/ownership/owned-shard.ts
+++ b/packages/scheduler/src/ownership/owned-shard.ts
@@ -69,7 +69,7 @@
         return !this.#isHandingOver && !this.options.lost.signal.aborted;
     }
 
-    /** Serves until `stop` fires or the shard is lost. Rejects with {@link JournalFencedError} when it is lost. */
+    /** Serves until `stop` fires or the shard is lost. Rejects with the cause when it is lost, {@link JournalFencedError} if to another owner. */
     async run(stop: AbortSignal): Promise<void> {
         const { lost, clock } = this.options;
         const followingWorkerList = this.#followWorkerList(lost.signal);
@@ -83,9 +83,7 @@
         stopOrLost.release();
         if (lost.signal.aborted) {
             await followingWorkerList;
-            throw lost.signal.reason instanceof JournalFencedError
-                ? lost.signal.reason
-                : new JournalFencedError(String(lost.signal.reason));
+            throw lost.signal.reason;
         }
         await this.#handOver();
         lost.abort(new Error("handed over"));
--- a/packages/scheduler/test/ownership/shard-candidate.test.ts
+++ b/packages/scheduler/test/ownership/shard-candidate.test.ts
@@ -1,5 +1,7 @@
 import {
     type KeyVersion,
+    type LogEvent,
+    logEvents,
     type PlatformLeaseId,
     type PlatformStore,
     PlatformUnavailableError,
@@ -53,6 +55,7 @@
 
 const setUp = () => {
     const store = new TestStore();
+    const logged: { readonly event: LogEvent; readonly cause: unknown; }[] = [];
     const candidate = new ShardCandidate({
         values,
         shard: shardId("shard-0"),
@@ -61,12 +64,12 @@
         vmList: { read: async () => [] },
         clock: new SystemClock(),
         random: new SeededRandom(1),
-        logger: { log: () => undefined },
+        logger: { log: (event, fields) => logged.push({ event, cause: fields?.["cause"] }) },
         sharedSettings: { tree: new SettingsTree([]) } as SettingsWatch,
         metrics: undefined as unknown as ShardCandidateOptions["metrics"],
         countOwned: () => 0,
     });
-    return { store, candidate };
+    return { store, logged, candidate };
 };
 
 const runUntil = async (candidate: ShardCandidate, condition: () => boolean): Promise<void> => {
@@ -99,4 +102,26 @@
         await runUntil(candidate, () => store.revoked.length > 0);
         expect(store.revoked[0]).toEqual("lease-1" as unknown as PlatformLeaseId);
     });
+
+    it("that cannot write the journal logs the cause, not that another owner has taken the shard", async () => {
+        const { store, candidate, logged } = setUp();
+        store.beforeSwap = key => {
+            if (candidate.owned !== undefined && !key.includes("owner")) {
+                throw new TypeError("the store refuses the value");
+            }
+        };
+        const stop = new AbortController();
+        const running = candidate.run(stop.signal);
+        for (let rounds = 0; rounds < 300 && candidate.owned === undefined; rounds++) {
+            await new Promise(resolve => setTimeout(resolve, 10));
+        }
+        const { owned } = candidate;
+        await owned?.commit({ records: [{} as never], effects: [] });
+        await new Promise(resolve => setTimeout(resolve, 150));
+        stop.abort();
+        await running;
+        expect(logged.filter(({ event }) => event === logEvents.shardFenced)).toEqual([]);
+        const failed = logged.filter(({ event }) => event === logEvents.claimFailed);
+        expect(failed.map(({ cause }) => cause)).toEqual(["TypeError: the store refuses the value"]);
+    });
 });
