Scheduler: a repeated submission waits for the first one's record; no timer outlives a commit

Causes: a copy that came while the first record was in flight was answered not-recorded at the job's next change of any kind, and after 2 s where there was none, although the record was committed; the timer of each commit ran on for 2 s. Change: the copy waits for an empty group behind that record, and the timer ends with the commit. The scheduler's test writes its failures only once the shard is served.

--- a/packages/scheduler/src/ownership/owned-shard.ts
+++ b/packages/scheduler/src/ownership/owned-shard.ts
@@ -20,7 +20,13 @@
     type WorkerId,
     type WorkloadClass,
 } from "@pebbledale/core";
-import { linkSignals, type NotRecorded, shardOfText, withLinkedSignal } from "@pebbledale/runtime";
+import {
+    createAbortController,
+    linkSignals,
+    type NotRecorded,
+    shardOfText,
+    withLinkedSignal,
+} from "@pebbledale/runtime";
 import { WorkerLink } from "../workers/index.js";
 import { commitTimeout, journalStalledRetryAfter, journalStallThreshold, tickInterval } from "./constants.js";
 import type { LinkedShard, OwnedShardOptions } from "./types.js";
@@ -114,7 +120,7 @@
     /** Like {@link commit}, but rejects with {@link NotRecordedError} when the records are not committed in time. */
     async commitInTime(transition: Transition): Promise<void> {
         const committed = this.commit(transition).then(() => !this.options.lost.signal.aborted);
-        const isCommitted = await Promise.race([committed, this.options.clock.sleep(commitTimeout).then(() => false)]);
+        const isCommitted = await this.#settlesInTime(committed);
         if (!isCommitted && transition.records.length > 0) {
             throw new NotRecordedError("the records were not committed in time");
         }
@@ -178,13 +184,23 @@
 
     async #waitForCommit(outcome: SubmitOutcome & { kind: "accepted"; }): Promise<SubmitOutcome | NotRecorded> {
         const entry = this.scheduler.registry.jobs.get(outcome.job);
-        if (entry !== undefined && entry.unkept > 0) {
-            await this.commitInTime({ records: [], effects: [] });
-            await this.waitForChange(outcome.job, commitTimeout, this.options.lost.signal);
+        if (entry === undefined || entry.unkept === 0) {
+            return outcome;
         }
-        return entry !== undefined && entry.unkept > 0
-            ? { kind: "not-recorded", retryAfter: journalStalledRetryAfter }
-            : outcome;
+        // The journal commits in order: once this empty group is committed, so are all records before it.
+        const committed = this.options.journal.append([]).then(() => true, () => false);
+        return await this.#settlesInTime(committed)
+            ? outcome
+            : { kind: "not-recorded", retryAfter: journalStalledRetryAfter };
+    }
+
+    /** Resolves to the result of a commit, or to false when it takes too long. */
+    async #settlesInTime(committed: Promise<boolean>): Promise<boolean> {
+        const settled = createAbortController();
+        const timeout = this.options.clock.sleep(commitTimeout, settled.signal).then(() => false);
+        const isCommitted = await Promise.race([committed, timeout]);
+        settled.abort();
+        return isCommitted;
     }
 
     /** Cached by workload class until the settings change. */
--- a/packages/scheduler/test/ownership/shard-candidate.test.ts
+++ b/packages/scheduler/test/ownership/shard-candidate.test.ts
@@ -1,7 +1,10 @@
 import {
+    jobSubmissionSchema,
     type KeyVersion,
+    type ListedWorker,
     type LogEvent,
     logEvents,
+    type Milliseconds,
     type PlatformLeaseId,
     type PlatformStore,
     PlatformUnavailableError,
@@ -9,18 +12,28 @@
     SeededRandom,
     SettingsTree,
     shardId,
+    type Submission,
     SystemClock,
+    VmState,
+    workerId,
+    WorkloadClass,
 } from "@pebbledale/core";
 import type { SettingsWatch } from "@pebbledale/runtime";
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { ShardCandidate, type ShardCandidateOptions } from "../../src/ownership/index.js";
+import {
+    commitTimeout,
+    type OwnedShard,
+    ShardCandidate,
+    type ShardCandidateOptions,
+} from "../../src/ownership/index.js";
 
 /** A store in memory; `beforeSwap` brings failures about. */
 class TestStore implements PlatformStore {
     readonly revoked: PlatformLeaseId[] = [];
     readonly entries = new Map<string, { key: string; value: string; version: KeyVersion; }>();
     beforeSwap: (key: string) => void = () => undefined;
+    #held: Promise<void> | undefined;
     #writes = 0;
     #leases = 0;
 
@@ -31,8 +44,17 @@
     watch = async () => ({ cursor: "", changed: [] });
     grantLease = async () => `lease-${++this.#leases}` as unknown as PlatformLeaseId;
     revokeLease = async (lease: PlatformLeaseId) => void this.revoked.push(lease);
+
+    /** Keeps all writes waiting until the returned function is called. */
+    holdWrites(): () => void {
+        let release: () => void = () => undefined;
+        this.#held = new Promise(resolve => release = resolve);
+        return release;
+    }
+
     compareAndSwap: PlatformStore["compareAndSwap"] = async (key, expected, value) => {
         this.beforeSwap(key);
+        await this.#held;
         const current = this.entries.get(key);
         if ((current?.version ?? 0) !== expected) {
             return { kind: "conflict", current };
@@ -53,23 +75,58 @@
     "process.site": "site",
 } as unknown as ShardCandidateOptions["values"];
 
+/** The process's clock, which counts the sleeps that have not ended. */
+class CountingClock extends SystemClock {
+    readonly #pending: Milliseconds[] = [];
+
+    pendingOf(duration: Milliseconds): number {
+        return this.#pending.filter(pending => pending === duration).length;
+    }
+
+    override async sleep(duration: Milliseconds, signal?: AbortSignal): Promise<void> {
+        this.#pending.push(duration);
+        await super.sleep(duration, signal);
+        this.#pending.splice(this.#pending.indexOf(duration), 1);
+    }
+}
+
+const worker: ListedWorker = {
+    worker: workerId("worker-0"),
+    address: "127.0.0.1:1",
+    rack: "rack",
+    dataHall: "hall",
+    region: "region",
+    capacity: { processorThousandths: 8_000, memoryMebibytes: 8_000, accelerators: 0, slots: 8, connections: 8 },
+    state: VmState.Live,
+};
+
+const submission: Submission = {
+    digest: "digest",
+    submission: jobSubmissionSchema.parse({
+        class: WorkloadClass.Batch,
+        key: "key",
+        size: { processors: 1, memoryMebibytes: 1 },
+    }),
+};
+
 const setUp = () => {
     const store = new TestStore();
+    const clock = new CountingClock();
     const logged: { readonly event: LogEvent; readonly cause: unknown; }[] = [];
     const candidate = new ShardCandidate({
         values,
         shard: shardId("shard-0"),
         owner: processId("scheduler-0"),
         store,
-        vmList: { read: async () => [] },
-        clock: new SystemClock(),
+        vmList: { read: async () => [worker] },
+        clock,
         random: new SeededRandom(1),
         logger: { log: (event, fields) => logged.push({ event, cause: fields?.["cause"] }) },
         sharedSettings: { tree: new SettingsTree([]) } as SettingsWatch,
         metrics: undefined as unknown as ShardCandidateOptions["metrics"],
         countOwned: () => 0,
     });
-    return { store, logged, candidate };
+    return { store, logged, candidate, clock };
 };
 
 const runUntil = async (candidate: ShardCandidate, condition: () => boolean): Promise<void> => {
@@ -82,6 +139,25 @@
     await running;
 };
 
+/** Runs the candidate and, once it owns the shard, `action`. */
+const withOwnedShard = async (
+    candidate: ShardCandidate,
+    action: (owned: OwnedShard) => Promise<void>,
+): Promise<void> => {
+    const stop = new AbortController();
+    const running = candidate.run(stop.signal);
+    for (let rounds = 0; rounds < 300 && candidate.owned === undefined; rounds++) {
+        await new Promise(resolve => setTimeout(resolve, 10));
+    }
+    try {
+        await action(candidate.owned!);
+    }
+    finally {
+        stop.abort();
+        await running;
+    }
+};
+
 describe("a candidate for a shard", () => {
     it("revokes its lease when another process has claimed the shard first", async () => {
         const { store, candidate } = setUp();
@@ -105,23 +181,34 @@
 
     it("that cannot write the journal logs the cause, not that another owner has taken the shard", async () => {
         const { store, candidate, logged } = setUp();
-        store.beforeSwap = key => {
-            if (candidate.owned !== undefined && !key.includes("owner")) {
+        await withOwnedShard(candidate, async owned => {
+            store.beforeSwap = () => {
                 throw new TypeError("the store refuses the value");
-            }
-        };
-        const stop = new AbortController();
-        const running = candidate.run(stop.signal);
-        for (let rounds = 0; rounds < 300 && candidate.owned === undefined; rounds++) {
-            await new Promise(resolve => setTimeout(resolve, 10));
-        }
-        const { owned } = candidate;
-        await owned?.commit({ records: [{} as never], effects: [] });
-        await new Promise(resolve => setTimeout(resolve, 150));
-        stop.abort();
-        await running;
+            };
+            await owned.commit({ records: [{} as never], effects: [] });
+            await new Promise(resolve => setTimeout(resolve, 150));
+        });
         expect(logged.filter(({ event }) => event === logEvents.shardFenced)).toEqual([]);
         const failed = logged.filter(({ event }) => event === logEvents.claimFailed);
         expect(failed.map(({ cause }) => cause)).toEqual(["TypeError: the store refuses the value"]);
     });
+
+    it("answers a repeated submission only once the first one's record is committed, whatever else changes", async () => {
+        const { store, candidate, clock } = setUp();
+        await withOwnedShard(candidate, async owned => {
+            await owned.commitInTime(owned.scheduler.applyWorkerList([worker]));
+            const release = store.holdWrites();
+            const first = owned.submit(submission);
+            const second = owned.submit(submission);
+            await new Promise(resolve => setTimeout(resolve, 50));
+            const [job] = owned.scheduler.registry.jobs.keys();
+            await owned.commit({ records: [], effects: [{ kind: "job-changed", job }] });
+            await new Promise(resolve => setTimeout(resolve, 50));
+            release();
+            const releasedAt = clock.monotonic();
+            expect([(await first).kind, (await second).kind]).toEqual(["accepted", "accepted"]);
+            expect(clock.monotonic() - releasedAt < commitTimeout / 2).toEqual(true);
+            expect(clock.pendingOf(commitTimeout)).toEqual(0);
+        });
+    });
 });
