Dead code: resources, capacity, run names, a lease's invalidation, two checks

Unused since their callers went: largerResources, FleetIndex.capacityOf, RunName, VmRegistration.invalidateLease (a correction writes the key again with the lease that is held), the gang check of withExpiringTickets (its one caller asks for steps that are no gangs), SimulatedCell's cancelled ids (written, never read). No behaviour changes: the tests of advising, placement, membership and assignments pass.

--- a/packages/cell/src/advising/advice-planner.ts
+++ b/packages/cell/src/advising/advice-planner.ts
@@ -84,12 +84,12 @@
     }
 
     /**
-     * Permitted workers of a wide step, when some of their tickets are about to expire. A new ticket takes half a second, in which others
+     * Permitted workers of a wide step that is no gang, when some of their tickets are about to expire. A new ticket takes half a second, in which others
      * use the resources, so such steps hold valid tickets all the time while they wait.
      */
     #withExpiringTickets(step: Step, permits: StepPermits, policy: AdvicePolicy, now: Milliseconds): WorkerState[] {
         if (
-            step.definition.isGang || !isWide(step, this.context.workers.values())
+            !isWide(step, this.context.workers.values())
             || !needsFreshTickets(rankStep(this.context, step, now))
         ) {
             return [];
--- a/packages/cell/src/state/definition.ts
+++ b/packages/cell/src/state/definition.ts
@@ -4,7 +4,6 @@
     type Milliseconds,
     type OrganisationName,
     type QueueName,
-    type RunNumber,
     type ServiceName,
     type TaskAddress,
     taskAddress,
@@ -103,12 +102,6 @@
     readonly index: number;
 }
 
-/** Identifies one run of a task. */
-export interface RunName {
-    readonly task: TaskAddress;
-    readonly run: RunNumber;
-}
-
 /** Formats the address of a step as `job/occurrence/step`. */
 export const formatStepAddress = (job: JobId, occurrence: number, step: number): string =>
     `${job}/${occurrence}/${step}`;
--- a/packages/cell/test/support/simulated-cell.ts
+++ b/packages/cell/test/support/simulated-cell.ts
@@ -120,7 +120,6 @@
     readonly #done = new Set<TaskAddress>();
     readonly #countedEnds = new Set<string>();
     readonly #failures = new Map<TaskAddress, number>();
-    readonly #cancelled = new Set<string>();
     readonly #limits = new Map<string, Limit>();
     #version = 1;
     #lateStarts: LateStart[] = [];
@@ -256,9 +255,7 @@
         const ids = [...this.#jobs.keys()];
         if (ids.length > 0 && this.#happens(this.faults.cancel)) {
             const id = ids[this.#below(ids.length)];
-            if (this.driver.cell.cancel(jobId(id))) {
-                this.#cancelled.add(id);
-            }
+            this.driver.cell.cancel(jobId(id));
         }
     }
 
--- a/packages/core/src/placement/fleet-index.ts
+++ b/packages/core/src/placement/fleet-index.ts
@@ -93,10 +93,6 @@
         return this.#read(this.#free, worker);
     }
 
-    capacityOf(worker: WorkerSlot): Resources {
-        return this.#read(this.#capacity, worker);
-    }
-
     /** Whether a task fits on a worker, without headroom and whether or not it is schedulable. */
     fits(worker: WorkerSlot, size: Resources): boolean {
         this.#setNeeded(size);
--- a/packages/core/src/resources/index.ts
+++ b/packages/core/src/resources/index.ts
@@ -38,8 +38,6 @@
 /** Subtracts `right` from `left` by dimension. The result may be negative. */
 export const subtractResources = (left: Resources, right: Resources): Resources =>
     combine(left, right, (a, b) => a - b);
-/** Takes the larger amount in each dimension. */
-export const largerResources = (left: Resources, right: Resources): Resources => combine(left, right, Math.max);
 /** Multiplies all dimensions by `count`. */
 export const multiplyResources = (size: Resources, count: number): Resources => combine(size, size, a => a * count);
 /** Whether `size` is at most `available` in every dimension. */
--- a/packages/entry/src/membership/vm-registration.ts
+++ b/packages/entry/src/membership/vm-registration.ts
@@ -83,11 +83,6 @@
         }
     }
 
-    /** Has the next renewal grant a new lease and write the key again: the key is gone although the lease may still be valid. */
-    invalidateLease(): void {
-        this.#lease = undefined;
-    }
-
     async #maintain(): Promise<void> {
         const { store } = this.options;
         const held = this.#lease;
