Proofs: counts in the evidence are counted, failures that are named are injected

Causes: the evidence of points 1, 5, 6 and 7 named literal zeros; point 3 named late answers and point 7 a draining VM that nothing brought about; the settings' test of a race after a lost answer raced nothing; a control that a stand-in refused passed as applied. The proofs themselves were not run for this commit, as they take the whole machine.

--- a/packages/evidence/src/cell/cell.ts
+++ b/packages/evidence/src/cell/cell.ts
@@ -373,11 +373,16 @@
     }
 }
 
+const minErrorStatus = 300;
+
 const postControl = async (address: string, body: unknown): Promise<void> => {
     const answer = await request(`http://${address}/control`, {
         method: "POST",
         headers: { "content-type": "application/json" },
         body: JSON.stringify(body),
     });
-    await answer.body.dump();
+    const text = await answer.body.text();
+    if (answer.statusCode >= minErrorStatus) {
+        throw new Error(`control of ${address} was refused with ${answer.statusCode}: ${text}`);
+    }
 };
--- a/packages/evidence/src/prove/proofs/at-most-once.ts
+++ b/packages/evidence/src/prove/proofs/at-most-once.ts
@@ -64,11 +64,12 @@
             `${key} was started ${count} times`
         );
         const unknown = views.filter(view => view.state === "unknown").length;
+        const repeatedNotices = findRepeatedNotices(noticeRuns);
         return {
-            breaches: [...repeated, ...findRepeatedNotices(noticeRuns)],
+            breaches: [...repeated, ...repeatedNotices],
             evidence:
                 `${jobCount} builds submitted three times, ${startsByKey.size} started, ${unknown} answered as not known;`
-                + ` ${noticeCount} notices sent twice, ${distinctNoticesRun} of them run, none twice`,
+                + ` ${noticeCount} notices sent twice, ${distinctNoticesRun} of them run, ${repeatedNotices.length} more than once`,
             isMeaningful: startsByKey.size > jobCount / 2 && distinctNoticesRun > 0 && views.length === ids.size,
         };
     },
--- a/packages/evidence/src/prove/proofs/capacity.ts
+++ b/packages/evidence/src/prove/proofs/capacity.ts
@@ -48,7 +48,7 @@
                 () => "a start left a worker with more granted than it has",
             ),
             evidence:
-                `${starts} starts, ${views.length} of ${jobCount} jobs ended, ${throttled} held to their grant, 0 over capacity`,
+                `${starts} starts, ${views.length} of ${jobCount} jobs ended, ${throttled} held to their grant, ${overCapacityStarts} over capacity`,
             isMeaningful: starts >= jobCount && views.length === jobCount,
         };
     },
--- a/packages/evidence/src/prove/proofs/leaving-worker.ts
+++ b/packages/evidence/src/prove/proofs/leaving-worker.ts
@@ -49,7 +49,8 @@
             breaches: lateEvents.map(line =>
                 `${line.event} ${String(line.task)} ${Math.round(line.at - leftAt)} ms after it began to leave`
             ),
-            evidence: `0 new on the leaving VM after ${gracePeriod} ms, ${eventsOnOthers.length} events on the others`,
+            evidence:
+                `${lateEvents.length} new on the leaving VM after ${gracePeriod} ms, ${eventsOnOthers.length} events on the others`,
             isMeaningful: eventsOnOthers.length > 50,
         };
     },
--- a/packages/evidence/src/prove/proofs/planned-stop.ts
+++ b/packages/evidence/src/prove/proofs/planned-stop.ts
@@ -12,7 +12,7 @@
 export const plannedStopProof: Proof = {
     point: 7,
     name: "a planned stop cuts no request in progress",
-    failures: "rolling stop of all gateways and schedulers under load; the VM of a leaving worker drains",
+    failures: "rolling stop of all gateways and schedulers under load",
     protection: "the planned stop: processes are killed",
     cell: {},
     async run(cell, isProtected) {
@@ -53,9 +53,9 @@
         ];
         return {
             breaches,
-            evidence: `${requestCount} live requests: ${count("whole")} whole, ${
-                count("refused")
-            } refused, 0 cut; ${built} of 20 builds done`,
+            evidence: `${requestCount} live requests: ${count("whole")} whole, ${count("refused")} refused, ${
+                count("broken")
+            } cut; ${built} of 20 builds done`,
             isMeaningful: count("whole") > requestCount / 2 && built === 20,
         };
     },
--- a/packages/evidence/src/prove/proofs/response-integrity.ts
+++ b/packages/evidence/src/prove/proofs/response-integrity.ts
@@ -11,7 +11,7 @@
 export const responseIntegrityProof: Proof = {
     point: 3,
     name: "a caller gets the whole answer to its own request",
-    failures: "answers cut in the middle, crossed answers, late answers, owner killed",
+    failures: "answers cut in the middle, crossed answers, owner killed",
     protection: "check of an answer",
     cell: {},
     async run(cell) {
--- a/packages/evidence/test/settings/accept.test.ts
+++ b/packages/evidence/test/settings/accept.test.ts
@@ -38,16 +38,18 @@
         const store = new FlakyStore();
         await accept(store, 0, "first");
         store.outcomes.push("answered", "answer lost");
-        let raced = false;
-        store.beforeSwap = async () => {
-            if (!raced && (await readSettings(store))?.author === "ana") {
-                raced = true;
+        const get = store.get.bind(store);
+        let hasRaced = false;
+        // The first read after the lost answer is the one that looks for the own revision.
+        store.get = async key => {
+            if (!hasRaced && store.outcomes.length === 0) {
+                hasRaced = true;
+                await accept(store, 2, "ben");
             }
+            return get(key);
         };
-        const ana = accept(store, 1, "ana");
-        const outcome = await ana;
-        expect(outcome.kind).toEqual("accepted");
-        await accept(store, 2, "ben");
+        expect((await accept(store, 1, "ana")).kind).toEqual("accepted");
+        expect((await readHistory(store, 10)).map(({ author }) => author)).toEqual(["ben", "ana", "first"]);
         expect((await accept(store, 1, "ana")).kind).toEqual("accepted");
     });
 
