Assignments: no token of the next epoch is given out

Cause: nothing kept the count of a worker's assignments within the 10,000 that an epoch has; the tokens after them are those of the next owner's. Change: the owner steps down before, so that the next epoch gives new ones. By reading only: a link that uses up its 1,000 tokens is safe, as the next assignment's lower token is refused by the worker, which ends the owner's epoch too (onFenced). Test: owner/assignments, failed without the check (10,000 assignments instead of 9,999), passes now, 13 of 13 of the file.

--- a/packages/entry/src/owner/assignments.ts
+++ b/packages/entry/src/owner/assignments.ts
@@ -37,11 +37,13 @@
     /** Per worker, the time until which orders to earlier incarnations may still be carried out. */
     readonly #lateOrdersUntil = new Map<WorkerId, Milliseconds>();
 
+    /** `onTokensUsedUp`: called for a worker that cannot be assigned again in this epoch, as the next tokens are those of the next one. */
     constructor(
         private readonly epoch: Epoch,
         ownVm: string,
         private readonly now: () => Milliseconds,
         regions: RegionMap = new Map(),
+        private readonly onTokensUsedUp: (worker: WorkerId) => void = () => undefined,
     ) {
         this.#nearness = new LinkNearness(ownVm, regions);
         this.#restartBackoff = new RestartBackoff(now);
@@ -198,6 +200,10 @@
 
     #assign(worker: WorkerState, link: VmLink): void {
         const count = (this.#assignmentCounts.get(worker.id) ?? 0) + 1;
+        if (count >= assignmentsPerEpoch) {
+            this.onTokensUsedUp(worker.id);
+            return;
+        }
         this.#assignmentCounts.set(worker.id, count);
         link.workers.add(worker.id);
         if (this.#nearness.hasSeveralRegions && worker.entry === undefined) {
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -86,7 +86,13 @@
             contents.records as readonly CellRecord[],
         );
         journal.setSnapshotSource(() => this.cell.snapshot());
-        this.#assignments = new Assignments(journal.epoch, name, () => clock.monotonic(), options.regions);
+        this.#assignments = new Assignments(
+            journal.epoch,
+            name,
+            () => clock.monotonic(),
+            options.regions,
+            worker => this.stepDown(`the fencing tokens of worker ${worker} in this epoch are used up`),
+        );
         this.#reportHandler = new WorkerReportHandler({
             cell: this.cell,
             assignments: this.#assignments,
--- a/packages/entry/test/owner/assignments.test.ts
+++ b/packages/entry/test/owner/assignments.test.ts
@@ -4,9 +4,11 @@
 import { describe, it } from "node:test";
 import {
     Assignments,
+    assignmentsPerEpoch,
     type AssignMessage,
     createMemoryChannel,
     type OwnerMessage,
+    tokensPerAssignment,
     VmLink,
     type VmMessage,
 } from "../../src/index.js";
@@ -53,6 +55,26 @@
         expect([a.link.workers.size, b.link.workers.size, far.link.workers.size]).toEqual([3, 3, 0]);
     });
 
+    it("are not assigned with tokens of the next epoch: the owner is told that a worker's are used up", async () => {
+        const { link, assigned } = makeLink("a", "hall-a");
+        const workers = makeWorkers("hall-a", 1);
+        const usedUp: WorkerId[] = [];
+        const onTokensUsedUp = (worker: WorkerId) => usedUp.push(worker);
+        const assignments = new Assignments(epoch(1), "nobody", () => 0, new Map(), onTokensUsedUp);
+        for (let count = 1; count <= assignmentsPerEpoch; count++) {
+            assignments.assignUnlinked(workers.values(), [link]);
+            assignments.removeAll(link);
+        }
+        await settle();
+        const firstOfNextEpoch = 2 * assignmentsPerEpoch * tokensPerAssignment;
+        expect(assigned.length).toEqual(assignmentsPerEpoch - 1);
+        expect(Math.max(...assigned.map(({ token }) => Number(token))) + tokensPerAssignment <= firstOfNextEpoch)
+            .toEqual(
+                true,
+            );
+        expect(usedUp).toEqual([...workers.keys()]);
+    });
+
     it("are assigned to other VMs when there is none in the worker's data hall", () => {
         const far = makeLink("far", "hall-b");
         const assignments = new Assignments(epoch(1), "nobody", () => 0);
