--- a/packages/stand-ins/src/platform/memory-store.ts
+++ b/packages/stand-ins/src/platform/memory-store.ts
@@ -70,7 +70,10 @@
     /** Deletes a key if it has the expected version; also returns true when the key does not exist. */
     remove(key: string, expected: number): boolean {
         const current = this.#entries.get(key);
-        if (current !== undefined && current.version !== expected) {
+        if (current === undefined) {
+            return true;
+        }
+        if (current.version !== expected) {
             return false;
         }
         this.#leases.forEach(lease => lease.keys.delete(key));
--- a/packages/stand-ins/src/platform/platform-stand-in.ts
+++ b/packages/stand-ins/src/platform/platform-stand-in.ts
@@ -160,7 +160,7 @@
         }
         else if (writeCalls.has(call)) {
             this.counts.writes++;
-            this.counts.bytesWritten += body.value?.length ?? 0;
+            this.counts.bytesWritten += Buffer.byteLength(body.value ?? "");
         }
         else {
             this.counts.reads++;
--- a/packages/stand-ins/test/memory-store.test.ts
+++ b/packages/stand-ins/test/memory-store.test.ts
@@ -19,3 +19,13 @@
         expect(store.get("key")).toEqual(undefined);
     });
 });
+
+describe("a key that does not exist", () => {
+    it("is removed without a change that wakes watches", () => {
+        const store = new MemoryStore();
+        store.swap("other", 0, "value");
+        const { cursor } = store.changesAfter("", "")!;
+        expect(store.remove("key", 0)).toEqual(true);
+        expect(store.changesAfter("", cursor)).toEqual(undefined);
+    });
+});
