--- a/packages/core/test/journal/hedged-writer.test.ts
+++ b/packages/core/test/journal/hedged-writer.test.ts
@@ -3,10 +3,18 @@
  * platform's rate limit and keep the store rejecting calls after it has recovered.
  */
 import { expect } from "earl";
+import { setMaxListeners } from "node:events";
 import { describe, it } from "node:test";
 import { absentVersion, ManualClock, type Milliseconds, PlatformUnavailableError } from "../../src/index.js";
 import { HedgedWriter } from "../../src/journal/hedged-writer.js";
 
+/** A signal to which any number of writes may listen at once. */
+const makeSignal = (): AbortSignal => {
+    const { signal } = new AbortController();
+    setMaxListeners(0, signal);
+    return signal;
+};
+
 const writeCount = 16;
 const retryDelay: Milliseconds = 60;
 
@@ -39,7 +47,7 @@
         } as unknown as ConstructorParameters<typeof HedgedWriter>[0]["store"],
         clock,
         options: { retryDelay, repeatAfter: 160 },
-        signal: new AbortController().signal,
+        signal: makeSignal(),
     });
     let answered = 0;
     for (let write = 0; write < writeCount; write++) {
@@ -76,7 +84,7 @@
             } as unknown as ConstructorParameters<typeof HedgedWriter>[0]["store"],
             clock,
             options: { retryDelay, repeatAfter: 160 },
-            signal: new AbortController().signal,
+            signal: makeSignal(),
         });
         const answerTime = { current: 4 };
         let overdue = 0;
--- a/packages/evidence/src/prove/without-protection.ts
+++ b/packages/evidence/src/prove/without-protection.ts
@@ -9,6 +9,7 @@
     type ListedWorker,
     ShardScheduler,
     VmState,
+    WorkerRefusal,
     type WorkerReport,
 } from "@pebbledale/core";
 import { Forwarder, type LiveRequest, type SendOutcome } from "@pebbledale/gateway";
@@ -35,7 +36,7 @@
         HttpWorkerClient.prototype.start = function(message, signal) {
             return start.call(this, message, signal).catch(() => ({
                 kind: "refused" as const,
-                refusal: "no-room" as never,
+                refusal: WorkerRefusal.NoRoom,
             }));
         };
     },
