Gateway: the pool of an instance without connections and requests is dropped

Cause: the forwarder kept a pool for each address that an instance ever had, until the process ended. Change: a pool goes when its last connection does, or when no connection comes about, unless a request waits; the next request makes another.

--- a/packages/gateway/src/live/forwarder.ts
+++ b/packages/gateway/src/live/forwarder.ts
@@ -55,6 +55,11 @@
 export class Forwarder {
     readonly #pools = new Map<string, Pool>();
 
+    /** Number of instances with a pool of connections. */
+    get poolCount(): number {
+        return this.#pools.size;
+    }
+
     /**
      * Sends a request to the instance at `address` and streams its response to `reply`. Writes nothing to `reply` if
      * the outcome is `not-run` or `may-have-run`. `timeout` in milliseconds limits the wait for the head and for each
@@ -111,14 +116,30 @@
     }
 
     #poolOf(address: string): Pool {
-        let pool = this.#pools.get(address);
-        if (pool === undefined) {
-            // No limit on connections: slots already limit the concurrent requests to an instance.
-            pool = new Pool(`http://${address}`, { pipelining: 1, keepAliveTimeout, connectTimeout });
-            this.#pools.set(address, pool);
+        const known = this.#pools.get(address);
+        if (known !== undefined) {
+            return known;
         }
+        // No limit on connections: slots already limit the concurrent requests to an instance.
+        const pool = new Pool(`http://${address}`, { pipelining: 1, keepAliveTimeout, connectTimeout });
+        this.#pools.set(address, pool);
+        const dropIfUnused = () => this.#dropIfUnused(address, pool);
+        pool.on("disconnect", dropIfUnused).on("connectionError", dropIfUnused);
         return pool;
     }
+
+    /** Drops a pool without connections and requests, as its instance may be gone; the next request makes another. */
+    #dropIfUnused(address: string, pool: Pool): void {
+        // Requests of a lost connection are failed or queued again first.
+        setImmediate(() => {
+            const { connected, size } = pool.stats;
+            if (connected === 0 && size === 0 && this.#pools.get(address) === pool) {
+                this.#pools.delete(address);
+                // It may have been closed meanwhile, with all others.
+                pool.close().catch(() => undefined);
+            }
+        });
+    }
 }
 
 const endToEndHeaders = (headers: LiveRequest["headers"]): Record<string, string | string[]> => {
--- a/packages/gateway/test/live/forwarder.test.ts
+++ b/packages/gateway/test/live/forwarder.test.ts
@@ -3,17 +3,24 @@
 import type { AddressInfo } from "node:net";
 import { afterEach, describe, it } from "node:test";
 import { request } from "undici";
-import { Forwarder, type LiveRequest, type SendOutcome } from "../../src/index.js";
+import { Forwarder, type LiveRequest, requestIdHeader, type SendOutcome } from "../../src/index.js";
 
 type Handler = (request: IncomingMessage, response: ServerResponse) => void;
 
 const cleanups: (() => void)[] = [];
 
-const listen = (handler: Handler): Promise<string> =>
+const waitUntil = async (condition: () => boolean): Promise<void> => {
+    for (let rounds = 0; rounds < 100 && !condition(); rounds++) {
+        await new Promise(resolve => setTimeout(resolve, 10));
+    }
+};
+
+const listen = (handler: Handler, onServer: (server: Server) => void = () => undefined): Promise<string> =>
     new Promise(resolve => {
         const server: Server = createServer(handler).listen(0, "127.0.0.1", () => {
             resolve(`127.0.0.1:${(server.address() as AddressInfo).port}`);
         });
+        onServer(server);
         cleanups.push(() => {
             server.closeAllConnections();
             server.close();
@@ -119,4 +126,39 @@
         const address = await listen(incoming => incoming.socket.destroy());
         expect((await forward(address)).outcome.kind).toEqual("may-have-run");
     });
+
+    it("drops the pool of an instance once it has neither connections nor requests", async () => {
+        const servers: Server[] = [];
+        const address = await listen((_incoming, response) => {
+            response.writeHead(200, { [requestIdHeader]: liveRequest.id }).end("ok");
+        }, server => servers.push(server));
+        const forwarder = new Forwarder();
+        const send = async () => {
+            const gateway = await listen(async (_request, response) => {
+                const result = await forwarder.send(
+                    liveRequest,
+                    address,
+                    response,
+                    5_000,
+                    new AbortController().signal,
+                );
+                if (result.kind === "not-run") {
+                    response.writeHead(502).end();
+                }
+            });
+            const answer = await request(`http://${gateway}/`);
+            await answer.body.dump();
+            return answer.statusCode;
+        };
+        expect([await send(), await send(), forwarder.poolCount]).toEqual([200, 200, 1]);
+        servers.forEach(server => {
+            server.close();
+            server.closeAllConnections();
+        });
+        await waitUntil(() => forwarder.poolCount === 0);
+        expect(forwarder.poolCount).toEqual(0);
+        expect(await send()).toEqual(502);
+        await waitUntil(() => forwarder.poolCount === 0);
+        expect(forwarder.poolCount).toEqual(0);
+    });
 });
