--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -84,7 +84,13 @@
             contents.records as readonly CellRecord[],
         );
         journal.setSnapshotSource(() => this.cell.snapshot());
-        this.#assignments = new Assignments(journal.epoch, name, () => clock.monotonic(), options.regions);
+        this.#assignments = new Assignments(
+            journal.epoch,
+            name,
+            () => clock.monotonic(),
+            options.regions,
+            worker => this.stepDown(`the fencing tokens of worker ${worker} in this epoch are used up`),
+        );
         this.#reportHandler = new WorkerReportHandler({
             cell: this.cell,
             assignments: this.#assignments,
@@ -204,7 +210,7 @@
         const entriesAge = this.#workerFollowLoop.age;
         const age = entriesAge === undefined ? {} : { entriesAge: Math.round(entriesAge) };
         logger.log(logEvents.cellSummary, { ...summary, journalWait, ...age });
-        metrics.setCellStatistics({ summary, journalWait, workerEntriesAge: entriesAge ?? 0 });
+        metrics.setCellStatistics({ summary, journalWait, workerEntriesAge: entriesAge });
     }
 
     #noteEntriesUnavailable(cause: unknown, age: Milliseconds | undefined): void {
