--- a/packages/entry/src/protocol/bulk-transfer.ts
+++ b/packages/entry/src/protocol/bulk-transfer.ts
@@ -11,7 +11,7 @@
 const partBytes = 8_192;
 /** Parts that are sent without their arrival being confirmed: what other messages wait for at most. */
 const maxPartsInFlight = 2;
-/** Fast, at two thirds of the best ratio. */
+/** The fastest level. */
 const compressionLevel = 1;
 /** Bytes of one decompressed message at most. */
 const maxMessageBytes = 16 * 1_048_576;
