--- a/review/stand-ins/cell.mjs
+++ b/review/stand-ins/cell.mjs
@@ -212,7 +212,7 @@
         const ip = `127.${process.pid >> 8 & 0xff}.${process.pid & 0xff}.${number + 1}`;
         const front = `${ip}:8161`;
         const settingsFile = join(this.#folder, `${name}.toml`);
-        writeFileSync(settingsFile, settingsOf({ name, ip, front, store: this.storeAddress, bounds }));
+        writeFileSync(settingsFile, settingsOf({ name, ip, front, store: this.storeAddress, cloud: this.cloudAddress, bounds }));
         const [program, ...words] = command();
         const log = openSync(join(this.#folder, `${name}.log`), "a");
         const child = spawn(program === "node" ? process.execPath : program, words, {
@@ -225,7 +225,8 @@
 }
 
 /** Settings as of the site bsw-luzon. */
-const settingsOf = ({ name, ip, front, store, bounds }) => {
+const settingsOf = ({ name, ip, front, store, cloud, bounds }) => {
+    const cloudSection = cloud === undefined ? "" : `[CloudApi]\nAddress = "${cloud}"\nRatePerS = 60.0\nDuties = []\nDutyPerS = 60.0\n`;
     const allBounds = {
         SeedLagS: 3,
         AddrReuseS: 2,
@@ -302,5 +303,5 @@
 HistoryS = 20
 ValueBytes = 1048576
 MinTtlMs = 1000
-`;
+${cloudSection}`;
 };
