--- a/review/stand-ins/cell.mjs
+++ b/review/stand-ins/cell.mjs
@@ -12,6 +12,7 @@
 const root = join(dirname(fileURLToPath(import.meta.url)), "..", "..");
 const host = "cell.example";
 const heartbeat = 1_500;
+const maxLogLines = 17;
 
 /** Exit codes of a case. */
 export const broken = 1;
@@ -46,6 +47,8 @@
     peerRelays = new Map();
     storeRelays = new Map();
     #hasRelays = false;
+    /** Called when the process of a VM has ended by itself. */
+    onEnd = () => undefined;
     #folder = mkdtempSync(join(tmpdir(), "review-"));
     #startedAt = performance.now();
     #sequence = 0;
@@ -88,6 +91,9 @@
             this.workerRelays.set(id, relay);
             worker.address = await relay.listen();
         }
+        if (this.relayOf !== undefined) {
+            worker.address = await this.relayOf(worker);
+        }
         this.workers.push(worker);
         this.store.put(`servers/${id}`, worker.entry(++this.#sequence));
         return worker;
@@ -165,6 +171,12 @@
         vm.process.kill(signal);
     }
 
+    /** Writes the last lines of a VM's log into the record, as far as they are its own report of its end. */
+    recordLog(vm) {
+        const lines = readFileSync(vm.log, "utf8").split("\n").filter(line => !line.startsWith("{"));
+        lines.slice(-maxLogLines).filter(line => line.length < 500).forEach(line => this.record(`${vm.name}: ${line}`));
+    }
+
     /** Ends all processes and removes the temporary folder. */
     async close() {
         clearInterval(this.#beat);
@@ -249,14 +261,21 @@
             settingsFile,
             settingsOf({ name, ip, front, store, bounds }),
         );
+        const vm = { name, front, settingsFile, log: join(this.#folder, `${name}.log`), process: undefined };
+        this.vms.push(vm);
+        this.restart(vm);
+    }
+
+    /** Starts the process of a VM with the command of the deploy file. */
+    restart(vm) {
         const [program, ...words] = command();
-        const log = openSync(join(this.#folder, `${name}.log`), "a");
-        const child = spawn(program === "node" ? process.execPath : program, words, {
+        const log = openSync(vm.log, "a");
+        vm.process = spawn(program === "node" ? process.execPath : program, words, {
             cwd: root,
-            env: { PATH: process.env.PATH, HOME: process.env.HOME, PEBBLEDALE_NODE_FILE: settingsFile },
+            env: { PATH: process.env.PATH, HOME: process.env.HOME, PEBBLEDALE_NODE_FILE: vm.settingsFile },
             stdio: ["ignore", log, log],
         });
-        this.vms.push({ name, front, process: child, log: join(this.#folder, `${name}.log`) });
+        vm.process.once("exit", code => code === null ? undefined : this.onEnd(vm, code));
     }
 }
 
