--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -10,15 +10,14 @@
 const run = async cell => {
     await cell.start({ vms: 3, workers: workers.map(id => ({ id })), hasRelays: true });
     // The links move while the VMs join; then each worker is called by one VM.
-    const callersOf = id => [...cell.workerRelays.get(id).vms];
-    const isSettled = () => cell.store.owner() !== undefined && workers.every(id => callersOf(id).length === 1);
+    const isSettled = () => cell.store.owner() !== undefined && workers.every(id => cell.callersOf(id).length === 1);
     await sleep(3_000);
     if (!await until(isSettled, 15_000)) {
         return couldNotRun;
     }
     await sleep(1_000);
     const owner = cell.store.owner();
-    const linksOf = ({ name }) => workers.filter(id => callersOf(id).join() === name);
+    const linksOf = ({ name }) => workers.filter(id => cell.callersOf(id).join() === name);
     const vm = cell.vms.find(other => other.name !== owner && linksOf(other).length > 0);
     if (vm === undefined) {
         return couldNotRun;
--- a/review/stand-ins/cell.mjs
+++ b/review/stand-ins/cell.mjs
@@ -42,10 +42,8 @@
     vms = [];
     /** All that the stand-ins observed, with the time in milliseconds since the start. */
     observed = [];
-    /** Relays, where the case has them: in front of the workers by their ids, of the VMs and of the store by the names of VMs. */
+    /** Relays in front of the workers, by their ids, where the case has them. */
     workerRelays = new Map();
-    peerRelays = new Map();
-    storeRelays = new Map();
     #hasRelays = false;
     /** Called when the process of a VM has ended by itself. */
     onEnd = () => undefined;
@@ -69,7 +67,7 @@
         this.recordFile.write(`${String(this.now()).padStart(6)} ${text}\n`);
     }
 
-    /** `hasRelays`: whether connections pass through relays. */
+    /** `hasRelays`: whether connections to workers pass through relays. */
     async start({ vms, workers, bounds = {}, hasRelays = false }) {
         this.#hasRelays = hasRelays;
         this.storeAddress = await this.store.listen();
@@ -79,7 +77,7 @@
         }
         this.#beat = setInterval(() => this.#publish(), heartbeat);
         for (let count = 0; count < vms; count++) {
-            await this.#addVm(bounds);
+            this.#addVm(bounds);
         }
     }
 
@@ -186,9 +184,7 @@
         }
         await until(() => this.#running().length === 0, 3_000);
         this.workers.forEach(worker => worker.crash());
-        [this.workerRelays, this.peerRelays, this.storeRelays].forEach(relays =>
-            relays.forEach(relay => relay.close())
-        );
+        this.workerRelays.forEach(relay => relay.close());
         this.store.close();
         await new Promise(resolve => this.recordFile.end(resolve));
         if (process.env.KEEP === undefined) {
@@ -233,33 +229,26 @@
         );
     }
 
+    /** Names of the VMs that have connections to a worker open. */
+    callersOf(worker) {
+        const processes = this.workerRelays.get(worker).callers;
+        return this.vms.filter(vm => processes.has(vm.process)).map(({ name }) => name);
+    }
+
     #makeRelay(target) {
-        return new Relay(target, (from, to) => {
-            const child = holderOf(this.vms.map(vm => vm.process), from, to);
-            return this.vms.find(vm => vm.process === child)?.name;
-        });
+        return new Relay(target, (from, to) => holderOf(this.vms.map(vm => vm.process), from, to));
     }
 
-    async #addVm(bounds) {
+    #addVm(bounds) {
         const number = ++this.#nextVm;
         const name = `front-zone-a-${number}`;
         // An address of its own for each VM, in the loopback range.
         const ip = `127.${process.pid >> 8 & 0xff}.${process.pid & 0xff}.${number + 1}`;
         const front = `${ip}:8161`;
         const settingsFile = join(this.#folder, `${name}.toml`);
-        let store = this.storeAddress;
-        if (this.#hasRelays) {
-            const peers = this.#makeRelay(`${ip}:7720`);
-            this.peerRelays.set(name, peers);
-            // The others see the relay in place of the VM.
-            this.store.vmAddresses.set(name, await peers.listen());
-            const toStore = this.#makeRelay(store);
-            this.storeRelays.set(name, toStore);
-            store = await toStore.listen();
-        }
         writeFileSync(
             settingsFile,
-            settingsOf({ name, ip, front, store, bounds }),
+            settingsOf({ name, ip, front, store: this.storeAddress, bounds }),
         );
         const vm = { name, front, settingsFile, log: join(this.#folder, `${name}.log`), process: undefined };
         this.vms.push(vm);
--- a/review/stand-ins/relay.mjs
+++ b/review/stand-ins/relay.mjs
@@ -1,17 +1,16 @@
-/** A relay in front of a stand-in or a VM, which cuts the paths of single VMs to it. */
+/** A relay in front of a stand-in, which tells by whom it is called. */
 import { readdirSync, readFileSync, readlinkSync } from "node:fs";
 import { connect, createServer } from "node:net";
 
+/** Passes connections on to a target, and tells which processes have opened them. */
 export class Relay {
-    /** Names of the VMs whose path to the target is cut: their connections are reset, new ones too. */
-    #cut = new Set();
-    #connections = new Map();
+    #clients = new Set();
     #server = createServer(client => this.#connect(client));
 
-    /** `vmOf`: name of the VM whose process opened the connection with this local port. */
-    constructor(target, vmOf) {
+    /** `processOf`: the process that opened the connection from one local port to another. */
+    constructor(target, processOf) {
         this.target = target;
-        this.vmOf = vmOf;
+        this.processOf = processOf;
     }
 
     listen() {
@@ -20,52 +19,30 @@
         );
     }
 
-    /** Names of the VMs that have connections open. */
-    get vms() {
-        return new Set([...this.#connections.values()].map(({ vm }) => vm));
-    }
-
-    /** Cuts the paths of the VMs for which the predicate holds. */
-    cut(names) {
-        names.forEach(name => this.#cut.add(name));
-        for (const [client, { vm, upstream }] of this.#connections) {
-            if (this.#cut.has(vm)) {
-                client.resetAndDestroy();
-                upstream.resetAndDestroy();
-            }
-        }
-    }
-
-    heal() {
-        this.#cut.clear();
+    /** Processes that have connections open. */
+    get callers() {
+        const { port } = this.#server.address();
+        return new Set([...this.#clients].map(client => this.processOf(client.remotePort, port)));
     }
 
     close() {
         this.#server.close();
-        for (const [client, { upstream }] of this.#connections) {
-            client.destroy();
-            upstream.destroy();
-        }
+        this.#clients.forEach(client => client.destroy());
     }
 
     #connect(client) {
-        client.on("error", () => undefined);
-        const vm = this.vmOf(client.remotePort, this.#server.address().port);
-        if (this.#cut.has(vm)) {
-            client.resetAndDestroy();
-            return;
-        }
         const [host, port] = this.target.split(":");
         const upstream = connect(Number(port), host);
+        this.#clients.add(client);
+        client.on("error", () => undefined);
         upstream.on("error", () => undefined);
-        this.#connections.set(client, { vm, upstream });
-        client.pipe(upstream);
-        upstream.pipe(client);
         client.on("close", () => {
-            this.#connections.delete(client);
+            this.#clients.delete(client);
             upstream.destroy();
         });
         upstream.on("close", () => client.destroy());
+        client.pipe(upstream);
+        upstream.pipe(client);
     }
 }
 
--- a/review/stand-ins/store.mjs
+++ b/review/stand-ins/store.mjs
@@ -7,8 +7,6 @@
 export class Store {
     /** How slow the store is: a call is carried out and answered so many milliseconds after it came, unless its connection is gone. */
     delay = 0;
-    /** By the name of a VM, the address of the relay in front of it, which is shown in place of its own. */
-    vmAddresses = new Map();
     #revision = 1;
     #items = new Map();
     #history = [];
@@ -61,16 +59,6 @@
         return revision;
     }
 
-    /** An item as the VMs see it. */
-    #shown(item) {
-        const address = item.Deleted ? undefined : this.vmAddresses.get(/^cell\/nodes\/(.*)$/.exec(item.TlsKey)?.[1]);
-        if (address === undefined) {
-            return item;
-        }
-        const vm = JSON.parse(Buffer.from(item.Value, "base64").toString("utf8"));
-        return { ...item, Value: Buffer.from(JSON.stringify({ ...vm, address })).toString("base64") };
-    }
-
     #drop(key) {
         this.#items.delete(key);
         this.#history.push({ TlsKey: key, Value: "", Revision: ++this.#revision, Deleted: true });
@@ -117,7 +105,7 @@
         switch (`${request.method} ${pathname.split("/").slice(0, 2).join("/")}`) {
             case "GET /kv-key": {
                 const item = this.#items.get(query.get("TlsKey"));
-                return item === undefined ? [404, {}] : [200, { ...this.#shown(item), StoreRevision: this.#revision }];
+                return item === undefined ? [404, {}] : [200, { ...item, StoreRevision: this.#revision }];
             }
             case "GET /kv-range":
                 return this.#range(query.get("PathPrefix"), query.get("AfterRev") ?? "");
@@ -153,7 +141,7 @@
 
     #range(prefix, after) {
         const keys = [...this.#items.keys()].filter(key => key.startsWith(prefix) && key > after).sort();
-        const items = keys.slice(0, maxPageItems).map(key => this.#shown(this.#items.get(key)));
+        const items = keys.slice(0, maxPageItems).map(key => this.#items.get(key));
         return [200, { items, Truncated: keys.length > maxPageItems, StoreRevision: this.#revision }];
     }
 
@@ -174,7 +162,7 @@
                 request.socket.once("close", finish);
             });
         }
-        return [200, { events: eventsAfter().map(event => this.#shown(event)), StoreRevision: this.#revision }];
+        return [200, { events: eventsAfter(), StoreRevision: this.#revision }];
     }
 
     #transact({ ExpectedRev = [], SetKeys = [], Remove = [] }) {
