--- a/review/stand-ins/cell.mjs
+++ b/review/stand-ins/cell.mjs
@@ -172,7 +172,8 @@
     /** Writes the last lines of a VM's log into the record, as far as they are its own report of its end. */
     recordLog(vm) {
         const lines = readFileSync(vm.log, "utf8").split("\n").filter(line => !line.startsWith("{"));
-        lines.slice(-maxLogLines).filter(line => line.length < 500).forEach(line => this.record(`${vm.name}: ${line}`));
+        const own = lines.slice(-maxLogLines).filter(line => line.length < 500);
+        own.forEach(line => this.record(`${vm.name}: ${line.replaceAll(`${root}/`, "")}`));
     }
 
     /** Ends all processes and removes the temporary folder. */
