--- a/review/stand-ins/cell.mjs
+++ b/review/stand-ins/cell.mjs
@@ -47,6 +47,8 @@
     #hasRelays = false;
     /** Called when the process of a VM has ended by itself. */
     onEnd = () => undefined;
+    /** Further processes that the case has started, to be ended if it is ended itself. */
+    children = [];
     #folder = mkdtempSync(join(tmpdir(), "review-"));
     #startedAt = performance.now();
     #sequence = 0;
@@ -55,6 +57,10 @@
 
     constructor(recordFile) {
         this.recordFile = createWriteStream(recordFile);
+        process.once("SIGTERM", () => {
+            [...this.vms.map(vm => vm.process), ...this.children].forEach(child => child.kill("SIGKILL"));
+            process.exit(couldNotRun);
+        });
     }
 
     /** Milliseconds since the start. */
