A stopped VM forwards no starts that waited in its connection

Cause: a VM judged the age of the owner's messages by when it read them. After it was stopped for 8 s, starts and heartbeats that had waited in the connection counted as just heard, so it sent the starts, each with a new lease, although the owner had given the links up 7 s before and had started the tasks elsewhere. The check for suspensions does not help: the monotonic clock of a stopped process runs on.

Evidence: the record has run 1 on the VM's workers 30 ms after SIGCONT, for starts given 8 s before, and run 2 of the same tasks 0.4 s before it. Ruled out: an owner that waits too short a time for leases (run 2 began 7.6 s after the stop), and an order that was on its way (the lease it carries was granted after the stop).

Change: heartbeats carry the owner's time and echo the VM's, from which the VM bounds the difference between the clocks. It forwards starts and grants leases only within a second of the sending of the latest heartbeat read. Messages on a connection are in order, so that an owner that had given the links up before that heartbeat would have been heard to do so.

--- a/packages/core/src/log-events/index.ts
+++ b/packages/core/src/log-events/index.ts
@@ -299,6 +299,12 @@
         "tasks in a recently reopened data hall take longer than elsewhere, or no longer do",
         nothing,
     ),
+    startOutOfDate: define(
+        4617,
+        "warn",
+        "this VM did not forward a start to a worker because the owner's last message is too old",
+        "Check whether this VM, or its connection to the owner, stands still at times.",
+    ),
     trafficSummary: define(
         4620,
         "info",
--- a/packages/entry/src/links/vm-session.ts
+++ b/packages/entry/src/links/vm-session.ts
@@ -3,10 +3,10 @@
 import {
     type ChangeFeed,
     type DataHallName,
-    type Epoch,
     logEvents,
     type Milliseconds,
     type PlatformStore,
+    RemoteClock,
     type SuspensionAwareClock,
 } from "@pebbledale/core";
 import { createAbortController, type EventLogger } from "@pebbledale/runtime";
@@ -15,10 +15,12 @@
     AdviceQuestionMessage,
     AssignMessage,
     Channel,
+    OwnerHeartbeatMessage,
     OwnerMessage,
     OwnerReply,
     OwnerRequest,
     VmMessage,
+    WelcomeMessage,
 } from "../protocol/index.js";
 import { performOperation, type StoreOperation } from "../store-relay/index.js";
 import { WorkerLinks } from "./worker-links.js";
@@ -34,6 +36,9 @@
  */
 const ownerSilenceTimeout: Milliseconds = 1_500;
 
+/** Maximum time between two heartbeats that the owner echoes, in milliseconds: often enough to follow the drift of two clocks. */
+const echoInterval: Milliseconds = 1_000;
+
 /** Maximum reported silence of the owner, also when none was ever heard, in milliseconds. */
 const maxReportedSilence: Milliseconds = 60_000;
 
@@ -86,9 +91,12 @@
     #lastHeardAt = -Infinity;
     /** When the owner was last sent a heartbeat or a worker's message, which serves as one. */
     #lastSentAt = -Infinity;
+    #lastBeatAt = -Infinity;
+    #ownerClock: RemoteClock;
     #isLeaving = false;
 
     constructor(private readonly options: VmSessionOptions) {
+        this.#ownerClock = new RemoteClock(options.clock);
         this.#links = new WorkerLinks({
             clients: options.clients,
             clock: options.clock,
@@ -115,9 +123,10 @@
 
     /** Adds a connection from a potential owner; the owner with the highest epoch prevails. */
     attach(channel: Channel<VmMessage, OwnerMessage>): void {
+        const attachedAt = this.options.clock.monotonic();
         channel.onMessage = message => {
             if (message.kind === "welcome") {
-                this.#acceptOwner(channel, message.epoch);
+                this.#acceptOwner(channel, message, attachedAt);
             }
             else if (channel === this.#channel) {
                 this.#handle(message);
@@ -183,8 +192,8 @@
             if (clock.uninterruptedSince() !== uninterruptedSince) {
                 this.options.logger.log(logEvents.wallClockJumped, { epoch: this.#epoch });
             }
-            if (clock.monotonic() - this.#lastSentAt >= heartbeatInterval) {
-                this.#send({ kind: "beat" });
+            if (this.#isHeartbeatDue) {
+                this.#sendHeartbeat();
             }
             // After a pause of this process, the owner's heartbeats may still be waiting to be read.
             if (clock.monotonic() - sleptAt < 2 * heartbeatInterval) {
@@ -194,6 +203,19 @@
         this.#links.closeAll();
     }
 
+    /** Heartbeats are also sent beside other messages, as only they are echoed. */
+    get #isHeartbeatDue(): boolean {
+        const now = this.options.clock.monotonic();
+        return now - this.#lastSentAt >= heartbeatInterval
+            || now - this.#lastBeatAt >= echoInterval
+            || !this.#ownerClock.isKnown;
+    }
+
+    #sendHeartbeat(): void {
+        this.#lastBeatAt = this.options.clock.monotonic();
+        this.#send({ kind: "beat", sentAt: Math.floor(this.#lastBeatAt) });
+    }
+
     #dropSilentOwner(): void {
         const channel = this.#channel;
         if (channel !== undefined && this.ownerSilence > ownerSilenceTimeout) {
@@ -202,19 +224,28 @@
         }
     }
 
-    #acceptOwner(channel: Channel<VmMessage, OwnerMessage>, epoch: Epoch): void {
+    /** `attachedAt`: when the connection was opened. The owner's messages on it were sent later, however late they are read. */
+    #acceptOwner(
+        channel: Channel<VmMessage, OwnerMessage>,
+        { epoch, sentAt }: WelcomeMessage,
+        attachedAt: Milliseconds,
+    ): void {
         if (epoch < this.#epoch) {
             channel.close();
             return;
         }
         const former = this.#channel;
-        // An owner that connects assigns all links anew, even if it is the same one; workers would refuse the former
-        // links.
-        this.#links.closeAll();
         this.#epoch = epoch;
         this.#channel = channel;
         this.#recordHeard();
-        this.#links.recordOwnerHeard();
+        this.#ownerClock = new RemoteClock(this.options.clock);
+        if (sentAt !== undefined) {
+            this.#ownerClock.addEcho({ sentAt: attachedAt, receivedAt: sentAt });
+        }
+        // An owner that connects assigns all links anew, even if it is the same one; workers would refuse the former
+        // links.
+        this.#links.acceptOwner(attachedAt);
+        this.#sendHeartbeat();
         if (former !== undefined && former !== channel) {
             former.close();
         }
@@ -282,9 +313,7 @@
                 this.options.onHandOver();
                 break;
             case "beat":
-                if (message.mayLease) {
-                    this.#links.recordOwnerHeard();
-                }
+                this.#handleHeartbeat(message);
                 break;
             case "welcome":
                 break;
@@ -296,6 +325,19 @@
         this.#channel?.send(message);
     }
 
+    /** Dates the owner's heartbeat by when it was sent: it may have waited in the connection while this process was stopped. */
+    #handleHeartbeat({ mayLease, sentAt, echo }: OwnerHeartbeatMessage): void {
+        if (echo !== undefined) {
+            this.#ownerClock.addEcho(echo);
+        }
+        const heardAt = sentAt === undefined
+            ? this.options.clock.monotonic()
+            : this.#ownerClock.earliestTimeOf(sentAt);
+        if (heardAt !== undefined) {
+            this.#links.recordOwnerHeard(heardAt, mayLease);
+        }
+    }
+
     #recordHeard(): void {
         this.#lastHeardAt = this.options.clock.monotonic();
     }
--- a/packages/entry/src/links/worker-link.ts
+++ b/packages/entry/src/links/worker-link.ts
@@ -50,9 +50,7 @@
     readonly leaseLength: Milliseconds;
     /** Whether the owner was heard recently enough to poll and grant leases on its behalf. */
     readonly mayPoll: () => boolean;
-    /**
-     * Whether orders may be forwarded for the owner, which must have been heard since any suspension of this process.
-     */
+    /** Whether the owner was heard recently enough to forward its starts: it may have given the link or its runs up since. */
     readonly mayForwardOrders?: () => boolean;
     /** Whether operators have closed a data hall, by what this VM knows. */
     readonly isHallClosed: (hall: DataHallName) => boolean;
@@ -379,7 +377,7 @@
         this.#lastActiveAt = clock.monotonic();
         const { worker, task, run } = command;
         const token = this.#token;
-        const isAllowed = this.#mayLease && this.options.mayForwardOrders?.() !== false && !this.#isHallClosed(command);
+        const isAllowed = this.#mayLease && !this.#isOutOfDate(command) && !this.#isHallClosed(command);
         const leaseUntil = isAllowed ? this.#lease.grant() : undefined;
         if (leaseUntil === undefined) {
             send({ kind: "started", worker, task, run, refusal: "not-delivered" });
@@ -416,6 +414,16 @@
         }
     }
 
+    /** Whether the owner may count on this start no longer. It may have waited in the connection while this process was stopped. */
+    #isOutOfDate({ task, run }: StartCommand): boolean {
+        const { mayForwardOrders, logger } = this.options;
+        if (mayForwardOrders?.() !== false) {
+            return false;
+        }
+        logger.log(logEvents.startOutOfDate, { worker: this.worker, task, run });
+        return true;
+    }
+
     /** Whether the worker's data hall is closed to new runs: the owner that ordered this one may not know it yet. */
     #isHallClosed({ task, run, dataHall }: StartCommand): boolean {
         const { isHallClosed, logger } = this.options;
--- a/packages/entry/src/links/worker-links.ts
+++ b/packages/entry/src/links/worker-links.ts
@@ -29,23 +29,38 @@
     readonly #links = new Map<WorkerId, WorkerLink>();
     readonly #clients = new Map<WorkerId, IncarnationClient>();
     readonly #lossMonitor: LossMonitor;
+    /** When the latest known message of the current owner was sent. */
     #ownerHeardAt = -Infinity;
+    /** When the latest known message was sent by which the owner allows leases. */
+    #leasesAllowedAt = -Infinity;
 
     constructor(private readonly options: WorkerLinksOptions) {
         this.#lossMonitor = new LossMonitor(options.clock, options.logger);
     }
 
-    /** Records a message of an owner that the store has recently confirmed. */
-    recordOwnerHeard(): void {
-        this.#ownerHeardAt = this.options.clock.monotonic();
+    /** Closes all links for another owner, or another connection of the same one, whose first message was sent at `at` or later. */
+    acceptOwner(at: Milliseconds): void {
+        this.closeAll();
+        this.#ownerHeardAt = at;
+        this.#leasesAllowedAt = at;
+    }
+
+    /** Records a message that the owner sent at `at`. `mayLease`: whether the store has recently confirmed the owner. */
+    recordOwnerHeard(at: Milliseconds, mayLease: boolean): void {
+        this.#ownerHeardAt = Math.max(this.#ownerHeardAt, at);
+        if (mayLease) {
+            this.#leasesAllowedAt = Math.max(this.#leasesAllowedAt, at);
+        }
     }
 
     /**
-     * Whether the owner was heard since this process may last have been suspended. Earlier messages may be out of date,
-     * as may those that were buffered in the socket and are read shortly afterwards.
+     * Whether the owner still counts on what this VM does at the links that it had assigned at `moment`, its latest known message:
+     * neither has the time passed after which it may count the links as gone, nor may this process have been suspended since.
      */
-    get #mayForwardOrders(): boolean {
-        return this.#ownerHeardAt >= this.options.clock.uninterruptedSince() + staleMessageWindow;
+    #isRecent(moment: Milliseconds): boolean {
+        const { clock } = this.options;
+        return moment >= clock.uninterruptedSince() + staleMessageWindow
+            && clock.monotonic() - moment < ownerSilenceLimit;
     }
 
     /** Creates the link to a worker, replacing a former one. */
@@ -59,9 +74,8 @@
             clock: this.options.clock,
             logger: this.options.logger,
             leaseLength: this.options.leaseLength,
-            mayPoll: () =>
-                this.#mayForwardOrders && this.options.clock.monotonic() - this.#ownerHeardAt < ownerSilenceLimit,
-            mayForwardOrders: () => this.#mayForwardOrders,
+            mayPoll: () => this.#isRecent(this.#leasesAllowedAt),
+            mayForwardOrders: () => this.#isRecent(this.#ownerHeardAt),
             isHallClosed: hall => this.options.isHallClosed(hall),
             lossMonitor: this.#lossMonitor,
             send: report => this.options.send({ ...report, assignment: assignment.token }),
@@ -115,7 +129,7 @@
         this.#links.get(worker)?.acknowledge(through);
     }
 
-    /** Closes all links because another owner has appeared; keeps the clients for the links that it assigns. */
+    /** Closes all links; keeps the clients for the links that are assigned next. */
     closeAll(): void {
         this.#links.forEach(link => link.close());
         this.#links.clear();
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -184,7 +184,7 @@
 
     #sendHeartbeats(): void {
         const mayLease = this.#isConfirmed;
-        this.#vms.forEach(vm => vm.channel.send({ kind: "beat", mayLease }));
+        this.#vms.forEach(vm => vm.sendHeartbeat(mayLease));
     }
 
     /** Whether the store has recently confirmed that this VM owns the cell. */
@@ -260,7 +260,7 @@
         this.#vms.set(vm.name, link);
         channel.onMessage = message => this.#handle(link, message);
         channel.onClose = () => this.#drop(link);
-        channel.send({ kind: "welcome", epoch: journal.epoch, owner: name });
+        link.welcome(journal.epoch, name);
         this.#operatorsKeys.announceTo(channel);
         this.#advice.join(
             vm.name,
@@ -421,6 +421,8 @@
                 this.#handleLeaving(link);
                 break;
             case "beat":
+                link.handleHeartbeat(message.sentAt, () => this.#isConfirmed);
+                return;
             case "owner-heard":
                 return;
             default:
--- a/packages/entry/src/owner/vm-link.ts
+++ b/packages/entry/src/owner/vm-link.ts
@@ -1,5 +1,12 @@
 /** The owner's connection to one entry VM. */
-import { type Clock, type Milliseconds, PlatformUnavailableError, type WorkerId } from "@pebbledale/core";
+import {
+    type Clock,
+    type ClockEcho,
+    type Epoch,
+    type Milliseconds,
+    PlatformUnavailableError,
+    type WorkerId,
+} from "@pebbledale/core";
 import type { EntryVm } from "../membership/index.js";
 import type { Channel, OwnerMessage, VmMessage } from "../protocol/index.js";
 import type { StoreOperation } from "../store-relay/index.js";
@@ -33,6 +40,9 @@
     #storeCallFailedAt: Milliseconds | undefined;
     readonly #pendingCalls = new Map<number, PendingStoreCall>();
     #nextCall = 1;
+    /** The VM's last heartbeat that was not echoed yet. */
+    #echo: ClockEcho | undefined;
+    #hasEchoed = false;
 
     constructor(
         readonly vm: EntryVm,
@@ -43,6 +53,36 @@
         this.lastHeardAt = this.connectedAt;
     }
 
+    /** Sends the first message on the connection. */
+    welcome(epoch: Epoch, owner: string): void {
+        this.channel.send({ kind: "welcome", epoch, owner, sentAt: this.#sendTime });
+    }
+
+    /** Sends a heartbeat, with an echo of the VM's last one. */
+    sendHeartbeat(mayLease: boolean): void {
+        const echo = this.#echo;
+        this.#echo = undefined;
+        this.#hasEchoed ||= echo !== undefined;
+        this.channel.send({ kind: "beat", mayLease, sentAt: this.#sendTime, ...(echo === undefined ? {} : { echo }) });
+    }
+
+    /** Handles a heartbeat that the VM sent at `sentAt` by its clock. The first one is answered at once, as the VM waits to date messages. */
+    handleHeartbeat(sentAt: Milliseconds | undefined, mayLease: () => boolean): void {
+        if (sentAt === undefined) {
+            return;
+        }
+        // Rounded up, so that the VM dates messages too early rather than too late.
+        this.#echo = { sentAt, receivedAt: Math.ceil(this.clock.monotonic()) };
+        if (!this.#hasEchoed) {
+            this.sendHeartbeat(mayLease());
+        }
+    }
+
+    /** Rounded down, so that the VM takes messages for too old rather than too recent. */
+    get #sendTime(): Milliseconds {
+        return Math.floor(this.clock.monotonic());
+    }
+
     /** Whether the last store call through this VM failed, and not long ago. */
     get hasFailedStoreCall(): boolean {
         const failedAt = this.#storeCallFailedAt;
--- a/packages/entry/src/protocol/messages.ts
+++ b/packages/entry/src/protocol/messages.ts
@@ -11,6 +11,7 @@
     WorkerCommand,
 } from "@pebbledale/cell";
 import type {
+    ClockEcho,
     DataHallName,
     Epoch,
     FencingToken,
@@ -31,6 +32,8 @@
     readonly kind: "welcome";
     readonly epoch: Epoch;
     readonly owner: string;
+    /** Time on the owner's monotonic clock; omitted by earlier versions. */
+    readonly sentAt?: Milliseconds;
 }
 
 /** Assigns the link to a worker to the VM. */
@@ -155,11 +158,17 @@
     readonly kind: "beat";
     /** Whether leases may be granted: the store has recently confirmed that the sender owns the cell. */
     readonly mayLease: boolean;
+    /** Time on the owner's monotonic clock; omitted by earlier versions. */
+    readonly sentAt?: Milliseconds;
+    /** The receiver's last heartbeat, by which it relates its clock to the owner's; omitted when there was none since the last echo. */
+    readonly echo?: ClockEcho;
 }
 
 /** Shows that a VM is alive when it has nothing else to send. */
 export interface HeartbeatMessage {
     readonly kind: "beat";
+    /** Time on the VM's monotonic clock, which the owner echoes; omitted by earlier versions. */
+    readonly sentAt?: Milliseconds;
 }
 
 /** Any message from an owner to a VM. */
--- a/packages/entry/test/links/vm-session.test.ts
+++ b/packages/entry/test/links/vm-session.test.ts
@@ -1,9 +1,11 @@
 /* Guards against a VM sending requests over a hanging connection to the owner until its callers' deadlines pass. */
+import type { StartCommand } from "@pebbledale/cell";
 import {
     dataHallName,
     type Epoch,
     fencingToken,
     ManualClock,
+    type Milliseconds,
     runNumber,
     taskAddress,
     workerId,
@@ -14,6 +16,7 @@
     type Channel,
     createMemoryChannel,
     HallClosureWatch,
+    type HeartbeatMessage,
     type OwnerMessage,
     type VmMessage,
     VmSession,
@@ -50,6 +53,35 @@
     await settle();
 };
 
+const worker = workerId("w");
+
+const startOf = (run: number): StartCommand => ({
+    kind: "start",
+    worker,
+    task: taskAddress("j/0/0/0"),
+    run: runNumber(run),
+    payload: "",
+    checkpoint: "",
+});
+
+/** A client of a worker without runs, with the ends of the leases and the starts that it was sent. */
+const makeClient = () => {
+    const leases: unknown[] = [];
+    const starts: unknown[] = [];
+    const client = {
+        poll: ({ leaseUntil }: { readonly leaseUntil?: number; }) => {
+            leases.push(leaseUntil);
+            return Promise.resolve({ kind: "seen", poll: { clock: 1, running: [], ended: [] } });
+        },
+        start: (order: unknown) => {
+            starts.push(order);
+            return Promise.resolve({ kind: "taken", clock: 1 });
+        },
+        close: () => Promise.resolve(),
+    };
+    return { client, leases, starts };
+};
+
 describe("a VM session", () => {
     it("drops a silent owner after a second and a half and resolves open requests without a reply", async () => {
         const { clock, stop, session } = setUp();
@@ -119,7 +151,6 @@
         const [owner, vm] = createMemoryChannel<OwnerMessage, VmMessage>();
         session.attach(vm);
         await welcome(owner);
-        const worker = workerId("w");
         owner.send({ kind: "assign", worker, address: "127.0.0.1:1", token: fencingToken(1), isLeaving: false });
         await advanceTime(clock, 2_000);
         expect(session.hasOwner).toEqual(false);
@@ -137,24 +168,11 @@
      * replaced.
      */
     it("grants no leases and forwards no orders after a possible suspension until the owner is heard again", async () => {
-        const leases: unknown[] = [];
-        const starts: unknown[] = [];
-        const client = {
-            poll: ({ leaseUntil }: { readonly leaseUntil?: number; }) => {
-                leases.push(leaseUntil);
-                return Promise.resolve({ kind: "seen", poll: { clock: 1, running: [], ended: [] } });
-            },
-            start: (order: unknown) => {
-                starts.push(order);
-                return Promise.resolve({ kind: "taken", clock: 1 });
-            },
-            close: () => Promise.resolve(),
-        };
+        const { client, leases, starts } = makeClient();
         const { clock, stop, session } = setUp({ clientOf: () => client } as never);
         const [owner, vm] = createMemoryChannel<OwnerMessage, VmMessage>();
         session.attach(vm);
         await welcome(owner);
-        const worker = workerId("w");
         owner.send({ kind: "assign", worker, address: "127.0.0.1:1", token: fencingToken(1), isLeaving: false });
         await advanceTime(clock, 300);
         owner.send({ kind: "beat", mayLease: true });
@@ -162,9 +180,7 @@
         expect(leases.some(lease => lease !== undefined)).toEqual(true);
         clock.suspend(5_000);
         leases.length = 0;
-        const task = taskAddress("j/0/0/0");
-        const order = { kind: "start", worker, task, run: runNumber(1), payload: "", checkpoint: "" } as const;
-        owner.send({ kind: "command", command: order });
+        owner.send({ kind: "command", command: startOf(1) });
         // Heartbeats that were buffered in the socket may come from before the suspension.
         owner.send({ kind: "beat", mayLease: true });
         await advanceTime(clock, 200);
@@ -177,6 +193,67 @@
         stop.abort();
     });
 
+    /*
+     * Guards against a task running twice: a VM that was stopped for longer than the owner waits for its links sent the starts
+     * that it found in its connection, although their tasks had been started elsewhere meanwhile.
+     */
+    it("forwards no starts and grants no leases for messages that waited in the connection while it was stopped", async () => {
+        const { client, leases, starts } = makeClient();
+        const { clock, stop, session } = setUp({ clientOf: () => client } as never);
+        const [owner, vm] = createMemoryChannel<OwnerMessage, VmMessage>();
+        const beats: HeartbeatMessage[] = [];
+        owner.onMessage = message => message.kind === "beat" && beats.push(message);
+        session.attach(vm);
+        // The owner's clock is 70 s ahead of the VM's.
+        const ownerTime = () => clock.monotonic() + 70_000;
+        const beat = (sentAt: Milliseconds): void => {
+            const last = beats.splice(0).at(-1);
+            const echo = last?.sentAt === undefined ? {} : { echo: { sentAt: last.sentAt, receivedAt: ownerTime() } };
+            owner.send({ kind: "beat", mayLease: true, sentAt, ...echo });
+        };
+        owner.send({ kind: "welcome", epoch: 1 as Epoch, owner: "a", sentAt: ownerTime() });
+        await settle();
+        owner.send({ kind: "assign", worker, address: "127.0.0.1:1", token: fencingToken(1), isLeaving: false });
+        for (let passed = 0; passed < 1_000; passed += 250) {
+            beat(ownerTime());
+            await advanceTime(clock, 250);
+        }
+        owner.send({ kind: "command", command: startOf(1) });
+        await settle();
+        expect([starts.length, leases.some(lease => lease !== undefined)]).toEqual([1, true]);
+        leases.length = 0;
+        const stoppedAt = ownerTime();
+        clock.advance(8_000);
+        for (const age of [0, 250, 500, 750, 1_000]) {
+            owner.send({ kind: "beat", mayLease: true, sentAt: stoppedAt + age });
+            owner.send({ kind: "command", command: startOf(2) });
+        }
+        await advanceTime(clock, 100);
+        expect([starts.length, leases.filter(lease => lease !== undefined)]).toEqual([1, []]);
+        beat(ownerTime());
+        owner.send({ kind: "command", command: startOf(3) });
+        await advanceTime(clock, 200);
+        expect([starts.length, leases.some(lease => lease !== undefined)]).toEqual([2, true]);
+        stop.abort();
+    });
+
+    /* Guards against a VM that is stopped right after an owner has connected to it taking the owner's first messages for recent ones. */
+    it("forwards no starts of an owner that has connected to it before it was stopped", async () => {
+        const { client, starts } = makeClient();
+        const { clock, stop, session } = setUp({ clientOf: () => client } as never);
+        const [owner, vm] = createMemoryChannel<OwnerMessage, VmMessage>();
+        session.attach(vm);
+        clock.advance(8_000);
+        owner.send({ kind: "welcome", epoch: 1 as Epoch, owner: "a", sentAt: 20 });
+        owner.send({ kind: "assign", worker, address: "127.0.0.1:1", token: fencingToken(1), isLeaving: false });
+        owner.send({ kind: "command", command: startOf(1) });
+        owner.send({ kind: "beat", mayLease: true, sentAt: 270 });
+        owner.send({ kind: "command", command: startOf(2) });
+        await advanceTime(clock, 100);
+        expect(starts).toEqual([]);
+        stop.abort();
+    });
+
     it("keeps the connection of an owner that sends heartbeats", async () => {
         const { clock, stop, session } = setUp();
         const [owner, vm] = createMemoryChannel<OwnerMessage, VmMessage>();
