Leases of a moved link are counted until its former VM has lost the owner

The leases of a worker that the new link cannot reach were counted from the new link's first failed poll, without the time for which the former link may go on, and without the 2% by which the worker's clock may be slow.

Change: the owner remembers when a link was removed, and adds ownerSilenceLimit until the next link has polled the worker, which then refuses the former one's orders.

--- a/packages/entry/src/links/worker-lease.ts
+++ b/packages/entry/src/links/worker-lease.ts
@@ -66,11 +66,11 @@
         return until;
     }
 
-    /** Time until all granted leases have expired. */
+    /** Time until all leases granted by now have expired, also those of former links. */
     expiresIn(): Milliseconds {
         const reading = this.#reading;
         if (reading === undefined) {
-            return this.maxLength;
+            return this.maxLength / (1 - maxClockDrift);
         }
         const left = (this.#latestEnd - reading.clock) / (1 - maxClockDrift);
         return Math.max(0, reading.receivedAt + left - this.clock.monotonic());
--- a/packages/entry/src/owner/assignments.ts
+++ b/packages/entry/src/owner/assignments.ts
@@ -1,6 +1,7 @@
 /** Assignment of worker links to entry VMs. */
 import type { WorkerState } from "@pebbledale/cell";
 import { type Epoch, type FencingToken, fencingToken, type Milliseconds, type WorkerId } from "@pebbledale/core";
+import { ownerSilenceLimit } from "../links/index.js";
 import type { AssignMessage } from "../protocol/index.js";
 import type { RegionMap } from "../settings/index.js";
 import { assignmentsPerEpoch, tokensPerAssignment } from "./constants.js";
@@ -17,6 +18,8 @@
     readonly token: FencingToken;
     /** Assignment time on the owner's monotonic clock. The first poll of the link settles all orders sent before it. */
     readonly assignedAt: Milliseconds;
+    /** Until then, a former link of this owner may still grant leases at the worker; undefined when there was none. */
+    readonly formerLinkUntil: Milliseconds | undefined;
     /** Whether the first poll of the link has been applied. */
     hasPolled: boolean;
 }
@@ -36,6 +39,8 @@
     readonly #unlocated = new Set<WorkerId>();
     /** Per worker, the time until which orders to earlier incarnations may still be carried out. */
     readonly #lateOrdersUntil = new Map<WorkerId, Milliseconds>();
+    /** Per worker, the time until which the VM of its last removed link may grant leases, if it did not hear of the removal. */
+    readonly #formerLinksUntil = new Map<WorkerId, Milliseconds>();
 
     /** `onTokensUsedUp`: called for a worker that cannot be assigned again in this epoch, as the next tokens are those of the next one. */
     constructor(
@@ -169,8 +174,26 @@
 
     /** Forgets the worker's link without notifying its VM. */
     remove(worker: WorkerId): void {
-        this.#assignments.get(worker)?.link.workers.delete(worker);
+        const assignment = this.#assignments.get(worker);
+        if (assignment === undefined) {
+            return;
+        }
+        assignment.link.workers.delete(worker);
         this.#assignments.delete(worker);
+        this.#rememberFormerLink(worker);
+    }
+
+    #rememberFormerLink(worker: WorkerId): void {
+        const now = this.now();
+        // The oldest come first, as all are remembered for the same time.
+        this.#formerLinksUntil.delete(worker);
+        this.#formerLinksUntil.set(worker, now + ownerSilenceLimit);
+        for (const [other, until] of this.#formerLinksUntil) {
+            if (until > now) {
+                return;
+            }
+            this.#formerLinksUntil.delete(other);
+        }
     }
 
     /** Forgets all links of a VM without notifying it. */
@@ -215,6 +238,7 @@
             address: worker.address,
             token,
             assignedAt: this.now(),
+            formerLinkUntil: this.#formerLinksUntil.get(worker.id),
             hasPolled: false,
         });
         link.channel.send({
--- a/packages/entry/src/owner/worker-report-handler.ts
+++ b/packages/entry/src/owner/worker-report-handler.ts
@@ -40,7 +40,7 @@
                 this.#handleStartResult(message);
                 break;
             case "silent":
-                cell.applySilence(message.worker, this.#leasesExpireAt(message.worker, message.lapsesIn), {
+                cell.applySilence(message.worker, this.#leasesExpireAt(assignment, message), {
                     cause: message.cause,
                     heardAgo: message.heardAgo,
                 });
@@ -96,10 +96,18 @@
         cell.startRefused(worker, task, run, refusal === "not-delivered" ? undefined : refusal);
     }
 
-    /** Before this owner's first poll of the worker, leases of an earlier owner may outlast those of the link. */
-    #leasesExpireAt(worker: WorkerId, lapsesIn: Milliseconds): Milliseconds {
+    /**
+     * Until a link has polled the worker, which then refuses the orders of former ones, a former link of this owner may go on to grant leases
+     * as long as it may go without hearing the owner. Before this owner's first poll of the worker, leases of an earlier owner may outlast
+     * those of the link.
+     */
+    #leasesExpireAt(
+        { hasPolled, formerLinkUntil = -Infinity }: Assignment,
+        { worker, lapsesIn }: WorkerMessage & { kind: "silent"; },
+    ): Milliseconds {
         const { cell, clock, formerLeasesExpireAt } = this.options;
-        const expireAt = clock.monotonic() + lapsesIn;
+        const now = clock.monotonic();
+        const expireAt = (hasPolled ? now : Math.max(now, formerLinkUntil)) + lapsesIn;
         return cell.workers.get(worker)?.isClaimed === true ? expireAt : Math.max(expireAt, formerLeasesExpireAt);
     }
 }
--- a/packages/entry/test/links/worker-link.test.ts
+++ b/packages/entry/test/links/worker-link.test.ts
@@ -104,6 +104,16 @@
 describe("a worker link", () => {
     afterEach(() => links.splice(0).forEach(link => link.close()));
 
+    /* Guards against a task running twice at a worker whose clock is slow, where the leases of a former link last longer. */
+    it("reports that leases at a worker that it has not reached may last longer by the worker's clock", async () => {
+        const client = new FakeClient();
+        client.answerPoll = noAnswer;
+        const { sent } = makeLink(client);
+        await settle();
+        const silent = sent.find(message => message.kind === "silent");
+        expect(silent?.lapsesIn).toEqual(leaseLength / 0.98);
+    });
+
     it("polls before the first start and computes leases from the worker's clock", async () => {
         const client = firstThenWaiting();
         const { link, sent } = makeLink(client);
--- a/packages/entry/test/owner/worker-report-handler.test.ts
+++ b/packages/entry/test/owner/worker-report-handler.test.ts
@@ -11,6 +11,7 @@
     type AssignMessage,
     createMemoryChannel,
     type OwnerMessage,
+    ownerSilenceLimit,
     VmLink,
     type VmMessage,
     type WorkerMessage,
@@ -23,10 +24,13 @@
 const setUp = () => {
     const clock = new ManualClock();
     const settledTimes: number[] = [];
+    const leaseEnds: (number | undefined)[] = [];
     const cell = {
         workers: new Map([[worker, new WorkerState(worker, "127.0.0.1:1")]]),
         applyPoll: (...[, , , resolvedBefore]: Parameters<CellScheduler["applyPoll"]>) =>
             settledTimes.push(resolvedBefore),
+        applySilence: (...[, leasesExpireAt]: Parameters<CellScheduler["applySilence"]>) =>
+            leaseEnds.push(leasesExpireAt),
     } as unknown as CellScheduler;
     const [ownerEnd, vmEnd] = createMemoryChannel<OwnerMessage, VmMessage>();
     const assigned: AssignMessage[] = [];
@@ -54,7 +58,14 @@
         age: 0,
         assignment: token,
     });
-    return { handler, link, settledTimes, assign, pollMessageOf };
+    const silenceMessageOf = ({ token }: AssignMessage): WorkerMessage => ({
+        kind: "silent",
+        worker,
+        lapsesIn: 6_000,
+        cause: "no answer",
+        assignment: token,
+    });
+    return { clock, handler, link, settledTimes, leaseEnds, assign, pollMessageOf, silenceMessageOf };
 };
 
 describe("a report of a VM on a worker", () => {
@@ -67,4 +78,30 @@
         handler.handle(link, pollMessageOf(present));
         expect(settledTimes).toEqual([20]);
     });
+
+    /*
+     * Guards against a task running twice: a VM that is cut off from the owner with a worker renews the worker's lease until it counts the
+     * owner as lost, which is after the owner has given its link to another VM.
+     */
+    it("lets the leases of an unreachable worker expire only after those of a former link", async () => {
+        const { clock, handler, link, leaseEnds, assign, silenceMessageOf } = setUp();
+        const first = await assign();
+        handler.handle(link, silenceMessageOf(first));
+        expect(leaseEnds).toEqual([10 + 6_000]);
+        const movedAt = clock.monotonic() + 10;
+        const second = await assign();
+        clock.advance(500);
+        handler.handle(link, silenceMessageOf(second));
+        expect(leaseEnds.at(-1)).toEqual(movedAt + ownerSilenceLimit + 6_000);
+    });
+
+    it("does not count on a former link once the present one has polled the worker, which then refuses its orders", async () => {
+        const { clock, handler, link, leaseEnds, assign, pollMessageOf, silenceMessageOf } = setUp();
+        await assign();
+        const present = await assign();
+        handler.handle(link, pollMessageOf(present));
+        clock.advance(500);
+        handler.handle(link, silenceMessageOf(present));
+        expect(leaseEnds).toEqual([clock.monotonic() + 6_000]);
+    });
 });
