A stopped owner releases no starts before the store has confirmed it again

Found by reading, as the same cause as the starts that waited in a stopped VM; not seen in a run. Read 8 s later, it released the starts of that turn to the owner's VMs. Those that the next owner does not reach forward them, while it counts on leases of an owner that was confirmed within 3 s (confirmationValidity). A suspension of the machine was guarded against, a process that is stopped was not. And an owner that learned of its successor while it waited for that confirmation sent the starts all the same.

Change: starts and acknowledgements are released only while the last confirmation is younger than confirmationValidity, and not once the cell is lost. Two tests of the turn runner fail on the code before.

--- a/packages/entry/src/owner/turn-runner.ts
+++ b/packages/entry/src/owner/turn-runner.ts
@@ -2,7 +2,7 @@
 import type { AdviceDispatcher, CellScheduler, StartCommand, TurnOutput, WorkerCommand } from "@pebbledale/cell";
 import type { Journal, Milliseconds, SuspensionAwareClock } from "@pebbledale/core";
 import type { Assignments } from "./assignments.js";
-import { confirmationPollInterval } from "./constants.js";
+import { confirmationPollInterval, confirmationValidity } from "./constants.js";
 import { CyclePacer } from "./cycle-pacer.js";
 
 /** Dependencies of the turn runner. */
@@ -75,7 +75,7 @@
     async run(): Promise<boolean> {
         const { cell, advice, journal, assignments, lost } = this.options;
         if (this.#isOwnershipInDoubt) {
-            await this.#untilOwnershipConfirmed();
+            await this.#untilOwnershipConfirmed(() => this.#isOwnershipInDoubt);
         }
         const turn = cell.drain();
         if (this.#isFrozen) {
@@ -96,8 +96,13 @@
             lost.abort(cause);
             return false;
         }
-        if (this.#isOwnershipInDoubt) {
-            await this.#untilOwnershipConfirmed();
+        // The answer of the store may have waited while this process was stopped.
+        const mayHaveLostCell = () => this.#isOwnershipInDoubt || this.#isConfirmationOutdated;
+        if (mayHaveLostCell()) {
+            await this.#untilOwnershipConfirmed(mayHaveLostCell);
+            if (lost.signal.aborted) {
+                return false;
+            }
         }
         cell.turnCommitted(turn);
         turn.commands.filter(command => command.kind === "start").forEach(command => this.#sendStart(command));
@@ -122,9 +127,15 @@
         return this.options.confirmedAt() < this.options.clock.uninterruptedSince();
     }
 
-    async #untilOwnershipConfirmed(): Promise<void> {
+    /** Whether a new owner need not wait for starts that are sent now, as it expects leases only of an owner confirmed more recently. */
+    get #isConfirmationOutdated(): boolean {
+        const { clock, confirmedAt } = this.options;
+        return clock.monotonic() - confirmedAt() >= confirmationValidity;
+    }
+
+    async #untilOwnershipConfirmed(isInDoubt: () => boolean): Promise<void> {
         const { clock, confirm, lost } = this.options;
-        while (this.#isOwnershipInDoubt && !lost.signal.aborted) {
+        while (isInDoubt() && !lost.signal.aborted) {
             if (!this.#isConfirmationRequested) {
                 this.#isConfirmationRequested = true;
                 confirm();
--- a/packages/entry/test/owner/turn-runner.test.ts
+++ b/packages/entry/test/owner/turn-runner.test.ts
@@ -34,18 +34,18 @@
     cell: CellScheduler,
     clock = new ManualClock(),
     confirmedAt: () => Milliseconds = () => clock.monotonic(),
+    append = async (records: readonly unknown[]): Promise<void> => void appended.push(...records),
+    lost = new AbortController(),
 ): TurnRunner =>
     new TurnRunner({
         cell,
-        journal: {
-            append: async (records: readonly unknown[]) => void appended.push(...records),
-        } as unknown as Journal,
+        journal: { append } as unknown as Journal,
         clock,
         confirmedAt,
         confirm: () => undefined,
         advice: { ask: () => undefined } as unknown as AdviceDispatcher,
         assignments: {} as Assignments,
-        lost: new AbortController(),
+        lost,
         onNewWorkers: () => undefined,
     });
 
@@ -87,3 +87,43 @@
         expect(counts.turns > 0).toEqual(true);
     });
 });
+
+/*
+ * Guards against a task running twice: an owner that was stopped while it waited for the journal sent the starts of that time to the VMs that
+ * its successor did not reach.
+ */
+describe("an owner that was stopped while its records were written", () => {
+    const runStoppedTurn = async () => {
+        const clock = new ManualClock();
+        const released: number[] = [];
+        const cell = {
+            needsCycle: false,
+            drain: (): TurnOutput => ({ ...emptyTurn, records: [{ kind: "forgotten", job: jobId("job") }] }),
+            turnCommitted: () => void released.push(clock.monotonic()),
+        } as unknown as CellScheduler;
+        let commit = (): void => undefined;
+        const store = { confirmedAt: 0 };
+        const lost = new AbortController();
+        const append = () => new Promise<void>(resolve => commit = resolve);
+        const turn = makeRunner(cell, clock, () => store.confirmedAt, append, lost).run();
+        await settle();
+        clock.advance(8_000);
+        commit();
+        await advanceTime(clock, 100);
+        return { clock, turn, released, store, lost };
+    };
+
+    it("sends their starts only once the store has confirmed that it still owns the cell", async () => {
+        const { clock, turn, released, store } = await runStoppedTurn();
+        expect(released).toEqual([]);
+        store.confirmedAt = clock.monotonic();
+        await advanceTime(clock, 100);
+        expect([await turn, released.length]).toEqual([true, 1]);
+    });
+
+    it("sends nothing once it has found that another owner has the cell", async () => {
+        const { turn, released, lost } = await runStoppedTurn();
+        lost.abort();
+        expect([await turn, released]).toEqual([false, []]);
+    });
+});
