A run that is reported after its task was started again is stopped

Cause: a run that the owner had taken for lost, or had not ordered, was adopted when its worker reported it, whatever other runs its task had. Only runs of tasks that were done or over were stopped.

Change: an adopted run is stopped when its task has another run that is not being stopped, unless the step allows copies. An adopted run that is not wanted is sent one stop a poll instead of two. The test fails on the code before (no stop).

--- a/packages/cell/src/runs/worker-poll-reconciler.ts
+++ b/packages/cell/src/runs/worker-poll-reconciler.ts
@@ -85,7 +85,8 @@
         const progress: [TaskRun, WorkerRun][] = [];
         let unknownRuns = 0;
         for (const entry of running) {
-            const run = worker.runOf(entry.task, entry.run) ?? this.#adopt(worker, entry);
+            const known = worker.runOf(entry.task, entry.run);
+            const run = known ?? this.#adopt(worker, entry);
             if (run === undefined) {
                 unknownRuns++;
                 this.runs.sendStop(worker, entry.task, entry.run);
@@ -95,7 +96,10 @@
             progress.push([run, entry]);
             this.runs.confirmReported(run);
             this.runs.updateProgress(run, entry);
-            if (run.stopReason !== undefined) {
+            if (known === undefined) {
+                this.#stopUnlessWanted(run);
+            }
+            else if (run.stopReason !== undefined) {
                 // An earlier stop order may have been lost.
                 this.runs.sendStop(worker, entry.task, entry.run);
             }
@@ -141,11 +145,16 @@
             return undefined;
         }
         this.runs.adopt(task, entry, worker);
-        const run = worker.runOf(entry.task, entry.run);
-        if (run !== undefined && !isWanted(task)) {
-            this.runs.stop(run, "its job is over or its task is done");
+        return worker.runOf(entry.task, entry.run);
+    }
+
+    #stopUnlessWanted(adopted: TaskRun): void {
+        if (!isWanted(adopted.task)) {
+            this.runs.stop(adopted, "its job is over or its task is done");
+        }
+        else if (hasOtherRun(adopted)) {
+            this.runs.stop(adopted, "its task was started again after it was taken for lost");
         }
-        return run;
     }
 }
 
@@ -164,6 +173,11 @@
 /** Whether a task's job has ended and the task will not end by itself, as members of a complete gang do. */
 const isLeftover = ({ step }: Task): boolean => step.job.isOver && !(step.definition.isGang && step.isDone);
 
+/** Whether a task that may not run twice has another run, which is not being stopped. */
+const hasOtherRun = (run: TaskRun): boolean =>
+    !run.task.step.definition.allowsCopies
+    && run.task.runs.some(other => other !== run && other.stopReason === undefined);
+
 /** Whether a task should have a run. */
 const isWanted = (task: Task): boolean =>
     !task.step.job.isOver && task.phase !== TaskPhase.Done && task.phase !== TaskPhase.Failed;
--- a/packages/cell/test/crashes/reported-again.test.ts
+++ b/packages/cell/test/crashes/reported-again.test.ts
@@ -53,3 +53,34 @@
         expect([countOf("lost"), countOf("cleared"), countOf("past-start")]).toEqual([2, 0, 0]);
     });
 });
+
+describe("a run that was taken for lost and is reported after its task was started again", () => {
+    const reportAgain = (allowsCopies: boolean) => {
+        const driver = new CellDriver();
+        driver.addWorkers(makeWorker("w1"));
+        driver.cell.submit(makeJob("a", [makeStep({ allowsCopies })]));
+        const [first] = driver.run().starts;
+        driver.confirm(first);
+        advance(driver, 1_000, "w1", [running(first)]);
+        loseWorker(driver, "w1");
+        advance(driver, 500);
+        driver.addWorkers(makeWorker("w2"));
+        const second = advance(driver, 5_000, "w2");
+        driver.confirm(second!);
+        advance(driver, 100, "w2", [running(second!)]);
+        driver.poll("w1", [running(first)]);
+        const { stops } = driver.run();
+        return { first, second, stops };
+    };
+
+    /* Guards against two runs of one task that go on beside each other until one of them ends. */
+    it("is stopped, and the other one goes on", () => {
+        const { first, second, stops } = reportAgain(false);
+        expect(second?.worker).toEqual(idOf("w2"));
+        expect(stops.map(({ worker, run }) => [worker, run])).toEqual([[idOf("w1"), first.run]]);
+    });
+
+    it("goes on where the step allows copies", () => {
+        expect(reportAgain(true).stops).toEqual([]);
+    });
+});
