Suspected tasks share workers on trial, so that innocent ones do not wait for each other

Cause: a task that is lost at the start of its run is suspected of crashing its worker and runs in trials. A trial took a whole worker for one job, and a tenth of the service's workers was used for trials, so three suspects a second could pass, however many there were and however much room was free.

Evidence: from 36 s on the owner's summary has 33 open workers, none silent, over 900 cores free, 3 jobs on trial, and 145 suspects that go down by 3 to 10 a second.

Change: suspects share workers on trial; the limit counts workers at risk. One lost again there is tried apart from other jobs. A crash under suspects of several jobs, or beside other workers' crashes, weighs as one late in a run, so that sharing convicts nobody: tasks are given up after three unambiguous crashes at a start or five of any kind.

Tests that fail on the code before: two series of crashes (27, 0, 23, 39 and 114, 25, 18, 61 jobs open after 14 s, now none), an innocent task among other crashes (given up after three), suspects that share a worker. Without the weight three of 150 worlds of the fuzz gave an innocent job up; with it 1,000 held, as before the change.

--- a/packages/cell/src/crashes/constants.ts
+++ b/packages/cell/src/crashes/constants.ts
@@ -11,9 +11,9 @@
  * start when its worker crashes for another reason.
  */
 export const startCrashWeight = 5;
-/** Weight of a strike whose crash came later in the run. */
+/** Weight of a strike whose crash came later in the run, or may have had another cause. */
 export const laterCrashWeight = 3;
-/** Total weight at which a task is given up: three crashes at the start of its runs, or five at any time. */
+/** Total weight at which a task is given up: three unambiguous crashes at the start of its runs, or five of any kind. */
 export const atFaultWeight = 15;
 /**
  * Weight of a strike for a shared loss. It is low because a single task does not take down many workers at once, while repeated mass
@@ -26,15 +26,23 @@
 export const minSharedFraction = 0.05;
 /** Maximum difference between silences that count as simultaneous: about the timeout of a poll, by which they are detected. */
 export const sharedLossWindow: Milliseconds = 500;
-/** Total weight from which a task runs only in isolated trials; one crash at the start of a run is enough as well. */
+/** Losses of other workers within this time of a loss, before or after it, show that workers crash for other reasons. */
+export const otherLossWindow: Milliseconds = 1_500;
+/** Minimum number of such losses. */
+export const minOtherLosses = 1;
+/** Minimum share of the service's workers among such losses. */
+export const minOtherFraction = 0.05;
+/** Total weight above which a suspect is tried apart from those of other jobs, any of which may have caused the crashes of a shared worker. */
+export const isolationWeight = 6;
+/** Total weight from which a task runs only in trials; one crash at the start of a run is enough as well. */
 export const suspectWeight = 9;
 /** A run clears its task once it has run this much longer than each run that was lost with its worker. */
 export const outliveMargin: Milliseconds = 500;
 /** Run time assumed for lost runs whose run time is unknown, because their order had no answer or an earlier owner sent it. */
 export const assumedRunTime: Milliseconds = 3_000;
-/** Maximum number of concurrent trials, as a share of the service's workers, since each trial may cost a worker. */
+/** Maximum number of workers with trials, as a share of the service's workers, since each trial may cost a worker. */
 export const maxTrialShare = 0.1;
-/** No trial starts while more than this share of the service's workers is silent. */
+/** No further worker is used for trials while more than this share of the service's workers is silent. */
 export const maxSilentShare = 0.34;
 /**
  * Time for which a task waits for silent workers to return, when unproved strikes would be decisive. A crashed worker usually restarts
@@ -45,5 +53,7 @@
 export const explanationBackoffThreshold = 3;
 /** Maximum number of doublings of {@link explanationWait}. */
 export const maxExplanationDoublings = 5;
+/** Cost of a worker that has trials already: suspects that share a worker are all held responsible when it crashes. */
+export const sharedTrialCost = 100_000;
 /** Cost of a worker for a trial, for each run there that a crash would lose. Exceeds the cost of any worker's free processors. */
 export const riskCost = 200;
--- a/packages/cell/src/crashes/crash-monitor.ts
+++ b/packages/cell/src/crashes/crash-monitor.ts
@@ -1,11 +1,5 @@
 /** Tasks suspected of crashing their workers. */
-import {
-    logEvents,
-    type Milliseconds,
-    type ServiceName,
-    type WorkerId,
-    type WorkerIncarnation,
-} from "@pebbledale/core";
+import { logEvents, type Milliseconds, type WorkerId, type WorkerIncarnation } from "@pebbledale/core";
 import {
     type CellContext,
     type Job,
@@ -15,22 +9,17 @@
     type TaskRun,
     tasksOf,
 } from "../state/index.js";
-import {
-    explanationBackoffThreshold,
-    explanationWait,
-    maxExplanationDoublings,
-    maxSilentShare,
-    maxTrialShare,
-} from "./constants.js";
+import { explanationBackoffThreshold, explanationWait, maxExplanationDoublings } from "./constants.js";
 import { isSeenPastStart, judge, outlives } from "./judgement.js";
+import { Trials } from "./trials.js";
 import { Judgement } from "./types.js";
 
 /** Waiting tasks of a step by how they may be started. */
 export interface PartitionedTasks {
     readonly trusted: readonly Task[];
-    /** Tasks that may be started now, as isolated trials. */
+    /** Tasks that may be started as trials, where there is a worker for them. */
     readonly suspects: readonly Task[];
-    /** Whether further tasks have to wait for their trial or for an explanation of silences. */
+    /** Whether further tasks have to wait for an explanation of silences. */
     readonly hasPostponed: boolean;
 }
 
@@ -46,17 +35,19 @@
     readonly incarnation: WorkerIncarnation | undefined;
 }
 
-/** Follows strikes until they are explained or cleared, limits trials of suspected tasks, and reports tasks that are at fault. */
+/** Follows strikes until they are explained or cleared, and reports tasks that are at fault. */
 export class CrashMonitor {
     readonly #jobsWithStrikes = new Set<Job>();
-    readonly #trials = new Set<TaskRun>();
+    readonly trials: Trials;
     /** Workers of unproved strikes. */
     readonly #unexplained = new Map<WorkerId, LostWorker>();
     /** Until when tasks wait for an explanation of silences, by the owner's monotonic clock. */
     readonly #postponedUntil = new Map<Task, Milliseconds>();
 
     /** `giveUp`: called with tasks that are at fault. */
-    constructor(private readonly context: CellContext, private readonly giveUp: (task: Task) => void) {}
+    constructor(private readonly context: CellContext, private readonly giveUp: (task: Task) => void) {
+        this.trials = new Trials(context);
+    }
 
     /** Restores the strikes of the journal. */
     recover(): void {
@@ -73,18 +64,6 @@
         this.#trackSilence(strike);
     }
 
-    /** Starts to follow a run that was ordered as an isolated trial. */
-    beginTrial(run: TaskRun): void {
-        this.#trials.add(run);
-        this.context.options.log.log(logEvents.taskOnTrial, {
-            task: run.task.address,
-            run: run.run,
-            worker: run.worker.id,
-            beside: run.worker.runs.size - 1,
-            strikes: run.task.step.job.strikes.of(run.task.address).length,
-        });
-    }
-
     /** Resolves the unproved strikes of a worker: it crashed, or it was only unreachable. */
     explain(worker: WorkerId, isCrash: boolean): void {
         if (this.#unexplained.delete(worker)) {
@@ -115,9 +94,7 @@
         }
         const trusted = waiting.filter(task => judge(strikes.of(task.address)) === Judgement.Trusted);
         const others = waiting.filter(task => !trusted.includes(task));
-        const suspects = others.length > 0 && this.#mayStartTrial(step)
-            ? others.filter(task => !this.#isPostponed(task, now))
-            : [];
+        const suspects = others.filter(task => !this.#isPostponed(task, now));
         return { trusted, suspects, hasPostponed: suspects.length < others.length };
     }
 
@@ -128,7 +105,7 @@
 
     /** Ends decided trials and clears tasks whose runs have outlived their strikes. */
     tick(): void {
-        this.#trials.forEach(run => this.#endIfDecided(run));
+        this.trials.tick();
         for (const job of this.#jobsWithStrikes) {
             if (job.isOver || job.strikes.isEmpty) {
                 this.#jobsWithStrikes.delete(job);
@@ -152,7 +129,7 @@
         for (const job of this.#jobsWithStrikes) {
             suspects += new Set(job.strikes.all().map(strike => strike.task)).size;
         }
-        return { suspects, trials: this.#trials.size };
+        return { suspects, trials: this.trials.count };
     }
 
     #trackSilence({ worker, address, life, isProved }: Strike): void {
@@ -183,16 +160,6 @@
         }
     }
 
-    /** Ends a trial with its run or job, or once the run has outlived the strikes against its task. */
-    #endIfDecided(run: TaskRun): void {
-        const { task } = run;
-        const { job } = task.step;
-        if (!task.runs.includes(run) || job.isOver || outlives(run, job.strikes.of(task.address))) {
-            run.worker.endTrial(run);
-            this.#trials.delete(run);
-        }
-    }
-
     #clearIfOutlived(task: Task): void {
         const { strikes } = task.step.job;
         const strikesOfTask = strikes.of(task.address);
@@ -224,31 +191,6 @@
         }
     }
 
-    /** Allows one trial per job, a limited number per service, and none while too many of its workers are silent. */
-    #mayStartTrial({ job }: Step): boolean {
-        const { service } = job.terms;
-        let trials = 0;
-        for (const { task: { step } } of this.#trials) {
-            if (step.job === job) {
-                return false;
-            }
-            trials += step.job.terms.service === service ? 1 : 0;
-        }
-        const { all, silent } = this.#countWorkers(service);
-        return silent <= Math.max(1, all * maxSilentShare) && trials < Math.max(1, Math.floor(all * maxTrialShare));
-    }
-
-    #countWorkers(service: ServiceName): { readonly all: number; readonly silent: number; } {
-        let all = 0;
-        let silent = 0;
-        for (const { entry, silentSince } of this.context.workers.values()) {
-            const isOfService = entry?.service === service;
-            all += isOfService ? 1 : 0;
-            silent += isOfService && silentSince !== undefined ? 1 : 0;
-        }
-        return { all, silent };
-    }
-
     #isPostponed(task: Task, now: Milliseconds): boolean {
         const strikes = task.step.job.strikes.of(task.address);
         if (judge(strikes) !== Judgement.Unclear) {
--- a/packages/cell/src/crashes/judgement.ts
+++ b/packages/cell/src/crashes/judgement.ts
@@ -2,22 +2,25 @@
  * Judges whether a task crashes its workers.
  *
  * A plain count of lost runs would convict innocent tasks, which are lost together with faulty ones or with workers that fail for other
- * reasons. Therefore a crash at the start of a run weighs more than a later one, suspected tasks run in isolated trials, which no
- * neighbour can spoil, and a run that outlives all lost ones clears its task.
+ * reasons. Therefore a crash at the start of a run weighs more than a later one or one that may have had another cause, suspected tasks
+ * run in trials, in the end apart from those of other jobs, and a run that outlives all lost ones clears its task.
  */
 import type { Milliseconds, RunNumber } from "@pebbledale/core";
 import type { FormerIncarnation, Strike, Task, TaskRun, WorkerState } from "../state/index.js";
 import {
     assumedRunTime,
     atFaultWeight,
+    isolationWeight,
     laterCrashWeight,
+    minOtherFraction,
+    minOtherLosses,
     outliveMargin,
     sharedLossWeight,
     startCrashWeight,
     startWindow,
     suspectWeight,
 } from "./constants.js";
-import { Judgement, LossCause } from "./types.js";
+import { Judgement, type Loss, LossCause, type LossCircumstances } from "./types.js";
 
 /** Judges a task by its strikes. Unproved strikes can make it suspect but cannot convict it. */
 export const judge = (strikes: readonly Strike[]): Judgement => {
@@ -32,8 +35,12 @@
     return strikes.some(isAtStart) || all >= suspectWeight ? Judgement.Suspect : Judgement.Trusted;
 };
 
+/** Whether a suspected task has to be tried apart from suspects of other jobs. */
+export const needsIsolation = ({ address, step }: Task): boolean =>
+    weightOf(step.job.strikes.of(address)) > isolationWeight;
+
 /** Strike against a run's task when its worker is lost; undefined when the loss cannot be the task's fault. */
-export const strikeOf = (run: TaskRun, cause: LossCause, isShared: boolean): Strike | undefined => {
+export const strikeOf = (run: TaskRun, { cause, isShared, circumstances }: Loss): Strike | undefined => {
     const { task, worker } = run;
     const wasSent = run.sentAt !== undefined || run.confirmedAt !== undefined;
     const { wasLeaving, incarnation: life } = run.formerIncarnation ?? formerIncarnationOf(run);
@@ -49,9 +56,14 @@
         stood: observedRunTime(run),
         isProved: cause === LossCause.Crashed,
         isShared: isShared && isPastStart(run),
+        ...(isAmbiguous(circumstances) ? { isAmbiguous: true } : {}),
     };
 };
 
+/** Whether something else than one task may have caused the loss of a worker. */
+const isAmbiguous = ({ workers, otherLosses, hasOtherSuspects }: LossCircumstances): boolean =>
+    hasOtherSuspects || otherLosses >= Math.max(minOtherLosses, workers * minOtherFraction);
+
 /**
  * Time for which a run is known to have run: from its confirmation to the worker's last answer. Undefined when the worker did not
  * confirm it, or when an earlier owner ordered it and may have seen it run on past its start.
@@ -121,5 +133,5 @@
     if (strike.isShared) {
         return sharedLossWeight;
     }
-    return isAtStart(strike) ? startCrashWeight : laterCrashWeight;
+    return isAtStart(strike) && strike.isAmbiguous !== true ? startCrashWeight : laterCrashWeight;
 };
--- a/packages/cell/src/placement/placer.ts
+++ b/packages/cell/src/placement/placer.ts
@@ -1,7 +1,7 @@
 /** Places ready steps on workers. */
 import { logEvents, type Milliseconds, type RunNumber, type ServiceName } from "@pebbledale/core";
 import type { AdvicePlanner, CapacityOf } from "../advising/index.js";
-import { type CrashMonitor, isPastStart, riskCost } from "../crashes/index.js";
+import { type CrashMonitor, needsIsolation, riskCost, sharedTrialCost } from "../crashes/index.js";
 import type { FairShareOrder } from "../fair-share/index.js";
 import type { Headroom } from "../headroom/index.js";
 import { GangDeferral, OrganisationLimits } from "../limits/index.js";
@@ -95,6 +95,7 @@
         this.#deferredTasks = 0;
         this.#index = new CapacityIndex(this.#openWorkers);
         this.dependencies.advice.beginCycle(this.#index);
+        this.dependencies.crashes.trials.beginCycle();
         headroom.beginCycle(ranked, this.#openWorkers, now);
         ranked.forEach(entry => this.#placeStep(entry, now));
         headroom.endCycle(now);
@@ -126,9 +127,9 @@
         const { trusted, suspects, hasPostponed } = this.dependencies.crashes.partition(step, waiting, now);
         if (!step.definition.isGang) {
             this.#placeTrusted(ranked, trusted, now);
-            this.#placeTrial(step, suspects, now);
+            this.#placeSuspects(step, suspects, now);
         }
-        else if (!hasPostponed) {
+        else if (!hasPostponed && (suspects.length === 0 || this.dependencies.crashes.trials.mayTryGang(suspects[0]))) {
             // A gang is as suspect as any of its members: all of it is one trial.
             const isTrial = suspects.length > 0;
             const query = isTrial ? this.#trialCandidateQuery(step, now) : this.#candidateQuery(step, now);
@@ -152,7 +153,9 @@
     /** For a trial, workers are preferred on which a crash would lose the fewest runs. */
     #trialCandidateQuery(step: Step, now: Milliseconds): CandidateQuery {
         const query = this.#candidateQuery(step, now);
-        return { ...query, penaltyOf: worker => query.penaltyOf(worker) + worker.runs.size * riskCost };
+        const riskOf = ({ runs, trialRuns }: WorkerState) =>
+            runs.size * riskCost + (trialRuns > 0 ? sharedTrialCost : 0);
+        return { ...query, penaltyOf: worker => query.penaltyOf(worker) + riskOf(worker) };
     }
 
     #placeTrusted(ranked: RankedStep, tasks: readonly Task[], now: Milliseconds): void {
@@ -170,21 +173,40 @@
         return isLasting && !fills && (this.dependencies.context.options.toleratedHallLosses ?? 0) > 0;
     }
 
-    /** Starts suspect tasks on one worker where no other run is still starting, so that a crash can be attributed to them. */
-    #placeTrial(step: Step, suspects: readonly Task[], now: Milliseconds): void {
+    /** Starts suspect tasks as trials: those that were lost in one before at a worker of their own, the others together. */
+    #placeSuspects(step: Step, suspects: readonly Task[], now: Milliseconds): void {
+        const { trials } = this.dependencies.crashes;
+        const isolated = suspects.filter(needsIsolation);
+        if (!trials.hasIsolated(step.job)) {
+            this.#placeTrials(step, isolated, 1, now);
+        }
+        this.#placeTrials(step, suspects.filter(task => !needsIsolation(task)), Infinity, now);
+    }
+
+    /** Starts suspect tasks at workers where no other run than trials is still starting, so that a crash can be attributed to them. */
+    #placeTrials(step: Step, suspects: readonly Task[], maxWorkers: number, now: Milliseconds): void {
         if (suspects.length === 0) {
             return;
         }
+        const [first] = suspects;
+        const { trials } = this.dependencies.crashes;
         const query = this.#trialCandidateQuery(step, now);
-        const hasNoStartingRun = (worker: WorkerState) => [...worker.runs.values()].every(isPastStart);
-        const limitFor = (worker: WorkerState) => hasNoStartingRun(worker) ? query.limitFor(worker) : 0;
-        const candidates = findCandidates({ ...query, limitFor }, suspects.length);
-        if (candidates.length > 0) {
-            const { worker, count, ticket } = candidates[0];
-            this.#order(suspects.slice(0, count), worker, { ticket, isTrial: true });
-            return;
+        const limitFor = (worker: WorkerState) => trials.mayTryAt(worker, first) ? query.limitFor(worker) : 0;
+        const candidates = findCandidates({ ...query, limitFor, isTrial: true }, suspects.length).slice(0, maxWorkers);
+        let next = 0;
+        for (const { worker, count, ticket } of candidates) {
+            // Each order may use up the workers that are left for trials.
+            const fitting = Math.min(count, this.dependencies.headroom.limitFor(worker, step));
+            const taken = trials.mayTryAt(worker, first) ? suspects.slice(next, next + fitting) : [];
+            if (taken.length > 0) {
+                this.#order(taken, worker, { ticket, isTrial: true });
+                next += taken.length;
+            }
+        }
+        if (next < suspects.length) {
+            const left = suspects.length - next;
+            this.dependencies.advice.requestAdvice(step, left, this.#capacityFor(step, left, now));
         }
-        this.dependencies.advice.requestAdvice(step, suspects.length, this.#capacityFor(step, suspects.length, now));
     }
 
     #placeTasks(
@@ -320,7 +342,7 @@
                 options,
             );
             if (options.isTrial) {
-                this.dependencies.crashes.beginTrial(taskRun);
+                this.dependencies.crashes.trials.begin(taskRun);
             }
         }
         this.dependencies.context.options.log.log(logEvents.runsOrdered, {
--- a/packages/cell/src/runs/run-lifecycle.ts
+++ b/packages/cell/src/runs/run-lifecycle.ts
@@ -5,7 +5,7 @@
     formerIncarnationOf,
     judge,
     Judgement,
-    type LossCause,
+    type Loss,
     observedRunTime,
     strikeOf,
 } from "../crashes/index.js";
@@ -37,19 +37,10 @@
     strikeAdded(task: Task, strike: Strike): void;
 }
 
-/** Why the runs of a worker are lost. */
-export interface Loss {
-    /** Text for the log. */
-    readonly reason: string;
-    readonly cause: LossCause;
-    /** Whether many other workers of its service were lost at the same time. */
-    readonly isShared: boolean;
-}
-
 /** What an order needs besides its task, run number and worker. */
 export interface OrderOptions {
     readonly ticket: string | undefined;
-    /** Whether the run is an isolated trial. */
+    /** Whether the run is a trial of a suspected task. */
     readonly isTrial: boolean;
 }
 
@@ -212,11 +203,12 @@
     }
 
     /** Handles a run that can no longer be running and whose end is unknown. */
-    lose(run: TaskRun, { reason, cause, isShared }: Loss): void {
+    lose(run: TaskRun, loss: Loss): void {
+        const { reason, cause } = loss;
         const { task } = run;
         const { job } = task.step;
         this.#remove(run);
-        const strike = job.isOver ? undefined : strikeOf(run, cause, isShared);
+        const strike = job.isOver ? undefined : strikeOf(run, loss);
         this.context.record({
             kind: "lost",
             task: task.address,
@@ -231,6 +223,7 @@
             cause,
             stood: observedRunTime(run),
             isShared: strike?.isShared,
+            isAmbiguous: strike?.isAmbiguous,
             strikes: job.strikes.of(task.address).length,
         });
         this.listener.runEnded(run, RunEnd.Lapsed);
--- a/packages/cell/src/runs/worker-incarnations.ts
+++ b/packages/cell/src/runs/worker-incarnations.ts
@@ -1,9 +1,9 @@
 /** Incarnations of workers that follow each other under one id. */
 import { logEvents, type WorkerId, type WorkerIncarnation } from "@pebbledale/core";
-import { type CrashMonitor, LossCause, type SilenceHistory } from "../crashes/index.js";
+import { type CrashMonitor, type Loss, LossCause, type SilenceHistory } from "../crashes/index.js";
 import type { CellContext, TaskRun, WorkerState } from "../state/index.js";
 import type { WorkerEntry } from "../worker-directory/index.js";
-import type { Loss, RunLifecycle } from "./run-lifecycle.js";
+import type { RunLifecycle } from "./run-lifecycle.js";
 import type { WorkerListener } from "./types.js";
 
 /** Decides which incarnation of a worker is the current one, and what happens to the runs of a former one. */
@@ -27,7 +27,7 @@
             return undefined;
         }
         if (former.silentSince === undefined) {
-            this.silences.record(id, former.entry?.service, this.context.now());
+            this.silences.record(former, this.context.now());
         }
         const worker = this.#createSuccessor(former, incarnation);
         this.context.workers.set(id, worker);
@@ -84,12 +84,18 @@
     }
 
     /** Loss that applies to all runs of a worker. */
-    lossOf({ id, entry }: WorkerState, reason: string, cause: LossCause): Loss {
+    lossOf({ id, entry, runs }: WorkerState, reason: string, cause: LossCause): Loss {
         let workers = 0;
         for (const other of this.context.workers.values()) {
             workers += other.entry?.service === entry?.service ? 1 : 0;
         }
-        return { reason, cause, isShared: this.silences.isShared(id, workers) };
+        const trials = [...runs.values()].filter(run => run.isTrial);
+        const circumstances = {
+            workers,
+            otherLosses: this.silences.countOthers(id),
+            hasOtherSuspects: new Set(trials.map(({ task }) => task.step.job)).size > 1,
+        };
+        return { reason, cause, isShared: this.silences.isShared(id, workers), circumstances };
     }
 
     /** Removes a worker that can have no runs any more; it is no longer polled. */
--- a/packages/cell/src/runs/worker-poll-reconciler.ts
+++ b/packages/cell/src/runs/worker-poll-reconciler.ts
@@ -119,11 +119,10 @@
                 this.#resolveUnreported(run);
             }
             else if (run.confirmedAt !== undefined && run.confirmedAt < sentAt) {
-                this.runs.lose(run, {
-                    reason: "the worker no longer has the run",
-                    cause: LossCause.Alive,
-                    isShared: false,
-                });
+                this.runs.lose(
+                    run,
+                    this.incarnations.lossOf(worker, "the worker no longer has the run", LossCause.Alive),
+                );
             }
         }
     }
--- a/packages/cell/src/runs/worker-pool.ts
+++ b/packages/cell/src/runs/worker-pool.ts
@@ -103,7 +103,7 @@
             worker.silentSince = this.#context.now();
             if (worker.lastHeardAt !== undefined) {
                 // Without an earlier answer the time of silence is unknown: a new owner notices all silent workers at once.
-                this.#silences.record(id, worker.entry?.service, worker.silentSince);
+                this.#silences.record(worker, worker.silentSince);
             }
             this.#context.options.log.log(logEvents.workerSilent, {
                 worker: id,
--- a/packages/cell/src/selection/candidates.ts
+++ b/packages/cell/src/selection/candidates.ts
@@ -38,6 +38,8 @@
     readonly prefersFast: boolean;
     /** Added to a worker's cost. */
     readonly penaltyOf: (worker: WorkerState) => number;
+    /** Whether the tasks may share workers with trials, being trials themselves. */
+    readonly isTrial?: boolean;
 }
 
 /** Cost of a worker on another rack than the step's data: it exceeds all other costs, as remote access slows the tasks down. */
@@ -109,11 +111,11 @@
 const candidateAt = (
     worker: WorkerState,
     ticket: string | undefined,
-    { step, service, now, limitFor, prefersFast, penaltyOf }: CandidateQuery,
+    { step, service, now, limitFor, prefersFast, penaltyOf, isTrial }: CandidateQuery,
     maxTasks: number,
 ): Candidate | undefined => {
     // The cheapest check, and under load the one that most workers fail, comes first.
-    const fitting = worker.countFitting(step, maxTasks);
+    const fitting = worker.countFitting(step, maxTasks, isTrial);
     if (fitting === 0 || !isEligible(worker, step, service, now)) {
         return undefined;
     }
--- a/packages/cell/src/state/entities.ts
+++ b/packages/cell/src/state/entities.ts
@@ -91,7 +91,7 @@
     formerIncarnation: FormerIncarnation | undefined;
     /** Whether an earlier owner ordered it, so that it has been running for longer than this owner knows. */
     readonly isAdopted: boolean;
-    /** Whether this is an isolated trial: the worker takes no new runs while it lasts. */
+    /** Whether this is a trial of a suspected task: the worker takes no other new runs than trials while it lasts. */
     isTrial: boolean;
 }
 
--- a/packages/cell/src/state/strikes.ts
+++ b/packages/cell/src/state/strikes.ts
@@ -16,6 +16,11 @@
     readonly isProved: boolean;
     /** Whether the run was past its start and many other workers fell silent at the same time, which a single task does not cause. */
     readonly isShared: boolean;
+    /**
+     * Whether something else may have caused the crash: other workers crashed by themselves about the same time, or suspects of other jobs
+     * were on trial beside the task. Omitted when it is false, and in records of earlier versions.
+     */
+    readonly isAmbiguous?: boolean;
 }
 
 /** Strikes against the tasks of one job. Occurrences of a timed job share them, because they run the same work. */
--- a/packages/cell/test/support/crashing-cell.ts
+++ b/packages/cell/test/support/crashing-cell.ts
@@ -156,6 +156,16 @@
         }
     }
 
+    crashWorker(worker: WorkerId): void {
+        this.crash(this.#hosts.findIndex(host => host.worker === worker));
+    }
+
+    /** Crashes a number of workers other than the given one. */
+    crashOthers(worker: WorkerId, count: number): void {
+        const up = this.#hosts.filter(host => host.worker !== worker && host.backAt === undefined);
+        up.slice(0, count).forEach(host => this.#crash(host, undefined));
+    }
+
     /** Makes a worker unreachable for a while. */
     disconnect(index: number, duration: Milliseconds): void {
         this.#hosts[index].unreachableUntil = this.clock.monotonic() + duration;
--- a/packages/core/src/log-events/index.ts
+++ b/packages/core/src/log-events/index.ts
@@ -116,7 +116,7 @@
     taskOnTrial: define(
         4210,
         "warn",
-        "a task suspected of crashing workers is run in isolation",
+        "a task suspected of crashing workers is run on trial",
         nothing,
     ),
     taskCleared: define(4211, "info", "a task is no longer suspected of crashing workers", nothing),
