--- a/packages/cell/src/advising/constants.ts
+++ b/packages/cell/src/advising/constants.ts
@@ -3,7 +3,10 @@
 export const minAdviceWorkers = 24;
 /** Factor by which the expected free capacity of the permitted workers must exceed the demand. */
 export const capacityMargin = 1.5;
-/** The same for a gang, whose members need their resources all at once. */
+/**
+ * The same for a gang, whose members need their resources all at once. Some are gone by the time of the answer, and a second question takes
+ * most of a second.
+ */
 export const gangCapacityMargin = 3;
 /** A question also covers enough workers once the permitted ones, if empty, are expected to hold the step this many times over. */
 export const emptyCapacityMargin = 2.5;
@@ -19,6 +22,6 @@
 export const ticketLead = 80;
 /**
  * When the first ticket of a gang has to be renewed, so are all that are valid for less than this share of their lifetime. Renewed one by
- * one, they would hardly ever be valid together.
+ * one, they would hardly ever be valid together, and other steps would wait behind the questions.
  */
 export const renewalShare = 0.5;
--- a/packages/cell/src/crashes/constants.ts
+++ b/packages/cell/src/crashes/constants.ts
@@ -2,8 +2,8 @@
 import type { Milliseconds } from "@pebbledale/core";
 
 /**
- * A crash counts as one at the start of a run when the worker's last answer came less than this after it confirmed the run. Wide
- * enough for the delays with which a busy owner sees confirmations and answers.
+ * A crash counts as one at the start of a run when the worker's last answer came less than this after it confirmed the run. A crash
+ * at the start takes some 10 ms; a busy owner may see the confirmation and the last answer a tenth of a second apart.
  */
 export const startWindow: Milliseconds = 250;
 /**
@@ -37,7 +37,10 @@
 export const suspectWeight = 9;
 /** A run clears its task once it has run this much longer than each run that was lost with its worker. */
 export const outliveMargin: Milliseconds = 500;
-/** Run time assumed for lost runs whose run time is unknown, because their order had no answer or an earlier owner sent it. */
+/**
+ * Run time assumed for lost runs whose run time is unknown, because their order had no answer or an earlier owner sent it: twice the time that a
+ * poll takes to show a run, or that a change of owner takes.
+ */
 export const assumedRunTime: Milliseconds = 3_000;
 /** Maximum number of workers with trials, as a share of the service's workers, since each trial may cost a worker. */
 export const maxTrialShare = 0.1;
--- a/packages/cell/src/monitoring/constants.ts
+++ b/packages/cell/src/monitoring/constants.ts
@@ -5,7 +5,7 @@
 export const workerHealthLimits: HealthThresholds = { outcomeWindow: 6, minFailedJobs: 2, minFailureShare: 0.5 };
 /** Duration of a worker's first quarantine; each consecutive one is twice as long. */
 export const initialQuarantine = 1_500;
-/** Probation ends after this long without a run, as a gang that needs the worker would wait for ever where no other work comes. */
+/** Probation ends after this long without a run, as a gang that needs the worker would wait for ever where no other work comes. Half of the three seconds in which work that fits has to start. */
 export const idleProbationTime = 1_500;
 /** Upper bound of the doublings of a quarantine. */
 export const maxQuarantineDoublings = 3;
@@ -29,7 +29,7 @@
 export const minChangeSamples = 3;
 /** With samples of this many jobs, fewer than {@link minChangeSamples} suffice. */
 export const minJobs = 2;
-/** Slowdown of a task away from its data, as a natural logarithm. */
+/** Slowdown of a task away from its data, as a natural logarithm. The platform's rules give a factor of 1.5 to 2. */
 export const remoteDataPace = Math.log(1.75);
 /** Variance of the natural logarithm of the error of callers' estimates. */
 export const estimateVariance = 1;
--- a/packages/cell/src/placement/constants.ts
+++ b/packages/cell/src/placement/constants.ts
@@ -1,9 +1,12 @@
 /** Tuning constants of placement. Times are in milliseconds. */
 /** Runs are preempted for a step only if it can start this much earlier that way. */
 export const minPreemptionGain = 600;
-/** A gang that wants one rack waits this long for one that fits it, then is spread over several, where it takes 1.5 to 2 times as long. */
+/**
+ * A gang that wants one rack waits this long for one that fits it, then is spread over several, where it takes 1.5 to 2 times as long: about
+ * what a gang of some seconds would lose by waiting longer.
+ */
 export const rackTimeout = 1_500;
-/** Resources are reserved for wide tasks once they have waited for this long. */
+/** Resources are reserved for wide tasks once they have waited for this long. Others find theirs in the same cycle. */
 export const wideTaskReservationDelay = 100;
 /** One step for each this many workers of the cell may hold reservations on several workers. */
 export const workersPerReservation = 12;
