--- a/packages/cell/src/crashes/trials.ts
+++ b/packages/cell/src/crashes/trials.ts
@@ -53,23 +53,23 @@
 
     /** Ends each trial whose run or job is over, or whose run has outlived the strikes against its task. */
     tick(): void {
-        const passedAt = new Map<WorkerState, ServiceName>();
+        const passed = new Map<WorkerState, ServiceName>();
         for (const run of this.#runs) {
             const { task, worker } = run;
             const { job } = task.step;
             const hasPassed = task.phase === TaskPhase.Done || outlives(run, job.strikes.of(task.address));
             if (hasPassed) {
-                passedAt.set(worker, job.terms.service);
+                passed.set(worker, job.terms.service);
             }
             if (hasPassed || job.isOver || !task.runs.includes(run)) {
                 worker.endTrial(run);
                 this.#runs.delete(run);
             }
         }
-        passedAt.forEach(service => this.#recordPassed(service));
+        passed.forEach(service => this.#recordPassed(service));
     }
 
-    /** Records that the worker of a run was lost. */
+    /** Records that a run was lost with its worker. If it was on trial, no more workers than usual are used for trials for now. */
     recordLoss({ address, step }: Task, number: RunNumber): void {
         for (const run of this.#runs) {
             if (run.task.address === address && run.run === number) {
@@ -79,15 +79,6 @@
         }
     }
 
-    #recordPassed(service: ServiceName): void {
-        this.#passed.set(service, { count: this.#passedIn(service) + 1, lastAt: this.context.now() });
-    }
-
-    #passedIn(service: ServiceName): number {
-        const passed = this.#passed.get(service);
-        return passed === undefined || this.context.now() - passed.lastAt > passedTrialMemory ? 0 : passed.count;
-    }
-
     /** Whether a suspected task may be tried at a worker now, as far as other trials are concerned. */
     mayTryAt(worker: WorkerState, task: Task): boolean {
         if (worker.trialRuns === 0) {
@@ -110,6 +101,15 @@
         return this.#hasTrial(other => other.step.job === job && needsIsolation(other));
     }
 
+    #recordPassed(service: ServiceName): void {
+        this.#passed.set(service, { count: this.#passedIn(service) + 1, lastAt: this.context.now() });
+    }
+
+    #passedIn(service: ServiceName): number {
+        const passed = this.#passed.get(service);
+        return passed === undefined || this.context.now() - passed.lastAt > passedTrialMemory ? 0 : passed.count;
+    }
+
     #hasTrial(matches: (task: Task) => boolean): boolean {
         for (const { task } of this.#runs) {
             if (matches(task)) {
--- a/packages/cell/src/placement/placer.ts
+++ b/packages/cell/src/placement/placer.ts
@@ -173,7 +173,7 @@
         return isLasting && !fills && (this.dependencies.context.options.toleratedHallLosses ?? 0) > 0;
     }
 
-    /** Starts suspect tasks as trials: those that were lost in one before at a worker of their own, the others together. */
+    /** Starts suspect tasks as trials: those that have to be tried apart from other jobs at one worker, the others wherever trials fit. */
     #placeSuspects(step: Step, suspects: readonly Task[], now: Milliseconds): void {
         const { trials } = this.dependencies.crashes;
         const isolated = suspects.filter(needsIsolation);
