--- a/packages/entry/src/links/worker-links.ts
+++ b/packages/entry/src/links/worker-links.ts
@@ -54,8 +54,8 @@
     }
 
     /**
-     * Whether the owner still counts on what this VM does at the links that it had assigned at `moment`, its latest known message:
-     * neither has the time passed after which it may count the links as gone, nor may this process have been suspended since.
+     * Whether the owner still expects this VM to act at the links that it had assigned at `moment`, the time of its latest known message:
+     * the time after which it may regard the links as gone has not passed, and this process cannot have been suspended since.
      */
     #isRecent(moment: Milliseconds): boolean {
         const { clock } = this.options;
--- a/packages/entry/src/owner/turn-runner.ts
+++ b/packages/entry/src/owner/turn-runner.ts
@@ -127,7 +127,7 @@
         return this.options.confirmedAt() < this.options.clock.uninterruptedSince();
     }
 
-    /** Whether a new owner need not wait for starts that are sent now, as it expects leases only of an owner confirmed more recently. */
+    /** Whether the last confirmation is so old that a new owner would not wait for the leases of starts that are sent now. */
     get #isConfirmationOutdated(): boolean {
         const { clock, confirmedAt } = this.options;
         return clock.monotonic() - confirmedAt() >= confirmationValidity;
