--- a/packages/cell/src/runs/worker-incarnations.ts
+++ b/packages/cell/src/runs/worker-incarnations.ts
@@ -85,6 +85,10 @@
 
     /** Loss that applies to all runs of a worker. */
     lossOf({ id, entry, runs }: WorkerState, reason: string, cause: LossCause): Loss {
+        if (cause === LossCause.Alive) {
+            // Counts against no task.
+            return { reason, cause, isShared: false, isAmbiguous: false };
+        }
         let workers = 0;
         for (const other of this.context.workers.values()) {
             workers += other.entry?.service === entry?.service ? 1 : 0;
--- a/packages/cell/test/crashes/reported-again.test.ts
+++ b/packages/cell/test/crashes/reported-again.test.ts
@@ -2,7 +2,7 @@
 import type { Milliseconds } from "@pebbledale/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import type { StartCommand, WorkerRun } from "../../src/index.js";
+import type { StartCommand, StepDefinition, WorkerRun } from "../../src/index.js";
 import { CellDriver, idOf, makeJob, makeStep, makeWorker, running } from "../support/index.js";
 
 const tickInterval: Milliseconds = 50;
@@ -30,21 +30,27 @@
     driver.cell.applySilence(idOf(worker), driver.clock.monotonic() + 200, { cause: "refused", heardAgo: 5 });
 };
 
+/** Runs a task at w1 for `duration`, loses that worker, and starts the task again at w2. */
+const startAgain = (step: StepDefinition, duration: Milliseconds) => {
+    const driver = new CellDriver();
+    driver.addWorkers(makeWorker("w1"));
+    driver.cell.submit(makeJob("a", [step]));
+    const [first] = driver.run().starts;
+    driver.confirm(first);
+    advance(driver, duration, "w1", [running(first)]);
+    loseWorker(driver, "w1");
+    advance(driver, 500);
+    driver.addWorkers(makeWorker("w2"));
+    const second = advance(driver, 5_000, "w2");
+    driver.confirm(second!);
+    advance(driver, 100, "w2", [running(second!)]);
+    return { driver, first, second };
+};
+
 describe("a run that was taken for lost with its worker, of a task with another strike", () => {
     it("is not recorded as past its start when its worker reports it again", () => {
-        const driver = new CellDriver();
-        driver.addWorkers(makeWorker("w1"));
-        driver.cell.submit(makeJob("a", [makeStep()]));
-        const [first] = driver.run().starts;
-        driver.confirm(first);
-        advance(driver, 2_000, "w1", [running(first)]);
-        loseWorker(driver, "w1");
-        advance(driver, 500);
-        driver.addWorkers(makeWorker("w2"));
-        const second = advance(driver, 5_000, "w2");
+        const { driver, second } = startAgain(makeStep(), 2_000);
         expect(second?.worker).toEqual(idOf("w2"));
-        driver.confirm(second!);
-        advance(driver, 100, "w2", [running(second!)]);
         loseWorker(driver, "w2");
         advance(driver, 500);
         driver.poll("w2", [running(second!)]);
@@ -56,18 +62,7 @@
 
 describe("a run that was taken for lost and is reported after its task was started again", () => {
     const reportAgain = (allowsCopies: boolean) => {
-        const driver = new CellDriver();
-        driver.addWorkers(makeWorker("w1"));
-        driver.cell.submit(makeJob("a", [makeStep({ allowsCopies })]));
-        const [first] = driver.run().starts;
-        driver.confirm(first);
-        advance(driver, 1_000, "w1", [running(first)]);
-        loseWorker(driver, "w1");
-        advance(driver, 500);
-        driver.addWorkers(makeWorker("w2"));
-        const second = advance(driver, 5_000, "w2");
-        driver.confirm(second!);
-        advance(driver, 100, "w2", [running(second!)]);
+        const { driver, first, second } = startAgain(makeStep({ allowsCopies }), 1_000);
         driver.poll("w1", [running(first)]);
         const { stops } = driver.run();
         return { first, second, stops };
