--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -10,7 +10,7 @@
 const crashing = 3;
 const downTime = 7_000;
 const entryTime = 4_500;
-const cycles = 13;
+const cycles = 10;
 /** Machines on which processes have to end by themselves for a fault, and how often on each. */
 const minMachines = 2;
 const minEnds = 3;
@@ -95,7 +95,7 @@
 await runCase(cell, async () => {
     cell.vms.forEach(watch);
     await sleep(500);
-    const stopAt = now() + 95_000;
+    const stopAt = now() + 85_000;
     for (let cycle = 0; cycle < cycles && now() < stopAt; cycle++) {
         await playCycle(cycle);
     }
--- a/review/stand-ins-2/cell.mjs
+++ b/review/stand-ins-2/cell.mjs
@@ -11,6 +11,10 @@
 
 const host = "cell.example";
 const prefix = "/jobs/";
+/** Last octet of the first machine's address. */
+const firstMachine = 100;
+/** Ports of workers, below the range that the system uses for outgoing connections. */
+const firstPort = 21_000;
 
 /** Starts everything, waits until it serves, and ends all that it started. */
 export class Cell {
@@ -34,6 +38,7 @@
 
     async start() {
         const { bounds, vms, workers, withCloud } = this.options;
+        this.network = await findNetwork(vms);
         this.configure();
         if (withCloud) {
             this.cloud = new Cloud(this);
@@ -42,7 +47,7 @@
         for (let index = 0; index < workers; index++) {
             await this.addWorker(`m-${index + 1}`, index);
         }
-        const network = await findNetwork(vms);
+        const { network } = this;
         const zones = ["zone-a", "zone-b", "zone-c"];
         for (let index = 0; index < vms; index++) {
             const storeAddress = await this.store.listenFor(`front-${index + 1}`);
@@ -87,16 +92,17 @@
         });
     }
 
-    /** Starts a worker on a machine and lists it. */
-    async addWorker(machine, index, port = 0) {
+    /** Starts a worker on a machine and lists it. Without a port it gets one that was not used before. */
+    async addWorker(machine, index, port) {
         const { bounds, observer, capacity, perRack } = this.options;
-        const worker = new Worker(`w${String(this.#nextWorker++).padStart(3, "0")}`, {
+        const number = this.#nextWorker++;
+        const worker = new Worker(`w${String(number).padStart(3, "0")}`, {
             maxHold: bounds.MaxHoldMs,
             observer,
         });
         worker.machine = machine;
         worker.index = index;
-        await worker.listen(port);
+        await worker.listen(`${this.network}.${firstMachine + index}`, port ?? firstPort + number);
         this.workers.push(worker);
         this.store.put(`servers/${worker.id}`, {
             Service: "pool",
--- a/review/stand-ins-2/dark-port.mjs
+++ b/review/stand-ins-2/dark-port.mjs
@@ -1,7 +1,6 @@
-/** Listens at a port and accepts nothing: the process that started it stops it. New connections to the port then hang. */
+/** Listens at an address and accepts nothing: the process that started it stops it. New connections to it then hang. */
 import { createServer } from "node:net";
 
-createServer().listen(
-    { host: "127.0.0.1", port: Number(process.argv[2]), backlog: 1 },
-    () => process.send("listening"),
-);
+const [, , host, port] = process.argv;
+
+createServer().listen({ host, port: Number(port), backlog: 1 }, () => process.send("listening"));
--- a/review/stand-ins-2/worker.mjs
+++ b/review/stand-ins-2/worker.mjs
@@ -29,6 +29,8 @@
     #timer = setInterval(() => this.#tick(), tickInterval);
     #bornAt = now();
     #isDark = false;
+    /** Holds its address while it is dark. */
+    #darkListener;
     address;
     /** When its lease was last over; never at first. */
     lapsedAt = -Infinity;
@@ -39,8 +41,8 @@
         this.observer = observer;
     }
 
-    async listen(port = 0) {
-        this.address = await this.#server.listen("127.0.0.1", port);
+    async listen(host, port) {
+        this.address = await this.#server.listen(host, port);
         return this.address;
     }
 
@@ -51,6 +53,7 @@
     /** Ends at once with everything that runs here. */
     async die(how = "died with its worker") {
         clearInterval(this.#timer);
+        this.#darkListener?.kill("SIGKILL");
         for (const run of this.#runs.values()) {
             this.observer.ended(this, run, how);
         }
@@ -67,12 +70,16 @@
         }
         this.#runs.clear();
         this.#server.stopListening();
-        const port = Number(this.address.split(":")[1]);
-        const listener = fork(fileURLToPath(new URL("dark-port.mjs", import.meta.url)), [String(port)]);
-        await new Promise(resolve => listener.once("message", resolve));
+        const [host, port] = this.address.split(":");
+        const listener = fork(fileURLToPath(new URL("dark-port.mjs", import.meta.url)), [host, port]);
+        this.#darkListener = listener;
+        await new Promise((resolve, reject) => {
+            listener.once("message", resolve);
+            listener.once("exit", () => reject(new Error("the listener of a dark worker ended")));
+        });
         listener.kill("SIGSTOP");
         const fillers = Array.from({ length: fillerCount }, () => {
-            const socket = createConnection({ host: "127.0.0.1", port });
+            const socket = createConnection({ host, port: Number(port) });
             socket.on("error", () => undefined);
             return socket;
         });
@@ -81,7 +88,7 @@
             fillers.forEach(socket => socket.destroy());
             this.#server.resetConnections();
             await sleep(30);
-            return port;
+            return Number(port);
         };
     }
 
