--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,112 +1,139 @@
-/** Workers crash without a word and come back, while jobs on them are cancelled. See claim.txt. */
+/** Jobs are shown as completed before their last ends are kept, and the owner is killed. See claim.txt. */
 import { fileURLToPath } from "node:url";
 import { luzonBounds } from "../stand-ins-2/bounds.mjs";
 import { Cell, runCase } from "../stand-ins-2/cell.mjs";
 import { now, sleep, until } from "../stand-ins-2/record.mjs";
 
 const hasTrouble = process.env.TROUBLE !== "0";
-const workers = 20;
-/** 0.15 of the workers crash at a time. */
-const crashing = 3;
-const downTime = 7_000;
-const entryTime = 4_500;
-const cycles = 10;
-/** Machines on which processes have to end by themselves for a fault, and how often on each. */
-const minMachines = 2;
-const minEnds = 3;
+/** The store's answers take so many times as long, as in the site's list of troubles. */
+const slowness = 60;
+const slowTime = 4_500;
+/** The owner is killed so long after the store has become slow. */
+const killDelay = 2_500;
+/** The platform starts a process again after this time. */
+const restartDelay = 500;
+/** The worker is lost so long after the owner. */
+const lossDelay = 200;
+const jobInterval = 50;
+const jobCount = 120;
+const pollInterval = 40;
+const jobIds = Array.from({ length: jobCount }, (_, index) => (0x5c0e7a21d94b0000n + BigInt(index)).toString(16));
 
-/** Ends of processes that got no signal, by VM. */
-const ends = new Map();
-let begun = 0;
-let isOver = false;
+/** Runs of each job's tasks. */
+const runs = new Map(jobIds.map(id => [id, []]));
+/** When each job was first shown as completed. */
+const shownAt = new Map();
+/** When the last disruption was over. */
+let calmSince = 0;
+
+const jobOf = task => task.slice(0, task.indexOf("."));
+const runOf = (worker, { task, run }) =>
+    runs.get(jobOf(task)).find(other => other.task === task && other.run === run && other.worker === worker);
 
 const observer = {
     began(worker, { task, run }) {
-        begun++;
         cell.record.write(`${worker.id}: begins ${task}, run ${run}`);
+        runs.get(jobOf(task)).push({ task, run, worker, begunAt: now() });
+    },
+    ended(worker, entry, how) {
+        cell.record.write(`${worker.id}: ${entry.task}, run ${entry.run}: ${how}`);
+        Object.assign(runOf(worker, entry), { how, endedAt: now() });
     },
-    ended(worker, { task, run }, how) {
-        cell.record.write(`${worker.id}: ${task}, run ${run}: ${how}`);
+    noted(worker, end) {
+        const run = runOf(worker, end);
+        run.notedAt ??= now();
     },
-    noted() {},
 };
 
 const cell = new Cell({
     recordFile: fileURLToPath(new URL("record.txt", import.meta.url)),
     bounds: luzonBounds,
     capacity: { Cpu: 64_000, MemMb: 131_072, Gpu: 0 },
-    workers,
+    workers: 8,
     observer,
 });
 
-/** Starts a VM's process again when it has ended, as the platform does, and counts the end. */
-const watch = vm => {
-    vm.process.once("exit", (code, signal) => {
-        if (isOver) {
-            return;
+/** Hands a job in, and asks for its state until it is shown as completed. */
+const follow = async (id, fronts) => {
+    const body = {
+        Spec: JSON.stringify({ ms: [400, 560] }),
+        Phases: [{ Count: 2, Cpu: 5_600, MemMb: 10_000, EstimateMs: 500 }],
+    };
+    if (!await cell.submit(id, body, fronts)) {
+        return;
+    }
+    const deadline = now() + 20_000;
+    while (!shownAt.has(id) && now() < deadline) {
+        await sleep(pollInterval);
+        const { state } = await cell.stateOf(id, fronts[0]);
+        if (state === "completed") {
+            shownAt.set(id, now());
         }
-        ends.set(vm.name, (ends.get(vm.name) ?? 0) + 1);
-        cell.record.write(`${vm.name} ended by itself, ${signal === null ? `with code ${code}` : `by ${signal}`}`);
-        setTimeout(() => {
-            if (!isOver) {
-                vm.start();
-                watch(vm);
-            }
-        }, 500);
-    });
+    }
 };
 
-const crash = async worker => {
-    cell.record.write(`${worker.id} crashes without a word`);
-    const end = await worker.goDark();
-    setTimeout(() => cell.store.remove(`servers/${worker.id}`), entryTime);
-    await sleep(downTime);
-    const port = await end();
-    cell.workers.splice(cell.workers.indexOf(worker), 1);
-    const next = await cell.addWorker(worker.machine, worker.index, port);
-    cell.record.write(`${next.id} comes in its place`);
+/** The worker of a job that is shown as completed although its last end is younger than an answer of the store takes. */
+const workerOfEarlyEnd = () => {
+    const answerTime = slowness * 4;
+    for (const id of shownAt.keys()) {
+        const last = runs.get(id).reduce((latest, run) => run.endedAt > latest.endedAt ? run : latest);
+        if (last.notedAt === undefined && now() - last.endedAt < answerTime) {
+            return last.worker;
+        }
+    }
+    return undefined;
 };
 
-const playCycle = async cycle => {
-    const job = (0x5c0e7a21d94b0000n + BigInt(cycle)).toString(16);
-    const before = begun;
-    const body = {
-        Spec: JSON.stringify({ ms: 60_000 }),
-        Phases: [{ Count: 24 * workers, Cpu: 2_600, MemMb: 2_000, EstimateMs: 60_000 }],
-    };
-    if (!await cell.submit(job, body)) {
-        return;
+const disturb = async owner => {
+    const slow = cell.store.slowDown(slowness, slowTime);
+    await sleep(killDelay);
+    // Killed as soon as a job is shown too early, which is so most of the time while the store is slow.
+    await until(() => workerOfEarlyEnd() !== undefined, 1_500, 2);
+    const worker = workerOfEarlyEnd();
+    owner.signal("SIGKILL");
+    await sleep(lossDelay);
+    if (worker !== undefined) {
+        cell.record.write(`${worker.id} crashes and is lost for good`);
+        await worker.die("died with its worker");
+        setTimeout(() => cell.store.remove(`servers/${worker.id}`), 4_500);
     }
-    await until(() => begun - before >= 23 * workers, 5_000);
-    const crashed = hasTrouble ? [...cell.workers].sort(() => Math.random() - 0.5).slice(0, crashing) : [];
-    const back = Promise.all(crashed.map(crash));
-    await sleep(3_500);
-    for (
-        let attempt = 0;
-        attempt < 10 && await cell.cancel(job, cell.fronts[attempt % cell.fronts.length]) !== 200;
-        attempt++
-    ) {
-        await sleep(200);
+    await sleep(restartDelay);
+    owner.start();
+    await slow;
+    calmSince = now();
+};
+
+/** TWICE: a start by a machine in touch more than a second after the job was shown as completed. */
+const violations = () => {
+    const broken = [];
+    for (const [id, at] of shownAt) {
+        for (const { task, run, worker, begunAt } of runs.get(id)) {
+            if (begunAt > at + 1_000 && begunAt > calmSince + luzonBounds.ContactMs) {
+                const age = Math.round(begunAt - at);
+                broken.push(`${task}: run ${run} began at ${worker.id} ${age} ms after its job was shown as completed`);
+            }
+        }
     }
-    await back;
-    await sleep(1_500);
+    return broken;
 };
 
 await runCase(cell, async () => {
-    cell.vms.forEach(watch);
-    await sleep(500);
-    const stopAt = now() + 85_000;
-    for (let cycle = 0; cycle < cycles && now() < stopAt; cycle++) {
-        await playCycle(cycle);
+    await sleep(1_500);
+    const owner = cell.leader;
+    const fronts = cell.vms.filter(vm => vm !== owner).map(vm => vm.front);
+    const disturbed = hasTrouble ? disturb(owner) : undefined;
+    const followed = [];
+    for (const id of jobIds) {
+        followed.push(follow(id, fronts));
+        await sleep(jobInterval);
     }
-    isOver = true;
-    const faulty = [...ends].filter(([, count]) => count >= minEnds);
-    cell.record.write(
-        `ends by themselves: ${[...ends].map(([name, count]) => `${name} ${count}`).join(", ") || "none"}`,
-    );
-    return {
-        broken: faulty.length >= minMachines
-            ? faulty.map(([name, count]) => `${name} ended by itself ${count} times`)
-            : [],
-    };
+    await disturbed;
+    await Promise.all(followed);
+    await sleep(12_000);
+    const broken = violations();
+    const affected = [...new Set(broken.map(text => jobOf(text)))];
+    for (const id of affected) {
+        await cell.stateOf(id, fronts[0]);
+    }
+    return { broken };
 });
--- a/review/stand-ins-2/http-server.mjs
+++ b/review/stand-ins-2/http-server.mjs
@@ -1,6 +1,5 @@
 /** A JSON server on a loopback address. */
 import { createServer } from "node:http";
-import { Server } from "node:net";
 
 const readBody = request =>
     new Promise((resolve, reject) => {
@@ -60,11 +59,6 @@
         });
     }
 
-    /** Frees the port and leaves the open connections as they are. */
-    stopListening() {
-        Server.prototype.close.call(this.#server);
-    }
-
     /** Resets all open connections. */
     resetConnections() {
         this.#sockets.forEach(socket => socket.resetAndDestroy());
--- a/review/stand-ins-2/store.mjs
+++ b/review/stand-ins-2/store.mjs
@@ -4,8 +4,7 @@
 
 const maxItems = 500;
 const maxPageBytes = 1_000_000;
-/** Time of an answer, in milliseconds. */
-const answerTime = 4;
+const usualAnswerTime = 4;
 
 const encode = text => Buffer.from(text, "utf8").toString("base64");
 
@@ -21,6 +20,8 @@
     revision = 1;
     /** While it is down, calls are neither carried out nor answered, and leases wait. */
     isDown = false;
+    /** Time of an answer, in milliseconds. A call is carried out at the end of it, if its caller is still there. */
+    answerTime = usualAnswerTime;
     /** Name of the VM that last wrote under a condition. */
     lastWriter;
 
@@ -47,6 +48,15 @@
         this.record.write("the store is back");
     }
 
+    /** Takes `factor` times as long as usual to answer, for a while. */
+    async slowDown(factor, milliseconds) {
+        this.record.write(`the store is ${factor} times as slow for ${milliseconds} ms`);
+        this.answerTime = factor * usualAnswerTime;
+        await sleep(milliseconds);
+        this.answerTime = usualAnswerTime;
+        this.record.write("the store is as fast as usual");
+    }
+
     /** Writes a key as an operator or a worker does. */
     put(key, value) {
         this.#write(key, encode(JSON.stringify(value)), 0);
@@ -71,8 +81,8 @@
         if (this.isDown) {
             return undefined;
         }
-        await sleep(answerTime);
-        if (this.isDown) {
+        await sleep(this.answerTime);
+        if (this.isDown || call.closed()) {
             return undefined;
         }
         const { method, path, query, body } = call;
--- a/review/stand-ins-2/worker.mjs
+++ b/review/stand-ins-2/worker.mjs
@@ -1,15 +1,10 @@
 /** A stand-in of a worker. */
-import { fork } from "node:child_process";
-import { createConnection } from "node:net";
-import { fileURLToPath } from "node:url";
 import { JsonServer } from "./http-server.mjs";
-import { now, sleep } from "./record.mjs";
+import { now } from "./record.mjs";
 
 /** At most this many ends come in one answer. */
 const maxEndsAtOnce = 500;
 const tickInterval = 5;
-/** Connections that fill the queue of a port that accepts none. */
-const fillerCount = 4;
 /** A task that lasts is at work after this time, in milliseconds. */
 export const startTime = 200;
 
@@ -28,9 +23,6 @@
     #waiting = new Set();
     #timer = setInterval(() => this.#tick(), tickInterval);
     #bornAt = now();
-    #isDark = false;
-    /** Holds its address while it is dark. */
-    #darkListener;
     address;
     /** When its lease was last over; never at first. */
     lapsedAt = -Infinity;
@@ -53,7 +45,6 @@
     /** Ends at once with everything that runs here. */
     async die(how = "died with its worker") {
         clearInterval(this.#timer);
-        this.#darkListener?.kill("SIGKILL");
         for (const run of this.#runs.values()) {
             this.observer.ended(this, run, how);
         }
@@ -61,46 +52,12 @@
         await this.#server.close();
     }
 
-    /** Crashes without a word: everything here dies, and open connections hang, as new ones do. Resolves to a function that ends this. */
-    async goDark() {
-        clearInterval(this.#timer);
-        this.#isDark = true;
-        for (const run of this.#runs.values()) {
-            this.observer.ended(this, run, "died with its worker");
-        }
-        this.#runs.clear();
-        this.#server.stopListening();
-        const [host, port] = this.address.split(":");
-        const listener = fork(fileURLToPath(new URL("dark-port.mjs", import.meta.url)), [host, port]);
-        this.#darkListener = listener;
-        await new Promise((resolve, reject) => {
-            listener.once("message", resolve);
-            listener.once("exit", () => reject(new Error("the listener of a dark worker ended")));
-        });
-        listener.kill("SIGSTOP");
-        const fillers = Array.from({ length: fillerCount }, () => {
-            const socket = createConnection({ host, port: Number(port) });
-            socket.on("error", () => undefined);
-            return socket;
-        });
-        return async () => {
-            listener.kill("SIGKILL");
-            fillers.forEach(socket => socket.destroy());
-            this.#server.resetConnections();
-            await sleep(30);
-            return Number(port);
-        };
-    }
-
     /** Its own steady clock. */
     #clock() {
         return Math.floor(now() - this.#bornAt);
     }
 
     async #answer({ method, path, body, headers, closed }) {
-        if (this.#isDark) {
-            return undefined;
-        }
         if (headers["x-expected-instance"] !== this.id) {
             return [421, {}];
         }
@@ -169,7 +126,7 @@
         this.#ended = this.#ended.filter(({ number }) => number > LastSeen);
         if (this.#ended.length === 0 && WaitMs > 0) {
             await this.#untilEnd(Math.min(WaitMs, 2_000));
-            if (closed() || this.#isDark) {
+            if (closed()) {
                 return undefined;
             }
         }
