--- a/review/stand-ins-2/cell.mjs
+++ b/review/stand-ins-2/cell.mjs
@@ -172,6 +172,7 @@
         await cell.close();
         process.exit(code);
     };
+    ["SIGTERM", "SIGINT"].forEach(name => process.once(name, () => void end(2)));
     const limit = setTimeout(() => {
         cell.record.write("could not run: the case took too long");
         void end(2);
