--- a/packages/cell/src/runs/worker-poll-reconciler.ts
+++ b/packages/cell/src/runs/worker-poll-reconciler.ts
@@ -23,7 +23,7 @@
 
     /**
      * Applies a full poll. `sentAt`: when the request was sent, by the owner's monotonic clock. `resolvedBefore`: start orders sent
-     * before this time whose runs are not reported were not carried out and will not be.
+     * before this time whose runs are not reported were not carried out and will not be, unless the worker may have more ends.
      */
     applyPoll(id: WorkerId, poll: PollResult, sentAt: Milliseconds, resolvedBefore: Milliseconds): void {
         const worker = this.context.workers.get(id);
@@ -77,7 +77,7 @@
 
     #compare(
         worker: WorkerState,
-        { running, clock }: PollResult,
+        { running, clock, mayHaveMoreEnds = false }: PollResult,
         sentAt: Milliseconds,
         resolvedBefore: Milliseconds,
     ): void {
@@ -111,6 +111,18 @@
         worker.unknownRuns = unknownRuns;
         this.progress.recordProgress(worker, progress, clock);
         this.paces.update(worker, progress);
+        if (!mayHaveMoreEnds) {
+            this.#settleUnreported(worker, reported, sentAt, resolvedBefore);
+        }
+    }
+
+    /** Concludes what became of the runs that a poll reports neither as running nor as ended. */
+    #settleUnreported(
+        worker: WorkerState,
+        reported: ReadonlySet<TaskRun>,
+        sentAt: Milliseconds,
+        resolvedBefore: Milliseconds,
+    ): void {
         for (const run of [...worker.runs.values()]) {
             if (reported.has(run)) {
                 continue;
--- a/packages/cell/src/scheduler/cell-scheduler.ts
+++ b/packages/cell/src/scheduler/cell-scheduler.ts
@@ -269,7 +269,7 @@
 
     /**
      * Applies a full poll of a worker. `sentAt`: when the request was sent, by the owner's monotonic clock. `resolvedBefore`: start
-     * orders sent before this time whose runs are not reported were not carried out and will not be.
+     * orders sent before this time whose runs are not reported were not carried out and will not be, unless the worker may have more ends.
      */
     applyPoll(worker: WorkerId, poll: PollResult, sentAt: Milliseconds, resolvedBefore: Milliseconds): void {
         this.#pool.applyPoll(worker, poll, sentAt, resolvedBefore);
--- a/packages/cell/src/task-worker/types.ts
+++ b/packages/cell/src/task-worker/types.ts
@@ -58,6 +58,11 @@
     readonly clock: WorkerTime;
     readonly running: readonly WorkerRun[];
     readonly ended: readonly EndedRun[];
+    /**
+     * Whether the list of ends was cut short, so that a run that is not listed may have ended. Absent in messages of versions that do not
+     * know it.
+     */
+    readonly mayHaveMoreEnds?: boolean;
 }
 
 /** Orders a worker to start a run. */
--- a/packages/cell/test/support/cell-driver.ts
+++ b/packages/cell/test/support/cell-driver.ts
@@ -60,6 +60,12 @@
         this.cell.applyPoll(idOf(worker), report, now, isFirst ? now : -Infinity);
     }
 
+    /** Applies the first poll of a link, in which the worker could not list all ends. */
+    pollCutShort(worker: string, running: readonly WorkerRun[], ended: readonly EndedRun[]): void {
+        const now = this.clock.monotonic();
+        this.cell.applyPoll(idOf(worker), { clock: now, running, ended, mayHaveMoreEnds: true }, now, now);
+    }
+
     /** Runs a scheduling cycle, commits its records, and returns the commands to be sent. */
     run(): DriverOutput {
         this.decide();
--- a/packages/entry/src/links/worker-link.ts
+++ b/packages/entry/src/links/worker-link.ts
@@ -69,13 +69,22 @@
     readonly isFull?: boolean;
 }
 
+/** How a poll ended. */
+enum PollOutcome {
+    Complete = "complete",
+    /** The worker may have more ends than it listed. */
+    CutShort = "cut-short",
+    /** Refused or not answered. */
+    Failed = "failed",
+}
+
 /**
  * A link to one incarnation of a worker on behalf of one owner: forwards orders, and polls the worker in sequence,
  * which renews its lease. When another incarnation answers, the link reports it to the owner and closes, as numbers of
  * ended runs, the clock and leases belong to one incarnation.
  *
- * An unanswered start may still be carried out later. The link then raises its fencing token and polls the worker: the
- * result is final, as the worker refuses orders with a lower token.
+ * An unanswered start may still be carried out later. The link then raises its fencing token and polls the worker: a result
+ * that lists all ends is final, as the worker refuses orders with a lower token.
  */
 export class WorkerLink {
     readonly worker: WorkerId;
@@ -172,7 +181,7 @@
                 continue;
             }
             const startedAt = this.options.clock.monotonic();
-            const isAnswered = await this.#pollForEnds();
+            const isAnswered = await this.#pollForEnds() !== PollOutcome.Failed;
             const gap = minPollInterval - (this.options.clock.monotonic() - startedAt);
             if (gap > 0) {
                 await this.options.clock.sleep(gap, this.#closed.signal);
@@ -201,12 +210,12 @@
      * Polls the worker, waiting for a run to end. If the answer is lost, the poll is repeated at once without a wait,
      * so that the worker is only considered silent if it does not answer that one either.
      */
-    async #pollForEnds(): Promise<boolean> {
+    async #pollForEnds(): Promise<PollOutcome> {
         if (!this.#isSilent && this.#lease.hasReading) {
             const usualWait = this.#isIdle ? idlePollWait : pollWait;
             const wait = this.options.lossMonitor.hasRecentLoss ? lossyPollWait : usualWait;
             const outcome = await this.#tryPoll({ wait, timeout: wait + this.#answerTimes.timeout });
-            if (typeof outcome === "boolean") {
+            if (typeof outcome === "string") {
                 return outcome;
             }
             this.#recordLoss();
@@ -214,21 +223,21 @@
         return this.#pollOnce();
     }
 
-    /** Polls without a wait; resolves to false when there was no answer. */
-    async #pollOnce(isFull = false): Promise<boolean> {
+    /** Polls without a wait, and reports the worker as silent when there is no answer. */
+    async #pollOnce(isFull = false): Promise<PollOutcome> {
         const timeout = this.#mayLateOrdersArrive && this.#isSilent ? this.#answerTimes.timeout : pollTimeout;
         const outcome = await this.#tryPoll({ wait: 0, timeout, isFull });
-        if (typeof outcome === "boolean") {
+        if (typeof outcome === "string") {
             return outcome;
         }
         this.#reportSilence(outcome.cause);
-        return false;
+        return PollOutcome.Failed;
     }
 
     /** Polls once; resolves to the cause when there was no answer. */
     async #tryPoll(
         { wait, timeout, isFull = false }: PollTerms,
-    ): Promise<boolean | { readonly cause: string; }> {
+    ): Promise<PollOutcome | { readonly cause: string; }> {
         const { client, clock } = this.options;
         const sentAt = clock.monotonic();
         const request = this.#pollRequest(wait);
@@ -236,19 +245,20 @@
         try {
             const answer = await client.poll(request, timeout, this.#closed.signal);
             if (this.#closed.signal.aborted) {
-                return true;
+                return PollOutcome.Failed;
             }
             if (answer.kind === "refused") {
-                return this.#handleRefusal(answer.refusal, token);
+                this.#handleRefusal(answer.refusal, token);
+                return PollOutcome.Failed;
             }
             this.#lastHeardAt = clock.monotonic();
             this.#recordAnswerTime(clock.monotonic() - sentAt - wait);
             this.#handlePoll(answer.poll, sentAt, isFull);
-            return true;
+            return answer.poll.mayHaveMoreEnds === true ? PollOutcome.CutShort : PollOutcome.Complete;
         }
         catch (cause) {
             this.#endedRuns.recordUnanswered();
-            return this.#closed.signal.aborted ? true : { cause: String(cause) };
+            return this.#closed.signal.aborted ? PollOutcome.Failed : { cause: String(cause) };
         }
     }
 
@@ -336,20 +346,17 @@
         this.close();
     }
 
-    #handleRefusal(refusal: OrderRefusal, token: FencingToken): boolean {
+    #handleRefusal(refusal: OrderRefusal, token: FencingToken): void {
         if (refusal === OrderRefusal.WrongWorker) {
             this.options.send({ kind: "other-life", worker: this.worker });
             this.close();
-            return true;
         }
-        if (refusal === OrderRefusal.Fenced) {
-            if (token === this.#token) {
-                this.options.send({ kind: "fenced", worker: this.worker });
-            }
-            return false;
+        else if (refusal !== OrderRefusal.Fenced) {
+            this.#reportSilence(refusal);
+        }
+        else if (token === this.#token) {
+            this.options.send({ kind: "fenced", worker: this.worker });
         }
-        this.#reportSilence(refusal);
-        return false;
     }
 
     #reportSilence(cause: string): void {
@@ -449,7 +456,7 @@
         this.#uncertainStarts = [];
         this.#token = fencingToken(this.#token + 1);
         while (!this.#closed.signal.aborted) {
-            if (this.options.mayPoll() && await this.#pollOnce(true)) {
+            if (this.options.mayPoll() && await this.#pollOnce(true) === PollOutcome.Complete) {
                 break;
             }
             await this.options.clock.sleep(retryDelay, this.#closed.signal);
--- a/packages/entry/src/owner/assignments.ts
+++ b/packages/entry/src/owner/assignments.ts
@@ -16,12 +16,14 @@
     readonly address: string;
     /** Initial fencing token of the link; identifies the assignment in the VM's reports. */
     readonly token: FencingToken;
-    /** Assignment time on the owner's monotonic clock. The first poll of the link settles all orders sent before it. */
+    /** Assignment time on the owner's monotonic clock. The first complete poll of the link settles all orders sent before it. */
     readonly assignedAt: Milliseconds;
     /** Until then, a former link of this owner may still grant leases at the worker; undefined when there was none. */
     readonly formerLinkUntil: Milliseconds | undefined;
     /** Whether the first poll of the link has been applied. */
     hasPolled: boolean;
+    /** Whether a poll that listed all ends has been applied. */
+    hasCompletePoll: boolean;
 }
 
 /** Links are moved when one VM has this many more than another, per core. */
@@ -240,6 +242,7 @@
             assignedAt: this.now(),
             formerLinkUntil: this.#formerLinksUntil.get(worker.id),
             hasPolled: false,
+            hasCompletePoll: false,
         });
         link.channel.send({
             kind: "assign",
--- a/packages/entry/src/owner/worker-report-handler.ts
+++ b/packages/entry/src/owner/worker-report-handler.ts
@@ -73,9 +73,10 @@
         { worker, look, age }: WorkerMessage & { kind: "looked"; },
     ): void {
         const { cell, clock } = this.options;
-        // Only the first poll of a link resolves orders that were sent before the link was assigned.
-        const resolvedBefore = assignment.hasPolled ? -Infinity : assignment.assignedAt;
+        // Only the first complete poll of a link resolves orders that were sent before the link was assigned.
+        const resolvedBefore = assignment.hasCompletePoll ? -Infinity : assignment.assignedAt;
         assignment.hasPolled = true;
+        assignment.hasCompletePoll ||= look.mayHaveMoreEnds !== true;
         this.#resumeIfSilent(link, worker);
         cell.applyPoll(worker, look, clock.monotonic() - age - pollAgeMargin, resolvedBefore);
     }
--- a/packages/entry/test/explorer/mutations.ts
+++ b/packages/entry/test/explorer/mutations.ts
@@ -135,7 +135,7 @@
         name: "each look settles what was ordered, not only a link's first",
         rule: "one run at work",
         file: reportHandler,
-        from: "assignment.hasPolled ? -Infinity : assignment.assignedAt",
+        from: "assignment.hasCompletePoll ? -Infinity : assignment.assignedAt",
         to: "clock.monotonic()",
     },
     {
--- a/packages/entry/test/explorer/scenarios.ts
+++ b/packages/entry/test/explorer/scenarios.ts
@@ -17,6 +17,8 @@
     readonly name: string;
     readonly workers: number;
     readonly namesIncarnations: boolean;
+    /** Maximum number of ends in one answer of a worker; unlimited by default. */
+    readonly maxListedEnds?: number;
     readonly jobs: readonly ScenarioJob[];
 }
 
@@ -40,6 +42,13 @@
         namesIncarnations: false,
         jobs: [plain("a", 0), plain("b", 400)],
     },
+    {
+        name: "plain tasks, one end in each answer",
+        workers: 2,
+        namesIncarnations: true,
+        maxListedEnds: 1,
+        jobs: [plain("a", 0, 4), plain("b", 300, 3)],
+    },
     {
         name: "a gang of two",
         workers: 2,
--- a/packages/entry/test/explorer/walk.ts
+++ b/packages/entry/test/explorer/walk.ts
@@ -35,8 +35,8 @@
 
 /** Plays a scenario with the given deviations until it has settled, and checks the rules. */
 export const playWalk = async (scenario: Scenario, deviations: readonly Deviation[]): Promise<Walk> => {
-    const { workers, namesIncarnations, jobs } = scenario;
-    const world = await SimulationWorld.begin({ workers, namesIncarnations, journalTime });
+    const { workers, namesIncarnations, maxListedEnds = Infinity, jobs } = scenario;
+    const world = await SimulationWorld.begin({ workers, namesIncarnations, maxListedEnds, journalTime });
     try {
         await world.submit("before", "done 20", 3);
         await world.advance(300);
--- a/packages/entry/test/links/worker-link.test.ts
+++ b/packages/entry/test/links/worker-link.test.ts
@@ -174,6 +174,24 @@
         });
     });
 
+    /* Guards against a task running twice: its run may have ended, and its end may not fit into the answer. */
+    it("does not report the result of an unanswered start until a poll lists all ends", async () => {
+        const client = firstThenWaiting();
+        client.answerStart = noAnswer;
+        const { clock, link, sent } = makeLink(client);
+        await settle();
+        client.answerPoll = ({ token }) =>
+            token > 100 ? seen({ ...emptyPoll, mayHaveMoreEnds: true }) : neverAnswered();
+        link.forward(command);
+        await advanceTime(clock, 1_000);
+        expect(sent.some(message => message.kind === "started")).toEqual(false);
+        client.answerPoll = ({ token }) => token > 100 ? seen(emptyPoll) : neverAnswered();
+        await advanceTime(clock, 1_000);
+        expect(sent.filter(message => message.kind === "started").map(({ refusal }) => refusal)).toEqual([
+            "not-delivered",
+        ]);
+    });
+
     it("does not report the result of an unanswered start while the worker is silent", async () => {
         const client = firstThenWaiting();
         client.answerStart = noAnswer;
--- a/packages/entry/test/owner/worker-report-handler.test.ts
+++ b/packages/entry/test/owner/worker-report-handler.test.ts
@@ -51,10 +51,10 @@
         await settle();
         return assigned[assigned.length - 1];
     };
-    const pollMessageOf = ({ token }: AssignMessage): WorkerMessage => ({
+    const pollMessageOf = ({ token }: AssignMessage, mayHaveMoreEnds = false): WorkerMessage => ({
         kind: "looked",
         worker,
-        look: { clock: 0, running: [], ended: [] },
+        look: { clock: 0, running: [], ended: [], mayHaveMoreEnds },
         age: 0,
         assignment: token,
     });
@@ -79,6 +79,16 @@
         expect(settledTimes).toEqual([20]);
     });
 
+    /* Guards against orders that are never settled: the first poll of a link may list only some of the worker's ends. */
+    it("settles the orders of former links with the first poll that lists all ends", async () => {
+        const { handler, link, settledTimes, assign, pollMessageOf } = setUp();
+        const present = await assign();
+        handler.handle(link, pollMessageOf(present, true));
+        handler.handle(link, pollMessageOf(present));
+        handler.handle(link, pollMessageOf(present));
+        expect(settledTimes).toEqual([10, 10, -Infinity]);
+    });
+
     /*
      * Guards against a task running twice: a VM that is cut off from the owner with a worker renews the worker's lease until it counts the
      * owner as lost, which is after the owner has given its link to another VM.
--- a/packages/entry/test/support/simulation/simulated-worker.ts
+++ b/packages/entry/test/support/simulation/simulated-worker.ts
@@ -72,6 +72,8 @@
     changesIncarnationEachAnswer = false;
     /** Whether it reports its incarnation. */
     namesIncarnations = true;
+    /** Maximum number of ends in one answer. */
+    maxListedEnds = Infinity;
 
     constructor(
         readonly id: WorkerId,
@@ -160,7 +162,8 @@
                 percent: 10,
                 measure: 0,
             })),
-            ended: incarnation.ended.map(({ listed }) => listed),
+            ended: incarnation.ended.slice(0, this.maxListedEnds).map(({ listed }) => listed),
+            mayHaveMoreEnds: incarnation.ended.length >= this.maxListedEnds,
         };
     }
 
--- a/packages/entry/test/support/simulation/simulation-world.ts
+++ b/packages/entry/test/support/simulation/simulation-world.ts
@@ -108,6 +108,8 @@
     readonly namesIncarnations?: boolean;
     /** Time until the journal has persisted a record. */
     readonly journalTime?: Milliseconds;
+    /** Maximum number of ends in one answer of a worker; unlimited by default. */
+    readonly maxListedEnds?: number;
 }
 
 /** Runs the product's owner, sessions and links in virtual time, against simulated workers, network and journal. */
@@ -179,6 +181,7 @@
         const sizeOf = (task: TaskAddress) => this.#sizes.get(task.slice(0, task.indexOf("/"))) ?? 0;
         const worker = new SimulatedWorker(workerId(name), address, this.clock, this.history, sizeOf);
         worker.namesIncarnations = this.options.namesIncarnations ?? true;
+        worker.maxListedEnds = this.options.maxListedEnds ?? Infinity;
         this.workers.push(worker);
         this.publishEntry(worker);
         return worker;
