A service named like an inherited property no longer ends the VMs

Cause: summarizeServices counted in a plain object by the service's name. `services["__proto__"] ??= ...` yields Object.prototype, and the figures were written into it; the next counter refused them as labels ("Added label \"workers\" is not included in initial labelset").

Change: a Map, written to the log as an object with own properties.

--- a/packages/cell/src/scheduler/cell-summary.ts
+++ b/packages/cell/src/scheduler/cell-summary.ts
@@ -2,7 +2,7 @@
 import type { DataHallName, Milliseconds, OrganisationName, ServiceName } from "@pebbledale/core";
 import { type CellContext, type Step, TaskPhase, type WorkerState } from "../state/index.js";
 
-/** Figures about a cell at one moment. They are logged under these names. */
+/** Figures about a cell at one moment. */
 export interface CellSummary {
     readonly workers: number;
     /** Workers that may be given new runs. */
@@ -18,7 +18,7 @@
     readonly waiting: Readonly<Record<string, { readonly tasks: number; readonly processor: number; }>>;
     /** Waiting tasks that the last scheduling cycle deferred because a gang of a more urgent queue lacked resources. */
     readonly heldBack: number;
-    readonly services: Readonly<Record<ServiceName, ServiceSummary>>;
+    readonly services: ReadonlyMap<ServiceName, ServiceSummary>;
     /** Organisations whose tasks wait because of their own limit, most waiting tasks first; at most {@link maxReportedOrganisations}. */
     readonly atLimit: readonly WaitingOrganisation[];
     /** Data halls that operators have closed, and the workers and unfinished runs there. */
@@ -98,7 +98,9 @@
     };
 };
 
-const emptyService = {
+type ServiceFigures = { -readonly [figure in keyof ServiceSummary]: number; };
+
+const emptyService: ServiceSummary = {
     workers: 0,
     openWorkers: 0,
     slowWorkers: 0,
@@ -119,11 +121,16 @@
     headroomOf: (service: ServiceName) => number,
     now: Milliseconds,
 ): CellSummary["services"] => {
-    const services: Record<ServiceName, { -readonly [figure in keyof ServiceSummary]: number; }> = {};
+    const services = new Map<ServiceName, ServiceFigures>();
+    const figuresOf = (service: ServiceName): ServiceFigures => {
+        const figures = services.get(service) ?? { ...emptyService, keptProcessor: headroomOf(service) };
+        services.set(service, figures);
+        return figures;
+    };
     for (const worker of workers) {
         if (worker.entry !== undefined) {
             const { service, capacity } = worker.entry;
-            const figures = services[service] ??= { ...emptyService, keptProcessor: headroomOf(service) };
+            const figures = figuresOf(service);
             const isOpen = worker.isOpen(now);
             figures.workers++;
             figures.openWorkers += isOpen ? 1 : 0;
@@ -137,7 +144,7 @@
         }
     }
     for (const step of ready) {
-        const figures = services[step.job.terms.service] ??= { ...emptyService };
+        const figures = figuresOf(step.job.terms.service);
         const waiting = step.waitingTasks().length;
         figures.waitingTasks += waiting;
         figures.waitingProcessor += waiting * step.definition.size.processorThousandths;
--- a/packages/cell/test/headroom/urgent-headroom.test.ts
+++ b/packages/cell/test/headroom/urgent-headroom.test.ts
@@ -48,7 +48,7 @@
         starts.forEach(start => driver.end(start));
         driver.cell.submit(jobOf("deferrable", "deferrable", { ...deferrableStep, taskCount: 80 }));
         driver.run();
-        expect(driver.cell.summary().services[service].keptProcessor).toEqual(12_000);
+        expect(driver.cell.summary().services.get(service)?.keptProcessor).toEqual(12_000);
         driver.clock.advance(1_000);
         driver.run();
         const lines = driver.logged.filter(({ event }) => event === logEvents.headroomChanged);
--- a/packages/cell/test/support/load/replay.ts
+++ b/packages/cell/test/support/load/replay.ts
@@ -597,7 +597,7 @@
             return;
         }
         const { processor, services } = this.#cell.summary();
-        for (const [name, { freeProcessor, waitingProcessor }] of Object.entries(services)) {
+        for (const [name, { freeProcessor, waitingProcessor }] of services) {
             const idle = Math.min(freeProcessor, waitingProcessor) / Math.max(1, processor);
             this.#idle.set(name, (this.#idle.get(name) ?? 0) + idle);
         }
--- a/packages/entry/src/observability/entry-metrics.ts
+++ b/packages/entry/src/observability/entry-metrics.ts
@@ -96,8 +96,7 @@
         addCellGauge(
             "pebbledale_kept_cores",
             "Cores kept free of deferrable work for urgent work",
-            ({ services }) =>
-                Object.values(services).reduce((sum, { keptProcessor }) => sum + keptProcessor, 0) / 1_000,
+            ({ services }) => [...services.values()].reduce((sum, { keptProcessor }) => sum + keptProcessor, 0) / 1_000,
         );
         addCellGauge(
             "pebbledale_organisations_at_limit",
--- a/packages/entry/src/owner/owner-session.ts
+++ b/packages/entry/src/owner/owner-session.ts
@@ -209,7 +209,8 @@
         const journalWait = Math.round(journal.waitingFor());
         const entriesAge = this.#workerFollowLoop.age;
         const age = entriesAge === undefined ? {} : { entriesAge: Math.round(entriesAge) };
-        logger.log(logEvents.cellSummary, { ...summary, journalWait, ...age });
+        const services = Object.fromEntries(summary.services);
+        logger.log(logEvents.cellSummary, { ...summary, services, journalWait, ...age });
         metrics.setCellStatistics({ summary, journalWait, workerEntriesAge: entriesAge });
     }
 
--- a/packages/entry/test/explorer/mutations.ts
+++ b/packages/entry/test/explorer/mutations.ts
@@ -25,6 +25,22 @@
 
 /** All mutations. */
 export const mutations: readonly Mutation[] = [
+    {
+        name: "a list that was cut short settles what it does not name",
+        rule: "done once",
+        scenario: "one end in each answer",
+        file: polls,
+        from: "if (!mayHaveMoreEnds)",
+        to: "if (true)",
+    },
+    {
+        name: "an order without an answer is settled by a list that was cut short",
+        rule: "done once",
+        scenario: "one end in each answer",
+        file: link,
+        from: "=== PollOutcome.Complete",
+        to: "!== PollOutcome.Failed",
+    },
     {
         name: "a link goes on with another life",
         rule: "done once",
