--- a/packages/runtime/src/logging/index.ts
+++ b/packages/runtime/src/logging/index.ts
@@ -1,8 +1,10 @@
 /** Logging of catalogue events through pino: JSON lines on standard output, rate-limited and written asynchronously. */
 import { type Clock, type LogEvent, logEvents, type Milliseconds } from "@pebbledale/core";
 import { destination, type DestinationStream, pino } from "pino";
+import { shortenLine } from "./line-shortener.js";
 import { LogRateLimiter } from "./log-rate-limiter.js";
 
+export * from "./line-shortener.js";
 export * from "./log-rate-limiter.js";
 
 /** Writes events of the catalogue as log lines. */
@@ -30,10 +32,12 @@
 /** Maximum size of the buffer while the reader of standard output is stalled; further lines are dropped and counted. */
 const maxBufferedBytes = 1_048_576;
 
-/** Creates a logger. Lines over the rate limit are dropped; their number is logged in the next period. */
+/** Creates a logger. Lines over the rate limit are dropped, and their number is logged in the next period; long lines are shortened. */
 export const createLogger = ({ program, name, level, clock, target }: LoggerOptions): EventLogger => {
     const rateLimiter = new LogRateLimiter(clock);
-    const logger = pino({ level, base: { program, name } }, target ?? openStandardOutput(rateLimiter));
+    const output = target ?? openStandardOutput(rateLimiter);
+    const stream = { write: (line: string) => output.write(shortenLine(line)) };
+    const logger = pino({ level, base: { program, name } }, stream);
     const write = (event: LogEvent, fields: Readonly<Record<string, unknown>>) =>
         logger[event.level]({ event: event.number, ...fields }, event.message);
     return {
--- a/packages/runtime/test/logging/logging.test.ts
+++ b/packages/runtime/test/logging/logging.test.ts
@@ -1,7 +1,7 @@
 import { logEvents, ManualClock } from "@pebbledale/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { createLogger, maxLinesPerPeriod, rateLimitPeriod } from "../../src/index.js";
+import { createLogger, maxLineLength, maxLinesPerPeriod, rateLimitPeriod } from "../../src/index.js";
 
 const createTestLogger = () => {
     const clock = new ManualClock();
@@ -33,6 +33,41 @@
         ]);
     });
 
+    /* Guards against logs of unbounded volume: a line once held all 60,000 labels of one entry. */
+    for (
+        const [what, value] of [
+            ["a long text", "s".repeat(500_000)],
+            ["many texts", Array.from({ length: 60_000 }, (_, index) => `label-${index}`)],
+            ["many long texts", Array.from({ length: 100 }, () => "s".repeat(10_000))],
+            ["many names", Object.fromEntries(Array.from({ length: 20_000 }, (_, index) => [`name-${index}`, index]))],
+            ["long names", { ["n".repeat(100_000)]: { ["m".repeat(100_000)]: 1 } }],
+            ["names of inherited properties", JSON.parse(`{"__proto__":"${"s".repeat(100_000)}"}`) as unknown],
+        ] as const
+    ) {
+        it(`shortens a line with ${what}, and keeps what tells which event it is`, () => {
+            const texts: string[] = [];
+            const target = { write: (line: string) => void texts.push(line) };
+            const logger = createLogger({
+                program: "test",
+                name: "vm-1",
+                level: "info",
+                clock: new ManualClock(),
+                target,
+            });
+            logger.log(logEvents.workerListed, { worker: "w1", value, last: 7 });
+            expect(texts.map(({ length }) => length <= maxLineLength)).toEqual([true]);
+            const { program, name, event, worker, last, msg } = JSON.parse(texts[0]) as Record<string, unknown>;
+            expect([program, name, event, worker, last, msg]).toEqual([
+                "test",
+                "vm-1",
+                logEvents.workerListed.number,
+                "w1",
+                7,
+                logEvents.workerListed.message,
+            ]);
+        });
+    }
+
     it("writes warnings while lines of lower levels are dropped", () => {
         const { lines, logger } = createTestLogger();
         for (let index = 0; index < maxLinesPerPeriod * 2; index++) {
