An odd entry among those of the entry VMs no longer ends all VMs

What operators would see: all VMs end with "SyntaxError: Invalid URL: ws://127.0.0.1:99999", again after each new start, as long as one key below `cell/nodes/` holds an address that no connection can be opened to.

Cause: CellView took each JSON object with a text as process and address for a VM. The candidate that dials the VMs constructs a WebSocket, which throws, and nothing waits for the dial; the check of a lost owner's process would throw in the same way. By reading and test: the removal of any key below `cell/` cut the key at a fixed place and could take a VM out of the view.

Change: entries of VMs and of the owner are decoded by a schema in a module of its own, which wants an address that can be called, finite numbers and the name that the key has. Unusable ones are logged (4515) and count as missing. The check of addresses is the one that workers' entries had, in core now.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 /** Scheduling logic and interfaces that the other packages build on. Opens no sockets. */
+export * from "./addresses/index.js";
 export * from "./errors/index.js";
 export * from "./ids/index.js";
 export * from "./jobs/index.js";
--- a/packages/core/src/log-events/index.ts
+++ b/packages/core/src/log-events/index.ts
@@ -272,6 +272,12 @@
         "Check the connection from this VM to the store.",
     ),
     membersAvailable: define(4511, "info", "the keys of the entry VMs are read again", nothing),
+    memberEntryUnreadable: define(
+        4515,
+        "warn",
+        "an entry of a VM or of the owner in the store cannot be read and counts as missing",
+        "Look at who wrote the key.",
+    ),
     connectionsReplaced: define(
         4610,
         "info",
--- a/packages/entry/src/entry-process.ts
+++ b/packages/entry/src/entry-process.ts
@@ -101,7 +101,10 @@
         const logger = new InstrumentedLogger(options.logger, metrics);
         this.#logger = logger;
         this.#followLimits = followLimitsOf(settings.bounds);
-        this.#view = new CellView(clock);
+        this.#view = new CellView(
+            clock,
+            (key, reason) => logger.log(logEvents.memberEntryUnreadable, { key, reason }),
+        );
         this.#self = {
             name: settings.vm,
             address: settings.peerAddress,
--- a/packages/entry/src/membership/cell-view.ts
+++ b/packages/entry/src/membership/cell-view.ts
@@ -1,13 +1,6 @@
 /** Local copy of the keys of entry VMs and of the owner. */
-import type {
-    Clock,
-    DataHallName,
-    KeyChanges,
-    KeysAtCursor,
-    KeyValue,
-    KeyVersion,
-    Milliseconds,
-} from "@pebbledale/core";
+import type { Clock, KeyChanges, KeysAtCursor, KeyValue, KeyVersion, Milliseconds } from "@pebbledale/core";
+import { decodeOwnerEntry, decodeVmEntry, type EntryVm, type OwnerEntry } from "./member-entries.js";
 
 /** Prefix of the keys of entry VMs and of the owner. */
 export const cellPrefix = "cell/";
@@ -18,29 +11,6 @@
 /** Key of the entry VM with a name. */
 export const vmKey = (name: string): string => `${vmPrefix}${name}`;
 
-/** An entry VM as it registers itself in the store. */
-export interface EntryVm {
-    readonly name: string;
-    /** IP address and port at which it accepts the owner's connection. */
-    readonly address: string;
-    readonly dataHall: DataHallName;
-    /** Available processor time, in shares of a core. */
-    readonly processorShare: number;
-    /** Identifies the process: a restarted VM has another value. */
-    readonly process: string;
-    /** Start of the process in Unix seconds, by its own clock. */
-    readonly startedAt: number;
-    /** Least time of a call to the store from this VM; omitted where it is not measured. */
-    readonly storeTime?: Milliseconds;
-}
-
-/** Value of {@link ownerKey}. */
-export interface OwnerEntry {
-    readonly name: string;
-    readonly address: string;
-    readonly process: string;
-}
-
 /** Entry VMs and the owner as last seen in the store. Times are of the monotonic clock. */
 export class CellView {
     readonly vms = new Map<string, EntryVm>();
@@ -56,7 +26,11 @@
     /** Versions of the VMs' keys, which rise with each write to the store. */
     readonly #vmVersions = new Map<string, KeyVersion>();
 
-    constructor(private readonly clock: Clock) {}
+    /** `onUnreadable`: called with the key of an entry that is unusable, and the reason. */
+    constructor(
+        private readonly clock: Clock,
+        private readonly onUnreadable: (key: string, reason: string) => void = () => undefined,
+    ) {}
 
     /**
      * Whether the process that owns the cell has ended: another process of its VM has registered after the owner's key was written.
@@ -88,7 +62,7 @@
             if (key === ownerKey) {
                 this.#removeOwner();
             }
-            else {
+            else if (key.startsWith(vmPrefix)) {
                 this.#removeVm(key.slice(vmPrefix.length));
             }
         }
@@ -106,12 +80,14 @@
     }
 
     #put({ key, value, version }: KeyValue): void {
+        const noteUnreadable = (reason: string): undefined => void this.onUnreadable(key, reason);
         if (key === ownerKey) {
-            this.#putOwner(parse<OwnerEntry>(value), version);
+            this.#putOwner(decodeOwnerEntry(value).match(entry => entry, noteUnreadable), version);
         }
         else if (key.startsWith(vmPrefix)) {
-            this.#vmVersions.set(key.slice(vmPrefix.length), version);
-            this.#putVm(key.slice(vmPrefix.length), parse<EntryVm>(value));
+            const name = key.slice(vmPrefix.length);
+            this.#vmVersions.set(name, version);
+            this.#putVm(name, decodeVmEntry(name, value).match(entry => entry, noteUnreadable));
         }
     }
 
@@ -138,16 +114,3 @@
         this.vms.set(name, vm);
     }
 }
-
-/** Parses a value written by an entry VM; undefined when it is malformed. */
-const parse = <Entry extends { readonly process: string; readonly address: string; }>(
-    value: string,
-): Entry | undefined => {
-    try {
-        const entry = JSON.parse(value) as Partial<Entry> | undefined;
-        return typeof entry?.process === "string" && typeof entry.address === "string" ? entry as Entry : undefined;
-    }
-    catch {
-        return undefined;
-    }
-};
--- a/packages/entry/src/membership/owner-placement.ts
+++ b/packages/entry/src/membership/owner-placement.ts
@@ -1,7 +1,7 @@
 /** Which VMs should own the cell where data halls stand in several regions. */
 import type { DataHallName, Milliseconds } from "@pebbledale/core";
 import { hasSeveralRegions, type RegionMap } from "../settings/index.js";
-import type { EntryVm } from "./cell-view.js";
+import type { EntryVm } from "./member-entries.js";
 
 /** A region is farther from the store than the nearest one if its calls take longer by this factor and by {@link minFartherBy}. */
 const fartherRatio = 1.5;
