--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -4,6 +4,7 @@
 export * from "./ids/index.js";
 export * from "./jobs/index.js";
 export * from "./journal/index.js";
+export * from "./json/index.js";
 export * from "./log-events/index.js";
 export * from "./placement/index.js";
 export * from "./platform/index.js";
--- a/packages/core/src/journal/journal.ts
+++ b/packages/core/src/journal/journal.ts
@@ -246,19 +246,20 @@
                 return;
             }
             const { current } = outcome;
-            const found = current === undefined ? undefined : parseSegment(current);
-            if (current === undefined || found === undefined || found.epoch > this.epoch) {
+            const found = current && parseSegment(current);
+            if (current === undefined || found !== undefined && found.epoch > this.epoch) {
                 throw createFencedError(segment);
             }
             this.#versions.set(slot, current.version);
-            if (found.nonce === segment.nonce) {
+            if (found?.nonce === segment.nonce) {
                 this.#lastContact = Math.max(this.#lastContact, sentAt);
                 return;
             }
-            if (found.epoch === this.epoch) {
+            if (found?.epoch === this.epoch) {
                 throw createFencedError(segment);
             }
-            // A late segment of a former owner after this owner's claim: it is ignored by readers and overwritten here.
+            // A late segment of a former owner after this owner's claim, or a value of another writer: readers ignore it, and it
+            // is overwritten here.
         }
     }
 
--- a/packages/core/src/journal/open.ts
+++ b/packages/core/src/journal/open.ts
@@ -5,6 +5,14 @@
 import { readSnapshot } from "./snapshots.js";
 import type { JournalContents } from "./types.js";
 
+/** A journal that this process owns. */
+export interface OpenJournal {
+    readonly journal: Journal;
+    readonly contents: JournalContents;
+    /** Keys below the journal's prefix that hold no segment: another writer has left them. */
+    readonly unreadableKeys: readonly string[];
+}
+
 /**
  * Reads a shard's journal and seals it against the former owner.
  * Rejects with `PlatformUnavailableError` when the platform does not answer; the journal may or may not be sealed then.
@@ -14,11 +22,11 @@
 export const openJournal = async (
     dependencies: JournalDependencies,
     sealPermission: Promise<void> = Promise.resolve(),
-): Promise<{ journal: Journal; contents: JournalContents; }> => {
-    const { store, shard, signal, options: { ringSize } } = dependencies;
+): Promise<OpenJournal> => {
+    const { store, shard, signal, options: { ringSize, maxInFlight } } = dependencies;
     while (true) {
         signal.throwIfAborted();
-        const chain = await readSegmentChain({ ...dependencies, ringSize });
+        const chain = await readSegmentChain({ ...dependencies, ringSize, maxInFlight });
         if (chain === undefined) {
             continue;
         }
@@ -41,6 +49,7 @@
             claimSentAt: sentAt,
         });
         const records = segments.flatMap(segment => segment.records);
-        return { journal, contents: { epoch: claim.epoch, snapshot, records } };
+        const contents = { epoch: claim.epoch, snapshot, records };
+        return { journal, contents, unreadableKeys: chain.unreadableKeys };
     }
 };
--- a/packages/core/src/journal/segment-chain.ts
+++ b/packages/core/src/journal/segment-chain.ts
@@ -3,6 +3,7 @@
 import { absentVersion, type KeyValue, type KeyVersion, type PlatformStore } from "../platform/index.js";
 import type { Random } from "../random/index.js";
 import type { Clock, Milliseconds } from "../time/index.js";
+import { JournalDamagedError } from "./errors.js";
 import { parseSegment, ringKey, sectionPrefixes, ringSlotOf } from "./segments.js";
 import { epochOfSnapshot } from "./snapshots.js";
 import type { Segment, SnapshotPointer } from "./types.js";
@@ -15,6 +16,8 @@
     readonly shard: ShardId;
     readonly writer: ProcessId;
     readonly ringSize: number;
+    /** Maximum number of segments that an owner has in flight. */
+    readonly maxInFlight: number;
 }
 
 /** The claim segment that sealed a journal, and when it was sent. */
@@ -27,7 +30,8 @@
  * The valid segments of a journal, in order.
  *
  * An owner sends several segments at once and reports one as committed only when all before it are. Segments after a gap were
- * never reported as committed and are ignored, and so are segments that a former owner wrote after a later owner's claim.
+ * never reported as committed and are ignored, and so are segments that a former owner wrote after a later owner's claim. Keys that
+ * another writer has left below the journal's prefix are ignored, and their values overwritten where a segment belongs.
  */
 export class SegmentChain {
     /** Versions of the ring's keys by slot. */
@@ -36,14 +40,20 @@
     readonly pointer: SnapshotPointer | undefined;
     /** The valid segments after the snapshot, in order. */
     readonly segments: Segment[] = [];
+    /** Keys below the journal's prefix that hold no segment. */
+    readonly unreadableKeys: string[] = [];
     readonly #segmentsBySequence = new Map<number, Segment>();
     #highestEpoch = 0;
 
     constructor(private readonly dependencies: ChainDependencies, entries: readonly KeyValue[]) {
         let pointer: SnapshotPointer | undefined;
         for (const entry of entries) {
-            const segment = this.#addSegment(ringSlotOf(entry.key), entry);
-            if ((segment.snapshot?.through ?? 0) > (pointer?.through ?? 0)) {
+            const slot = ringSlotOf(dependencies.shard, entry.key);
+            const segment = slot === undefined ? undefined : this.#addSegment(slot, entry);
+            if (segment === undefined) {
+                this.unreadableKeys.push(entry.key);
+            }
+            else if ((segment.snapshot?.through ?? 0) > (pointer?.through ?? 0)) {
                 pointer = segment.snapshot;
             }
         }
@@ -59,6 +69,7 @@
                 return false;
             }
             if (segment === undefined || segment.epoch < this.#lastEpoch) {
+                this.#checkGap(last);
                 break;
             }
             this.segments.push(segment);
@@ -66,6 +77,15 @@
         return true;
     }
 
+    /** Rejects a gap in the place of a value of another writer after which more segments follow than an owner has in flight. */
+    #checkGap(last: number): void {
+        const { shard, ringSize, maxInFlight } = this.dependencies;
+        const key = ringKey(shard, this.#nextSequence % ringSize);
+        if (last - this.#nextSequence > maxInFlight && this.unreadableKeys.includes(key)) {
+            throw new JournalDamagedError(`key ${key} holds no segment: another writer has overwritten a committed one`);
+        }
+    }
+
     /**
      * Seals the chain with a claim; undefined when the journal must be read again.
      *
@@ -105,6 +125,9 @@
     /** Adds the segment found in place of the claim; false when the journal must be read again. */
     async #applyConflict(claim: Segment, slot: number, current: KeyValue): Promise<boolean> {
         const segment = this.#addSegment(slot, current);
+        if (segment === undefined) {
+            return true;
+        }
         const isNext = segment.sequence === claim.sequence && segment.snapshot?.name === this.pointer?.name;
         return isNext && this.extend();
     }
@@ -117,9 +140,13 @@
         return this.segments.at(-1)?.epoch ?? (this.pointer === undefined ? 0 : epochOfSnapshot(this.pointer));
     }
 
-    #addSegment(slot: number, entry: KeyValue): Segment {
+    /** Adds the segment of a slot, if its value is one. */
+    #addSegment(slot: number, entry: KeyValue): Segment | undefined {
         const segment = parseSegment(entry);
         this.versions.set(slot, entry.version);
+        if (segment === undefined) {
+            return undefined;
+        }
         this.#segmentsBySequence.set(segment.sequence, segment);
         this.#highestEpoch = Math.max(this.#highestEpoch, segment.epoch);
         return segment;
@@ -133,7 +160,7 @@
         const { store, shard, ringSize } = this.dependencies;
         const slot = sequence % ringSize;
         const entry = await store.get(ringKey(shard, slot));
-        const segment = entry === undefined ? undefined : parseSegment(entry);
+        const segment = entry && parseSegment(entry);
         if (entry === undefined || segment === undefined || segment.sequence < sequence) {
             return undefined;
         }
--- a/packages/core/src/journal/segments.ts
+++ b/packages/core/src/journal/segments.ts
@@ -1,5 +1,7 @@
 /** Keys and encoding of the journal's segments. */
-import type { ShardId } from "../ids/index.js";
+import * as z from "zod";
+import type { Epoch, ProcessId, ShardId } from "../ids/index.js";
+import { parseJson } from "../json/index.js";
 import type { KeyValue } from "../platform/index.js";
 import type { Segment } from "./types.js";
 
@@ -24,8 +26,25 @@
 export const ringKey = (shard: ShardId, slot: number): string =>
     `${journalPrefix(shard)}${String(slot).padStart(slotDigits, "0")}`;
 
-/** Extracts the slot number from a key of the ring. */
-export const ringSlotOf = (key: string): number => Number(key.slice(-slotDigits));
+/** Extracts the slot number from a key below the journal's prefix; undefined when it is no key of the ring. */
+export const ringSlotOf = (shard: ShardId, key: string): number | undefined => {
+    const slot = Number(key.slice(journalPrefix(shard).length));
+    return Number.isInteger(slot) && key === ringKey(shard, slot) ? slot : undefined;
+};
 
-/** Decodes a stored segment without validation. */
-export const parseSegment = (entry: KeyValue): Segment => JSON.parse(entry.value) as Segment;
+const position = z.number().int().min(1).max(Number.MAX_SAFE_INTEGER);
+const snapshotSchema = z.object({ name: z.string(), parts: position, through: position });
+const segmentSchema = z.object({
+    sequence: position,
+    epoch: position.transform(epoch => epoch as Epoch),
+    writer: z.string().transform(writer => writer as ProcessId),
+    nonce: z.string(),
+    snapshot: snapshotSchema.optional(),
+    records: z.array(z.unknown()),
+});
+
+/** Decodes the value of a slot; undefined when it is no segment, as another writer may have left it. */
+export const parseSegment = ({ value }: KeyValue): Segment | undefined => {
+    const checked = segmentSchema.safeParse(parseJson(value));
+    return checked.success ? { ...checked.data, snapshot: checked.data.snapshot } : undefined;
+};
--- a/packages/core/src/log-events/index.ts
+++ b/packages/core/src/log-events/index.ts
@@ -278,6 +278,12 @@
         "an entry of a VM or of the owner in the store cannot be read and counts as missing",
         "Look at who wrote the key.",
     ),
+    journalKeysUnreadable: define(
+        4516,
+        "warn",
+        "keys below the journal's prefix hold no segment of it and are ignored",
+        "Look at who wrote the keys, and remove those that are no slots of the ring.",
+    ),
     connectionsReplaced: define(
         4610,
         "info",
--- a/packages/entry/src/membership/member-entries.ts
+++ b/packages/entry/src/membership/member-entries.ts
@@ -1,5 +1,5 @@
 /** Decoding of the entries of entry VMs and of the owner, among which another writer may have left odd ones. */
-import { type DataHallName, dataHallName, isSocketAddress, type Milliseconds } from "@pebbledale/core";
+import { type DataHallName, dataHallName, isSocketAddress, type Milliseconds, parseJson } from "@pebbledale/core";
 import { err, ok, type Result } from "neverthrow";
 import * as z from "zod";
 
@@ -60,12 +60,3 @@
     const [{ path, message }] = checked.error.issues;
     return err(path.length === 0 ? message : `${path.join(".")}: ${message}`);
 };
-
-const parseJson = (text: string): unknown => {
-    try {
-        return JSON.parse(text) as unknown;
-    }
-    catch {
-        return undefined;
-    }
-};
--- a/packages/entry/src/ownership/candidate.ts
+++ b/packages/entry/src/ownership/candidate.ts
@@ -318,8 +318,11 @@
             // A store that does not answer must not delay the end of the process until its calls time out.
             await settledOrAborted(opened, lost.signal);
             lost.signal.throwIfAborted();
-            const { journal, contents } = await opened;
+            const { journal, contents, unreadableKeys } = await opened;
             logger.log(logEvents.ownershipBegun, { epoch: journal.epoch, records: contents.records.length });
+            if (unreadableKeys.length > 0) {
+                logger.log(logEvents.journalKeysUnreadable, { keys: unreadableKeys });
+            }
             const session = new OwnerSession({
                 journal,
                 contents,
--- a/packages/evidence/test/journal/journal.test.ts
+++ b/packages/evidence/test/journal/journal.test.ts
@@ -1,6 +1,8 @@
 import {
+    absentVersion,
     type Clock,
     type Journal,
+    JournalDamagedError,
     JournalFencedError,
     openJournal,
     processId,
@@ -335,6 +337,83 @@
         await Promise.allSettled([lost, after]);
         expect(await readAllRecords(store)).toEqual([]);
     });
+
+    describe("beside keys and values of another writer", () => {
+        const prefix = "shards/shard-0/journal/";
+        const nested = `${"[".repeat(100_000)}${"]".repeat(100_000)}`;
+        const segmentWith = (changes: object) =>
+            JSON.stringify({ sequence: 9, epoch: 1, writer: "odd", nonce: "odd", records: [], ...changes });
+        const oddValues = [
+            "",
+            "null",
+            nested,
+            segmentWith({ sequence: 1e300, epoch: 1e300 }),
+            segmentWith({ sequence: 0 }),
+            segmentWith({ epoch: "7" }),
+            segmentWith({ records: "none" }),
+            segmentWith({ snapshot: { name: "x", parts: -1, through: 1e300 } }),
+        ];
+        const put = (store: FlakyStore, key: string, value: string): void => {
+            store.memory.swap(key, store.memory.get(key)?.version ?? absentVersion, value);
+        };
+
+        /* Guards against a cell without an owner: one such key kept all VMs from reading the journal. */
+        it("reads all records, and writes on over values that are no segments", async () => {
+            for (const value of oddValues) {
+                const store = new FlakyStore();
+                const first = await openAs(store, "first");
+                await first.journal.append(["a"]);
+                ["000odd", "00012/odd", "", "0000", "000009", "00009"].forEach(name => put(store, prefix + name, value));
+                const { journal, contents } = await openAs(store, "second");
+                expect(contents.records).toEqual(["a"]);
+                const owner = trackState(journal, contents.records);
+                for (let index = 0; index < 40; index++) {
+                    await owner.append(index);
+                }
+                expect(await readAllRecords(store)).toEqual(["a", ...Array.from({ length: 40 }, (_, index) => index)]);
+            }
+        });
+
+        it("reports which keys it passes over", async () => {
+            const store = new FlakyStore();
+            put(store, `${prefix}000odd`, "{}");
+            put(store, `${prefix}00009`, "{}");
+            const { unreadableKeys } = await openAs(store, "owner");
+            expect(unreadableKeys).toEqual([`${prefix}00009`, `${prefix}000odd`]);
+        });
+
+        it("writes over a value that appears in the place of its next segment", async () => {
+            const store = new FlakyStore();
+            const { journal } = await openAs(store, "owner");
+            await journal.append(["a"]);
+            put(store, `${prefix}00003`, "odd");
+            await journal.append(["b"]);
+            await journal.append(["c"]);
+            expect(await readAllRecords(store)).toEqual(["a", "b", "c"]);
+        });
+
+        it("claims over a value that appears in the place of the claim", async () => {
+            const store = new FlakyStore();
+            const { journal } = await openAs(store, "first");
+            await journal.append(["a"]);
+            store.beforeSwap = key => {
+                store.beforeSwap = undefined;
+                put(store, key, "odd");
+            };
+            expect((await openAs(store, "second")).contents.records).toEqual(["a"]);
+        });
+
+        it("is damaged when a committed segment was overwritten, as records are lost", async () => {
+            const store = new FlakyStore();
+            const sizes = { ringSize: 64, snapshotEvery: 60 };
+            const { journal } = await openAs(store, "first", sizes);
+            for (let index = 0; index < 10; index++) {
+                await journal.append([index]);
+            }
+            put(store, `${prefix}00004`, "odd");
+            await expect(openAs(store, "second", sizes)).toBeRejectedWith(JournalDamagedError);
+        });
+    });
 });
 
 /** Runs turns of the event loop. */
--- a/packages/scheduler/src/ownership/shard-candidate.ts
+++ b/packages/scheduler/src/ownership/shard-candidate.ts
@@ -113,7 +113,7 @@
         const lastRenewal = { at: clock.monotonic() };
         const renewing = this.#renewLease(lease, lost, lastRenewal);
         try {
-            const { journal, contents } = await openJournal({
+            const { journal, contents, unreadableKeys } = await openJournal({
                 store,
                 clock,
                 random,
@@ -131,6 +131,9 @@
                 },
             });
             logger.log(logEvents.shardClaimed, { shard, epoch: journal.epoch, records: contents.records.length });
+            if (unreadableKeys.length > 0) {
+                logger.log(logEvents.journalKeysUnreadable, { shard, keys: unreadableKeys });
+            }
             const owned = new OwnedShard({ ...this.options, journal, contents, lastRenewal, lost });
             this.#owned = owned;
             await owned.run(stop);
