The scheduler confirms and shows nothing of a job before its record is committed

What callers could see: the second of two cancellations is confirmed while the record of the first is on its way, and after a change of owner the job runs on; a job that is asked for by its key is shown before its acceptance is recorded; the explanation of a job shows decisions that the next owner does not know.

Change: a cancellation waits until the job's records so far are committed, as a repeated submission does; a job is known to callers once its submission is committed; decisions of records that are not committed are left out.

--- a/packages/core/src/shard/job-registry.ts
+++ b/packages/core/src/shard/job-registry.ts
@@ -24,6 +24,8 @@
 export class JobRegistry {
     readonly jobs = new Map<JobId, JobEntry>();
     readonly unrepeatableRequests = new Map<string, UnrepeatableRequest>();
+    /** Jobs whose submission is not committed yet. Volatile: a job that is restored from the journal is committed. */
+    readonly uncommittedJobs = new Set<JobId>();
     /** The lease terms that were journaled last. */
     leaseTerms: LeaseTerms | undefined;
     readonly #jobsByKey = new Map<string, JobEntry>();
--- a/packages/core/src/shard/shard-scheduler.ts
+++ b/packages/core/src/shard/shard-scheduler.ts
@@ -1,6 +1,6 @@
 /** Entry point of a shard's scheduling logic. */
 import { type Attempt, type JobId, jobId, type TaskId, type WorkerId } from "../ids/index.js";
-import { isFinalState, JobState, type JobSubmission, type JobView } from "../jobs/index.js";
+import { type DecisionEntry, isFinalState, JobState, type JobSubmission, type JobView } from "../jobs/index.js";
 import type { Milliseconds } from "../time/index.js";
 import type { ListedWorker } from "../vm-list/index.js";
 import {
@@ -174,10 +174,10 @@
         return builder.build();
     }
 
-    /** Describes a job for its caller. A final state is reported only once it is committed. */
+    /** Describes a job for its caller. A job is reported only once its submission is committed, and a final state only once that is. */
     view(id: JobId): JobView | undefined {
         const job = this.registry.jobs.get(id);
-        if (job === undefined) {
+        if (job === undefined || this.registry.uncommittedJobs.has(id)) {
             return undefined;
         }
         const unit = job.state === JobState.Queued ? this.queue.unitOf(job.tasks[0].task) : undefined;
@@ -188,6 +188,13 @@
         });
     }
 
+    /** Decisions about a job whose records are committed, in order. */
+    historyOf(id: JobId): readonly DecisionEntry[] {
+        const job = this.registry.jobs.get(id);
+        // Each record of a job adds at most one decision.
+        return job?.history.slice(0, Math.max(0, job.history.length - job.unkept)) ?? [];
+    }
+
     findByKey(key: string): JobId | undefined {
         return this.registry.findByKey(key)?.job;
     }
@@ -251,6 +258,9 @@
     /** Must be called once the records of a transition are committed. */
     onCommitted(transition: Transition): void {
         for (const record of transition.records) {
+            if (record.kind === "submitted") {
+                this.registry.uncommittedJobs.delete(record.job);
+            }
             const job = jobOfRecord(record);
             const entry = job === undefined ? undefined : this.registry.jobs.get(job);
             if (entry !== undefined) {
--- a/packages/core/src/shard/transition-builder.ts
+++ b/packages/core/src/shard/transition-builder.ts
@@ -18,6 +18,9 @@
     record(record: ShardRecord): void {
         this.registry.apply(record);
         this.#records.push(record);
+        if (record.kind === "submitted") {
+            this.registry.uncommittedJobs.add(record.job);
+        }
         const job = jobOfRecord(record);
         const entry = job === undefined ? undefined : this.registry.jobs.get(job);
         if (entry !== undefined) {
--- a/packages/scheduler/src/ownership/owned-shard.ts
+++ b/packages/scheduler/src/ownership/owned-shard.ts
@@ -150,6 +150,20 @@
         }
     }
 
+    /** Cancels a job; resolves to false when it is unknown. Rejects with {@link NotRecordedError} when that is not committed in time. */
+    async cancel(job: JobId): Promise<boolean> {
+        const transition = this.scheduler.cancel(job);
+        if (transition === undefined) {
+            return false;
+        }
+        await this.commitInTime(transition);
+        // The record of an earlier cancellation may still be in flight.
+        if (!await this.#untilCommitted(job)) {
+            throw new NotRecordedError("the records of the job were not committed in time");
+        }
+        return true;
+    }
+
     /** Resolves when the job changes, after `wait`, or when a signal fires. */
     async waitForChange(job: JobId, wait: Milliseconds, signal: AbortSignal): Promise<void> {
         const listeners = this.#changeListeners.get(job) ?? new Set();
@@ -183,15 +197,19 @@
     }
 
     async #waitForCommit(outcome: SubmitOutcome & { kind: "accepted"; }): Promise<SubmitOutcome | NotRecorded> {
-        const entry = this.scheduler.registry.jobs.get(outcome.job);
+        return await this.#untilCommitted(outcome.job)
+            ? outcome
+            : { kind: "not-recorded", retryAfter: journalStalledRetryAfter };
+    }
+
+    /** Resolves to whether the records of a job so far are committed in time. */
+    async #untilCommitted(job: JobId): Promise<boolean> {
+        const entry = this.scheduler.registry.jobs.get(job);
         if (entry === undefined || entry.unkept === 0) {
-            return outcome;
+            return true;
         }
         // The journal commits in order: once this empty group is committed, so are all records before it.
-        const committed = this.options.journal.append([]).then(() => true, () => false);
-        return await this.#settlesInTime(committed)
-            ? outcome
-            : { kind: "not-recorded", retryAfter: journalStalledRetryAfter };
+        return this.#settlesInTime(this.options.journal.append([]).then(() => true, () => false));
     }
 
     /** Resolves to the result of a commit, or to false when it takes too long. */
--- a/packages/scheduler/src/service/local-scheduler-service.ts
+++ b/packages/scheduler/src/service/local-scheduler-service.ts
@@ -89,13 +89,9 @@
             return notOwner;
         }
         const job = findJobId(owned, request);
-        const transition = job === undefined ? undefined : owned.scheduler.cancel(job);
-        if (transition === undefined) {
-            return noJob;
-        }
         return catchNotRecorded(async () => {
-            await owned.commitInTime(transition);
-            return buildJobAnswer(owned, job);
+            const isKnown = job !== undefined && await owned.cancel(job);
+            return isKnown ? buildJobAnswer(owned, job) : noJob;
         });
     }
 
@@ -190,7 +186,7 @@
     if (view === undefined) {
         return noJob;
     }
-    return { kind: "job", view, history: owned.scheduler.registry.jobs.get(view.job)?.history ?? [] };
+    return { kind: "job", view, history: owned.scheduler.historyOf(view.job) };
 };
 
 const buildShardStatus = (owned: OwnedShard): ShardStatus => {
--- a/packages/scheduler/test/ownership/shard-candidate.test.ts
+++ b/packages/scheduler/test/ownership/shard-candidate.test.ts
@@ -27,6 +27,7 @@
     ShardCandidate,
     type ShardCandidateOptions,
 } from "../../src/ownership/index.js";
+import { LocalSchedulerService } from "../../src/service/index.js";
 
 /** A store in memory; `beforeSwap` brings failures about. */
 class TestStore implements PlatformStore {
@@ -211,4 +212,51 @@
             expect(clock.pendingOf(commitTimeout)).toEqual(0);
         });
     });
+
+    /** Submits a job whose record is committed, and returns the service through which it is asked for. */
+    const submitJob = async (candidate: ShardCandidate, owned: OwnedShard) => {
+        await owned.commitInTime(owned.scheduler.applyWorkerList([worker]));
+        await owned.submit(submission);
+        const service = new LocalSchedulerService(values as never, {} as SettingsWatch, [candidate]);
+        return { service, request: { shard: shardId("shard-0"), key: "key" } };
+    };
+
+    /* Guards against a cancelled job that runs on: its second cancellation was confirmed before the first one was recorded. */
+    it("confirms a repeated cancellation only once the first one's record is committed", async () => {
+        const { store, candidate } = setUp();
+        await withOwnedShard(candidate, async owned => {
+            const { service, request } = await submitJob(candidate, owned);
+            const release = store.holdWrites();
+            const confirmed: string[] = [];
+            const cancel = async () => confirmed.push((await service.cancel(request)).kind);
+            const cancelled = [cancel(), cancel()];
+            await new Promise(resolve => setTimeout(resolve, 50));
+            const confirmedEarly = [...confirmed];
+            release();
+            await Promise.all(cancelled);
+            expect([confirmedEarly, confirmed]).toEqual([[], ["job", "job"]]);
+        });
+    });
+
+    it("shows neither a job nor a decision before the record is committed", async () => {
+        const { store, candidate } = setUp();
+        await withOwnedShard(candidate, async owned => {
+            const { service, request } = await submitJob(candidate, owned);
+            const release = store.holdWrites();
+            const other = { ...submission, submission: { ...submission.submission, key: "other" } };
+            const submitted = owned.submit(other);
+            const cancelled = service.cancel(request);
+            const otherRequest = { ...request, key: "other" };
+            const decisionsOf = async () => {
+                const answer = await service.view(request);
+                return answer.kind === "job" ? answer.history.map(({ decision }) => decision) : [];
+            };
+            const look =
+                async () => [(await service.view(otherRequest)).kind, (await decisionsOf()).includes("cancelling")];
+            const before = await look();
+            release();
+            await Promise.all([submitted, cancelled]);
+            expect([before, await look()]).toEqual([["no-job", false], ["job", true]]);
+        });
+    });
 });
