A VM is gone for a wave of upkeep only once two lists in a row lack it

What operators could see: a wave that is said to be completed though one VM had no upkeep, or one more VM down than the wave allows, after a single list that lacked a VM.

Change: a VM counts as gone once two lists in a row lack it, and no longer once it is listed again.

Tests that failed before: wave-planner (two).

--- a/packages/cell/src/upkeep/wave-planner.ts
+++ b/packages/cell/src/upkeep/wave-planner.ts
@@ -40,7 +40,7 @@
     readonly addedAt: Milliseconds;
     /** VMs whose upkeep was ordered. */
     readonly orders: Map<VmId, Order>;
-    /** VMs that are up again after their upkeep, or no longer listed. */
+    /** VMs that are up again after their upkeep. */
     readonly finished: Set<VmId>;
     /** VMs that were seen down after their order. */
     readonly seenDown: Set<VmId>;
@@ -48,6 +48,8 @@
 
 /** Share of a wave's time after which VMs begin their upkeep even with runs on them. */
 const drainShare = 0.5;
+/** A VM is gone once this many lists in a row lack it: pages of a list are no snapshot, so that one may lack a VM. */
+const listsUntilGone = 2;
 /** Added to the duration of an upkeep, in milliseconds, as the platform's list may be out of date. */
 const upkeepMargin: Milliseconds = 500;
 
@@ -61,6 +63,8 @@
     readonly #waves = new Map<number, Wave>();
     readonly #completed = new Set<number>();
     #vms = new Map<VmId, VmEntry>();
+    /** VMs of waves that the last lists lack, with the number of these lists. */
+    readonly #missing = new Map<VmId, number>();
 
     constructor(private readonly options: WavePlannerOptions) {}
 
@@ -96,9 +100,19 @@
     /** Applies the platform's list of all VMs. */
     applyList(entries: readonly VmEntry[]): void {
         this.#vms = new Map(entries.map(entry => [entry.vm, entry]));
+        this.#countMissing();
         this.#waves.forEach(wave => wave.definition.vms.forEach(vm => this.#updateVm(wave, vm)));
     }
 
+    #countMissing(): void {
+        const vms = new Set([...this.#waves.values()].flatMap(wave => wave.definition.vms));
+        const missing = [...vms].filter(vm => !this.#vms.has(vm)).map(vm =>
+            [vm, (this.#missing.get(vm) ?? 0) + 1] as const
+        );
+        this.#missing.clear();
+        missing.forEach(([vm, lists]) => this.#missing.set(vm, lists));
+    }
+
     /** An order is issued. Its VM counts as down until the order is refused or found not to be carried out. */
     noteOrdered(wave: number, vm: VmId): void {
         this.#waves.get(wave)?.orders.set(vm, this.#newOrder(false));
@@ -122,7 +136,7 @@
         const begin: { wave: number; vm: VmId; }[] = [];
         const states = new Map<number, WaveState>();
         for (const [number, wave] of [...this.#waves]) {
-            if (wave.definition.vms.every(vm => wave.finished.has(vm))) {
+            if (wave.definition.vms.every(vm => this.#isFinished(wave, vm))) {
                 states.set(number, WaveState.Completed);
                 continue;
             }
@@ -134,7 +148,7 @@
 
     #planWave(number: number, wave: Wave, closed: Set<WorkerId>, begin: { wave: number; vm: VmId; }[]): void {
         const { definition } = wave;
-        const down = definition.vms.filter(vm => wave.orders.has(vm) && !wave.finished.has(vm)).length;
+        const down = definition.vms.filter(vm => wave.orders.has(vm) && !this.#isFinished(wave, vm)).length;
         let openSlots = definition.mostDown - down;
         // In addition to the VMs that are down, as many are drained as may go down next.
         let draining = definition.mostDown;
@@ -175,12 +189,16 @@
         return { at: this.options.now(), isConfirmed };
     }
 
-    /** Updates a VM's progress: it is finished once it is up again after its upkeep, or no longer listed. */
+    /** Whether a VM needs no upkeep any more: it has had it, or is gone. */
+    #isFinished(wave: Wave, vm: VmId): boolean {
+        return wave.finished.has(vm) || (this.#missing.get(vm) ?? 0) >= listsUntilGone;
+    }
+
+    /** Updates a VM's progress: it is finished once it is up again after its upkeep. */
     #updateVm(wave: Wave, vm: VmId): void {
         const entry = this.#vms.get(vm);
         const order = wave.orders.get(vm);
         if (entry === undefined) {
-            wave.finished.add(vm);
             return;
         }
         if (entry.state === VmCondition.Upkeep) {
--- a/packages/cell/test/upkeep/wave-planner.test.ts
+++ b/packages/cell/test/upkeep/wave-planner.test.ts
@@ -25,6 +25,11 @@
         this.#entries.set(name, entry);
     }
 
+    /** Leaves a VM out of the lists until it is set again. */
+    leaveOut(name: string): void {
+        this.#entries.delete(name);
+    }
+
     plan(): { begin: string[]; closed: string[]; state: WaveState | undefined; } {
         this.planner.applyList([...this.#entries.values()]);
         const plan = this.planner.plan();
@@ -72,6 +77,28 @@
         expect(vms.plan().state).toEqual(WaveState.Completed);
     });
 
+    /* Guards against waves that are completed without a VM's upkeep: pages of a list are no snapshot, so that one reading may lack a VM. */
+    it("is not completed because one list lacks a VM, nor once the VM is listed again", () => {
+        const vms = new Vms("a");
+        vms.workers.set(workerId("a-worker-1"), { runs: 1, isNeeded: true });
+        vms.planner.add(waveOf(1, "a"));
+        vms.leaveOut("a");
+        expect(vms.plan().state).toEqual(WaveState.Running);
+        vms.set("a", VmCondition.Up, "a-worker-1");
+        expect(vms.plan().state).toEqual(WaveState.Running);
+        vms.leaveOut("a");
+        expect([vms.plan().state, vms.plan().state]).toEqual([WaveState.Running, WaveState.Completed]);
+    });
+
+    it("takes no further VM down because one list lacks a VM that is down", () => {
+        const vms = new Vms("a", "b");
+        vms.planner.add(waveOf(1, "a", "b"));
+        vms.plan();
+        vms.order("a");
+        vms.leaveOut("a");
+        expect(vms.plan().begin).toEqual([]);
+    });
+
     it("counts a VM as down whose order had no answer, until the order is found not to be carried out", () => {
         const vms = new Vms("a", "b");
         vms.planner.add(waveOf(1, "a", "b"));
