Sleeps of 25 days and more no longer end at once

A number too large elsewhere: setTimeout takes a delay of 2^31 ms and more for 1 ms. By reading, a caller's deadline of that length (X-Request-Deadline) ended the wait for the owner at once, so that the request was answered as uncertain; the same holds for any duration from a configuration.

Change: the clock of the process sleeps 24.8 days at most.

Test that failed before: system-clock (four durations).

--- a/packages/core/src/time/clock.ts
+++ b/packages/core/src/time/clock.ts
@@ -21,6 +21,9 @@
     uninterruptedSince(): Milliseconds;
 }
 
+/** Longest delay of a timer, 24.8 days: longer ones would fire after 1 ms. Durations may come from outside. */
+const maxTimerDelay: Milliseconds = 2 ** 31 - 1;
+
 /** The clock of the process. No other code reads the process's time. */
 export class SystemClock implements SuspensionAwareClock {
     readonly #suspensions = new SuspensionDetector();
@@ -48,7 +51,7 @@
                 signal?.removeEventListener("abort", finish);
                 resolve();
             };
-            const timer = setTimeout(finish, Math.max(0, duration));
+            const timer = setTimeout(finish, Math.min(Math.max(0, duration), maxTimerDelay));
             signal?.addEventListener("abort", finish, { once: true });
         });
     }
